--- /dev/null
+++ b/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the commands of laburnumridge, one file a command.
+package cmd
--- /dev/null
+++ b/internal/fleet/resources.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Resources is an amount of each dimension that a worker offers and a task reserves.
+type Resources struct {
+	Accelerators int64 `json:"accelerators,omitempty" toml:"accelerators"`
+	// Connections bounds the long-running streams of a backend server.
+	Connections int64 `json:"connections,omitempty" toml:"connections"`
+	CPUMilli    int64 `json:"cpu_milli,omitempty" toml:"cpu_milli"`
+	MemoryMiB   int64 `json:"memory_mib,omitempty" toml:"memory_mib"`
+	// Slots bounds the short requests that a backend server runs at once.
+	Slots int64 `json:"slots,omitempty" toml:"slots"`
+}
+
+// Add returns the sum of r and o in each dimension.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		Accelerators: r.Accelerators + o.Accelerators,
+		Connections:  r.Connections + o.Connections,
+		CPUMilli:     r.CPUMilli + o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB + o.MemoryMiB,
+		Slots:        r.Slots + o.Slots,
+	}
+}
+
+// FitsIn reports whether r exceeds o in no dimension.
+func (r Resources) FitsIn(o Resources) bool {
+	return r.Accelerators <= o.Accelerators &&
+		r.Connections <= o.Connections &&
+		r.CPUMilli <= o.CPUMilli &&
+		r.MemoryMiB <= o.MemoryMiB &&
+		r.Slots <= o.Slots
+}
+
+// Fraction returns the largest share of o that r takes in any dimension, 0 when r is zero.
+func (r Resources) Fraction(o Resources) float64 {
+	most := 0.0
+	for _, pair := range [][2]int64{
+		{r.Accelerators, o.Accelerators},
+		{r.Connections, o.Connections},
+		{r.CPUMilli, o.CPUMilli},
+		{r.MemoryMiB, o.MemoryMiB},
+		{r.Slots, o.Slots},
+	} {
+		if pair[0] > 0 && pair[1] > 0 {
+			most = max(most, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return most
+}
+
+// HasNegative reports whether any dimension is below zero.
+func (r Resources) HasNegative() bool {
+	return r.Accelerators < 0 || r.Connections < 0 || r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Slots < 0
+}
+
+// String lists the dimensions that are not zero.
+func (r Resources) String() string {
+	var parts []string
+	for _, d := range []struct {
+		name   string
+		amount int64
+	}{
+		{"cpu_milli", r.CPUMilli},
+		{"memory_mib", r.MemoryMiB},
+		{"accelerators", r.Accelerators},
+		{"slots", r.Slots},
+		{"connections", r.Connections},
+	} {
+		if d.amount != 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", d.name, d.amount))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// Sub returns r less o in each dimension.
+func (r Resources) Sub(o Resources) Resources {
+	return r.Add(o.Times(-1))
+}
+
+// Times returns r multiplied by n in each dimension.
+func (r Resources) Times(n int64) Resources {
+	return Resources{
+		Accelerators: r.Accelerators * n,
+		Connections:  r.Connections * n,
+		CPUMilli:     r.CPUMilli * n,
+		MemoryMiB:    r.MemoryMiB * n,
+		Slots:        r.Slots * n,
+	}
+}
--- /dev/null
+++ b/internal/note/catalogue.go
@@ -0,0 +1,211 @@
+package note
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// Item is a work in force with the note that last changed it.
+type Item struct {
+	ChangedAt int64  `json:"changed_at"`
+	NoteID    string `json:"note_id"`
+	Work      Work   `json:"work"`
+}
+
+// Published is a note that has been accepted.
+type Published struct {
+	Amends   string   `json:"amends,omitempty"`
+	Author   string   `json:"author,omitempty"`
+	ID       string   `json:"id"`
+	Items    []string `json:"items"`
+	Revision int64    `json:"revision"`
+}
+
+// Catalogue is the immutable result of all notes up to a revision.
+type Catalogue struct {
+	items    map[string]Item
+	notes    map[string]Published
+	revision int64
+	// withdrawn remembers when a name was withdrawn, for the conflict rule.
+	withdrawn map[string]Item
+}
+
+type catalogueJSON struct {
+	Items     []Item      `json:"items"`
+	Notes     []Published `json:"notes"`
+	Revision  int64       `json:"revision"`
+	Withdrawn []Item      `json:"withdrawn"`
+}
+
+// Apply returns the catalogue after the note at the next revision; errors match ErrConflict or ErrInvalid.
+func (c Catalogue) Apply(n Note) (Catalogue, error) {
+	if err := c.admit(n); err != nil {
+		return c, err
+	}
+	next := Catalogue{
+		items:     maps.Clone(c.items),
+		notes:     maps.Clone(c.notes),
+		revision:  c.revision + 1,
+		withdrawn: maps.Clone(c.withdrawn),
+	}
+	if next.items == nil {
+		next.items, next.notes, next.withdrawn = map[string]Item{}, map[string]Published{}, map[string]Item{}
+	}
+	for _, w := range slices.Concat(n.Added, n.Changed) {
+		next.items[w.Name] = Item{ChangedAt: next.revision, NoteID: n.ID, Work: w}
+		delete(next.withdrawn, w.Name)
+	}
+	for _, name := range n.Withdrawn {
+		delete(next.items, name)
+		next.withdrawn[name] = Item{ChangedAt: next.revision, NoteID: n.ID, Work: Work{Name: name}}
+	}
+	next.notes[n.ID] = Published{
+		Amends: n.Amends, Author: n.Author, ID: n.ID, Items: n.Items(), Revision: next.revision,
+	}
+	return next, next.checkReferences(n)
+}
+
+// Item returns the work in force under a name.
+func (c Catalogue) Item(name string) (Item, bool) {
+	item, ok := c.items[name]
+	return item, ok
+}
+
+// Items returns all work in force, by name.
+func (c Catalogue) Items() []Item {
+	var out []Item
+	for _, name := range slices.Sorted(maps.Keys(c.items)) {
+		out = append(out, c.items[name])
+	}
+	return out
+}
+
+// MarshalJSON writes the catalogue as a snapshot.
+func (c Catalogue) MarshalJSON() ([]byte, error) {
+	out := catalogueJSON{Items: c.Items(), Notes: c.Notes(), Revision: c.revision}
+	for _, name := range slices.Sorted(maps.Keys(c.withdrawn)) {
+		out.Withdrawn = append(out.Withdrawn, c.withdrawn[name])
+	}
+	return json.Marshal(out)
+}
+
+// Note returns an accepted note by id.
+func (c Catalogue) Note(id string) (Published, bool) {
+	p, ok := c.notes[id]
+	return p, ok
+}
+
+// Notes returns all accepted notes in the order of their revisions.
+func (c Catalogue) Notes() []Published {
+	return slices.SortedFunc(maps.Values(c.notes), func(a, b Published) int {
+		return int(a.Revision - b.Revision)
+	})
+}
+
+// Revision returns the number of notes applied.
+func (c Catalogue) Revision() int64 { return c.revision }
+
+// UnmarshalJSON reads a snapshot.
+func (c *Catalogue) UnmarshalJSON(data []byte) error {
+	var in catalogueJSON
+	if err := json.Unmarshal(data, &in); err != nil {
+		return err
+	}
+	*c = Catalogue{
+		items: map[string]Item{}, notes: map[string]Published{},
+		revision: in.Revision, withdrawn: map[string]Item{},
+	}
+	for _, item := range in.Items {
+		c.items[item.Work.Name] = item
+	}
+	for _, n := range in.Notes {
+		c.notes[n.ID] = n
+	}
+	for _, item := range in.Withdrawn {
+		c.withdrawn[item.Work.Name] = item
+	}
+	return nil
+}
+
+func (c Catalogue) admit(n Note) error {
+	if _, ok := c.notes[n.ID]; ok {
+		return invalid(n.ID, "a note with this id was accepted at revision %d", c.notes[n.ID].Revision)
+	}
+	if err := c.admitAmendment(n); err != nil {
+		return err
+	}
+	base := c.revision
+	if n.Base != nil {
+		base = *n.Base
+	}
+	if base > c.revision {
+		return invalid(n.ID, "base %d is above the revision in force, %d", base, c.revision)
+	}
+	for _, name := range n.Items() {
+		item, ok := c.items[name]
+		if !ok {
+			item = c.withdrawn[name]
+		}
+		if item.ChangedAt > base {
+			return eris.Wrapf(ErrConflict, "item %s was changed by note %s at revision %d, base is %d",
+				name, item.NoteID, item.ChangedAt, base)
+		}
+	}
+	return c.admitNames(n)
+}
+
+func (c Catalogue) admitAmendment(n Note) error {
+	if n.Amends == "" {
+		return nil
+	}
+	amended, ok := c.notes[n.Amends]
+	if !ok {
+		return invalid(n.ID, "amends %q, which is not an accepted note", n.Amends)
+	}
+	for _, name := range n.Items() {
+		if !slices.Contains(amended.Items, name) {
+			return invalid(n.ID, "item %s is not in the amended note %s", name, n.Amends)
+		}
+	}
+	return nil
+}
+
+func (c Catalogue) admitNames(n Note) error {
+	for _, w := range n.Added {
+		if item, ok := c.items[w.Name]; ok {
+			return invalid(w.Name, "is already in force by note %s; list it as changed", item.NoteID)
+		}
+	}
+	for _, w := range n.Changed {
+		item, ok := c.items[w.Name]
+		if !ok {
+			return invalid(w.Name, "is listed as changed but is not in force")
+		}
+		if item.Work.Kind != w.Kind {
+			return invalid(w.Name, "is a %s and can't become a %s; withdraw it first", item.Work.Kind, w.Kind)
+		}
+	}
+	for _, name := range n.Withdrawn {
+		if _, ok := c.items[name]; !ok {
+			return invalid(name, "is listed as withdrawn but is not in force")
+		}
+	}
+	return nil
+}
+
+// checkReferences refuses a note that leaves work without its team.
+func (c Catalogue) checkReferences(n Note) error {
+	for _, item := range c.items {
+		if item.Work.Team == "" {
+			continue
+		}
+		team, ok := c.items[item.Work.Team]
+		if !ok || team.Work.Kind != KindTeam {
+			return invalid(n.ID, "work %s belongs to team %s, which is not in force", item.Work.Name, item.Work.Team)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/note/doc.go
@@ -0,0 +1,2 @@
+// Package note holds release notes and the catalogue of work that they fold into.
+package note
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,218 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed" // for Example
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+// Example is a settings file with every key.
+//
+//go:embed example.toml
+var Example string
+
+// ErrInvalid says that a settings file is malformed or a value is out of its range.
+var ErrInvalid = eris.New("invalid settings")
+
+var hostPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Duration is a time.Duration written as text such as "1.5s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText accepts what time.ParseDuration accepts.
+func (d *Duration) UnmarshalText(text []byte) error {
+	var err error
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	MaxBodyBytes   int64    `toml:"max_body_bytes"`
+	MaxConnections int      `toml:"max_connections"`
+	MaxHeaderBytes int      `toml:"max_header_bytes"`
+	ReadTimeout    Duration `toml:"read_timeout"`
+	RequestTimeout Duration `toml:"request_timeout"`
+}
+
+// Listen holds the addresses that the host listens on, as host:port.
+type Listen struct {
+	Caller string `toml:"caller"`
+	Debug  string `toml:"debug"`
+	Peer   string `toml:"peer"`
+}
+
+// Log chooses the format and level of the log.
+type Log struct {
+	Format string `toml:"format"`
+	Level  string `toml:"level"`
+}
+
+// Platform says how to reach the key-value service and how much of it to use.
+type Platform struct {
+	Endpoints       []string `toml:"endpoints"`
+	ReadsPerSecond  float64  `toml:"reads_per_second"`
+	Timeout         Duration `toml:"timeout"`
+	WritesPerSecond float64  `toml:"writes_per_second"`
+}
+
+// Security holds credentials; empty values leave a connection open to all.
+type Security struct {
+	Caller        TLS    `toml:"caller"`
+	OperatorToken string `toml:"operator_token"`
+	Peer          TLS    `toml:"peer"`
+	Worker        TLS    `toml:"worker"`
+}
+
+// Settings is everything an entry host is told at start.
+type Settings struct {
+	Host     string   `toml:"host"`
+	Limits   Limits   `toml:"limits"`
+	Listen   Listen   `toml:"listen"`
+	Log      Log      `toml:"log"`
+	Platform Platform `toml:"platform"`
+	Region   string   `toml:"region"`
+	Security Security `toml:"security"`
+	Zone     string   `toml:"zone"`
+	ZoneSets ZoneSets `toml:"zone_settings"`
+}
+
+// TLS names PEM files of one listener or client.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	ClientCA    string `toml:"client_ca"`
+	Key         string `toml:"key"`
+}
+
+// ZoneSets holds what all hosts of a zone must agree on.
+type ZoneSets struct {
+	Shards int `toml:"shards"`
+}
+
+// Default returns settings with all optional values set.
+func Default() Settings {
+	var s Settings
+	if err := toml.Unmarshal([]byte(Example), &s); err != nil {
+		panic(err) // the example is part of the program and tested
+	}
+	s.Host, s.Region, s.Zone = "", "", ""
+	s.Listen = Listen{}
+	s.Platform.Endpoints = nil
+	return s
+}
+
+// Load reads and checks a settings file; errors match ErrInvalid or the file's error.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "reading settings")
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks settings from TOML; errors match ErrInvalid.
+func Parse(text []byte) (Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, eris.Wrap(ErrInvalid, describe(err))
+	}
+	return s, s.Check()
+}
+
+// Check returns the first value that is out of its range; errors match ErrInvalid.
+func (s Settings) Check() error {
+	for _, c := range []struct{ key, value string }{
+		{"host", s.Host},
+		{"zone", s.Zone},
+		{"region", s.Region},
+	} {
+		if !hostPattern.MatchString(c.value) {
+			return invalid(c.key, c.value, "a name that matches "+hostPattern.String())
+		}
+	}
+	for _, c := range []struct{ key, value string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.debug", s.Listen.Debug},
+		{"listen.peer", s.Listen.Peer},
+	} {
+		if _, _, err := net.SplitHostPort(c.value); err != nil {
+			return invalid(c.key, c.value, "host:port")
+		}
+	}
+	if err := s.checkPlatform(); err != nil {
+		return err
+	}
+	return s.checkRanges()
+}
+
+func (s Settings) checkPlatform() error {
+	if len(s.Platform.Endpoints) == 0 {
+		return invalid("platform.endpoints", "[]", "at least one URL")
+	}
+	for _, e := range s.Platform.Endpoints {
+		u, err := url.Parse(e)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			return invalid("platform.endpoints", e, "a URL such as http://127.0.0.1:2379")
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkRanges() error {
+	for _, c := range []struct {
+		key       string
+		value     float64
+		low, high float64
+	}{
+		{"platform.reads_per_second", s.Platform.ReadsPerSecond, 1, 1500},
+		{"platform.writes_per_second", s.Platform.WritesPerSecond, 1, 300},
+		{"platform.timeout (seconds)", s.Platform.Timeout.Seconds(), 0.01, 60},
+		{"zone_settings.shards", float64(s.ZoneSets.Shards), 1, 64},
+		{"limits.max_body_bytes", float64(s.Limits.MaxBodyBytes), 1, 1 << 30},
+		{"limits.max_connections", float64(s.Limits.MaxConnections), 1, 1 << 20},
+		{"limits.max_header_bytes", float64(s.Limits.MaxHeaderBytes), 1024, 1 << 20},
+		{"limits.read_timeout (seconds)", s.Limits.ReadTimeout.Seconds(), 0.01, 3600},
+		{"limits.request_timeout (seconds)", s.Limits.RequestTimeout.Seconds(), 0.01, 3600},
+	} {
+		if c.value < c.low || c.value > c.high {
+			return invalid(c.key, fmt.Sprint(c.value), fmt.Sprintf("%g to %g", c.low, c.high))
+		}
+	}
+	if s.Log.Format != "text" && s.Log.Format != "json" {
+		return invalid("log.format", s.Log.Format, "text or json")
+	}
+	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
+		return invalid("log.level", s.Log.Level, "debug, info, warning or error")
+	}
+	return nil
+}
+
+func describe(err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, _ := strict.Errors[0].Position()
+		return fmt.Sprintf("line %d: unknown key %q", row, strings.Join(strict.Errors[0].Key(), "."))
+	}
+	var dec *toml.DecodeError
+	if errors.As(err, &dec) {
+		row, _ := dec.Position()
+		return fmt.Sprintf("line %d: %s: %s", row, strings.Join(dec.Key(), "."), dec.Error())
+	}
+	return err.Error()
+}
+
+func invalid(key, value, allowed string) error {
+	return eris.Wrapf(ErrInvalid, "%s = %q, allowed: %s", key, value, allowed)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,35 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+)
+
+func TestExampleIsValid(t *testing.T) {
+	_, err := settings.Parse([]byte(settings.Example))
+	assert.NilError(t, err)
+}
+
+func TestMalformedSettingsNameTheKey(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`shards = 1`, `shards = 0`, "zone_settings.shards"},
+		{`shards = 1`, `shards = "one"`, "shards"},
+		{`shards = 1`, `shard_count = 1`, "shard_count"},
+		{`format = "text"`, `format = "xml"`, "text or json"},
+		{`writes_per_second = 30.0`, `writes_per_second = -1.0`, "platform.writes_per_second"},
+		{`caller = "127.0.0.1:8400"`, `caller = "localhost"`, "listen.caller"},
+		{`timeout = "2s"`, `timeout = "soon"`, "timeout"},
+		{`host = "kelaniya-entry-1"`, `host = ""`, "host"},
+	} {
+		t.Run(tc.new, func(t *testing.T) {
+			text := strings.Replace(settings.Example, tc.old, tc.new, 1)
+			_, err := settings.Parse([]byte(text))
+			assert.ErrorIs(t, err, settings.ErrInvalid)
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
