Add platform store client, ring log and platform stand-in

Cause: what lasts must live in the platform's key-value service, whose answers may be lost after a write. Change: etcd v3 JSON client with one type of error per outcome, budgets by class of call, a log in a ring of 64 keys written by compare-and-swap, and a stand-in with rates, leases, watches and faults. Conclusion: a lost answer appends once, and an old owner cannot append after a takeover.

--- /dev/null
+++ b/internal/fake/platformhttp.go
@@ -0,0 +1,250 @@
+package fake
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// platformServer is the HTTP side of a Platform.
+type platformServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+type etcdRange struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+}
+
+type etcdTxn struct {
+	Compare []struct {
+		Key         []byte `json:"key"`
+		ModRevision string `json:"mod_revision"`
+	} `json:"compare"`
+	Success []struct {
+		Delete *etcdRange `json:"request_delete_range"`
+		Put    *struct {
+			Key   []byte `json:"key"`
+			Lease string `json:"lease"`
+			Value []byte `json:"value"`
+		} `json:"request_put"`
+	} `json:"success"`
+}
+
+type etcdLease struct {
+	ID  string `json:"ID"`
+	TTL string `json:"TTL"`
+}
+
+type etcdWatch struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		StartRevision string `json:"start_revision"`
+	} `json:"create_request"`
+}
+
+type etcdHeader struct {
+	Revision string `json:"revision,omitempty"`
+}
+
+type etcdValue struct {
+	Key         []byte `json:"key"`
+	Lease       string `json:"lease,omitempty"`
+	ModRevision string `json:"mod_revision"`
+	Value       []byte `json:"value,omitempty"`
+}
+
+type etcdEvent struct {
+	KV   etcdValue `json:"kv"`
+	Type string    `json:"type,omitempty"`
+}
+
+type etcdAnswer struct {
+	Header    etcdHeader   `json:"header"`
+	ID        string       `json:"ID,omitempty"`
+	KVs       []etcdValue  `json:"kvs,omitempty"`
+	Result    *etcdPartial `json:"result,omitempty"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	TTL       string       `json:"TTL,omitempty"`
+}
+
+type etcdPartial struct {
+	Created bool        `json:"created,omitempty"`
+	Events  []etcdEvent `json:"events,omitempty"`
+	TTL     string      `json:"TTL,omitempty"`
+}
+
+// Start serves the JSON gateway on a loopback port and returns its base URL.
+func (p *Platform) Start() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
+	p.server = platformServer{listener: l, server: server}
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Stop ends Start's server and cuts its connections.
+func (p *Platform) Stop() {
+	if p.server.server != nil {
+		_ = p.server.server.Close()
+	}
+}
+
+func (p *Platform) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", p.serveRange)
+	mux.HandleFunc("POST /v3/kv/txn", p.serveTxn)
+	mux.HandleFunc("POST /v3/lease/grant", p.serveGrant)
+	mux.HandleFunc("POST /v3/lease/keepalive", p.serveKeepAlive)
+	mux.HandleFunc("POST /v3/lease/revoke", p.serveRevoke)
+	mux.HandleFunc("POST /v3/watch", p.serveWatch)
+	return mux
+}
+
+func (p *Platform) serveGrant(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdLease](w, r)
+	if !ok {
+		return
+	}
+	id, err := p.grant(r.Context(), time.Duration(number(in.TTL))*time.Second)
+	respond(w, etcdAnswer{ID: text(id), TTL: in.TTL}, err)
+}
+
+func (p *Platform) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdLease](w, r)
+	if !ok {
+		return
+	}
+	err := p.keepAlive(r.Context(), number(in.ID))
+	ttl := "1"
+	if errors.Is(err, platform.ErrConflict) {
+		ttl, err = "0", nil // the protocol reports an ended lease as a TTL of 0
+	}
+	respond(w, etcdAnswer{Result: &etcdPartial{TTL: ttl}}, err)
+}
+
+func (p *Platform) serveRange(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdRange](w, r)
+	if !ok {
+		return
+	}
+	if len(in.RangeEnd) == 0 {
+		kv, err := p.get(r.Context(), string(in.Key))
+		var answer etcdAnswer
+		if kv.ModRevision != 0 {
+			answer.KVs = []etcdValue{toEtcd(kv)}
+		}
+		respond(w, answer, err)
+		return
+	}
+	kvs, rev, err := p.rangePrefix(r.Context(), string(in.Key))
+	answer := etcdAnswer{Header: etcdHeader{Revision: text(rev)}}
+	for _, kv := range kvs {
+		answer.KVs = append(answer.KVs, toEtcd(kv))
+	}
+	respond(w, answer, err)
+}
+
+func (p *Platform) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdLease](w, r)
+	if !ok {
+		return
+	}
+	respond(w, etcdAnswer{}, p.revoke(r.Context(), number(in.ID)))
+}
+
+func (p *Platform) serveTxn(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdTxn](w, r)
+	if !ok {
+		return
+	}
+	if len(in.Compare) != 1 || len(in.Success) != 1 {
+		http.Error(w, "only a compare-and-swap of one key is offered", http.StatusBadRequest)
+		return
+	}
+	var value []byte
+	var leaseID int64
+	key := string(in.Compare[0].Key)
+	if put := in.Success[0].Put; put != nil {
+		value, leaseID = put.Value, number(put.Lease)
+	}
+	rev, err := p.swap(r.Context(), key, number(in.Compare[0].ModRevision), value, leaseID)
+	if errors.Is(err, platform.ErrConflict) {
+		respond(w, etcdAnswer{}, nil)
+		return
+	}
+	respond(w, etcdAnswer{Header: etcdHeader{Revision: text(rev)}, Succeeded: true}, err)
+}
+
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	in, ok := decode[etcdWatch](w, r)
+	if !ok {
+		return
+	}
+	enc := json.NewEncoder(w)
+	flush := http.NewResponseController(w).Flush
+	_ = enc.Encode(etcdAnswer{Result: &etcdPartial{Created: true}})
+	_ = flush()
+	since := number(in.Create.StartRevision) - 1
+	_ = p.watch(r.Context(), string(in.Create.Key), since, func(events []platform.Event) {
+		out := &etcdPartial{}
+		for _, e := range events {
+			kind := ""
+			if e.Deleted {
+				kind = "DELETE"
+			}
+			out.Events = append(out.Events, etcdEvent{KV: toEtcd(e.KV), Type: kind})
+		}
+		_ = enc.Encode(etcdAnswer{Result: out})
+		_ = flush()
+	})
+}
+
+func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var in T
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*platform.MaxValueBytes)).Decode(&in)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return in, err == nil
+}
+
+func number(s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// respond writes an answer; a lost one breaks the connection after the write took effect.
+func respond(w http.ResponseWriter, answer etcdAnswer, err error) {
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		if conn, _, hijackErr := http.NewResponseController(w).Hijack(); hijackErr == nil {
+			_ = conn.Close()
+		}
+	case errors.Is(err, platform.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func text(n int64) string { return strconv.FormatInt(n, 10) }
+
+func toEtcd(kv platform.KV) etcdValue {
+	return etcdValue{Key: []byte(kv.Key), Lease: text(kv.Lease), ModRevision: text(kv.ModRevision), Value: kv.Value}
+}
--- /dev/null
+++ b/internal/platform/etcd.go
@@ -0,0 +1,298 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// int64s are strings in the JSON form of the protocol.
+type jsonInt int64
+
+func (i jsonInt) MarshalJSON() ([]byte, error) {
+	return strconv.AppendQuote(nil, strconv.FormatInt(int64(i), 10)), nil
+}
+
+func (i *jsonInt) UnmarshalJSON(data []byte) error {
+	text := string(bytes.Trim(data, `"`))
+	n, err := strconv.ParseInt(text, 10, 64)
+	*i = jsonInt(n)
+	return err
+}
+
+type (
+	header struct {
+		Revision jsonInt `json:"revision"`
+	}
+	etcdKV struct {
+		Key         []byte  `json:"key"`
+		Lease       jsonInt `json:"lease,omitempty"`
+		ModRevision jsonInt `json:"mod_revision,omitempty"`
+		Value       []byte  `json:"value,omitempty"`
+	}
+	rangeRequest struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end,omitempty"`
+	}
+	rangeResponse struct {
+		Header header   `json:"header"`
+		KVs    []etcdKV `json:"kvs"`
+	}
+	compare struct {
+		Key         []byte  `json:"key"`
+		ModRevision jsonInt `json:"mod_revision"`
+		Result      string  `json:"result"`
+		Target      string  `json:"target"`
+	}
+	putRequest struct {
+		Key   []byte  `json:"key"`
+		Lease jsonInt `json:"lease,omitempty"`
+		Value []byte  `json:"value"`
+	}
+	requestOp struct {
+		Delete *rangeRequest `json:"request_delete_range,omitempty"`
+		Put    *putRequest   `json:"request_put,omitempty"`
+	}
+	txnRequest struct {
+		Compare []compare   `json:"compare"`
+		Success []requestOp `json:"success"`
+	}
+	txnResponse struct {
+		Header    header `json:"header"`
+		Succeeded bool   `json:"succeeded"`
+	}
+	leaseRequest struct {
+		ID  jsonInt `json:"ID,omitempty"`
+		TTL jsonInt `json:"TTL,omitempty"`
+	}
+	leaseResponse struct {
+		ID     jsonInt `json:"ID"`
+		TTL    jsonInt `json:"TTL"`
+		Result *struct {
+			TTL jsonInt `json:"TTL"`
+		} `json:"result"`
+	}
+	watchCreate struct {
+		Key           []byte  `json:"key"`
+		RangeEnd      []byte  `json:"range_end,omitempty"`
+		StartRevision jsonInt `json:"start_revision,omitempty"`
+	}
+	watchRequest struct {
+		Create watchCreate `json:"create_request"`
+	}
+	watchEvent struct {
+		KV   etcdKV `json:"kv"`
+		Type string `json:"type"`
+	}
+	watchResponse struct {
+		Result struct {
+			Events []watchEvent `json:"events"`
+		} `json:"result"`
+	}
+)
+
+// etcd is a client of the JSON gateway of etcd's v3 protocol.
+type etcd struct {
+	client    *http.Client
+	endpoints []string
+	next      atomic.Uint32
+	timeout   time.Duration
+}
+
+// NewEtcd returns a store that speaks etcd's v3 JSON protocol to the endpoints in turn; each call but Watch
+// ends after timeout.
+func NewEtcd(endpoints []string, timeout time.Duration) Store {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = 4
+	transport.IdleConnTimeout = 30 * time.Second
+	e := &etcd{client: &http.Client{Transport: transport}, endpoints: endpoints, timeout: timeout}
+	return Store{
+		Get:       e.get,
+		Grant:     e.grant,
+		KeepAlive: e.keepAlive,
+		Range:     e.rangePrefix,
+		Revoke:    e.revoke,
+		Swap:      e.swap,
+		Watch:     e.watch,
+	}
+}
+
+func (e *etcd) get(ctx context.Context, key string) (KV, error) {
+	var out rangeResponse
+	if err := e.read(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
+		return KV{}, eris.Wrapf(err, "reading %s", key)
+	}
+	if len(out.KVs) == 0 {
+		return KV{Key: key}, nil
+	}
+	return out.KVs[0].toKV(), nil
+}
+
+func (e *etcd) grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	var out leaseResponse
+	seconds := jsonInt((ttl + time.Second - 1) / time.Second)
+	// A grant whose answer is lost leaves a lease that no key is attached to and that runs out by itself.
+	if err := e.read(ctx, "/v3/lease/grant", leaseRequest{TTL: seconds}, &out); err != nil {
+		return 0, eris.Wrap(err, "granting a lease")
+	}
+	return int64(out.ID), nil
+}
+
+func (e *etcd) keepAlive(ctx context.Context, lease int64) error {
+	var out leaseResponse
+	if err := e.read(ctx, "/v3/lease/keepalive", leaseRequest{ID: jsonInt(lease)}, &out); err != nil {
+		return eris.Wrapf(err, "renewing lease %d", lease)
+	}
+	if out.Result == nil || out.Result.TTL <= 0 {
+		return eris.Wrapf(ErrConflict, "lease %d has run out", lease)
+	}
+	return nil
+}
+
+func (e *etcd) rangePrefix(ctx context.Context, prefix string) ([]KV, int64, error) {
+	var out rangeResponse
+	in := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := e.read(ctx, "/v3/kv/range", in, &out); err != nil {
+		return nil, 0, eris.Wrapf(err, "reading %s*", prefix)
+	}
+	kvs := make([]KV, len(out.KVs))
+	for i, kv := range out.KVs {
+		kvs[i] = kv.toKV()
+	}
+	return kvs, int64(out.Header.Revision), nil
+}
+
+func (e *etcd) revoke(ctx context.Context, lease int64) error {
+	var out leaseResponse
+	return eris.Wrapf(e.read(ctx, "/v3/lease/revoke", leaseRequest{ID: jsonInt(lease)}, &out), "revoking lease %d", lease)
+}
+
+func (e *etcd) swap(ctx context.Context, key string, expect int64, value []byte, lease int64) (int64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, eris.Wrapf(ErrTooLarge, "%s: %d bytes", key, len(value))
+	}
+	op := requestOp{Put: &putRequest{Key: []byte(key), Lease: jsonInt(lease), Value: value}}
+	if len(value) == 0 {
+		op = requestOp{Delete: &rangeRequest{Key: []byte(key)}}
+	}
+	in := txnRequest{
+		Compare: []compare{{Key: []byte(key), ModRevision: jsonInt(expect), Result: "EQUAL", Target: "MOD"}},
+		Success: []requestOp{op},
+	}
+	var out txnResponse
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	if err := e.call(ctx, "/v3/kv/txn", in, &out); err != nil {
+		return 0, eris.Wrapf(err, "writing %s", key)
+	}
+	if !out.Succeeded {
+		return 0, eris.Wrapf(ErrConflict, "writing %s at %d", key, expect)
+	}
+	return int64(out.Header.Revision), nil
+}
+
+func (e *etcd) watch(ctx context.Context, prefix string, since int64, each func([]Event)) error {
+	in := watchRequest{Create: watchCreate{
+		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: jsonInt(since + 1),
+	}}
+	res, err := e.post(ctx, "/v3/watch", in)
+	if err != nil {
+		return eris.Wrapf(ErrUnavailable, "watching %s*: %s", prefix, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	dec := json.NewDecoder(res.Body)
+	for {
+		var out watchResponse
+		if err := dec.Decode(&out); err != nil {
+			return eris.Wrapf(ErrUnavailable, "watching %s*: %s", prefix, err)
+		}
+		var events []Event
+		for _, ev := range out.Result.Events {
+			events = append(events, Event{Deleted: ev.Type == "DELETE", KV: ev.KV.toKV()})
+		}
+		if len(events) > 0 {
+			each(events)
+		}
+	}
+}
+
+// read makes a call that may be repeated without harm.
+func (e *etcd) read(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	err := e.call(ctx, path, in, out)
+	if errors.Is(err, ErrUnknownOutcome) {
+		return eris.Wrap(ErrUnavailable, err.Error())
+	}
+	return err
+}
+
+// call tells apart a request that was never sent from one whose answer was lost.
+func (e *etcd) call(ctx context.Context, path string, in, out any) error {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	res, err := e.post(ctx, path, in)
+	if err != nil {
+		if sent.Load() {
+			return eris.Wrap(ErrUnknownOutcome, err.Error())
+		}
+		return eris.Wrap(ErrUnavailable, err.Error())
+	}
+	defer func() { _ = res.Body.Close() }()
+	switch {
+	case res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable:
+		return eris.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
+	case res.StatusCode != http.StatusOK:
+		text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+		return eris.Wrapf(ErrUnknownOutcome, "status %d: %s", res.StatusCode, text)
+	}
+	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+		return eris.Wrap(ErrUnknownOutcome, err.Error())
+	}
+	return nil
+}
+
+func (e *etcd) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	base := e.endpoints[int(e.next.Load())%len(e.endpoints)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// The body may not be sent twice by the transport: a write has one attempt.
+	req.GetBody = nil
+	res, err := e.client.Do(req)
+	if err != nil {
+		e.next.Add(1)
+		// Idle connections may be silent for good; the next call opens a fresh one.
+		e.client.CloseIdleConnections()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return res, nil
+}
+
+func (kv etcdKV) toKV() KV {
+	return KV{Key: string(kv.Key), Lease: int64(kv.Lease), ModRevision: int64(kv.ModRevision), Value: kv.Value}
+}
+
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	end[len(end)-1]++
+	return end
+}
--- /dev/null
+++ b/internal/platform/log_test.go
@@ -0,0 +1,155 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fake"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+func newEtcd(t *testing.T) (*fake.Platform, platform.Store) {
+	t.Helper()
+	p := fake.NewPlatform(fake.WithRates(1e6, 1e6))
+	url, err := p.Start()
+	assert.NilError(t, err)
+	t.Cleanup(p.Stop)
+	return p, platform.NewEtcd([]string{url}, 5*time.Second)
+}
+
+func appendText(t *testing.T, l *platform.Log, text string) error {
+	t.Helper()
+	data, err := json.Marshal(text)
+	assert.NilError(t, err)
+	return l.Append(context.Background(), platform.NewEntry(l.Seq(), data))
+}
+
+func TestLostAnswerAppendsOnce(t *testing.T) {
+	p, store := newEtcd(t)
+	l := platform.NewLog(store, "notes")
+	_, _, err := l.Load(t.Context())
+	assert.NilError(t, err)
+	p.SetFaults(fake.PlatformFaults{LoseAnswers: 1})
+	assert.NilError(t, appendText(t, l, "a"))
+	assert.NilError(t, appendText(t, l, "b"))
+	_, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 2)
+}
+
+func TestEntryWithUnknownOutcomeIsAppendedOnceWhenRepeated(t *testing.T) {
+	p := fake.NewPlatform()
+	store := p.Store()
+	l := platform.NewLog(store, "notes")
+	_, _, err := l.Load(t.Context())
+	assert.NilError(t, err)
+	e := platform.NewEntry(0, json.RawMessage(`"a"`))
+	p.SetFaults(fake.PlatformFaults{LoseAnswers: 1})
+	// The read-back fails too, so the outcome stays unknown to the writer.
+	get := store.Get
+	store.Get = func(context.Context, string) (platform.KV, error) {
+		return platform.KV{}, platform.ErrUnavailable
+	}
+	l2 := platform.NewLog(store, "notes")
+	_, _, err = l2.Load(t.Context())
+	assert.NilError(t, err)
+	assert.ErrorIs(t, l2.Append(t.Context(), e), platform.ErrUnknownOutcome)
+	store.Get = get
+	assert.NilError(t, l.Append(t.Context(), e))
+	_, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 1)
+}
+
+func TestOldOwnerCannotAppendAfterTakeover(t *testing.T) {
+	store := fake.NewPlatform().Store()
+	old, successor := platform.NewLog(store, "ledger/a/0"), platform.NewLog(store, "ledger/a/0")
+	for _, l := range []*platform.Log{old, successor} {
+		_, _, err := l.Load(t.Context())
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, appendText(t, successor, "takeover"))
+	assert.ErrorIs(t, appendText(t, old, "late"), platform.ErrBehind)
+}
+
+func TestRingNeverOverwritesWhatNoSnapshotCovers(t *testing.T) {
+	store := fake.NewPlatform(fake.WithRates(1e6, 1e6)).Store()
+	l := platform.NewLog(store, "notes")
+	_, _, err := l.Load(t.Context())
+	assert.NilError(t, err)
+	var all []string
+	snapshots := 0
+	for i := range 200 {
+		text := fmt.Sprint(i)
+		for {
+			err := appendText(t, l, text)
+			if err == nil {
+				break
+			}
+			assert.ErrorIs(t, err, platform.ErrSnapshotDue)
+			data, err := json.Marshal(all)
+			assert.NilError(t, err)
+			assert.NilError(t, l.SaveSnapshot(t.Context(), platform.Snapshot{Data: data, Seq: l.Seq()}))
+			snapshots++
+		}
+		all = append(all, text)
+	}
+	assert.Assert(t, snapshots > 0)
+	snap, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	assert.NilError(t, err)
+	var have []string
+	assert.NilError(t, json.Unmarshal(snap.Data, &have))
+	for _, e := range entries {
+		var text string
+		assert.NilError(t, json.Unmarshal(e.Data, &text))
+		have = append(have, text)
+	}
+	assert.DeepEqual(t, have, all)
+}
+
+func TestLeaseOfSilentHolderRunsOut(t *testing.T) {
+	now := time.Unix(0, 0)
+	store := fake.NewPlatform(fake.WithPlatformClock(func() time.Time { return now })).Store()
+	lease, err := store.Grant(t.Context(), 9*time.Second)
+	assert.NilError(t, err)
+	_, err = store.Swap(t.Context(), "live/a", 0, []byte("a"), lease)
+	assert.NilError(t, err)
+	now = now.Add(10 * time.Second)
+	assert.ErrorIs(t, store.KeepAlive(t.Context(), lease), platform.ErrConflict)
+	kv, err := store.Get(t.Context(), "live/a")
+	assert.NilError(t, err)
+	assert.Equal(t, kv.ModRevision, int64(0))
+}
+
+func TestWatchTellsChangesOverHTTP(t *testing.T) {
+	p, store := newEtcd(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	got := make(chan platform.Event, 4)
+	go func() {
+		_ = store.Watch(ctx, "notes/", 0, func(events []platform.Event) {
+			for _, e := range events {
+				got <- e
+			}
+		})
+	}()
+	rev, err := store.Swap(t.Context(), "notes/01", 0, []byte("x"), 0)
+	assert.NilError(t, err)
+	e := <-got
+	assert.Equal(t, string(e.KV.Value), "x")
+	assert.Equal(t, e.KV.ModRevision, rev)
+	cancel()
+	assert.Equal(t, p.Counts().Writes, int64(1))
+}
+
+func TestValueOverAMegabyteIsRefusedBeforeSending(t *testing.T) {
+	p, store := newEtcd(t)
+	_, err := store.Swap(t.Context(), "k", 0, []byte(strings.Repeat("x", platform.MaxValueBytes+1)), 0)
+	assert.ErrorIs(t, err, platform.ErrTooLarge)
+	assert.Equal(t, p.Counts().Writes, int64(0))
+}
