Add peer mesh, decision ring and invariant checker

Cause: entry hosts exchange heartbeats, notes, grants and questions; decisions and violations must be visible.

--- /dev/null
+++ b/internal/explain/ring.go
@@ -0,0 +1,121 @@
+package explain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// defaultSize bounds the ring to about two megabytes at 500 bytes a decision.
+const defaultSize = 4096
+
+// Decision is one decision of a host with its reason.
+type Decision struct {
+	At       time.Time `json:"at"`
+	Attempt  int       `json:"attempt,omitempty"`
+	Decision string    `json:"decision"`
+	Host     string    `json:"host,omitempty"`
+	Job      string    `json:"job,omitempty"`
+	Note     string    `json:"note,omitempty"`
+	// Options are what else was weighed, each with its score or why it was ruled out.
+	Options  []string `json:"options,omitempty"`
+	Reason   string   `json:"reason"`
+	Request  string   `json:"request,omitempty"`
+	Revision int64    `json:"revision,omitempty"`
+	Task     string   `json:"task,omitempty"`
+	Work     string   `json:"work,omitempty"`
+	Worker   string   `json:"worker,omitempty"`
+	Zone     string   `json:"zone,omitempty"`
+}
+
+// Ring holds the latest decisions of a host and writes a log line for each.
+type Ring struct {
+	host    string
+	log     *logrus.Entry
+	mu      sync.Mutex
+	next    int
+	now     func() time.Time
+	ring    []Decision
+	wrapped bool
+}
+
+// Option sets a property of a Ring.
+type Option func(*Ring)
+
+// New returns a ring for the decisions of a host.
+func New(host string, log *logrus.Entry, opts ...Option) *Ring {
+	r := &Ring{host: host, log: log, now: time.Now, ring: make([]Decision, defaultSize)}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option { return func(r *Ring) { r.now = now } }
+
+// WithSize sets how many decisions are kept.
+func WithSize(n int) Option { return func(r *Ring) { r.ring = make([]Decision, n) } }
+
+// Add keeps a decision and logs it.
+func (r *Ring) Add(d Decision) {
+	d.At, d.Host = r.now(), r.host
+	r.mu.Lock()
+	r.ring[r.next] = d
+	r.next++
+	if r.next == len(r.ring) {
+		r.next, r.wrapped = 0, true
+	}
+	r.mu.Unlock()
+	r.log.WithFields(d.fields()).Info("decision")
+}
+
+// Find returns the decisions that concern an id (task, job, request, note, work or worker), oldest first.
+func (r *Ring) Find(id string) []Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Decision
+	start, count := 0, r.next
+	if r.wrapped {
+		start, count = r.next, len(r.ring)
+	}
+	for i := range count {
+		d := r.ring[(start+i)%len(r.ring)]
+		if d.concerns(id) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (d Decision) concerns(id string) bool {
+	return id == d.Task || id == d.Job || id == d.Request || id == d.Note || id == d.Work || id == d.Worker
+}
+
+func (d Decision) fields() logrus.Fields {
+	f := logrus.Fields{"decision": d.Decision, "reason": d.Reason}
+	for _, field := range []struct{ key, value string }{
+		{"job", d.Job},
+		{"note", d.Note},
+		{"request", d.Request},
+		{"task", d.Task},
+		{"work", d.Work},
+		{"worker", d.Worker},
+		{"zone", d.Zone},
+	} {
+		if field.value != "" {
+			f[field.key] = field.value
+		}
+	}
+	if d.Attempt != 0 {
+		f["attempt"] = d.Attempt
+	}
+	if d.Revision != 0 {
+		f["revision"] = d.Revision
+	}
+	if len(d.Options) > 0 {
+		f["options"] = d.Options
+	}
+	return f
+}
--- /dev/null
+++ b/internal/invariant/checker.go
@@ -0,0 +1,74 @@
+package invariant
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Names of the invariants, as they appear in expvar and in the log.
+const (
+	AnswerToOwnCaller = "answer_to_own_caller"
+	AtMostOnce        = "at_most_once"
+	Capacity          = "capacity"
+	GracefulStop      = "graceful_stop"
+	LeavingNoWork     = "leaving_no_work"
+	NoteInForce       = "note_in_force"
+	ResumeOnce        = "resume_once"
+	SingleRun         = "single_run"
+	TruthfulOutcome   = "truthful_outcome"
+)
+
+var (
+	checks     = expvar.NewMap("invariant_checks")
+	violations = expvar.NewMap("invariant_violations")
+)
+
+// Checker counts checks and violations of one host.
+type Checker struct {
+	checked   atomic.Int64
+	log       *logrus.Entry
+	onFailure func(name, detail string)
+	violated  atomic.Int64
+}
+
+// Option sets a property of a Checker.
+type Option func(*Checker)
+
+// New returns a checker that logs violations.
+func New(log *logrus.Entry, opts ...Option) *Checker {
+	c := &Checker{log: log, onFailure: func(string, string) {}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// WithFailure calls f at each violation; tests end there.
+func WithFailure(f func(name, detail string)) Option {
+	return func(c *Checker) { c.onFailure = f }
+}
+
+// Check counts a check of an invariant and reports a violation if ok is false.
+func (c *Checker) Check(name string, ok bool, detail string) {
+	c.checked.Add(1)
+	checks.Add(name, 1)
+	if !ok {
+		c.Violated(name, detail)
+	}
+}
+
+// Checked returns the number of checks.
+func (c *Checker) Checked() int64 { return c.checked.Load() }
+
+// Violated reports a violation found elsewhere.
+func (c *Checker) Violated(name, detail string) {
+	c.violated.Add(1)
+	violations.Add(name, 1)
+	c.log.WithFields(logrus.Fields{"invariant": name, "detail": detail}).Error("invariant violated")
+	c.onFailure(name, detail)
+}
+
+// Violations returns the number of violations.
+func (c *Checker) Violations() int64 { return c.violated.Load() }
--- /dev/null
+++ b/internal/invariant/doc.go
@@ -0,0 +1,2 @@
+// Package invariant counts checks of what must always hold and reports violations.
+package invariant
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+)
+
+// Hello is the first message on a connection.
+type Hello struct {
+	Host        string `json:"host"`
+	PeerAddress string `json:"peer_address"`
+	Zone        string `json:"zone"`
+}
+
+// Owned tells that the sender owns a shard.
+type Owned struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch int64
+	// FreePercent is the part of the shard's processors that is not reserved.
+	FreePercent int
+	Index       int
+	// Serving says that the owner answers for the shard's idempotency keys.
+	Serving bool
+	Zone    string
+}
+
+// Shard returns the shard's id.
+func (o Owned) Shard() fleet.ShardID { return fleet.ShardID{Index: o.Index, Zone: o.Zone} }
+
+// Demand is the number of requests of a service that a host runs or has waiting.
+type Demand struct {
+	_      struct{} `cbor:",toarray"`
+	Amount int
+	Work   string
+}
+
+// Heartbeat tells that the sender lives and what it has applied; it is encoded as an array to stay small.
+type Heartbeat struct {
+	_        struct{} `cbor:",toarray"`
+	Demand   []Demand
+	Draining bool
+	Owned    []Owned
+	Revision int64
+}
+
+// NotesRequest asks for the notes after a revision.
+type NotesRequest struct {
+	After int64 `json:"after"`
+}
+
+// NotesReply carries notes in order, or the whole catalogue if the sender no longer has them.
+type NotesReply struct {
+	Catalogue []byte   `json:"catalogue,omitempty"`
+	Notes     [][]byte `json:"notes,omitempty"`
+}
+
+// GrantBackend is the part of a grant that concerns one backend server.
+type GrantBackend struct {
+	Address string `json:"address"`
+	Backend string `json:"backend"`
+	Count   int    `json:"count"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Worker  string `json:"worker"`
+	Work    string `json:"work"`
+}
+
+// Grant tells an entry host how many requests it may run at each backend server of a shard.
+type Grant struct {
+	Backends []GrantBackend `json:"backends"`
+	Epoch    int64          `json:"epoch"`
+	Index    int            `json:"index"`
+	Seq      int64          `json:"seq"`
+	Zone     string         `json:"zone"`
+}
+
+// GrantAck tells the owner which grant is in force at the host and what is in use.
+type GrantAck struct {
+	InUse map[string]int `json:"in_use,omitempty"`
+	Epoch int64          `json:"epoch"`
+	Index int            `json:"index"`
+	Seq   int64          `json:"seq"`
+	Zone  string         `json:"zone"`
+}
+
+// ExplainRequest asks for the decisions that concern an id.
+type ExplainRequest struct {
+	ID string `json:"id"`
+}
+
+// ExplainReply carries the decisions found.
+type ExplainReply struct {
+	Decisions []explain.Decision `json:"decisions,omitempty"`
+}
+
+// StatusRequest asks for a host's state; Job limits it to one job.
+type StatusRequest struct {
+	Job string `json:"job,omitempty"`
+}
+
+// StatusReply carries a host's state as JSON.
+type StatusReply struct {
+	Status []byte `json:"status"`
+}
+
+// Message is one frame; one of its pointers is set. ID matches a reply to its request.
+type Message struct {
+	Explain        *ExplainRequest `json:"explain,omitempty"`
+	ExplainReply   *ExplainReply   `json:"explain_reply,omitempty"`
+	Grant          *Grant          `json:"grant,omitempty"`
+	GrantAck       *GrantAck       `json:"grant_ack,omitempty"`
+	Heartbeat      *Heartbeat      `json:"hb,omitempty"`
+	Hello          *Hello          `json:"hello,omitempty"`
+	ID             uint64          `json:"id,omitempty"`
+	Notes          *NotesRequest   `json:"notes,omitempty"`
+	NotesReply     *NotesReply     `json:"notes_reply,omitempty"`
+	RefusedReason  string          `json:"refused_reason,omitempty"`
+	Reply          bool            `json:"reply,omitempty"`
+	Status         *StatusRequest  `json:"status,omitempty"`
+	StatusReply    *StatusReply    `json:"status_reply,omitempty"`
+	CancelJob      *CancelJob      `json:"cancel_job,omitempty"`
+	CancelJobReply *CancelJobReply `json:"cancel_job_reply,omitempty"`
+}
+
+// CancelJob asks a shard owner to cancel a job.
+type CancelJob struct {
+	Job string `json:"job"`
+}
+
+// CancelJobReply tells whether the owner knew the job.
+type CancelJobReply struct {
+	Found bool `json:"found"`
+}
