--- /dev/null
+++ b/internal/host/backends.go
@@ -0,0 +1,147 @@
+package host
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/routing"
+	"github.com/laburnumridge/laburnumridge/internal/slots"
+)
+
+// backends is what an entry host knows of its zone's backend servers: where work runs and what it may use.
+type backends struct {
+	connections *slots.Wallet
+	freed       chan struct{} // closed and replaced when a slot may have become free
+	host        *Host
+	mu          sync.Mutex
+	shards      map[fleet.ShardID]*shardBackends
+	slots       *slots.Wallet
+}
+
+type shardBackends struct {
+	lastConnections map[string]int
+	lastSeq         int64
+	lastSlots       map[string]int
+	epoch           int64
+	replicas        map[string][]string
+	seen            time.Time
+	version         int64
+}
+
+func newBackends(h *Host, run string, now time.Time) *backends {
+	return &backends{
+		connections: slots.NewWallet(run, now),
+		freed:       make(chan struct{}),
+		host:        h,
+		shards:      map[fleet.ShardID]*shardBackends{},
+		slots:       slots.NewWallet(run, now),
+	}
+}
+
+// install takes a grant and returns what to acknowledge.
+func (b *backends) install(g peer.Grant, now time.Time) peer.GrantAck {
+	id := g.Slots.Shard
+	b.mu.Lock()
+	s := b.shards[id]
+	if s == nil || g.Slots.Epoch > s.epoch {
+		s = &shardBackends{epoch: g.Slots.Epoch, version: -1}
+		if old := b.shards[id]; old != nil {
+			s.replicas = old.replicas // replicas go on running over a takeover
+		}
+		b.shards[id] = s
+	}
+	if g.Slots.Epoch == s.epoch {
+		b.installCounts(s, g, now)
+	}
+	ack := peer.GrantAck{
+		Connections: b.connections.Ack(id, now), ReplicasVersion: s.version, Slots: b.slots.Ack(id, now),
+	}
+	b.mu.Unlock()
+	b.wake()
+	ack.SlotDemand, ack.ConnectionDemand = b.host.demand()
+	return ack
+}
+
+func (b *backends) installCounts(s *shardBackends, g peer.Grant, now time.Time) {
+	if g.Renews {
+		// Without the counts that it renews, the acknowledgement shows an old grant and a whole one follows.
+		if s.lastSlots == nil {
+			return
+		}
+		g.Slots.Counts, g.Connections.Counts = s.lastSlots, s.lastConnections
+	}
+	if b.slots.Install(g.Slots, now) != nil || b.connections.Install(g.Connections, now) != nil {
+		return
+	}
+	s.lastSlots, s.lastConnections, s.lastSeq, s.seen = g.Slots.Counts, g.Connections.Counts, g.Slots.Seq, now
+	if g.Replicas != nil || g.ReplicasVersion == s.version {
+		if g.Replicas != nil {
+			s.replicas = g.Replicas
+		}
+		s.version = g.ReplicasVersion
+	}
+}
+
+// candidates returns the backend servers of a work, with what is free of the wallet.
+func (b *backends) candidates(work string, wallet *slots.Wallet, now time.Time) []routing.Backend {
+	hosts := b.host.hosts.snapshot()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []routing.Backend
+	for id, s := range b.shards {
+		for _, w := range s.replicas[work] {
+			h, ok := hosts.Host(w)
+			if !ok {
+				continue
+			}
+			free, epoch := wallet.Free(w, now)
+			out = append(out, routing.Backend{
+				Address: h.Address, Epoch: epoch, Free: free, Leaving: h.IsLeaving(), Worker: w, Zone: id.Zone,
+			})
+		}
+	}
+	slices.SortFunc(out, func(x, y routing.Backend) int {
+		if x.Worker < y.Worker {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// granted returns the sum of slots that the host may use now or uses.
+func (b *backends) granted(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, s := range b.shards {
+		for w := range s.lastSlots {
+			free, _ := b.slots.Free(w, now)
+			sum += free + b.slots.InUse(w)
+		}
+	}
+	return sum
+}
+
+// shardOf returns the shard in which a worker is.
+func (b *backends) shardOf(worker string) fleet.ShardID {
+	h, _ := b.host.hosts.snapshot().Host(worker)
+	return fleet.ShardOf(h.Zone, h.Rack, b.host.shardCount(h.Zone))
+}
+
+// changed returns a channel that is closed when a slot may have become free.
+func (b *backends) changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.freed
+}
+
+func (b *backends) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/host/hostlist.go
@@ -0,0 +1,98 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// Timing of watches. A watch may go silent for good without an error, so each is replaced after a while.
+const (
+	watchLifetime = 60 * time.Second
+	watchRetry    = time.Second
+)
+
+// hostList follows the platform's host list.
+type hostList struct {
+	changed func(fleet.Snapshot)
+	current atomic.Pointer[fleet.Snapshot]
+	log     *logrus.Entry
+	store   platform.Store
+}
+
+func (l *hostList) snapshot() fleet.Snapshot {
+	if s := l.current.Load(); s != nil {
+		return *s
+	}
+	return fleet.Snapshot{}
+}
+
+func (l *hostList) run(ctx context.Context) {
+	follow(ctx, l.store, platform.HostPrefix, l.log, func(kvs map[string]platform.KV) {
+		hosts := make([]fleet.Host, 0, len(kvs))
+		for key, kv := range kvs {
+			var h fleet.Host
+			if err := json.Unmarshal(kv.Value, &h); err != nil {
+				l.log.WithField("key", key).WithError(err).Warn("malformed record on the host list")
+				continue
+			}
+			hosts = append(hosts, h)
+		}
+		s := fleet.NewSnapshot(hosts...)
+		l.current.Store(&s)
+		l.changed(s)
+	})
+}
+
+// follow reads all keys with a prefix, then watches them, and calls each with the present keys after every
+// change, until ctx ends.
+func follow(
+	ctx context.Context, store platform.Store, prefix string, log *logrus.Entry, each func(map[string]platform.KV),
+) {
+	var since int64
+	kvs := map[string]platform.KV{}
+	read := false
+	for ctx.Err() == nil {
+		if !read {
+			list, rev, err := store.Range(ctx, prefix)
+			if err != nil {
+				log.WithError(err).WithField("prefix", prefix).Warn("platform store was not read")
+				pause(ctx, jitter(watchRetry))
+				continue
+			}
+			kvs = map[string]platform.KV{}
+			for _, kv := range list {
+				kvs[kv.Key] = kv
+			}
+			since, read = rev, true
+			each(kvs)
+		}
+		watchCtx, cancel := context.WithTimeout(ctx, watchLifetime/2+jitter(watchLifetime/2))
+		err := store.Watch(watchCtx, prefix, since, func(events []platform.Event) {
+			for _, e := range events {
+				since = max(since, e.KV.ModRevision)
+				if e.Deleted {
+					delete(kvs, e.KV.Key)
+				} else if strings.HasPrefix(e.KV.Key, prefix) {
+					kvs[e.KV.Key] = e.KV
+				}
+			}
+			each(kvs)
+		})
+		ended := watchCtx.Err() != nil
+		cancel()
+		// A watch that broke may have missed changes that the store no longer keeps.
+		read = false
+		if !ended {
+			log.WithError(err).WithField("prefix", prefix).Warn("watch ended")
+			pause(ctx, jitter(watchRetry))
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/jobs.go
@@ -0,0 +1,193 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+const (
+	jobsPrefix     = "jobs/"
+	schedulePrefix = "schedules/"
+	// maxTasks bounds a job, so that accepting it fits in one ledger entry.
+	maxTasks = 10_000
+)
+
+// Errors of job intake.
+var (
+	errJobInvalid  = eris.New("invalid job")
+	errJobNotFound = eris.New("job not found")
+	errJobExists   = eris.New("job id was used for another job")
+)
+
+// jobRecord is the durable record by which a job is accepted.
+type jobRecord struct {
+	Cancelled bool   `json:"cancelled,omitempty"`
+	ID        string `json:"id"`
+	// Revision is the catalogue revision that its submitter's host had applied.
+	Revision    int64         `json:"revision"`
+	Shard       fleet.ShardID `json:"shard"`
+	SubmittedAt time.Time     `json:"submitted_at"`
+	Tasks       int           `json:"tasks"`
+	Work        string        `json:"work"`
+}
+
+// jobs holds the intake records; each host follows them, since a shard may come to it at any time.
+type jobs struct {
+	log     *logrus.Entry
+	mu      sync.Mutex
+	mods    map[string]int64
+	records map[string]jobRecord
+	removes chan string
+	store   platform.Store
+}
+
+func newJobs(store platform.Store, log *logrus.Entry) *jobs {
+	return &jobs{
+		log: log, mods: map[string]int64{}, records: map[string]jobRecord{},
+		removes: make(chan string, 1024), store: store,
+	}
+}
+
+// create writes the record of a job; a record that exists for the same work and size is returned as it is.
+func (j *jobs) create(ctx context.Context, rec jobRecord) (jobRecord, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return rec, eris.Wrapf(err, "job %s", rec.ID)
+	}
+	_, err = j.store.Swap(ctx, jobsPrefix+rec.ID, 0, value, 0)
+	if err == nil {
+		return rec, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+		return rec, err
+	}
+	have, _, readErr := j.read(ctx, rec.ID)
+	switch {
+	case errors.Is(readErr, errJobNotFound):
+		return rec, err
+	case readErr != nil:
+		return rec, eris.Wrapf(platform.ErrUnknownOutcome, "job %s: %s", rec.ID, readErr)
+	case have.Work != rec.Work || have.Tasks != rec.Tasks:
+		return have, eris.Wrapf(errJobExists, "%s is %d tasks of %s", rec.ID, have.Tasks, have.Work)
+	}
+	return have, nil
+}
+
+// cancel marks a job as cancelled.
+func (j *jobs) cancel(ctx context.Context, id string) (jobRecord, error) {
+	for {
+		rec, mod, err := j.read(ctx, id)
+		if err != nil || rec.Cancelled {
+			return rec, err
+		}
+		rec.Cancelled = true
+		value, err := json.Marshal(rec)
+		if err != nil {
+			return rec, eris.Wrapf(err, "job %s", id)
+		}
+		_, err = j.store.Swap(ctx, jobsPrefix+id, mod, value, 0)
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+			return rec, err
+		}
+		pause(ctx, jitter(50*time.Millisecond))
+		if ctx.Err() != nil {
+			return rec, eris.Wrapf(platform.ErrUnknownOutcome, "job %s", id)
+		}
+	}
+}
+
+func (j *jobs) read(ctx context.Context, id string) (jobRecord, int64, error) {
+	kv, err := j.store.Get(ctx, jobsPrefix+id)
+	if err != nil {
+		return jobRecord{}, 0, err
+	}
+	if kv.ModRevision == 0 {
+		return jobRecord{}, 0, eris.Wrap(errJobNotFound, id)
+	}
+	var rec jobRecord
+	err = json.Unmarshal(kv.Value, &rec)
+	return rec, kv.ModRevision, eris.Wrapf(err, "job %s", id)
+}
+
+// known returns a record that this host has seen.
+func (j *jobs) known(id string) (jobRecord, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	rec, ok := j.records[id]
+	return rec, ok
+}
+
+// ofShard returns the records of a shard in the order of their submission.
+func (j *jobs) ofShard(id fleet.ShardID) []jobRecord {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var out []jobRecord
+	for _, rec := range j.records {
+		if rec.Shard == id {
+			out = append(out, rec)
+		}
+	}
+	slices.SortFunc(out, func(a, b jobRecord) int {
+		if c := a.SubmittedAt.Compare(b.SubmittedAt); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return out
+}
+
+// remove asks for a record to be deleted; it is asked again if that fails.
+func (j *jobs) remove(id string) {
+	select {
+	case j.removes <- id:
+	default:
+	}
+}
+
+func (j *jobs) run(ctx context.Context) {
+	go j.deleteRemoved(ctx)
+	follow(ctx, j.store, jobsPrefix, j.log, func(kvs map[string]platform.KV) {
+		records, mods := make(map[string]jobRecord, len(kvs)), make(map[string]int64, len(kvs))
+		for key, kv := range kvs {
+			var rec jobRecord
+			if err := json.Unmarshal(kv.Value, &rec); err != nil {
+				j.log.WithField("key", key).WithError(err).Warn("malformed job record")
+				continue
+			}
+			records[rec.ID], mods[rec.ID] = rec, kv.ModRevision
+		}
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.records, j.mods = records, mods
+	})
+}
+
+func (j *jobs) deleteRemoved(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-j.removes:
+			j.mu.Lock()
+			mod := j.mods[id]
+			j.mu.Unlock()
+			if mod == 0 {
+				continue
+			}
+			if _, err := j.store.Swap(ctx, jobsPrefix+id, mod, nil, 0); err != nil {
+				j.log.WithError(err).WithField("job", id).Debug("job record was not removed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/notes.go
@@ -0,0 +1,250 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// Limits of the note log.
+const (
+	notesPrefix     = "notes"
+	publishAttempts = 16
+	// keptNotes is how many notes a host can pass on one by one; a peer further behind gets the catalogue.
+	keptNotes = 64
+)
+
+// notes keeps the catalogue of a host and publishes notes.
+type notes struct {
+	applied func(note.Catalogue)
+	check   *invariant.Checker
+	log     *logrus.Entry
+	mu      sync.Mutex
+	// publishing serialises this host's appends.
+	publishing sync.Mutex
+	catalogue  note.Catalogue
+	appliedAt  time.Time
+	recent     map[int64][]byte // by revision
+	ring       *explain.Ring
+	store      platform.Store
+}
+
+func (n *notes) current() (note.Catalogue, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.catalogue, n.appliedAt
+}
+
+func (n *notes) revision() int64 {
+	c, _ := n.current()
+	return c.Revision()
+}
+
+// run follows the note log in the platform.
+func (n *notes) run(ctx context.Context) {
+	follow(ctx, n.store, notesPrefix+"/", n.log, func(map[string]platform.KV) {
+		if err := n.reload(ctx); err != nil && ctx.Err() == nil {
+			n.log.WithError(err).Warn("note log was not read")
+		}
+	})
+}
+
+func (n *notes) reload(ctx context.Context) error {
+	_, err := n.load(ctx)
+	return err
+}
+
+func (n *notes) load(ctx context.Context) (*platform.Log, error) {
+	l := platform.NewLog(n.store, notesPrefix)
+	snap, entries, err := l.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if snap.Seq > n.revision() {
+		if err := n.adopt(snap.Data); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range entries {
+		if err := n.apply(e.Seq, e.Data); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// adopt replaces the catalogue by a later one; an earlier one changes nothing.
+func (n *notes) adopt(data []byte) error {
+	var c note.Catalogue
+	if err := json.Unmarshal(data, &c); err != nil {
+		return eris.Wrap(err, "catalogue")
+	}
+	n.mu.Lock()
+	if c.Revision() <= n.catalogue.Revision() {
+		n.mu.Unlock()
+		return nil
+	}
+	n.catalogue, n.appliedAt = c, time.Now()
+	n.mu.Unlock()
+	n.ring.Add(explain.Decision{
+		Decision: "note_apply", Reason: "catalogue adopted", Revision: c.Revision(),
+	})
+	n.applied(c)
+	return nil
+}
+
+// apply applies the note at a revision if it is the next one; an earlier one changes nothing.
+func (n *notes) apply(revision int64, data []byte) error {
+	n.mu.Lock()
+	before := n.catalogue
+	if revision <= before.Revision() {
+		n.mu.Unlock()
+		return nil
+	}
+	if revision != before.Revision()+1 {
+		n.mu.Unlock()
+		return eris.Errorf("note at revision %d does not follow %d", revision, before.Revision())
+	}
+	var in note.Note
+	if err := json.Unmarshal(data, &in); err != nil {
+		n.mu.Unlock()
+		return eris.Wrapf(err, "note at revision %d", revision)
+	}
+	after, err := before.Apply(in)
+	if err != nil {
+		n.mu.Unlock()
+		return eris.Wrapf(err, "note at revision %d", revision)
+	}
+	n.catalogue, n.appliedAt = after, time.Now()
+	if n.recent == nil {
+		n.recent = map[int64][]byte{}
+	}
+	n.recent[revision] = data
+	delete(n.recent, revision-keptNotes)
+	n.mu.Unlock()
+	n.checkOnlyListed(before, after, in)
+	n.ring.Add(explain.Decision{
+		Decision: "note_apply", Note: in.ID, Reason: "next revision of the note log", Revision: revision,
+	})
+	n.applied(after)
+	return nil
+}
+
+// checkOnlyListed asserts that a note moved nothing that it does not list.
+func (n *notes) checkOnlyListed(before, after note.Catalogue, in note.Note) {
+	listed := map[string]bool{}
+	for _, name := range in.Items() {
+		listed[name] = true
+	}
+	same := after.Revision() == before.Revision()+1
+	for _, item := range before.Items() {
+		now, ok := after.Item(item.Work.Name)
+		if !listed[item.Work.Name] && (!ok || now != item) {
+			same = false
+		}
+	}
+	n.check.Check(invariant.NoteInForce, same, "note "+in.ID+" moved work that it does not list")
+}
+
+// publish appends a note to the log; errors match note.ErrConflict, note.ErrInvalid, platform.ErrUnavailable
+// or platform.ErrUnknownOutcome. A note that was accepted before under the same id and content is not
+// accepted again.
+func (n *notes) publish(ctx context.Context, in note.Note) (note.Published, error) {
+	n.publishing.Lock()
+	defer n.publishing.Unlock()
+	for range publishAttempts {
+		l, err := n.load(ctx)
+		if err != nil {
+			return note.Published{}, err
+		}
+		c, _ := n.current()
+		if done, ok := c.Note(in.ID); ok && done.Digest == in.Digest() {
+			return done, nil
+		}
+		if _, err := c.Apply(in); err != nil {
+			return note.Published{}, err
+		}
+		if l.SnapshotDue() {
+			if err := n.saveSnapshot(ctx, l, c); err != nil {
+				n.log.WithError(err).Warn("catalogue snapshot was not saved")
+			}
+		}
+		data, err := json.Marshal(in)
+		if err != nil {
+			return note.Published{}, eris.Wrapf(err, "note %s", in.ID)
+		}
+		err = n.appendEntry(ctx, l, platform.NewEntry(c.Revision(), data))
+		if errors.Is(err, platform.ErrBehind) {
+			continue
+		}
+		if err != nil {
+			return note.Published{}, err
+		}
+		if err := n.apply(c.Revision()+1, data); err != nil {
+			return note.Published{}, err
+		}
+		now, _ := n.current()
+		done, _ := now.Note(in.ID)
+		return done, nil
+	}
+	return note.Published{}, eris.Wrapf(platform.ErrUnavailable, "note %s: the log moved %d times", in.ID, publishAttempts)
+}
+
+// appendEntry repeats an append whose outcome is unknown; repeating the same entry takes effect once.
+func (n *notes) appendEntry(ctx context.Context, l *platform.Log, e platform.Entry) error {
+	for {
+		err := l.Append(ctx, e)
+		if !errors.Is(err, platform.ErrUnknownOutcome) || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, jitter(200*time.Millisecond))
+	}
+}
+
+func (n *notes) saveSnapshot(ctx context.Context, l *platform.Log, c note.Catalogue) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return eris.Wrap(err, "catalogue")
+	}
+	return l.SaveSnapshot(ctx, platform.Snapshot{Data: data, Seq: c.Revision()})
+}
+
+// since returns what a peer at a revision lacks.
+func (n *notes) since(revision int64) (peer.NotesReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out peer.NotesReply
+	for r := revision + 1; r <= n.catalogue.Revision(); r++ {
+		data, ok := n.recent[r]
+		if !ok {
+			whole, err := json.Marshal(n.catalogue)
+			return peer.NotesReply{Catalogue: whole}, eris.Wrap(err, "catalogue")
+		}
+		out.Notes = append(out.Notes, data)
+	}
+	return out, nil
+}
+
+// take applies what a peer sent for the notes after a revision.
+func (n *notes) take(after int64, reply peer.NotesReply) error {
+	if len(reply.Catalogue) > 0 {
+		return n.adopt(reply.Catalogue)
+	}
+	for i, data := range reply.Notes {
+		if err := n.apply(after+1+int64(i), data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/owner.go
@@ -0,0 +1,235 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/attribution"
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/placement"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// Timing of a shard owner's loop.
+const (
+	ownerTick       = 100 * time.Millisecond
+	placeEvery      = 250 * time.Millisecond
+	handoverTimeout = 5 * time.Second
+	// drainTime is how long a backend server gets no new requests before its replica is stopped.
+	drainTime = 3 * time.Second
+)
+
+// errDeposed says that another host owns the shard.
+var errDeposed = eris.New("shard is owned by another host")
+
+// shardOwner runs one shard. All fields are used by its loop only; other goroutines post functions to it.
+type shardOwner struct {
+	attribution *attribution.Attributor
+	// admitted is the worker on which a task that waits has room reserved, by task.
+	admitted map[string]string
+	// draining is when a replica's backend server stopped taking requests, by job.
+	draining  map[string]time.Time
+	epoch     int64
+	failedOn  map[string][]string
+	grants    *granting
+	handing   bool
+	host      *Host
+	id        fleet.ShardID
+	intake    intake
+	ledger    *ledger.Owner
+	lastPlace time.Time
+	log       *logrus.Entry
+	mail      chan func(now time.Time)
+	placer    *placement.Placer
+	seenEnds  map[ledger.TaskEnd]time.Time
+	started   map[string]time.Time
+	store     *platform.Log
+	waitsFor  map[string]string
+}
+
+func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
+	o := &shardOwner{
+		attribution: attribution.New(),
+		admitted:    map[string]string{},
+		draining:    map[string]time.Time{},
+		epoch:       epoch,
+		failedOn:    map[string][]string{},
+		host:        h,
+		id:          id,
+		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
+		mail:        make(chan func(time.Time), 1024),
+		seenEnds:    map[ledger.TaskEnd]time.Time{},
+		started:     map[string]time.Time{},
+		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
+		waitsFor:    map[string]string{},
+	}
+	o.placer = placement.New(
+		placement.WithQuota(o.quota),
+		placement.WithViolated(h.check.Violated),
+		placement.WithEvictionsLeft(o.evictionsLeft),
+		placement.WithSlowdown(o.predictedSlowdown),
+	)
+	o.grants = newGranting(o)
+	return o
+}
+
+// run owns the shard until ctx ends, the host drains or another host takes over.
+func (o *shardOwner) run(ctx context.Context) error {
+	state, err := o.load(ctx)
+	if err != nil {
+		return err
+	}
+	o.ledger = ledger.NewOwner(state, o.host.id, o.epoch, o.host.session.renewedAt(),
+		ledger.WithViolated(o.ledgerViolated), ledger.WithStartGate(o.mayStart))
+	ticker := time.NewTicker(ownerTick)
+	defer ticker.Stop()
+	var handover time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-o.mail:
+			f(time.Now())
+			continue
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if o.handing && handover.IsZero() {
+			handover = now
+			o.ledger.Handover()
+		}
+		o.tick(ctx, now)
+		switch {
+		case o.ledger.IsDeposed():
+			return errDeposed
+		case !handover.IsZero() && (o.ledger.HandedOver() || now.Sub(handover) > handoverTimeout):
+			return nil
+		}
+	}
+}
+
+// post runs f on the owner's loop; it is dropped if the loop has ended or is far behind.
+func (o *shardOwner) post(f func(now time.Time)) {
+	select {
+	case o.mail <- f:
+	default:
+		o.log.Warn("owner loop is behind, an observation is dropped")
+	}
+}
+
+// ask runs f on the owner's loop and waits for it.
+func (o *shardOwner) ask(ctx context.Context, f func(now time.Time)) error {
+	done := make(chan struct{})
+	o.post(func(now time.Time) {
+		defer close(done)
+		f(now)
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-done:
+		return nil
+	}
+}
+
+func (o *shardOwner) load(ctx context.Context) (ledger.State, error) {
+	for {
+		state, err := o.read(ctx)
+		if err == nil {
+			return state, nil
+		}
+		o.log.WithError(err).Warn("shard's ledger was not read")
+		pause(ctx, jitter(time.Second))
+		if ctx.Err() != nil {
+			return ledger.State{}, ctx.Err()
+		}
+	}
+}
+
+func (o *shardOwner) read(ctx context.Context) (ledger.State, error) {
+	var state ledger.State
+	snap, entries, err := o.store.Load(ctx)
+	if err != nil {
+		return state, err
+	}
+	if len(snap.Data) > 0 {
+		if err := json.Unmarshal(snap.Data, &state); err != nil {
+			return state, eris.Wrap(err, "ledger snapshot")
+		}
+	}
+	for _, e := range entries {
+		batch, err := ledger.DecodeBatch(e.Data)
+		if err != nil {
+			return state, err
+		}
+		if state, err = state.Apply(batch); err != nil {
+			return state, eris.Wrapf(err, "ledger entry %d", e.Seq)
+		}
+	}
+	return state, nil
+}
+
+func (o *shardOwner) tick(ctx context.Context, now time.Time) {
+	o.ledger.LeaseRenewed(o.host.trustedRenewal(o.id, o.epoch))
+	workers := o.workers()
+	o.ledger.HostList(now, workers)
+	if now.Sub(o.lastPlace) >= placeEvery && !o.handing {
+		o.lastPlace = now
+		o.acceptServices(now)
+		o.acceptJobs(now)
+		o.place(now, workers)
+		o.mitigate(now)
+	}
+	actions := o.ledger.Tick(now)
+	for _, end := range actions.Ended {
+		o.attemptEnded(now, end)
+	}
+	o.send(ctx, actions)
+	o.grants.round(now)
+}
+
+func (o *shardOwner) workers() []fleet.Host {
+	return o.host.hosts.snapshot().WorkersOf(o.id, o.host.shardCount(o.id.Zone))
+}
+
+func (o *shardOwner) quota(team string) fleet.Resources {
+	c, _ := o.host.notes.current()
+	item, _ := c.Item(team)
+	return item.Work.Quota
+}
+
+// mayStart holds back the start of a bound task whose worker or team may take no more now.
+func (o *shardOwner) mayStart(worker string, j ledger.Job) bool {
+	if j.IsLatencyCritical() {
+		return true
+	}
+	if o.attribution.IsQuarantined(worker) {
+		return o.attribution.MayProbe(worker, time.Now()) && o.attribution.IsGoodProbe(j.ID, j.Work)
+	}
+	return !o.isClosedToBatch(worker)
+}
+
+func (o *shardOwner) ledgerViolated(name, detail string) {
+	o.host.check.Violated(invariant.SingleRun, name+": "+detail)
+}
+
+func (o *shardOwner) explain(d explain.Decision) {
+	d.Zone = o.id.Zone
+	if item, ok := o.item(d.Work); ok {
+		d.Note, d.Revision = item.NoteID, item.ChangedAt
+	}
+	o.host.ring.Add(d)
+}
+
+func (o *shardOwner) item(work string) (note.Item, bool) {
+	c, _ := o.host.notes.current()
+	return c.Item(work)
+}
--- /dev/null
+++ b/internal/host/ownerplace.go
@@ -0,0 +1,260 @@
+package host
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/attribution"
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/placement"
+)
+
+const (
+	// placePerPass bounds the work of one pass, so that a flood of jobs does not hold up heartbeats.
+	placePerPass = 256
+	// boundAhead is how many tasks without room are bound in advance, so that they start on their worker
+	// during an outage of the platform store.
+	boundAhead = 256
+	// evictHold is how long an evicted task leaves its room to the task that displaced it.
+	evictHold = 5 * time.Second
+)
+
+// place binds the tasks that wait, in the order of the queue.
+func (o *shardOwner) place(now time.Time, workers []fleet.Host) {
+	candidates := o.order(now, o.ledger.Unbound(now))
+	o.forgetStarted(candidates)
+	view := o.view(now, workers, candidates)
+	ahead, placed := 0, 0
+	for _, c := range candidates {
+		if c.Worker != "" && o.admitted[c.Task] == c.Worker && o.mayWait(c) {
+			continue
+		}
+		if placed++; placed > placePerPass {
+			return
+		}
+		d, err := o.placer.Place(view, o.placementTask(c))
+		switch {
+		case err == nil:
+			view = o.bind(now, view, c, d)
+		case errors.Is(err, placement.ErrNeverFits):
+			o.neverFits(now, c, d)
+		case errors.Is(err, placement.ErrNoRoom) && ahead < boundAhead:
+			ahead++
+			o.bindAhead(c, workers, d)
+		default:
+			o.waits(c, d)
+		}
+	}
+}
+
+// mayWait reports whether a task may go on waiting on the worker that it is bound to.
+func (o *shardOwner) mayWait(c ledger.Candidate) bool {
+	h, ok := o.host.hosts.snapshot().Host(c.Worker)
+	return ok && !h.IsLeaving() && !o.attribution.IsQuarantined(c.Worker) &&
+		!slices.Contains(o.failedOn[c.Task], c.Worker)
+}
+
+// forgetStarted drops the room reserved for tasks that no longer wait.
+func (o *shardOwner) forgetStarted(candidates []ledger.Candidate) {
+	waiting := make(map[string]bool, len(candidates))
+	for _, c := range candidates {
+		waiting[c.Task] = true
+	}
+	for task := range o.admitted {
+		if !waiting[task] && !o.ledger.IsProposed(task) {
+			delete(o.admitted, task)
+		}
+	}
+	for task := range o.waitsFor {
+		if !waiting[task] {
+			delete(o.waitsFor, task)
+		}
+	}
+}
+
+// view shows each worker with its running attempts and with the tasks that have room reserved there.
+func (o *shardOwner) view(now time.Time, workers []fleet.Host, candidates []ledger.Candidate) placement.View {
+	byID := make(map[string]*placement.Worker, len(workers))
+	for _, h := range workers {
+		byID[h.ID] = &placement.Worker{
+			ClosedToBatch: o.isClosedToBatch(h.ID),
+			Host:          h,
+			Quarantined:   o.attribution.IsQuarantined(h.ID),
+			Suspect:       o.attribution.IsSuspect(h.ID),
+		}
+	}
+	hold := func(worker, task string, j ledger.Job, lost time.Duration) {
+		w := byID[worker]
+		if w == nil {
+			return
+		}
+		w.Reserved = w.Reserved.Add(j.Resources)
+		w.Tasks = append(w.Tasks, placement.Held{Lost: lost, Task: o.task(task, j)})
+	}
+	for _, r := range o.ledger.Running() {
+		hold(r.Worker, r.Task, r.Job, o.lostIfEvicted(now, r))
+	}
+	for _, c := range candidates {
+		if w := o.admitted[c.Task]; w != "" {
+			hold(w, c.Task, c.Job, 0)
+		}
+	}
+	for task, w := range o.admitted {
+		if j, ok := o.ledger.ProposedJob(task); ok {
+			hold(w, task, j, 0)
+		}
+	}
+	view := make([]placement.Worker, 0, len(byID))
+	for _, h := range workers {
+		view = append(view, *byID[h.ID])
+	}
+	return placement.NewView(view...)
+}
+
+func (o *shardOwner) lostIfEvicted(now time.Time, r ledger.RunningTask) time.Duration {
+	ran := now.Sub(o.started[r.Task])
+	item, ok := o.item(r.Job.Work)
+	if every := item.Work.CheckpointInterval.Duration; ok && every > 0 {
+		return ran % every
+	}
+	return ran
+}
+
+func (o *shardOwner) placementTask(c ledger.Candidate) placement.Task {
+	t := o.task(c.Task, c.Job)
+	t.FailedOn = o.failedOn[c.Task]
+	return t
+}
+
+func (o *shardOwner) task(id string, j ledger.Job) placement.Task {
+	return placement.Task{
+		ID: id, Kind: j.Kind, Priority: j.Priority, Resources: j.Resources, Team: j.Team, Work: j.Work,
+		Zone: o.id.Zone,
+	}
+}
+
+func (o *shardOwner) bind(
+	now time.Time, view placement.View, c ledger.Candidate, d placement.Decision,
+) placement.View {
+	for _, victim := range d.Victims {
+		o.evict(now, victim, fmt.Sprintf("makes room for %s of priority %d", c.Task, c.Job.Priority))
+		if w, ok := view.Worker(d.Worker); ok {
+			view = view.WithEnded(w.ID, victim)
+		}
+	}
+	next, ok := o.placer.Reserve(view, o.placementTask(c), d)
+	if !ok {
+		return view
+	}
+	if c.Worker != d.Worker {
+		if err := o.ledger.Bind(c.Task, d.Worker); err != nil {
+			o.log.WithError(err).Warn("task was not bound")
+			return view
+		}
+	}
+	o.admitted[c.Task] = d.Worker
+	delete(o.waitsFor, c.Task)
+	o.attribution.Fits(c.Job.ID)
+	o.explain(explain.Decision{
+		Decision: "place", Job: c.Job.ID, Options: describeOptions(d), Reason: string(d.Reason), Task: c.Task,
+		Work: c.Job.Work, Worker: d.Worker,
+	})
+	return next
+}
+
+// bindAhead binds a task without room to the worker with the least work waiting, where it waits.
+func (o *shardOwner) bindAhead(c ledger.Candidate, workers []fleet.Host, d placement.Decision) {
+	delete(o.admitted, c.Task)
+	if c.Worker != "" && o.mayWait(c) {
+		return
+	}
+	best, least := "", 0.0
+	for _, h := range workers {
+		c.Worker = h.ID
+		if !c.Job.Resources.FitsIn(h.Capacity) || !o.mayWait(c) {
+			continue
+		}
+		load := o.ledger.Reserved(h.ID).Total().Fraction(h.Capacity)
+		if best == "" || load < least {
+			best, least = h.ID, load
+		}
+	}
+	if best == "" {
+		return
+	}
+	if err := o.ledger.Bind(c.Task, best); err != nil {
+		return // it waits unbound until the next pass
+	}
+	o.explain(explain.Decision{
+		Decision: "bind_ahead", Job: c.Job.ID, Options: describeOptions(d), Task: c.Task, Work: c.Job.Work,
+		Worker: best, Reason: fmt.Sprintf("%s; least reserved worker, %.2f of its capacity", d.Reason, least),
+	})
+}
+
+// waits logs why a task waits, once for each reason.
+func (o *shardOwner) waits(c ledger.Candidate, d placement.Decision) {
+	delete(o.admitted, c.Task)
+	if o.waitsFor[c.Task] == string(d.Reason) {
+		return
+	}
+	o.waitsFor[c.Task] = string(d.Reason)
+	o.explain(explain.Decision{
+		Decision: "wait", Job: c.Job.ID, Options: describeOptions(d), Reason: string(d.Reason), Task: c.Task,
+		Work: c.Job.Work,
+	})
+}
+
+func (o *shardOwner) neverFits(now time.Time, c ledger.Candidate, d placement.Decision) {
+	o.waits(c, d)
+	detail := fmt.Sprintf("needs %s, larger than every worker of shard %s", c.Job.Resources, o.id)
+	if decision, parked := o.attribution.NeverFits(c.Job.ID, detail, now); parked {
+		o.attributed(decision)
+	}
+}
+
+func (o *shardOwner) evict(now time.Time, task, reason string) {
+	if err := o.ledger.Evict(now, task, evictHold); err != nil {
+		o.log.WithError(err).Warn("task was not evicted")
+		return
+	}
+	o.evicted(now)
+	t, _ := o.ledger.State().Task(task)
+	o.explain(explain.Decision{
+		Decision: "evict", Job: t.Job, Reason: reason, Task: task, Work: o.workOf(t.Job), Worker: t.Worker,
+	})
+}
+
+func (o *shardOwner) workOf(job string) string {
+	r, _ := o.ledger.State().Job(job)
+	return r.Job.Work
+}
+
+// attributed carries out what the failures so far say of a worker or a job.
+func (o *shardOwner) attributed(d attribution.Decision) {
+	o.explain(explain.Decision{
+		Decision: string(d.Kind), Job: d.Job, Options: d.Jobs, Reason: d.Reason, Work: o.workOf(d.Job),
+		Worker: d.Worker,
+	})
+	if d.Kind == attribution.KindPark {
+		if err := o.ledger.Park(d.Job, d.Reason); err != nil {
+			o.log.WithError(err).Warn("job was not parked")
+		}
+	}
+}
+
+func describeOptions(d placement.Decision) []string {
+	var out []string
+	for _, opt := range d.Options {
+		if opt.Rejection != "" {
+			out = append(out, fmt.Sprintf("%s and %d more: %s", opt.Worker, opt.Count-1, opt.Rejection))
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s: score %.3f, slowdown %.2f, spread %.2f, fit %.2f",
+			opt.Worker, opt.Score.Total, opt.Score.Slowdown, opt.Score.Spread, opt.Score.Fit))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/host/ownersend.go
@@ -0,0 +1,228 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+)
+
+const commitTimeout = 10 * time.Second
+
+// send carries out what the ledger wants done; the results come back by post.
+func (o *shardOwner) send(ctx context.Context, a ledger.Actions) {
+	for _, c := range a.Contacts {
+		go o.contact(ctx, c)
+	}
+	for _, s := range a.Starts {
+		o.started[s.Task] = time.Now()
+		go o.start(ctx, s)
+	}
+	for _, s := range a.Stops {
+		o.explain(explain.Decision{
+			Attempt: s.Attempt, Decision: "stop", Reason: s.Reason, Task: s.Task, Worker: s.Worker,
+		})
+		go o.stop(ctx, s)
+	}
+	if a.Commit != nil {
+		go o.commit(ctx, *a.Commit)
+	}
+}
+
+func (o *shardOwner) commit(ctx context.Context, c ledger.Commit) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	err := o.append(ctx, c)
+	o.post(func(now time.Time) {
+		switch {
+		case err == nil:
+			o.ledger.Committed(now)
+		case errors.Is(err, platform.ErrBehind):
+			o.log.WithError(err).Warn("another host appended to the shard's ledger")
+			o.ledger.Conflicted()
+		case errors.Is(err, platform.ErrUnknownOutcome):
+			o.ledger.OutcomeUnknown()
+		default:
+			o.log.WithError(err).Warn("ledger entry was not committed")
+			o.ledger.NotCommitted()
+		}
+	})
+}
+
+// append writes one batch. Only one commit is in flight, so the log handle is used by one goroutine at a time.
+func (o *shardOwner) append(ctx context.Context, c ledger.Commit) error {
+	data, err := c.Batch.Encode()
+	if err != nil {
+		return err
+	}
+	if o.pendingEntry == nil || !c.Resolve {
+		e := platform.NewEntry(o.store.Seq(), data)
+		o.pendingEntry = &e
+	}
+	err = o.store.Append(ctx, *o.pendingEntry)
+	if errors.Is(err, platform.ErrSnapshotDue) {
+		if err := o.saveSnapshot(ctx); err != nil {
+			return err
+		}
+		err = o.store.Append(ctx, *o.pendingEntry)
+	}
+	return err
+}
+
+func (o *shardOwner) contact(ctx context.Context, c ledger.Contact) {
+	address, ok := o.address(c.Worker)
+	if !ok {
+		return
+	}
+	var report worker.Report
+	var err error
+	if c.Fence {
+		report, err = o.host.workers.Fence(ctx, address, worker.FenceRequest{
+			Epoch: c.Epoch, Owner: o.host.id, Shard: o.id,
+		})
+	} else {
+		in := worker.HeartbeatRequest{Epoch: c.Epoch, Full: true, Token: c.Token}
+		for _, ack := range c.Acks {
+			in.Acks = append(in.Acks, worker.AttemptRef{Attempt: int64(ack.Attempt), Task: ack.Task})
+		}
+		report, err = o.host.workers.Heartbeat(ctx, address, in)
+	}
+	o.post(func(now time.Time) {
+		var refusal worker.Refusal
+		switch {
+		case err == nil:
+			o.reported(now, c, report)
+		case errors.As(err, &refusal):
+			o.ledger.ContactRefused(c, refusal.Epoch)
+		default:
+			o.log.WithError(err).WithField("worker", c.Worker).Debug("worker did not answer")
+			o.ledger.ContactFailed(c)
+		}
+	})
+}
+
+func (o *shardOwner) start(ctx context.Context, s ledger.Start) {
+	address, ok := o.address(s.Worker)
+	if !ok {
+		return
+	}
+	_, err := o.host.workers.Start(ctx, address, worker.StartRequest{
+		AttemptRef: worker.AttemptRef{Attempt: int64(s.Attempt), Task: s.Task},
+		Checkpoint: s.Checkpoint,
+		Epoch:      s.Epoch,
+		Kind:       s.Job.Kind,
+		Resources:  s.Job.Resources,
+		RunTime:    note.Duration{Duration: s.Job.RunTime.Duration},
+		Token:      s.Token,
+		Work:       s.Job.Work,
+	})
+	o.post(func(now time.Time) {
+		d := explain.Decision{
+			Attempt: s.Attempt, Decision: "start", Job: s.Job.ID, Reason: "bound here and there is room",
+			Task: s.Task, Work: s.Job.Work, Worker: s.Worker,
+		}
+		var refusal worker.Refusal
+		switch {
+		case err == nil:
+			o.ledger.Started(now, s)
+		case errors.As(err, &refusal):
+			o.ledger.StartRefused(now, s, int(refusal.Attempt), string(refusal.Reason))
+			d.Decision, d.Reason = "start_refused", string(refusal.Reason)
+		default:
+			d.Decision, d.Reason = "start_unanswered", "no answer; the next report tells whether it runs"
+		}
+		o.explain(d)
+	})
+}
+
+func (o *shardOwner) stop(ctx context.Context, s ledger.Stop) {
+	address, ok := o.address(s.Worker)
+	if !ok {
+		return
+	}
+	task, err := o.host.workers.Stop(ctx, address, worker.StopRequest{
+		AttemptRef: worker.AttemptRef{Attempt: int64(s.Attempt), Task: s.Task}, Checkpoint: true, Epoch: s.Epoch,
+	})
+	if err != nil {
+		o.log.WithError(err).WithField("task", s.Task).Debug("stop got no answer")
+		return
+	}
+	o.post(func(now time.Time) { o.ledger.Stopped(now, s, toTaskReport(task)) })
+}
+
+func (o *shardOwner) address(id string) (string, bool) {
+	h, ok := o.host.hosts.snapshot().Host(id)
+	return h.Address, ok
+}
+
+// reported passes a worker's report to the ledger and to all that learn from it.
+func (o *shardOwner) reported(now time.Time, c ledger.Contact, r worker.Report) {
+	out := ledger.WorkerReport{
+		BootID: r.BootID, Capacity: r.Capacity, Epoch: r.Epoch, EpochCapable: r.EpochCapable,
+		Token: r.Token, Worker: c.Worker,
+	}
+	for _, t := range r.Tasks {
+		out.Tasks = append(out.Tasks, toTaskReport(t))
+		o.observeTask(now, c.Worker, t)
+	}
+	o.ledger.Reported(now, c, out)
+	o.host.keys.accepted(o.id, c.Worker, c.SentAt)
+	o.grants.reported(now, c, r)
+	o.observeLatency(now, c.Worker, r)
+	o.checkCapacity(c.Worker)
+}
+
+// checkCapacity asserts that the running attempts of a worker fit in it.
+func (o *shardOwner) checkCapacity(id string) {
+	h, ok := o.host.hosts.snapshot().Host(id)
+	if !ok {
+		return
+	}
+	running := o.ledger.Reserved(id).Running
+	o.host.check.Check(invariant.Capacity, running.FitsIn(h.Capacity), id+" runs "+running.String())
+}
+
+func (o *shardOwner) saveSnapshot(ctx context.Context) error {
+	type answer struct {
+		data []byte
+		err  error
+	}
+	got := make(chan answer, 1)
+	o.post(func(time.Time) {
+		data, err := o.ledger.State().MarshalJSON()
+		got <- answer{data: data, err: err}
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case a := <-got:
+		if a.err != nil {
+			return a.err
+		}
+		return o.store.SaveSnapshot(ctx, platform.Snapshot{Data: a.data, Seq: o.store.Seq()})
+	}
+}
+
+func toTaskReport(t worker.Task) ledger.TaskReport {
+	phase := ledger.PhaseRunning
+	switch t.Phase {
+	case worker.PhaseCancelled:
+		phase = ledger.PhaseStopped
+	case worker.PhaseDone:
+		phase = ledger.PhaseDone
+	case worker.PhaseEvicted:
+		phase = ledger.PhaseStopped
+	case worker.PhaseFailed:
+		phase = ledger.PhaseFailed
+	case worker.PhaseRunning:
+	}
+	return ledger.TaskReport{
+		Attempt: int(t.Attempt), Checkpoint: t.Checkpoint, Phase: phase, Reason: t.Reason, Task: t.Task,
+	}
+}
--- /dev/null
+++ b/internal/host/session.go
@@ -0,0 +1,119 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// Timing of the platform lease. The host treats it as lost well before the platform does, by its own
+// monotonic clock, counted from the start of the last renewal that succeeded.
+const (
+	sessionTTL     = 9 * time.Second
+	sessionRenewal = 3 * time.Second
+	sessionTrusted = 6 * time.Second
+	livePrefix     = "live/"
+)
+
+// session keeps the host's platform lease and its key under live/.
+type session struct {
+	host  string
+	lease int64
+	log   *logrus.Entry
+	mu    sync.Mutex
+	// renewed is when the last successful renewal was sent.
+	renewed time.Time
+	store   platform.Store
+}
+
+func (s *session) end(ctx context.Context) {
+	s.mu.Lock()
+	lease := s.lease
+	s.lease, s.renewed = 0, time.Time{}
+	s.mu.Unlock()
+	if lease != 0 {
+		if err := s.store.Revoke(ctx, lease); err != nil {
+			s.log.WithError(err).Warn("platform lease was not revoked and will run out")
+		}
+	}
+}
+
+// renewedAt returns when the last successful renewal was sent; zero means never.
+func (s *session) renewedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.renewed
+}
+
+func (s *session) isTrusted(now time.Time) bool {
+	at := s.renewedAt()
+	return !at.IsZero() && now.Sub(at) < sessionTrusted
+}
+
+func (s *session) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.renew(ctx); err != nil && ctx.Err() == nil {
+			s.log.WithError(err).Warn("platform lease was not renewed")
+			pause(ctx, sessionRenewal/3)
+			continue
+		}
+		pause(ctx, sessionRenewal)
+	}
+}
+
+func (s *session) renew(ctx context.Context) error {
+	sent := time.Now()
+	s.mu.Lock()
+	lease := s.lease
+	s.mu.Unlock()
+	if lease != 0 {
+		err := s.store.KeepAlive(ctx, lease)
+		if err == nil {
+			s.set(lease, sent)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+	return s.open(ctx)
+}
+
+// open takes a new lease and writes the live key, also over one that a former process of this host left.
+func (s *session) open(ctx context.Context) error {
+	sent := time.Now()
+	lease, err := s.store.Grant(ctx, sessionTTL)
+	if err != nil {
+		return err
+	}
+	old, err := s.store.Get(ctx, livePrefix+s.host)
+	if err != nil {
+		return err
+	}
+	if _, err := s.store.Swap(ctx, livePrefix+s.host, old.ModRevision, []byte(`"live"`), lease); err != nil {
+		return err
+	}
+	s.set(lease, sent)
+	return nil
+}
+
+func (s *session) set(lease int64, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease, s.renewed = lease, sent
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/host/shards.go
@@ -0,0 +1,359 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+// Timing of the contention for shards.
+const (
+	contendEvery = 500 * time.Millisecond
+	// gossipTrusted is how long a peer's word that it owns a shard saves reading the store.
+	gossipTrusted = 3 * time.Second
+	adoptAfter    = 60 * time.Second
+	shardPrefix   = "shards/"
+	zonePrefix    = "zones/"
+)
+
+// shardRecord says who owns a shard; it stays when the owner is gone, so that epochs only grow.
+type shardRecord struct {
+	Epoch int64  `json:"epoch"`
+	Owner string `json:"owner,omitempty"`
+}
+
+// shards holds the shards that the host owns and what peers say of theirs.
+type shards struct {
+	counts map[string]int // shards of each zone
+	host   *Host
+	mu     sync.Mutex
+	owned  map[fleet.ShardID]*ownedShard
+	// seen is the last word of each shard's owner.
+	seen map[fleet.ShardID]sighting
+	// verified is the last renewal of the platform lease before which the record was still ours.
+	verified map[fleet.ShardID]time.Time
+}
+
+type ownedShard struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	owner  *shardOwner
+}
+
+type sighting struct {
+	at      time.Time
+	epoch   int64
+	free    int
+	host    string
+	serving bool
+}
+
+func newShards(h *Host) *shards {
+	return &shards{
+		counts:   map[string]int{},
+		host:     h,
+		owned:    map[fleet.ShardID]*ownedShard{},
+		seen:     map[fleet.ShardID]sighting{},
+		verified: map[fleet.ShardID]time.Time{},
+	}
+}
+
+func (s *shards) count(zone string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.counts[zone], 1)
+}
+
+func (s *shards) get(id fleet.ShardID) (*shardOwner, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.owned[id]
+	if !ok {
+		return nil, false
+	}
+	return o.owner, true
+}
+
+func (s *shards) all() []*shardOwner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*shardOwner
+	for _, o := range s.owned {
+		out = append(out, o.owner)
+	}
+	return out
+}
+
+// saw takes a peer's word that it owns a shard; of two, the higher epoch counts.
+func (s *shards) saw(id fleet.ShardID, w sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.epoch >= s.seen[id].epoch {
+		s.seen[id] = w
+	}
+}
+
+// ownerOf returns the last host that said it owns a shard.
+func (s *shards) ownerOf(id fleet.ShardID) (sighting, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.seen[id]
+	return w, ok && time.Since(w.at) < 2*gossipTrusted
+}
+
+// run contends for the zone's shards until ctx ends.
+func (s *shards) run(ctx context.Context) {
+	pause(ctx, s.host.startDelay())
+	var zoneSeen time.Time
+	for ctx.Err() == nil {
+		if err := s.learnCounts(ctx); err == nil && !s.host.isDraining() {
+			for i := range s.count(s.host.zone) {
+				s.contend(ctx, fleet.ShardID{Index: i, Zone: s.host.zone})
+			}
+			if time.Since(zoneSeen) > adoptAfter/3 {
+				zoneSeen = time.Now()
+				s.adopt(ctx)
+			}
+		}
+		pause(ctx, jitter(2*contendEvery))
+	}
+}
+
+// learnCounts reads the zones' shard counts; the first host of a zone writes the count of its settings.
+func (s *shards) learnCounts(ctx context.Context) error {
+	s.mu.Lock()
+	known := s.counts[s.host.zone] != 0
+	s.mu.Unlock()
+	if known {
+		return nil
+	}
+	store := s.host.storeFor(platform.ClassOwnership)
+	own := zonePrefix + s.host.zone
+	value := []byte(strconv.Itoa(s.host.settings.ZoneSets.Shards))
+	if _, err := store.Swap(ctx, own, 0, value, 0); err != nil && !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	kvs, _, err := store.Range(ctx, zonePrefix)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, kv := range kvs {
+		n, err := strconv.Atoi(string(kv.Value))
+		if err != nil || n < 1 {
+			return eris.Errorf("%s holds %q, not a number of shards", kv.Key, kv.Value)
+		}
+		s.counts[kv.Key[len(zonePrefix):]] = n
+	}
+	return nil
+}
+
+// contend takes a shard whose owner is gone. Hosts wait in an order that differs from shard to shard, and
+// hosts that own shards wait longer, so that shards spread and few writes collide.
+func (s *shards) contend(ctx context.Context, id fleet.ShardID) {
+	if _, ok := s.get(id); ok {
+		return
+	}
+	if w, ok := s.ownerOf(id); ok && time.Since(w.at) < gossipTrusted {
+		return
+	}
+	rec, mod, err := s.read(ctx, id)
+	if err != nil || s.isHeld(ctx, rec) {
+		return
+	}
+	pause(ctx, time.Duration(s.rank(id))*contendEvery/2+time.Duration(len(s.all()))*contendEvery)
+	s.take(ctx, id, rec, mod)
+}
+
+// isHeld reports whether the recorded owner is another process that the platform holds to be alive.
+func (s *shards) isHeld(ctx context.Context, rec shardRecord) bool {
+	if rec.Owner == "" || rec.Owner == s.host.id {
+		return false
+	}
+	kv, err := s.host.storeFor(platform.ClassOwnership).Get(ctx, livePrefix+rec.Owner)
+	return err != nil || kv.ModRevision != 0
+}
+
+func (s *shards) rank(id fleet.ShardID) int {
+	own, rank := rendezvous(s.host.id, id), 0
+	for _, p := range s.host.mesh.Zone(s.host.zone) {
+		if rendezvous(p.Host, id) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rendezvous(host string, id fleet.ShardID) uint32 {
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%s %s", host, id)
+	return h.Sum32()
+}
+
+func (s *shards) read(ctx context.Context, id fleet.ShardID) (shardRecord, int64, error) {
+	kv, err := s.host.storeFor(platform.ClassOwnership).Get(ctx, shardPrefix+id.String())
+	if err != nil || kv.ModRevision == 0 {
+		return shardRecord{}, 0, err
+	}
+	var rec shardRecord
+	err = json.Unmarshal(kv.Value, &rec)
+	return rec, kv.ModRevision, eris.Wrapf(err, "shard %s", id)
+}
+
+// take writes the host into the shard's record under the next epoch and starts its owner.
+func (s *shards) take(ctx context.Context, id fleet.ShardID, rec shardRecord, mod int64) {
+	if !s.host.session.isTrusted(time.Now()) || s.host.isDraining() {
+		return
+	}
+	next := shardRecord{Epoch: rec.Epoch + 1, Owner: s.host.id}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	sent := time.Now()
+	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		// Another process of this host id cannot have written this epoch: it would own the live key.
+		have, _, readErr := s.read(ctx, id)
+		if readErr != nil || have != next {
+			return
+		}
+	} else if err != nil {
+		return
+	}
+	s.host.ring.Add(explain.Decision{
+		Decision: "take_shard", Reason: fmt.Sprintf("%s; epoch %d", ownerGone(rec), next.Epoch), Work: "",
+		Zone: id.Zone, Task: "shard/" + id.String(),
+	})
+	s.start(id, next.Epoch, sent)
+}
+
+func ownerGone(rec shardRecord) string {
+	if rec.Owner == "" {
+		return "shard has no owner"
+	}
+	return "owner " + rec.Owner + " is gone"
+}
+
+func (s *shards) start(id fleet.ShardID, epoch int64, verified time.Time) {
+	ctx, cancel := context.WithCancel(s.host.ownerContext())
+	o := &ownedShard{cancel: cancel, done: make(chan struct{}), owner: newShardOwner(s.host, id, epoch)}
+	s.mu.Lock()
+	s.owned[id] = o
+	s.verified[id] = verified
+	s.mu.Unlock()
+	s.host.keys.took(id, epoch)
+	go func() {
+		defer close(o.done)
+		defer cancel()
+		err := o.owner.run(ctx)
+		s.mu.Lock()
+		delete(s.owned, id)
+		s.mu.Unlock()
+		s.host.keys.lost(id, epoch)
+		o.owner.grants.stop()
+		if err != nil && !errors.Is(err, context.Canceled) {
+			s.host.ring.Add(explain.Decision{
+				Decision: "lose_shard", Reason: err.Error(), Task: "shard/" + id.String(), Zone: id.Zone,
+			})
+		}
+	}()
+}
+
+// trustedRenewal returns when the last renewal of the platform lease was sent that counts for the shard.
+// After the lease had lapsed, another host may have taken over, so the record is read again first.
+func (s *shards) trustedRenewal(id fleet.ShardID, epoch int64) time.Time {
+	renewed := s.host.session.renewedAt()
+	s.mu.Lock()
+	verified := s.verified[id]
+	s.mu.Unlock()
+	if renewed.Sub(verified) < sessionTrusted {
+		s.setVerified(id, renewed)
+		return renewed
+	}
+	s.verify(id, epoch)
+	return verified
+}
+
+func (s *shards) setVerified(id fleet.ShardID, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.verified[id]) {
+		s.verified[id] = at
+	}
+}
+
+// verify reads the shard's record in the background, once at a time.
+func (s *shards) verify(id fleet.ShardID, epoch int64) {
+	o, ok := s.get(id)
+	if !ok || !o.verifying.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer o.verifying.Store(false)
+		defer pause(s.host.ownerContext(), contendEvery)
+		asked := time.Now()
+		rec, _, err := s.read(s.host.ownerContext(), id)
+		switch {
+		case err != nil:
+		case rec.Owner == s.host.id && rec.Epoch == epoch:
+			s.setVerified(id, asked)
+		default:
+			o.post(func(time.Time) { o.ledger.Conflicted() })
+		}
+	}()
+}
+
+// handOver stops all owners gracefully and frees their shards.
+func (s *shards) handOver(ctx context.Context) {
+	s.mu.Lock()
+	owned := map[fleet.ShardID]*ownedShard{}
+	for id, o := range s.owned {
+		owned[id] = o
+	}
+	s.mu.Unlock()
+	var all sync.WaitGroup
+	for id, o := range owned {
+		all.Go(func() {
+			o.owner.post(func(time.Time) { o.owner.handing = true })
+			select {
+			case <-o.done:
+			case <-ctx.Done():
+				o.cancel()
+				<-o.done
+			}
+			s.free(ctx, id, o.owner.epoch)
+		})
+	}
+	all.Wait()
+}
+
+func (s *shards) free(ctx context.Context, id fleet.ShardID, epoch int64) {
+	rec, mod, err := s.read(ctx, id)
+	if err != nil || rec.Owner != s.host.id || rec.Epoch != epoch {
+		return
+	}
+	value, err := json.Marshal(shardRecord{Epoch: epoch})
+	if err != nil {
+		return
+	}
+	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
+	s.host.ring.Add(explain.Decision{
+		Decision: "free_shard", Reason: "host drains", Task: "shard/" + id.String(), Zone: id.Zone,
+	})
+	if err != nil {
+		s.host.log.WithError(err).Warn("shard was not freed; it is taken over when this host's lease has run out")
+	}
+}
--- a/internal/note/catalogue.go
+++ b/internal/note/catalogue.go
@@ -17,8 +17,10 @@
 
 // Published is a note that has been accepted.
 type Published struct {
-	Amends   string   `json:"amends,omitempty"`
-	Author   string   `json:"author,omitempty"`
+	Amends string `json:"amends,omitempty"`
+	Author string `json:"author,omitempty"`
+	// Digest identifies the note's content, so that a repeated publication is recognised.
+	Digest   string   `json:"digest"`
 	ID       string   `json:"id"`
 	Items    []string `json:"items"`
 	Revision int64    `json:"revision"`
@@ -63,7 +65,7 @@
 		next.withdrawn[name] = Item{ChangedAt: next.revision, NoteID: n.ID, Work: Work{Name: name}}
 	}
 	next.notes[n.ID] = Published{
-		Amends: n.Amends, Author: n.Author, ID: n.ID, Items: n.Items(), Revision: next.revision,
+		Amends: n.Amends, Author: n.Author, Digest: n.Digest(), ID: n.ID, Items: n.Items(), Revision: next.revision,
 	}
 	return next, next.checkReferences(n)
 }
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"regexp"
@@ -76,6 +79,17 @@
 	return nil
 }
 
+// Digest returns a hash of the note's content apart from its base.
+func (n Note) Digest() string {
+	n.Base = nil
+	data, err := json.Marshal(n)
+	if err != nil {
+		panic(err) // a Note always marshals
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:8])
+}
+
 // Items returns the names of all items that the note lists.
 func (n Note) Items() []string {
 	var names []string
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,12 +3,15 @@
 import (
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/slots"
 )
 
 // Hello is the first message on a connection.
 type Hello struct {
 	Host        string `json:"host"`
 	PeerAddress string `json:"peer_address"`
+	// Run is unique to the process, so that a restarted host is told from the former one.
+	Run string `json:"run"`
 	Zone        string `json:"zone"`
 }
 
@@ -27,17 +30,9 @@
 // Shard returns the shard's id.
 func (o Owned) Shard() fleet.ShardID { return fleet.ShardID{Index: o.Index, Zone: o.Zone} }
 
-// Demand is the number of requests of a service that a host runs or has waiting.
-type Demand struct {
-	_      struct{} `cbor:",toarray"`
-	Amount int
-	Work   string
-}
-
 // Heartbeat tells that the sender lives and what it has applied; it is encoded as an array to stay small.
 type Heartbeat struct {
 	_        struct{} `cbor:",toarray"`
-	Demand   []Demand
 	Draining bool
 	Owned    []Owned
 	Revision int64
@@ -54,32 +49,24 @@
 	Notes     [][]byte `json:"notes,omitempty"`
 }
 
-// GrantBackend is the part of a grant that concerns one backend server.
-type GrantBackend struct {
-	Address string `json:"address"`
-	Backend string `json:"backend"`
-	Count   int    `json:"count"`
-	Leaving bool   `json:"leaving,omitempty"`
-	Worker  string `json:"worker"`
-	Work    string `json:"work"`
-}
-
-// Grant tells an entry host how many requests it may run at each backend server of a shard.
+// Grant carries an entry host's slots and connections of a shard and where its work runs.
 type Grant struct {
-	Backends []GrantBackend `json:"backends"`
-	Epoch    int64          `json:"epoch"`
-	Index    int            `json:"index"`
-	Seq      int64          `json:"seq"`
-	Zone     string         `json:"zone"`
+	Connections slots.Grant `json:"c"`
+	// Renews says that the counts are those of the grant that the host acknowledged last and are left out.
+	Renews bool `json:"r,omitempty"`
+	// Replicas lists the workers of each work; it is left out if the host has this version.
+	Replicas        map[string][]string `json:"w,omitempty"`
+	ReplicasVersion int64               `json:"v"`
+	Slots           slots.Grant         `json:"s"`
 }
 
-// GrantAck tells the owner which grant is in force at the host and what is in use.
+// GrantAck tells the owner which grants are in force at the host, what is in use and what it needs.
 type GrantAck struct {
-	InUse map[string]int `json:"in_use,omitempty"`
-	Epoch int64          `json:"epoch"`
-	Index int            `json:"index"`
-	Seq   int64          `json:"seq"`
-	Zone  string         `json:"zone"`
+	Connections      slots.Ack `json:"c"`
+	ConnectionDemand float64   `json:"cd"`
+	ReplicasVersion  int64     `json:"v"`
+	SlotDemand       float64   `json:"sd"`
+	Slots            slots.Ack `json:"s"`
 }
 
 // ExplainRequest asks for the decisions that concern an id.
