Add routing of requests to backend servers

Cause: entry hosts need a choice of backend server per request. Change: Router with p2c_ewma, round_robin and least_outstanding; bounded cold start, a failure-rate circuit with probes, and a separate short back-off after refusals.

--- /dev/null
+++ b/internal/routing/decision.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoBackend says that no candidate may take the request now; nothing was sent.
+var ErrNoBackend = eris.New("no backend server available")
+
+// Reason says why a backend server was chosen or passed over.
+type Reason string
+
+// Reasons for a choice.
+const (
+	ReasonFewestInFlight Reason = "fewest_in_flight"
+	ReasonLowerScore     Reason = "lower_score"
+	ReasonNextInTurn     Reason = "next_in_turn"
+	ReasonOnlyCandidate  Reason = "only_candidate"
+	ReasonProbe          Reason = "probe"
+)
+
+// Reasons for passing a candidate over.
+const (
+	ReasonCircuitOpen Reason = "circuit_open"
+	ReasonCold        Reason = "cold"
+	ReasonExcluded    Reason = "excluded"
+	ReasonLeaving     Reason = "leaving"
+	ReasonNoSlot      Reason = "no_slot"
+	ReasonProbing     Reason = "probing"
+	ReasonRefusing    Reason = "refusing"
+)
+
+// Decision is the outcome of one choice.
+type Decision struct {
+	Backend Backend
+	// Options are the candidates that were compared; the chosen one comes first.
+	Options []Option
+	Policy  Policy
+	Reason  Reason
+}
+
+// Option is a candidate that was compared, with its score; the lower score is better.
+type Option struct {
+	Score  float64
+	Worker string
+}
+
+// Rejection says why a candidate could not take the request.
+type Rejection struct {
+	Reason Reason
+	Worker string
+}
+
+// NoBackendError lists the reason for each candidate; it matches ErrNoBackend.
+type NoBackendError struct {
+	Rejections []Rejection
+	// RetryAfter is the time until the first pause of a candidate ends; zero means unknown.
+	RetryAfter time.Duration
+}
+
+// Error counts the candidates by reason, so that its length does not grow with the fleet.
+func (e *NoBackendError) Error() string {
+	counts := map[Reason]int{}
+	for _, r := range e.Rejections {
+		counts[r.Reason]++
+	}
+	parts := []string{fmt.Sprintf("%s among %d", ErrNoBackend, len(e.Rejections))}
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", reason, counts[reason]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// Unwrap returns ErrNoBackend.
+func (e *NoBackendError) Unwrap() error { return ErrNoBackend }
--- /dev/null
+++ b/internal/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the backend server for each request of one service.
+package routing
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,194 @@
+package routing_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/routing"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func backends(n int) []routing.Backend {
+	var out []routing.Backend
+	for i := range n {
+		out = append(out, routing.Backend{Worker: fmt.Sprintf("w%d", i), Zone: "a", Free: 8})
+	}
+	return out
+}
+
+func warm(r *routing.Router, worker string, latency time.Duration) {
+	for range 20 {
+		r.Started(worker)
+		r.Finished(start, worker, latency, routing.ResultOK)
+	}
+}
+
+// end runs one request on the chosen worker and returns the worker, or "" without a backend.
+func end(r *routing.Router, now time.Time, bs []routing.Backend, result routing.Result) string {
+	d, err := r.Route(now, bs)
+	if err != nil {
+		return ""
+	}
+	r.Started(d.Backend.Worker)
+	r.Finished(now, d.Backend.Worker, time.Millisecond, result)
+	return d.Backend.Worker
+}
+
+// Guards against new work on a leaving, full or already tried server under any policy, and against
+// crossing zones while the local zone can serve.
+func TestRouteFiltersCandidates(t *testing.T) {
+	for _, policy := range []routing.Policy{
+		routing.PolicyP2C, routing.PolicyLeastOutstanding, routing.PolicyRoundRobin,
+	} {
+		t.Run(string(policy), func(t *testing.T) {
+			bs := backends(5)
+			bs[0].Leaving, bs[1].Free, bs[4].Zone = true, 0, "b"
+			r := routing.NewRouter("a", routing.WithPolicy(policy))
+			for range 50 {
+				d, err := r.Route(start, bs, "w2")
+				assert.NilError(t, err)
+				assert.Equal(t, d.Backend.Worker, "w3")
+				assert.Equal(t, d.Policy, policy)
+			}
+			d, err := r.Route(start, bs, "w2", "w3")
+			assert.NilError(t, err)
+			assert.Equal(t, d.Backend.Zone, "b")
+			_, err = r.Route(start, bs, "w2", "w3", "w4")
+			assert.ErrorIs(t, err, routing.ErrNoBackend)
+			var none *routing.NoBackendError
+			assert.Assert(t, errors.As(err, &none))
+			assert.DeepEqual(t, none.Rejections[:3], []routing.Rejection{
+				{Worker: "w0", Reason: routing.ReasonLeaving},
+				{Worker: "w1", Reason: routing.ReasonNoSlot},
+				{Worker: "w2", Reason: routing.ReasonExcluded},
+			})
+		})
+	}
+}
+
+// Guards against sending a fair part of the load to a server that is ten times slower, and against
+// never measuring it again after it has recovered.
+func TestSlowServerGetsLittleAndIsMeasuredAgain(t *testing.T) {
+	r, bs := routing.NewRouter("a", routing.WithSeed(7)), backends(8)
+	for _, b := range bs {
+		warm(r, b.Worker, 10*time.Millisecond)
+	}
+	warm(r, "w0", 100*time.Millisecond)
+	count := func(now time.Time) int {
+		slow := 0
+		for range 1000 {
+			if d, err := r.Route(now, bs); err == nil && d.Backend.Worker == "w0" {
+				slow++
+			}
+		}
+		return slow
+	}
+	assert.Equal(t, count(start), 0)
+	assert.Assert(t, count(start.Add(2*time.Minute)) > 20)
+}
+
+// Guards against a herd of requests on a server that has just appeared.
+func TestColdServerIsBounded(t *testing.T) {
+	r, bs := routing.NewRouter("a"), backends(4)
+	bs[0].Free = 1000
+	for _, b := range bs[1:] {
+		warm(r, b.Worker, 10*time.Millisecond)
+	}
+	for range 500 {
+		d, err := r.Route(start, bs)
+		assert.NilError(t, err)
+		r.Started(d.Backend.Worker)
+	}
+	assert.Equal(t, r.InFlight("w0"), 2)
+}
+
+// Guards against traffic to a failed server, against more than one probe at a time, and against a
+// circuit that never closes.
+func TestCircuitOpensProbesAndCloses(t *testing.T) {
+	r, bs := routing.NewRouter("a"), backends(1)
+	for range 3 {
+		assert.Equal(t, end(r, start, bs, routing.ResultFailed), "w0")
+	}
+	assert.Equal(t, end(r, start, bs, routing.ResultOK), "")
+	now := start.Add(2 * time.Second)
+	d, err := r.Route(now, bs)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, routing.ReasonProbe)
+	_, err = r.Route(now, bs)
+	assert.ErrorIs(t, err, routing.ErrNoBackend)
+	r.Started("w0")
+	r.Finished(now, "w0", time.Millisecond, routing.ResultFailed)
+	assert.Equal(t, end(r, now.Add(1400*time.Millisecond), bs, routing.ResultOK), "")
+	now = now.Add(3 * time.Second)
+	for range 3 {
+		assert.Equal(t, end(r, now, bs, routing.ResultOK), "w0")
+	}
+	d, err = r.Route(now, bs)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, routing.ReasonOnlyCandidate)
+}
+
+// Guards against treating overload as failure: the pause is short, requests refused together count
+// once, repeated refusals lengthen it, and one success ends it.
+func TestRefusalBacksOff(t *testing.T) {
+	r, bs := routing.NewRouter("a"), backends(1)
+	warm(r, "w0", time.Millisecond)
+	for range 6 {
+		r.Started("w0")
+	}
+	for range 6 {
+		r.Finished(start, "w0", time.Millisecond, routing.ResultRefused)
+	}
+	now := start
+	var pauses []time.Duration
+	for range 4 {
+		_, err := r.Route(now, bs)
+		var none *routing.NoBackendError
+		assert.Assert(t, errors.As(err, &none))
+		pauses = append(pauses, none.RetryAfter)
+		now = now.Add(none.RetryAfter)
+		assert.Equal(t, end(r, now, bs, routing.ResultRefused), "w0")
+	}
+	assert.Assert(t, pauses[0] < 70*time.Millisecond)
+	assert.Assert(t, pauses[3] > 3*pauses[0] && pauses[3] < time.Second)
+	now = now.Add(3 * time.Second)
+	assert.Equal(t, end(r, now, bs, routing.ResultOK), "w0")
+	d, err := r.Route(now, bs)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, routing.ReasonOnlyCandidate)
+}
+
+// Guards against state that grows with every replaced worker, and against a late end of a request
+// that lowers the count of a worker's next life.
+func TestRetainDropsVanishedWorkers(t *testing.T) {
+	r := routing.NewRouter("a")
+	warm(r, "w0", time.Millisecond)
+	warm(r, "w1", time.Millisecond)
+	r.Started("w1")
+	r.Retain([]string{"w2"})
+	assert.DeepEqual(t, r.Workers(), []string{"w1"})
+	r.Finished(start, "w1", time.Millisecond, routing.ResultOK)
+	assert.Equal(t, len(r.Workers()), 0)
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{8, 50, 200, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, bs := routing.NewRouter("a"), backends(n)
+			for _, s := range bs {
+				warm(r, s.Worker, time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := r.Route(start, bs); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
