Add slot grants of shard owners and wallets of entry hosts

Cause: entry hosts may use a backend server only within slots that the shard's owner has granted. Change: Granter splits slots by demand and counts each grant at its old size until it is acknowledged or has run out; a takeover grants only what is proven free; Wallet takes and releases slots. A grant's life counts from a stamp of the host's own clock, so a delayed grant cannot outlive the owner's count.

--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,221 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/slots"
+)
+
+var (
+	shard = fleet.ShardID{Zone: "kelaniya"}
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+const round = 500 * time.Millisecond
+
+// pair is an owner and two hosts with one backend server of 8 slots between them.
+type pair struct {
+	g       *slots.Granter
+	now     time.Time
+	wallets map[string]*slots.Wallet
+}
+
+func newPair(options ...slots.GranterOption) *pair {
+	p := &pair{g: slots.NewGranter(shard, 7, options...), now: start, wallets: map[string]*slots.Wallet{}}
+	p.g.SetBackends([]slots.Backend{{ID: "b", Capacity: 8, Service: "s"}})
+	for _, h := range []string{"h1", "h2"} {
+		p.wallets[h] = slots.NewWallet(h, start)
+	}
+	return p
+}
+
+// step runs one round and delivers its grants and acks, except for silent hosts.
+func (p *pair) step(demand1, demand2 float64, silent ...string) {
+	quiet := map[string]bool{}
+	for _, h := range silent {
+		quiet[h] = true
+	}
+	for h, d := range map[string]float64{"h1": demand1, "h2": demand2} {
+		if !quiet[h] {
+			p.g.SetDemand(h, p.wallets[h].Ack(shard, p.now).Stamp, map[string]float64{"s": d})
+		}
+	}
+	for _, g := range p.g.Round(p.now) {
+		if !quiet[g.Host] {
+			_ = p.wallets[g.Host].Install(g, p.now)
+			p.g.Ack(p.wallets[g.Host].Ack(shard, p.now.Add(time.Millisecond)))
+		}
+	}
+	p.now = p.now.Add(round)
+}
+
+func (p *pair) free(host string) int {
+	n, _ := p.wallets[host].Free("b", p.now)
+	return n
+}
+
+// Guards against slots that do not follow demand, and against an idle host that has none.
+func TestSlotsFollowDemand(t *testing.T) {
+	p := newPair()
+	for range 3 {
+		p.step(0, 0)
+	}
+	assert.Equal(t, p.free("h1"), 4)
+	assert.Equal(t, p.free("h2"), 4)
+	for range 3 {
+		p.step(50, 0)
+	}
+	assert.Equal(t, p.free("h1"), 8)
+	for range 3 {
+		p.step(6, 0)
+	}
+	assert.Equal(t, p.free("h1"), 7)
+	assert.Equal(t, p.free("h2"), 1)
+}
+
+// Guards against granting slots that a host still uses after its grant was lowered, and against
+// forgetting requests that outlive the grant.
+func TestLoweredGrantWaitsForUse(t *testing.T) {
+	p := newPair()
+	p.step(0, 0)
+	for range 4 {
+		assert.Assert(t, p.wallets["h1"].Take("b", p.now))
+	}
+	for range 10 {
+		p.step(0, 100)
+		assert.Equal(t, p.free("h2"), 4)
+		assert.Assert(t, !p.wallets["h1"].Take("b", p.now))
+	}
+	p.wallets["h1"].Release("b")
+	p.step(0, 100)
+	p.step(0, 100)
+	assert.Equal(t, p.free("h2"), 5)
+}
+
+// Guards against moving a silent host's slots before its grant has run out, and before the worker
+// has shown that what it ran has ended.
+func TestSilentHostKeepsItsSlotsUntilExpiry(t *testing.T) {
+	p := newPair(slots.WithMaxRequest(0))
+	p.step(0, 0)
+	p.step(0, 0)
+	p.wallets["h1"].Take("b", p.now)
+	p.g.SetHosts([]string{"h2"})
+	for range 4 {
+		p.step(0, 100, "h1")
+		assert.Equal(t, p.free("h2"), 4)
+	}
+	p.step(0, 100, "h1")
+	assert.Equal(t, p.free("h1"), 0)
+	p.g.InFlight(p.now, "b", 1, 1)
+	p.step(0, 100, "h1")
+	assert.Equal(t, p.free("h2"), 7)
+	p.wallets["h1"].Release("b")
+	p.g.InFlight(p.now, "b", 0, 0)
+	p.step(0, 100, "h1")
+	assert.Equal(t, p.free("h2"), 8)
+}
+
+// Guards against late reports that hide requests begun after them: an ack sent before the grant ran
+// out, an ack overtaken by a newer one, and a worker's count taken while the grant was good.
+func TestLateReportsDoNotHideUse(t *testing.T) {
+	for name, late := range map[string]func(p *pair, before slots.Ack){
+		"ack before expiry": func(p *pair, before slots.Ack) { p.g.Ack(before) },
+		"overtaken ack": func(p *pair, before slots.Ack) {
+			p.g.Ack(p.wallets["h1"].Ack(shard, p.now))
+			p.g.Ack(before)
+		},
+		"worker count": func(p *pair, _ slots.Ack) { p.g.InFlight(start.Add(time.Second), "b", 0, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(slots.WithMaxRequest(0))
+			p.step(0, 0)
+			before := p.wallets["h1"].Ack(shard, p.now)
+			for range 4 {
+				assert.Assert(t, p.wallets["h1"].Take("b", p.now))
+			}
+			p.now = p.now.Add(3 * time.Second)
+			p.g.SetHosts(nil)
+			assert.Equal(t, p.g.Held(p.now, "b"), 8)
+			late(p, before)
+			assert.Assert(t, p.g.Held(p.now, "b") >= 4+4)
+		})
+	}
+}
+
+// Guards against grants of a new owner while those of the old one are usable.
+func TestTakeoverGrantsOnlyWhatIsProvenFree(t *testing.T) {
+	p := newPair(slots.WithTakeover(start.Add(5 * time.Second)))
+	p.g.InFlight(start, "b", 1, 1)
+	p.step(0, 0)
+	assert.Equal(t, p.free("h1")+p.free("h2"), 0)
+	p.g.Fenced(p.now, "b", 3)
+	p.step(0, 0)
+	assert.Equal(t, p.free("h1")+p.free("h2"), 5)
+
+	p = newPair(slots.WithTakeover(start.Add(5 * time.Second)))
+	for range 10 {
+		p.g.InFlight(p.now, "b", 2, 2)
+		p.step(0, 0)
+		assert.Equal(t, p.free("h1")+p.free("h2"), 0)
+	}
+	p.step(0, 0)
+	assert.Equal(t, p.free("h1")+p.free("h2"), 6)
+}
+
+// Guards against installing grants that are late, repeated, of a lower epoch or for another host.
+func TestWalletRefusesStaleGrants(t *testing.T) {
+	w := slots.NewWallet("h1", start)
+	now := start.Add(time.Second)
+	base := slots.Grant{
+		Counts: map[string]int{"b": 2}, Epoch: 5, Host: "h1", Seq: 3, Shard: shard,
+		Stamp: slots.Stamp(time.Second), TTL: slots.DefaultTTL,
+	}
+	assert.NilError(t, w.Install(base, now))
+	for name, change := range map[string]func(*slots.Grant){
+		"late":          func(g *slots.Grant) { g.Seq, g.Stamp = 4, slots.Stamp(-2*time.Second) },
+		"lower epoch":   func(g *slots.Grant) { g.Epoch, g.Seq = 4, 9 },
+		"other host":    func(g *slots.Grant) { g.Host, g.Seq = "h2", 4 },
+		"repeated":      func(*slots.Grant) {},
+		"from tomorrow": func(g *slots.Grant) { g.Seq, g.Stamp = 4, slots.Stamp(time.Hour) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := base
+			change(&g)
+			assert.ErrorIs(t, w.Install(g, now), slots.ErrStale)
+		})
+	}
+	assert.Assert(t, w.Take("b", now))
+	assert.Assert(t, !w.Take("b", now.Add(slots.DefaultTTL)))
+	w.Fence(shard, 6)
+	assert.Assert(t, !w.Take("b", now))
+	assert.Equal(t, w.InUse("b"), 1)
+}
+
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{8, 50, 200, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := slots.NewGranter(shard, 1)
+			var backends []slots.Backend
+			for i := range n {
+				backends = append(backends, slots.Backend{ID: fmt.Sprint(i), Capacity: 8, Service: fmt.Sprint(i % 5)})
+			}
+			g.SetBackends(backends)
+			now, seq := start, int64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now, seq = now.Add(round), seq+1
+				for h := range 8 {
+					host, stamp := fmt.Sprint(h), slots.Stamp(now.Sub(start))
+					g.SetDemand(host, stamp, map[string]float64{"0": float64((int(seq) + h) % 8)})
+					g.Ack(slots.Ack{Epoch: 1, Host: host, Seq: seq - 1, Shard: shard, Stamp: stamp})
+				}
+				g.Round(now)
+			}
+		})
+	}
+}
