--- /dev/null
+++ b/internal/ledger/owner_test.go
@@ -0,0 +1,308 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// bench drives one owner by hand over workers that answer only when the test says so.
+type bench struct {
+	*ledger.Owner
+	last ledger.Actions
+	now  time.Time
+	// proposal is the batch that has no outcome.
+	proposal *ledger.Commit
+	t        *testing.T
+}
+
+func newBench(t *testing.T, s ledger.State, epoch int64, workers ...string) *bench {
+	b := &bench{now: t0, t: t}
+	b.Owner = ledger.NewOwner(s, "host", epoch, t0, ledger.WithViolated(func(name, detail string) {
+		t.Errorf("%s: %s", name, detail)
+	}))
+	var hosts []fleet.Host
+	for _, w := range workers {
+		hosts = append(hosts, fleet.Host{ID: w, Capacity: size(4), State: fleet.StateLive})
+	}
+	b.HostList(t0, hosts)
+	b.tick(0)
+	b.committed()
+	return b
+}
+
+func size(cpus int64) fleet.Resources { return fleet.Resources{CPUMilli: 1000 * cpus, MemoryMiB: cpus} }
+
+func batch(id string, cpus int64, tasks int) ledger.Job {
+	return ledger.Job{ID: id, Kind: note.KindBatch, Resources: size(cpus), Tasks: tasks, Work: "plan"}
+}
+
+// stateOf returns the state of a shard in which job/0 is bound to w1.
+func stateOf(t *testing.T, noEpochs bool) ledger.State {
+	bind := ledger.Bind("job/0", "w1", 0, 0)
+	bind.NoEpochs = noEpochs
+	s, err := ledger.State{}.Apply(ledger.NewBatch(t0, ledger.TakeOver(1, "old"), ledger.Accept(batch("job", 2, 1)), bind))
+	assert.NilError(t, err)
+	return s
+}
+
+func (b *bench) tick(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.last = b.Tick(b.now)
+	if b.last.Commit != nil {
+		b.proposal = b.last.Commit
+	}
+}
+
+func (b *bench) committed() {
+	b.Committed(b.now)
+	b.proposal = nil
+}
+
+func (b *bench) renewed(d time.Duration) {
+	b.LeaseRenewed(b.now.Add(d))
+	b.tick(d)
+}
+
+func (b *bench) commit() {
+	if b.proposal == nil {
+		b.renewed(3 * time.Second)
+	}
+	assert.Assert(b.t, b.proposal != nil, "nothing proposed")
+	b.committed()
+}
+
+// answer gives the worker's response to the newest contact.
+func (b *bench) answer(worker, boot string, capable bool, tasks ...ledger.TaskReport) {
+	for range 3 {
+		for _, c := range b.last.Contacts {
+			if c.Worker == worker {
+				r := ledger.WorkerReport{Worker: worker, BootID: boot, Token: "t", EpochCapable: capable, Capacity: size(4), Tasks: tasks}
+				if capable {
+					r.Epoch = b.Epoch()
+				}
+				b.Reported(b.now, c, r)
+				return
+			}
+		}
+		b.renewed(time.Second)
+	}
+	b.t.Fatalf("no contact of %s", worker)
+}
+
+func (b *bench) bound(job ledger.Job, worker string) {
+	assert.Assert(b.t, b.Accept(job))
+	b.commit()
+	for _, id := range job.TaskIDs() {
+		assert.NilError(b.t, b.Bind(id, worker))
+	}
+}
+
+func (b *bench) unbound() string {
+	text := ""
+	for _, c := range b.Unbound(b.now) {
+		text += c.Task + "@" + c.Worker + " "
+	}
+	return text
+}
+
+func report(task string, attempt int, phase ledger.Phase, checkpoint int64) ledger.TaskReport {
+	return ledger.TaskReport{Task: task, Attempt: attempt, Phase: phase, Checkpoint: checkpoint}
+}
+
+func TestStartBeforeBindingIsCommitted(t *testing.T) {
+	b := newBench(t, ledger.State{}, 1, "w1")
+	b.answer("w1", "boot", true)
+	b.bound(batch("job", 2, 1), "w1")
+	b.renewed(time.Second)
+	assert.Equal(t, len(b.last.Starts), 0)
+	b.OutcomeUnknown()
+	b.answer("w1", "boot", true)
+	b.renewed(time.Second)
+	assert.Equal(t, len(b.last.Starts), 0)
+	assert.Assert(t, b.proposal.Resolve)
+	b.commit()
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 1)
+}
+
+func TestOwnerPausedPastLeaseStartsNothing(t *testing.T) {
+	for _, capable := range []bool{true, false} {
+		t.Run(fmt.Sprint(capable), func(t *testing.T) {
+			b := newBench(t, ledger.State{}, 1, "w1")
+			b.renewed(21 * time.Second)
+			b.answer("w1", "boot", capable)
+			b.bound(batch("job", 2, 1), "w1")
+			b.commit()
+			b.tick(30 * time.Second)
+			assert.Equal(t, len(b.last.Starts), 0)
+			assert.Equal(t, len(b.last.Contacts) > 0, capable)
+			assert.Equal(t, b.MayAct(t0.Add(3*time.Hour), "w1"), false)
+		})
+	}
+}
+
+func TestWorkerRestartedInOutageIsTrustedByOwnerThatMayBeReplaced(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true)
+	b.tick(30 * time.Second)
+	for _, c := range b.last.Contacts {
+		b.Reported(b.now, c, ledger.WorkerReport{Worker: "w1", BootID: "boot2", Epoch: 2, EpochCapable: true, Capacity: size(4), Token: "t"})
+	}
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 0)
+}
+
+func TestRebindWithoutProofAfterTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		noEpochs bool
+		after    time.Duration
+		absent   bool
+	}{
+		{"autonomy", false, (2*time.Hour + 10*time.Second) * 11 / 10, false},
+		{"no epochs", true, 20900 * time.Millisecond, false},
+		{"absent", false, 11 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, stateOf(t, c.noEpochs), 2, "w1")
+			if c.absent {
+				b.HostList(b.now, nil)
+			}
+			b.renewed(c.after - time.Millisecond)
+			assert.Equal(t, b.unbound(), "")
+			assert.Assert(t, errors.Is(b.Bind("job/0", "w2"), ledger.ErrNotBindable))
+			b.renewed(time.Millisecond)
+			assert.Equal(t, b.unbound(), "job/0@w1 ")
+			assert.NilError(t, b.Bind("job/0", "w2"))
+			// The attempts of the earlier owner are unknown, so their numbers are passed over.
+			b.commit()
+			task, _ := b.State().Task("job/0")
+			assert.Equal(t, task.Attempt, 100)
+		})
+	}
+}
+
+func TestRebindBeforeWorkerLeaseEnds(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true, report("job/0", 3, ledger.PhaseRunning, 7))
+	b.renewed(10999 * time.Millisecond)
+	assert.Equal(t, b.unbound(), "")
+	b.renewed(time.Millisecond)
+	assert.Equal(t, b.unbound(), "job/0@w1 ")
+	assert.NilError(t, b.Bind("job/0", "w2"))
+	// The checkpoint of the report was proposed before the binding.
+	b.commit()
+	b.commit()
+	task, _ := b.State().Task("job/0")
+	assert.Equal(t, task.Attempt, 3)
+	assert.Equal(t, task.Checkpoint, int64(7))
+}
+
+func TestWorkerWithoutEpochsIsTrustedTooEarly(t *testing.T) {
+	b := newBench(t, stateOf(t, true), 2, "w1")
+	b.answer("w1", "boot", false)
+	assert.Equal(t, b.unbound(), "")
+	b.renewed(21 * time.Second)
+	b.answer("w1", "boot", false)
+	assert.Equal(t, b.unbound(), "job/0@w1 ")
+}
+
+func TestEvictedTaskResumesTwice(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true, report("job/0", 1, ledger.PhaseRunning, 1))
+	assert.NilError(t, b.Evict(b.now, "job/0", 0))
+	b.renewed(time.Second)
+	assert.Equal(t, len(b.last.Stops), 1)
+	stop := b.last.Stops[0]
+	assert.Equal(t, len(b.last.Starts), 0)
+	b.Stopped(b.now, stop, report("job/0", 1, ledger.PhaseStopped, 9))
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 1)
+	assert.Equal(t, b.last.Starts[0].Attempt, 2)
+	assert.Equal(t, b.last.Starts[0].Checkpoint, int64(9))
+	b.Started(b.now, b.last.Starts[0])
+	b.Stopped(b.now, stop, report("job/0", 1, ledger.PhaseStopped, 9))
+	b.renewed(time.Second)
+	assert.Equal(t, len(b.last.Starts), 0)
+}
+
+func TestUnknownOrLowerAttemptRunsOn(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true, report("job/0", 2, ledger.PhaseRunning, 0), report("gone/0", 1, ledger.PhaseRunning, 0))
+	b.renewed(time.Second)
+	assert.Equal(t, len(b.last.Stops), 1)
+	assert.Equal(t, b.last.Stops[0].Task, "gone/0")
+	b.answer("w1", "boot", true, report("job/0", 1, ledger.PhaseRunning, 0))
+	b.renewed(time.Second)
+	assert.Equal(t, b.last.Stops[0].Task+fmt.Sprint(b.last.Stops[0].Attempt), "job/01")
+}
+
+func TestTaskThatDoesNotFitIsStarted(t *testing.T) {
+	b := newBench(t, ledger.State{}, 1, "w1")
+	b.answer("w1", "boot", true)
+	b.bound(batch("job", 3, 2), "w1")
+	assert.Equal(t, b.Reserved("w1").Waiting, size(6))
+	b.commit()
+	b.answer("w1", "boot", true)
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 1)
+	assert.Equal(t, b.Reserved("w1").Running, size(3))
+}
+
+func TestEndIsForgottenBeforeItIsCommitted(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	done := report("job/0", 1, ledger.PhaseDone, 3)
+	b.answer("w1", "boot", true, done)
+	b.renewed(2 * time.Second)
+	assert.Equal(t, len(b.last.Contacts[0].Acks), 0)
+	b.commit()
+	b.answer("w1", "boot", true, done)
+	b.renewed(2 * time.Second)
+	assert.DeepEqual(t, b.last.Contacts[0].Acks, []ledger.TaskEnd{{Task: "job/0", Attempt: 1}})
+	task, _ := b.State().Task("job/0")
+	assert.Equal(t, task.Phase, ledger.PhaseDone)
+}
+
+func TestConflictedOwnerGoesOn(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.Conflicted()
+	b.renewed(3 * time.Second)
+	assert.Equal(t, len(b.last.Contacts), 0)
+	assert.Assert(t, errors.Is(b.Bind("job/0", "w2"), ledger.ErrNotOwner))
+}
+
+func TestWithdrawnJobEndsWhileItRuns(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true, report("job/0", 1, ledger.PhaseRunning, 0))
+	assert.NilError(t, b.Withdraw("job", "cancelled by the operator"))
+	b.commit()
+	b.tick(0)
+	assert.Equal(t, len(b.last.Stops), 1)
+	task, _ := b.State().Task("job/0")
+	assert.Equal(t, task.Phase, ledger.PhaseBound)
+	b.Stopped(b.now, b.last.Stops[0], report("job/0", 1, ledger.PhaseStopped, 0))
+	b.tick(0)
+	b.commit()
+	task, _ = b.State().Task("job/0")
+	assert.Equal(t, task.Phase, ledger.PhaseCancelled)
+}
+
+func TestHandoverLosesProposedChanges(t *testing.T) {
+	b := newBench(t, ledger.State{}, 1, "w1")
+	assert.Assert(t, b.Accept(batch("job", 1, 1)))
+	b.Handover()
+	assert.Assert(t, !b.HandedOver())
+	b.commit()
+	assert.Assert(t, b.HandedOver())
+	assert.Equal(t, len(b.State().Tasks()), 1)
+}
