--- /dev/null
+++ b/pkg/laburnumridge/doc.go
@@ -0,0 +1,2 @@
+// Package laburnumridge is the client of entry hosts, for operators and callers, with its wire types.
+package laburnumridge
--- /dev/null
+++ b/pkg/laburnumridge/operator.go
@@ -0,0 +1,108 @@
+package laburnumridge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+)
+
+// Amend publishes a note that amends an accepted one and may touch only its items.
+func (c *Client) Amend(ctx context.Context, amended string, text []byte) (PublishedNote, error) {
+	return request[PublishedNote](ctx, c, http.MethodPost, "/v1/notes?amends="+url.QueryEscape(amended), text)
+}
+
+// CancelJob cancels the tasks of a job that have not ended.
+func (c *Client) CancelJob(ctx context.Context, id string) (JobStatus, error) {
+	return request[JobStatus](ctx, c, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil)
+}
+
+// Explain returns the decisions that concern a task, job, request, note, work or worker.
+func (c *Client) Explain(ctx context.Context, id string) (Explanation, error) {
+	return request[Explanation](ctx, c, http.MethodGet, "/v1/explain/"+url.PathEscape(id), nil)
+}
+
+// InForce returns the revision of each entry host and, unless work is empty, the note of the work.
+func (c *Client) InForce(ctx context.Context, work string) (InForce, error) {
+	path := "/v1/in-force"
+	if work != "" {
+		path += "?work=" + url.QueryEscape(work)
+	}
+	return request[InForce](ctx, c, http.MethodGet, path, nil)
+}
+
+// Job returns the state of a job.
+func (c *Client) Job(ctx context.Context, id string) (JobStatus, error) {
+	return request[JobStatus](ctx, c, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil)
+}
+
+// Note returns an accepted note.
+func (c *Client) Note(ctx context.Context, id string) (NoteDetail, error) {
+	return request[NoteDetail](ctx, c, http.MethodGet, "/v1/notes/"+url.PathEscape(id), nil)
+}
+
+// Notes returns all accepted notes in the order of their revisions.
+func (c *Client) Notes(ctx context.Context) ([]PublishedNote, error) {
+	return request[[]PublishedNote](ctx, c, http.MethodGet, "/v1/notes", nil)
+}
+
+// Plan returns what publishing a note, given as TOML text, would change.
+func (c *Client) Plan(ctx context.Context, text []byte) (Plan, error) {
+	return request[Plan](ctx, c, http.MethodPost, "/v1/notes/plan", text)
+}
+
+// Publish publishes a note given as TOML text. After a lost answer it is repeated with the same
+// note id, which is accepted once.
+func (c *Client) Publish(ctx context.Context, text []byte) (PublishedNote, error) {
+	return request[PublishedNote](ctx, c, http.MethodPost, "/v1/notes", text)
+}
+
+// Status returns the state of the fleet.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return request[Status](ctx, c, http.MethodGet, "/v1/status", nil)
+}
+
+// SubmitJob submits a job; it is repeated with the same job id, which is accepted once.
+func (c *Client) SubmitJob(ctx context.Context, spec JobSpec) (JobStatus, error) {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return JobStatus{}, eris.Wrapf(err, "job %s", spec.ID)
+	}
+	return request[JobStatus](ctx, c, http.MethodPost, "/v1/jobs", body)
+}
+
+// request makes an operator call. All of them may be repeated: they read, or carry an id that is accepted once.
+func request[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
+	header := http.Header{"Accept": {"application/json"}}
+	if c.token != "" {
+		header.Set("Authorization", "Bearer "+c.token)
+	}
+	var out T
+	err := c.repeat(ctx, true, func(base string) error {
+		res, err := c.send(ctx, method, base+path, header, body)
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+		if err != nil {
+			return lost(err, OutcomeUnknown)
+		}
+		if res.StatusCode >= http.StatusMultipleChoices {
+			return &Problem{Detail: method + " " + base + path, Status: res.StatusCode, Title: http.StatusText(res.StatusCode)}
+		}
+		// Each attempt decodes into an empty value, so that none mixes with an earlier answer.
+		var fresh T
+		if err := json.Unmarshal(text, &fresh); err != nil {
+			return eris.Wrapf(err, "%s %s", method, base+path)
+		}
+		out = fresh
+		return nil
+	})
+	return out, err
+}
