Add HTTP interface for operators

A note has a digest, so that a repeat after a lost answer can be told from another note with the same id; conflicts of a note are listed for its plan.

--- a/internal/note/catalogue.go
+++ b/internal/note/catalogue.go
@@ -17,8 +17,10 @@
 
 // Published is a note that has been accepted.
 type Published struct {
-	Amends   string   `json:"amends,omitempty"`
-	Author   string   `json:"author,omitempty"`
+	Amends string `json:"amends,omitempty"`
+	Author string `json:"author,omitempty"`
+	// Digest is that of the note, see Note.Digest.
+	Digest   string   `json:"digest,omitempty"`
 	ID       string   `json:"id"`
 	Items    []string `json:"items"`
 	Revision int64    `json:"revision"`
@@ -40,6 +42,13 @@
 	Withdrawn []Item      `json:"withdrawn"`
 }
 
+// Accepted returns the accepted note that n repeats; a publisher checks it before Apply, so that a
+// note repeated after a lost answer is accepted once. Another note with the same id is not a repeat.
+func (c Catalogue) Accepted(n Note) (Published, bool) {
+	p, ok := c.notes[n.ID]
+	return p, ok && p.Digest == n.Digest()
+}
+
 // Apply returns the catalogue after the note at the next revision; errors match ErrConflict or ErrInvalid.
 func (c Catalogue) Apply(n Note) (Catalogue, error) {
 	if err := c.admit(n); err != nil {
@@ -63,11 +72,29 @@
 		next.withdrawn[name] = Item{ChangedAt: next.revision, NoteID: n.ID, Work: Work{Name: name}}
 	}
 	next.notes[n.ID] = Published{
-		Amends: n.Amends, Author: n.Author, ID: n.ID, Items: n.Items(), Revision: next.revision,
+		Amends: n.Amends, Author: n.Author, Digest: n.Digest(), ID: n.ID, Items: n.Items(), Revision: next.revision,
 	}
 	return next, next.checkReferences(n)
 }
 
+// Conflicts returns the note's items that changed after its base, as they are now.
+func (c Catalogue) Conflicts(n Note) []Item {
+	if n.Base == nil {
+		return nil
+	}
+	var out []Item
+	for _, name := range n.Items() {
+		item, ok := c.items[name]
+		if !ok {
+			item = c.withdrawn[name]
+		}
+		if item.ChangedAt > *n.Base {
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
 // Item returns the work in force under a name.
 func (c Catalogue) Item(name string) (Item, bool) {
 	item, ok := c.items[name]
@@ -130,6 +157,12 @@
 	return nil
 }
 
+// WithdrawnItem returns the name and the withdrawing note of an item that is no longer in force.
+func (c Catalogue) WithdrawnItem(name string) (Item, bool) {
+	item, ok := c.withdrawn[name]
+	return item, ok
+}
+
 func (c Catalogue) admit(n Note) error {
 	if _, ok := c.notes[n.ID]; ok {
 		return invalid(n.ID, "a note with this id was accepted at revision %d", c.notes[n.ID].Revision)
@@ -144,15 +177,9 @@
 	if base > c.revision {
 		return invalid(n.ID, "base %d is above the revision in force, %d", base, c.revision)
 	}
-	for _, name := range n.Items() {
-		item, ok := c.items[name]
-		if !ok {
-			item = c.withdrawn[name]
-		}
-		if item.ChangedAt > base {
-			return eris.Wrapf(ErrConflict, "item %s was changed by note %s at revision %d, base is %d",
-				name, item.NoteID, item.ChangedAt, base)
-		}
+	for _, item := range c.Conflicts(n) {
+		return eris.Wrapf(ErrConflict, "item %s was changed by note %s at revision %d, base is %d",
+			item.Work.Name, item.NoteID, item.ChangedAt, base)
 	}
 	return c.admitNames(n)
 }
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"regexp"
@@ -76,6 +79,17 @@
 	return nil
 }
 
+// Digest identifies the note's content; the base is left out, because it says only what the author saw.
+func (n Note) Digest() string {
+	n.Base = nil
+	text, err := json.Marshal(n)
+	if err != nil {
+		return "" // no field of a note can fail to encode but a share that is not a number, which Check refuses
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:16])
+}
+
 // Items returns the names of all items that the note lists.
 func (n Note) Items() []string {
 	var names []string
--- /dev/null
+++ b/internal/operator/problem.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// retryAfter is when a repeat makes sense, in seconds; most outages of the store are shorter.
+const retryAfter = 1
+
+var problems = []struct {
+	err     error
+	status  int
+	outcome laburnumridge.Outcome
+	reason  string
+}{
+	// Unknown outcomes come first: an error that wraps several must never claim that nothing ran.
+	{platform.ErrUnknownOutcome, http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, "store_answer_lost"},
+	{laburnumridge.ErrUnknown, http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, "answer_lost"},
+	{note.ErrConflict, http.StatusConflict, laburnumridge.OutcomeNotRun, "note_conflict"},
+	{laburnumridge.ErrConflict, http.StatusConflict, laburnumridge.OutcomeNotRun, "conflict"},
+	{note.ErrInvalid, http.StatusBadRequest, laburnumridge.OutcomeNotRun, "invalid_note"},
+	{laburnumridge.ErrInvalid, http.StatusBadRequest, laburnumridge.OutcomeNotRun, "invalid_request"},
+	{laburnumridge.ErrNotFound, http.StatusNotFound, laburnumridge.OutcomeNotRun, "not_found"},
+	{laburnumridge.ErrUnauthorized, http.StatusUnauthorized, laburnumridge.OutcomeNotRun, "unauthorized"},
+	{platform.ErrTooLarge, http.StatusRequestEntityTooLarge, laburnumridge.OutcomeNotRun, "too_large"},
+	{platform.ErrUnavailable, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_unavailable"},
+	{platform.ErrConflict, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_contention"},
+	{laburnumridge.ErrUnavailable, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "unavailable"},
+	{laburnumridge.ErrNotRun, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "not_run"},
+	{context.DeadlineExceeded, http.StatusGatewayTimeout, laburnumridge.OutcomeUnknown, "deadline_exceeded"},
+}
+
+// ProblemOf returns the problem details of an error; one that it does not know has an unknown outcome.
+func ProblemOf(err error) *laburnumridge.Problem {
+	var p *laburnumridge.Problem
+	if errors.As(err, &p) && p.Status != 0 {
+		return p
+	}
+	p = &laburnumridge.Problem{
+		Detail:  err.Error(),
+		Outcome: laburnumridge.OutcomeUnknown,
+		Reason:  "internal",
+		Status:  http.StatusInternalServerError,
+	}
+	for _, known := range problems {
+		if errors.Is(err, known.err) {
+			p.Outcome, p.Reason, p.Status = known.outcome, known.reason, known.status
+			break
+		}
+	}
+	if p.Status == http.StatusServiceUnavailable {
+		p.RetryAfter = retryAfter
+	}
+	p.Title = http.StatusText(p.Status)
+	return p
+}
+
+func notFound(what, id string) error {
+	return eris.Wrapf(laburnumridge.ErrNotFound, "%s %s", what, id)
+}
+
+// WriteProblem answers a request with problem details.
+func WriteProblem(c echo.Context, p *laburnumridge.Problem) error {
+	header := c.Response().Header()
+	if p.RetryAfter > 0 {
+		header.Set(echo.HeaderRetryAfter, strconv.Itoa(p.RetryAfter))
+	}
+	if p.Status == http.StatusUnauthorized {
+		header.Set(echo.HeaderWWWAuthenticate, "Bearer")
+	}
+	text, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	return c.Blob(p.Status, laburnumridge.ProblemType, text)
+}
