--- /dev/null
+++ b/internal/fake/worker_test.go
@@ -0,0 +1,226 @@
+package fake_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fake"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+)
+
+// post calls the worker without a network, as bubbles of synctest need it.
+func post[Out any](t *testing.T, w http.Handler, path string, in any) (Out, worker.Reason) {
+	t.Helper()
+	body, err := json.Marshal(in)
+	assert.NilError(t, err)
+	rec := httptest.NewRecorder()
+	w.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
+	var out Out
+	var refusal worker.Refusal
+	if rec.Code != http.StatusOK {
+		assert.NilError(t, json.Unmarshal(rec.Body.Bytes(), &refusal))
+		return out, refusal.Reason
+	}
+	assert.NilError(t, json.Unmarshal(rec.Body.Bytes(), &out))
+	return out, ""
+}
+
+func fence(t *testing.T, w http.Handler, epoch int64) worker.Report {
+	t.Helper()
+	report, reason := post[worker.Report](t, w, worker.PathFence, worker.FenceRequest{Epoch: epoch, Owner: "a"})
+	assert.Equal(t, reason, worker.Reason(""))
+	return report
+}
+
+func startRequest(task string, attempt int64, token string) worker.StartRequest {
+	return worker.StartRequest{
+		AttemptRef: worker.AttemptRef{Attempt: attempt, Task: task}, Epoch: 1, Kind: note.KindBatch,
+		Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 100},
+		RunTime:   note.Duration{Duration: time.Minute}, Token: token, Work: "settlement",
+	}
+}
+
+func start(t *testing.T, w http.Handler, in worker.StartRequest) worker.Reason {
+	t.Helper()
+	_, reason := post[worker.Task](t, w, worker.PathStart, in)
+	return reason
+}
+
+// Guards against a task that outlives its lease, by the worker's clock, when the owner is gone.
+func TestTasksEndWithTheirLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The worker's clock is an hour ahead, which must not matter.
+		ahead := func() time.Time { return time.Now().Add(time.Hour) }
+		j := fake.NewJournal(time.Now)
+		w := fake.NewWorker(fake.WithClock(ahead), fake.WithJournal(j))
+		token := fence(t, w, 1).Token
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		assert.Equal(t, start(t, w, startRequest("a", 1, token)), worker.Reason(""))
+		time.Sleep(time.Second)
+		report, _ := post[worker.Report](t, w, worker.PathHeartbeat, worker.HeartbeatRequest{Epoch: 1, Token: token})
+		time.Sleep(20 * time.Second)
+		got := w.Tasks()
+		assert.Equal(t, got[0].Phase, worker.PhaseEvicted)
+		assert.Equal(t, got[0].Reason, fake.ReasonLeaseExpired)
+		assert.Equal(t, j.Runs()[0].End.Sub(began), 6*time.Second)
+
+		// The token of the last report is too old by now: a delayed start must not run.
+		assert.Equal(t, start(t, w, startRequest("b", 1, report.Token)), worker.ReasonTokenExpired)
+	})
+}
+
+// Guards against a change that is lost with a response, and against steady heartbeats that repeat everything.
+func TestHeartbeatListsChangesSinceItsToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.NewWorker(fake.WithLag(time.Hour))
+		first := fence(t, w, 1)
+		for _, task := range []string{"a", "b"} {
+			assert.Equal(t, start(t, w, startRequest(task, 1, first.Token)), worker.Reason(""))
+		}
+		beat := func(token string, acks ...worker.AttemptRef) worker.Report {
+			report, reason := post[worker.Report](t, w, worker.PathHeartbeat,
+				worker.HeartbeatRequest{Acks: acks, Epoch: 1, Token: token})
+			assert.Equal(t, reason, worker.Reason(""))
+			return report
+		}
+		lost := beat(first.Token)
+		assert.Equal(t, len(lost.Tasks), 2)
+		second := beat(first.Token)
+		assert.Equal(t, len(second.Tasks), 2)
+		assert.Equal(t, len(beat(second.Token).Tasks), 0)
+
+		// An end is repeated until it is acknowledged.
+		stop := worker.StopRequest{AttemptRef: worker.AttemptRef{Attempt: 1, Task: "a"}, Checkpoint: true, Epoch: 1}
+		_, reason := post[worker.Task](t, w, worker.PathStop, stop)
+		assert.Equal(t, reason, worker.Reason(""))
+		third := beat(second.Token)
+		assert.Equal(t, beat(third.Token).Tasks[0].Phase, worker.PhaseEvicted)
+		assert.Equal(t, len(beat(third.Token, stop.AttemptRef).Tasks), 0)
+
+		// The acknowledged attempt can't start again, nor can one that was stopped before it started.
+		assert.Equal(t, start(t, w, startRequest("a", 1, third.Token)), worker.ReasonStaleAttempt)
+		stop.Task = "c"
+		_, reason = post[worker.Task](t, w, worker.PathStop, stop)
+		assert.Equal(t, reason, worker.Reason(""))
+		assert.Equal(t, start(t, w, startRequest("c", 1, third.Token)), worker.ReasonStaleAttempt)
+	})
+}
+
+// Guards against an old owner, or one whose token is of an earlier boot, that still acts.
+func TestOldOwnerAndOldBootAreRefused(t *testing.T) {
+	w := fake.NewWorker()
+	report := fence(t, w, 1)
+	fence(t, w, 2)
+	assert.Equal(t, start(t, w, startRequest("a", 1, report.Token)), worker.ReasonStaleEpoch)
+	_, reason := post[worker.Report](t, w, worker.PathFence, worker.FenceRequest{Epoch: 2, Owner: "b"})
+	assert.Equal(t, reason, worker.ReasonStaleEpoch)
+	token := fence(t, w, 2).Token
+	w.Kill()
+	assert.NilError(t, w.Restart())
+	defer w.Kill()
+	_, reason = post[worker.Report](t, w, worker.PathHeartbeat, worker.HeartbeatRequest{Epoch: 2, Token: token})
+	assert.Equal(t, reason, worker.ReasonTokenExpired)
+	assert.Assert(t, fence(t, w, 2).BootID != report.BootID)
+}
+
+// Guards against progress that ignores the throttle, and checkpoints that claim more work than was done.
+func TestProgressCheckpointsAndThrottle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.NewWorker(fake.WithLease(time.Hour), fake.WithLag(8*time.Second), fake.WithProfile(
+			func(in worker.StartRequest) fake.Profile {
+				p := fake.DeclaredProfile(in)
+				p.RunTime, p.CPUMilli = 40*time.Second, 3000
+				return p
+			}))
+		token := fence(t, w, 1).Token
+		in := startRequest("a", 1, token)
+		assert.Equal(t, start(t, w, in), worker.Reason(""))
+		time.Sleep(11 * time.Second)
+		throttle := worker.ThrottleRequest{AttemptRef: in.AttemptRef, Epoch: 1, Fraction: 0.5}
+		_, reason := post[worker.Task](t, w, worker.PathThrottle, throttle)
+		assert.Equal(t, reason, worker.Reason(""))
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, w.Tasks()[0].Checkpoint, "10000")
+		beat, _ := post[worker.Report](t, w, worker.PathHeartbeat, worker.HeartbeatRequest{Epoch: 1, Token: token})
+		assert.Equal(t, len(beat.Usage), 2)
+		assert.Equal(t, beat.Usage[1].CPUMilli, int64(3000))
+		assert.Equal(t, beat.SentAt.Sub(beat.Usage[1].TakenAt), 11*time.Second)
+		stop := worker.StopRequest{AttemptRef: in.AttemptRef, Checkpoint: true, Epoch: 1}
+		got, _ := post[worker.Task](t, w, worker.PathStop, stop)
+		assert.Equal(t, got.Checkpoint, "16000")
+
+		in.Attempt, in.Checkpoint = 2, got.Checkpoint
+		assert.Equal(t, start(t, w, in), worker.Reason(""))
+		time.Sleep(24*time.Second - time.Millisecond)
+		assert.Equal(t, w.Tasks()[0].Phase, worker.PhaseRunning)
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, w.Tasks()[0].Phase, worker.PhaseDone)
+	})
+}
+
+// Guards against a worker that runs more requests than its slots, and a refusal that ran after all.
+func TestSlotsAndRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := fake.NewJournal(time.Now)
+		w := fake.NewWorker(fake.WithJournal(j))
+		in := startRequest("dose", 1, fence(t, w, 1).Token)
+		in.Kind, in.Work, in.Resources.Slots = note.KindService, "dose", 2
+		assert.Equal(t, start(t, w, in), worker.Reason(""))
+		codes := make(chan int, 3)
+		for _, id := range []string{"1", "2", "3"} {
+			go func() {
+				r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/serve/dose/x", nil)
+				r.Header.Set(worker.HeaderRequestID, id)
+				r.Header.Set(worker.HeaderEpoch, "1")
+				rec := httptest.NewRecorder()
+				w.ServeHTTP(rec, r)
+				if rec.Header().Get(worker.HeaderOutcome) == worker.OutcomeNotRun {
+					j.ToldNotRun(id)
+				}
+				codes <- rec.Code
+			}()
+		}
+		sum := <-codes + <-codes + <-codes
+		assert.Equal(t, sum, 200+200+503)
+		assert.Equal(t, w.Peak("dose"), int64(2))
+		assert.Equal(t, w.PeakSlots(), int64(2))
+		assert.Equal(t, w.Refusals(worker.ReasonNoFreeSlot), 1)
+		assert.DeepEqual(t, j.Check(), []string(nil))
+	})
+}
+
+// Guards against a journal that misses the violations that the tests of the whole system rely on.
+func TestJournalFindsViolations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := fake.NewJournal(time.Now)
+		for _, id := range []string{"w1", "w2"} {
+			w := fake.NewWorker(fake.WithID(id), fake.WithJournal(j))
+			token := fence(t, w, 1).Token
+			assert.Equal(t, start(t, w, startRequest("twice", 1, token)), worker.Reason(""))
+			in := startRequest("dose-"+id, 1, token)
+			in.Kind, in.Work, in.Resources.Slots = note.KindService, "dose", 1
+			assert.Equal(t, start(t, w, in), worker.Reason(""))
+			r := httptest.NewRequest(http.MethodPost, "/serve/dose/x", nil)
+			r.Header.Set(worker.HeaderRequestID, "request-"+id)
+			r.Header.Set(worker.HeaderEpoch, "1")
+			r.Header.Set(worker.HeaderKey, "kelaniya:key")
+			w.ServeHTTP(httptest.NewRecorder(), r)
+			big := startRequest("big", 1, token)
+			big.Resources.CPUMilli = 99_000
+			assert.Equal(t, start(t, w, big), worker.ReasonNoCapacity)
+		}
+		j.ToldNotRun("request-w2")
+		assert.Equal(t, len(j.Check()), 6, "%q", j.Check())
+	})
+}
