--- a/internal/fake/worker_test.go
+++ b/internal/fake/worker_test.go
@@ -200,6 +200,25 @@
 	})
 }
 
+// Guards against failures that look alike: those of a bad worker and those of a bad job.
+func TestFailuresNameTheirCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := fake.NewWorker(fake.WithoutEpochs(), fake.WithProfile(func(worker.StartRequest) fake.Profile {
+			return fake.Profile{FailAfter: time.Second, RunTime: time.Minute}
+		}))
+		// Without the epoch capability a lower epoch is accepted.
+		fence(t, w, 2)
+		token := fence(t, w, 1).Token
+		assert.Equal(t, start(t, w, startRequest("a", 1, token)), worker.Reason(""))
+		time.Sleep(time.Second)
+		w.SetFailing(true)
+		assert.Equal(t, start(t, w, startRequest("b", 1, token)), worker.Reason(""))
+		time.Sleep(time.Second)
+		assert.Equal(t, w.Tasks()[0].Reason, fake.ReasonExitStatus)
+		assert.Equal(t, w.Tasks()[1].Reason, fake.ReasonWorkerFault)
+	})
+}
+
 // Guards against a journal that misses the violations that the tests of the whole system rely on.
 func TestJournalFindsViolations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
