--- a/internal/fake/doc.go
+++ b/internal/fake/doc.go
@@ -1,2 +1,2 @@
-// Package fake holds small stand-ins for the platform and its workers, and a proxy that injects faults.
+// Package fake holds stand-ins of external systems for tests: the platform, workers and faulty links.
 package fake
