--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -28,6 +28,7 @@
 	durations map[string][]time.Duration
 	epoch     int64
 	failing   bool
+	flying    map[string]map[int64]int // requests that run, by service and epoch
 	inUse     map[string]int64
 	// lastAttempt outlives acknowledged ends, so a delayed start can't run again.
 	lastAttempt map[string]int64
@@ -239,6 +240,7 @@
 func (w *Worker) boot() {
 	w.bootID = rand.Text()[:8]
 	w.durations = map[string][]time.Duration{}
+	w.flying = map[string]map[int64]int{}
 	w.inUse = map[string]int64{}
 	w.lastAttempt = map[string]int64{}
 	w.nextSample = w.now().Add(w.sampleInterval)
--- a/internal/fake/workerreport.go
+++ b/internal/fake/workerreport.go
@@ -33,11 +33,29 @@
 			out.Tasks = append(out.Tasks, t.wire())
 		}
 	}
+	out.InFlight = w.inFlight()
 	w.addSamples(&out, since)
 	out.Token = w.bootID + "." + strconv.FormatInt(w.stamp(), 36)
 	return out
 }
 
+func (w *Worker) inFlight() []worker.InFlight {
+	var out []worker.InFlight
+	for _, work := range slices.Sorted(maps.Keys(w.flying)) {
+		f := worker.InFlight{Work: work}
+		for epoch, n := range w.flying[work] {
+			f.Count += n
+			if epoch < w.epoch {
+				f.LowerEpochs += n
+			}
+		}
+		if f.Count > 0 {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 func (w *Worker) addSamples(out *worker.Report, since int64) {
 	for i := range w.samples {
 		s := &w.samples[i]
--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -169,7 +169,7 @@
 			return note.Published{}, err
 		}
 		c, _ := n.current()
-		if done, ok := c.Note(in.ID); ok && done.Digest == in.Digest() {
+		if done, ok := c.Accepted(in); ok {
 			return done, nil
 		}
 		if _, err := c.Apply(in); err != nil {
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -65,7 +65,7 @@
 		waiting[c.Task] = true
 	}
 	for task := range o.admitted {
-		if !waiting[task] && !o.ledger.IsProposed(task) {
+		if !waiting[task] && !o.isProposed(task) {
 			delete(o.admitted, task)
 		}
 	}
--- a/internal/worker/refusal.go
+++ b/internal/worker/refusal.go
@@ -42,6 +42,8 @@
 
 // Refusal is a worker's answer that it did not act; it is the body of the response and an error.
 type Refusal struct {
+	// Attempt is the last attempt of the task that the worker knows of, in refusals of a start.
+	Attempt int64 `json:"attempt,omitempty"`
 	// Epoch is the one installed on the worker.
 	Epoch  int64  `json:"epoch"`
 	Reason Reason `json:"reason"`
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -30,6 +30,9 @@
 	PhaseRunning   Phase = "running"
 )
 
+// ReasonLeaseExpired is the reason of an attempt that the worker evicted because its lease ran out.
+const ReasonLeaseExpired = "lease_expired"
+
 // IsEnd reports whether an attempt in this phase runs no more.
 func (p Phase) IsEnd() bool { return p != PhaseRunning }
 
@@ -63,6 +66,14 @@
 	Token string `json:"token"`
 }
 
+// InFlight counts the requests of a work that a worker runs.
+type InFlight struct {
+	Count int `json:"count"`
+	// LowerEpochs counts those that came under an epoch below the installed one.
+	LowerEpochs int    `json:"lower_epochs,omitempty"`
+	Work        string `json:"work"`
+}
+
 // LatencySample is the latency of a service on a worker over one sample interval.
 type LatencySample struct {
 	// Load is the number of requests finished per second.
@@ -83,7 +94,8 @@
 	// EpochCapable is present in full reports.
 	EpochCapable bool `json:"epoch_capable,omitempty"`
 	// Full says that Tasks lists every attempt the worker holds, not only the changed ones.
-	Full    bool            `json:"full,omitempty"`
+	Full     bool       `json:"full,omitempty"`
+	InFlight []InFlight `json:"in_flight,omitempty"`
 	Latency []LatencySample `json:"latency,omitempty"`
 	Leaving bool            `json:"leaving,omitempty"`
 	// SentAt is the worker's clock, present with samples: the age of a sample is SentAt less TakenAt.
@@ -99,8 +111,8 @@
 // StartRequest starts an attempt of a task.
 type StartRequest struct {
 	AttemptRef
-	// Checkpoint is what an earlier attempt reported; empty starts from the beginning.
-	Checkpoint string          `json:"checkpoint,omitempty"`
+	// Checkpoint is what an earlier attempt reported; 0 starts from the beginning.
+	Checkpoint int64           `json:"checkpoint,omitempty"`
 	Epoch      int64           `json:"epoch"`
 	Kind       note.Kind       `json:"kind"`
 	Resources  fleet.Resources `json:"resources"`
@@ -121,8 +133,8 @@
 // Task is the state of an attempt on a worker.
 type Task struct {
 	AttemptRef
-	// Checkpoint is opaque to the scheduler.
-	Checkpoint string `json:"checkpoint,omitempty"`
+	// Checkpoint grows with the work done; what it stands for is the worker's business.
+	Checkpoint int64  `json:"checkpoint,omitempty"`
 	Phase      Phase  `json:"phase"`
 	Reason     string `json:"reason,omitempty"`
 	Work       string `json:"work,omitempty"`
