--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -33,19 +33,20 @@
 	lastCommit  time.Time
 	lastRenewal time.Time
 	// marked are the workers with a task that was bound to them before they supported epochs.
-	marked   map[string]bool
-	order    int64
-	pending  *Batch
-	proposed map[string]bool
-	queue    []Change
-	resolve  bool
-	runs     map[string]*run
-	seq      int64
-	state    State
-	takenAt  time.Time
-	timing   Timing
-	violated func(name, detail string)
-	views    map[string]*view
+	marked    map[string]bool
+	order     int64
+	pending   *Batch
+	proposed  map[string]bool
+	queue     []Change
+	resolve   bool
+	runs      map[string]*run
+	seq       int64
+	startGate func(worker string, j Job) bool
+	state     State
+	takenAt   time.Time
+	timing    Timing
+	violated  func(name, detail string)
+	views     map[string]*view
 }
 
 // Option changes an owner.
@@ -63,7 +64,7 @@
 	o := &Owner{
 		epoch: epoch, host: host, lastRenewal: renewedAt, proposed: map[string]bool{},
 		runs: map[string]*run{}, state: s, timing: DefaultTiming(), views: map[string]*view{},
-		violated: func(string, string) {},
+		startGate: func(string, Job) bool { return true }, violated: func(string, string) {},
 	}
 	for _, option := range options {
 		option(o)
--- a/internal/ledger/running.go
+++ b/internal/ledger/running.go
@@ -38,4 +38,6 @@
 }
 
 // WithStartGate sets a function that may hold back the start of a bound task on its worker.
-func WithStartGate(f func(worker string, j Job) bool) Option { return func(o *Owner) { o.startGate = f } }
+func WithStartGate(f func(worker string, j Job) bool) Option {
+	return func(o *Owner) { o.startGate = f }
+}
--- a/internal/ledger/tick.go
+++ b/internal/ledger/tick.go
@@ -133,7 +133,8 @@
 		if r.phase == runStarting && r.answeredAt.IsZero() && now.Sub(r.sentAt) >= o.timing.ResendEvery {
 			out = append(out, o.start(now, v, r))
 		}
-		if !r.isBindable() || now.Before(r.holdUntil) || !r.job.Resources.FitsIn(v.capacity) || blocked[v.id] {
+		if !r.isBindable() || now.Before(r.holdUntil) || !r.job.Resources.FitsIn(v.capacity) || blocked[v.id] ||
+			!o.startGate(v.id, r.job) {
 			continue
 		}
 		sum := running[v.id].Add(r.job.Resources)
