--- /dev/null
+++ b/internal/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which requests an entry host runs, queues and refuses.
+package admission
--- /dev/null
+++ b/internal/admission/flood_test.go
@@ -0,0 +1,157 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/admission"
+)
+
+// load is the arrivals of one kind: requests a second, and the time from arrival to deadline.
+type load struct {
+	budget time.Duration
+	rate   float64
+	team   string
+}
+
+type event struct {
+	at      time.Time
+	id      string
+	isEnd   bool
+	kind    string
+	service time.Duration
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// tally is what became of the requests of one kind.
+type tally struct {
+	good, late, offered int
+	latencies           []time.Duration
+	// busy is the slot time used.
+	busy time.Duration
+}
+
+func (t *tally) p99() time.Duration {
+	slices.Sort(t.latencies)
+	return t.latencies[len(t.latencies)*99/100]
+}
+
+// simulate runs a queue on virtual time with exponential service times of the given mean.
+func simulate(q *admission.Queue, seed uint64, span, mean time.Duration, loads map[string]load) map[string]*tally {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	out, requests := map[string]*tally{}, map[string]admission.Request{}
+	var pending events
+	gap := func(kind string) time.Duration { return time.Duration(rng.ExpFloat64() / loads[kind].rate * 1e9) }
+	run := func(now time.Time, r admission.Request) {
+		service := time.Duration(rng.ExpFloat64() * float64(mean))
+		heap.Push(&pending, event{at: now.Add(service), id: r.ID, isEnd: true, kind: r.Kind, service: service})
+	}
+	for _, kind := range []string{"critical", "flood", "other"} {
+		if _, ok := loads[kind]; ok {
+			out[kind] = &tally{}
+			heap.Push(&pending, event{at: start.Add(gap(kind)), kind: kind})
+		}
+	}
+	for n := 0; len(pending) > 0; n++ {
+		e := heap.Pop(&pending).(event)
+		if e.at.Sub(start) > span {
+			break
+		}
+		t := out[e.kind]
+		if !e.isEnd {
+			heap.Push(&pending, event{at: e.at.Add(gap(e.kind)), kind: e.kind})
+			r := admission.Request{
+				Arrived: e.at, Deadline: e.at.Add(loads[e.kind].budget), ID: fmt.Sprint(n), Kind: e.kind, Team: loads[e.kind].team,
+			}
+			t.offered++
+			requests[r.ID] = r
+			if q.Offer(e.at, r).Verdict == admission.VerdictAdmitted {
+				run(e.at, r)
+			}
+			continue
+		}
+		r := requests[e.id]
+		t.busy += e.service
+		t.latencies = append(t.latencies, e.at.Sub(r.Arrived))
+		if e.at.After(r.Deadline) {
+			t.late++
+		} else {
+			t.good++
+		}
+		for _, o := range q.Done(e.at, e.id, e.service, admission.ResultOK) {
+			if o.Verdict == admission.VerdictAdmitted {
+				run(e.at, o.Request)
+			}
+		}
+	}
+	return out
+}
+
+const (
+	floodCapacity = 64
+	floodMean     = 20 * time.Millisecond
+	floodSpan     = 20 * time.Second
+)
+
+// full is the number of requests that all slots end in a second.
+var full = floodCapacity / floodMean.Seconds()
+
+var shares = map[string]float64{"critical": 0.5, "flood": 0.25, "other": 0.25}
+
+func steadyLoads() map[string]load {
+	return map[string]load{
+		"critical": {budget: 200 * time.Millisecond, rate: 0.4 * full},
+		"other":    {budget: 500 * time.Millisecond, rate: 0.2 * full},
+	}
+}
+
+// Guards against a flood of one kind that takes what the others are guaranteed, and against a
+// collapse in which the flooding kind is served only requests that end too late.
+func TestFloodOfOneKind(t *testing.T) {
+	for _, overload := range []float64{1, 3, 10} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint(overload, "/", seed), func(t *testing.T) {
+				q := admission.NewQueue(floodCapacity)
+				q.SetShares(start, shares, nil)
+				steady := simulate(q, seed, floodSpan, floodMean, steadyLoads())
+
+				q = admission.NewQueue(floodCapacity)
+				q.SetShares(start, shares, nil)
+				loads := steadyLoads()
+				loads["flood"] = load{budget: 200 * time.Millisecond, rate: overload * full}
+				got := simulate(q, seed, floodSpan, floodMean, loads)
+
+				for _, kind := range []string{"critical", "other"} {
+					kept := float64(got[kind].good) / float64(steady[kind].good)
+					assert.Assert(t, kept >= 0.9, "%s kept %.3f", kind, kept)
+				}
+				ratio := float64(got["critical"].p99()) / float64(steady["critical"].p99())
+				assert.Assert(t, ratio <= 1.5, "critical p99 is %.2f times steady", ratio)
+				left := floodSpan.Seconds()*floodCapacity - (got["critical"].busy + got["other"].busy).Seconds()
+				part := float64(got["flood"].good) * floodMean.Seconds() / left
+				assert.Assert(t, part >= 0.9, "flood got %.3f of what was left", part)
+				t.Logf("kept %.3f %.3f, p99 ratio %.2f, flood part %.3f, late %d of %d",
+					float64(got["critical"].good)/float64(steady["critical"].good),
+					float64(got["other"].good)/float64(steady["other"].good),
+					ratio, part, got["flood"].late, got["flood"].late+got["flood"].good)
+			})
+		}
+	}
+}
