--- a/internal/note/check.go
+++ b/internal/note/check.go
@@ -1,6 +1,7 @@
 package note
 
 import (
+	"slices"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
@@ -17,10 +18,19 @@
 	minEveryPeriod = time.Second
 )
 
+// reservedNames are first path segments that the callers' listener answers itself.
+var reservedNames = []string{"healthz", "readyz", "v1"}
+
 func (w Work) check() error {
 	if !namePattern.MatchString(w.Name) {
 		return invalid("name", "%q must match %s", w.Name, namePattern)
 	}
+	if slices.Contains(reservedNames, w.Name) {
+		return invalid(w.Name, "is reserved: the callers' listener uses the path /%s", w.Name)
+	}
+	if !(w.Share >= 0 && w.Share <= 1) { // written so that it refuses nan, which JSON can't hold
+		return invalid(w.Name, "share %g must be from 0 to 1", w.Share)
+	}
 	if err := w.checkDurations(); err != nil {
 		return err
 	}
@@ -95,9 +105,6 @@
 	if w.Kind == KindFeed && w.Resources.Connections < 1 {
 		return invalid(w.Name, "a feed needs at least one connection")
 	}
-	if w.Share < 0 || w.Share > 1 {
-		return invalid(w.Name, "share %g must be from 0 to 1", w.Share)
-	}
 	if w.RunTime.Duration != 0 || w.Every.Duration != 0 || w.CheckpointInterval.Duration != 0 ||
 		w.Deadline.Duration != 0 || w.Priority != 0 {
 		return invalid(w.Name, "run_time, every, checkpoint_interval, deadline and priority are for batch work")
@@ -133,8 +140,5 @@
 	if w != only {
 		return invalid(w.Name, "a team takes only a quota and a share")
 	}
-	if w.Share < 0 || w.Share > 1 {
-		return invalid(w.Name, "share %g must be from 0 to 1", w.Share)
-	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -186,7 +186,7 @@
 		{"limits.read_timeout (seconds)", s.Limits.ReadTimeout.Seconds(), 0.01, 3600},
 		{"limits.request_timeout (seconds)", s.Limits.RequestTimeout.Seconds(), 0.01, 3600},
 	} {
-		if c.value < c.low || c.value > c.high {
+		if !(c.value >= c.low && c.value <= c.high) { // written so that it refuses nan
 			return invalid(c.key, fmt.Sprint(c.value), fmt.Sprintf("%g to %g", c.low, c.high))
 		}
 	}
