--- /dev/null
+++ b/pkg/laburnumridge/call_test.go
@@ -0,0 +1,181 @@
+package laburnumridge_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// network answers requests in order with the given steps; the last one repeats.
+type network struct {
+	seen  []*http.Request
+	steps []func() (*http.Response, error)
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	step := n.steps[min(len(n.seen), len(n.steps)-1)]
+	n.seen = append(n.seen, r)
+	return step()
+}
+
+func (n *network) client(t *testing.T, opts ...laburnumridge.Option) *laburnumridge.Client {
+	t.Helper()
+	opts = append([]laburnumridge.Option{laburnumridge.WithHTTPClient(&http.Client{Transport: n})}, opts...)
+	c, err := laburnumridge.New(opts...)
+	assert.NilError(t, err)
+	return c
+}
+
+func answers(status int, body string, header ...string) func() (*http.Response, error) {
+	return func() (*http.Response, error) {
+		h := http.Header{laburnumridge.HeaderZone: {"kelaniya"}}
+		for i := 0; i+1 < len(header); i += 2 {
+			h.Set(header[i], header[i+1])
+		}
+		return &http.Response{StatusCode: status, Header: h, Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+func problem(status int, outcome string, header ...string) func() (*http.Response, error) {
+	header = append(header, "Content-Type", laburnumridge.ProblemType)
+	return answers(status, `{"title":"t","outcome":"`+outcome+`"}`, header...)
+}
+
+func fails(err error) func() (*http.Response, error) {
+	return func() (*http.Response, error) { return nil, err }
+}
+
+var (
+	errRefused = &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	errReset   = &net.OpError{Op: "read", Err: errors.New("connection reset")}
+)
+
+// TestRetriesKeepTheRules guards against a request that runs twice, a retry that is left out where
+// it is safe, and a not_run that hides an earlier attempt that may have run.
+func TestRetriesKeepTheRules(t *testing.T) {
+	type steps = []func() (*http.Response, error)
+	withoutKey := laburnumridge.WithoutKey()
+	for name, tc := range map[string]struct {
+		steps  steps
+		method string
+		opts   []laburnumridge.CallOption
+		sent   int
+		err    error
+	}{
+		"answer":                    {steps{answers(200, "ok")}, "POST", nil, 1, nil},
+		"not run":                   {steps{problem(503, "not_run"), answers(200, "ok")}, "POST", nil, 2, nil},
+		"not run, no key":           {steps{problem(503, "not_run"), answers(200, "ok")}, "POST", []laburnumridge.CallOption{withoutKey}, 2, nil},
+		"unknown with key":          {steps{fails(errReset), answers(200, "ok")}, "POST", nil, 2, nil},
+		"unknown, no key":           {steps{fails(errReset), answers(200, "ok")}, "POST", []laburnumridge.CallOption{withoutKey}, 1, laburnumridge.ErrUnknown},
+		"unknown, no key, GET":      {steps{fails(errReset), answers(200, "ok")}, "GET", []laburnumridge.CallOption{withoutKey}, 2, nil},
+		"unknown, idempotent":       {steps{problem(504, "unknown"), answers(200, "ok")}, "PUT", []laburnumridge.CallOption{withoutKey, laburnumridge.WithIdempotent()}, 2, nil},
+		"duplicate runs":            {steps{problem(409, "unknown"), answers(200, "ok")}, "POST", nil, 2, nil},
+		"invalid":                   {steps{problem(400, "not_run")}, "POST", nil, 1, laburnumridge.ErrInvalid},
+		"service's own 503":         {steps{answers(503, "busy")}, "POST", nil, 1, nil},
+		"service's own problem":     {steps{answers(409, `{"title":"taken"}`, "Content-Type", laburnumridge.ProblemType)}, "POST", nil, 1, nil},
+		"load balancer's 502":       {steps{answers(502, "", laburnumridge.HeaderZone, "")}, "POST", []laburnumridge.CallOption{withoutKey}, 1, laburnumridge.ErrUnknown},
+		"unknown, then not run":     {steps{fails(errReset), problem(400, "not_run")}, "POST", nil, 2, laburnumridge.ErrUnknown},
+		"unknown, then not reached": {steps{fails(errReset), fails(errRefused)}, "POST", nil, 6, laburnumridge.ErrUnknown},
+		"never reached":             {steps{fails(errRefused)}, "POST", nil, 6, laburnumridge.ErrNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{steps: tc.steps}
+				answer, err := n.client(t).Do(t.Context(), "dose-orders", tc.method, "/rooms/4", []byte("{}"), tc.opts...)
+				assert.Equal(t, len(n.seen), tc.sent)
+				if tc.err != nil {
+					assert.ErrorIs(t, err, tc.err)
+					assert.Assert(t, tc.err != laburnumridge.ErrUnknown || !errors.Is(err, laburnumridge.ErrNotRun))
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Attempts, tc.sent)
+				for _, r := range n.seen {
+					assert.Equal(t, r.Header.Get(laburnumridge.HeaderKey), answer.Key)
+					assert.Equal(t, r.URL.Path, "/dose-orders/rooms/4")
+				}
+			})
+		})
+	}
+}
+
+// TestKeyNamesTheZone guards against keys that no zone is home to once a zone is known, and against
+// two requests that share a key.
+func TestKeyNamesTheZone(t *testing.T) {
+	n := &network{steps: []func() (*http.Response, error){answers(200, "ok")}}
+	c := n.client(t, laburnumridge.WithToken("secret"))
+	first, err := c.Do(t.Context(), "dose-orders", "POST", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(first.Key), 26) // a bare ULID
+	second, err := c.Do(t.Context(), "dose-orders", "POST", "", nil)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(second.Key, "kelaniya:"))
+	assert.Assert(t, !strings.HasSuffix(second.Key, first.Key))
+	assert.Equal(t, n.seen[0].Header.Get("Authorization"), "", "a service must not see the operators' token")
+}
+
+// TestDeadlineTravels guards against retries that outlast the deadline, or that offer the host more
+// time than is left.
+func TestDeadlineTravels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		n := &network{steps: []func() (*http.Response, error){problem(503, "not_run", "Retry-After", "2")}}
+		start := time.Now()
+		_, err := n.client(t).Do(ctx, "dose-orders", "POST", "", nil)
+		assert.ErrorIs(t, err, laburnumridge.ErrUnavailable)
+		assert.Equal(t, len(n.seen), 2)
+		assert.Equal(t, time.Since(start), 2*time.Second, "Retry-After is kept, and no wait ends after the deadline")
+		for i, want := range []int{3500, 1500} {
+			left, err := strconv.Atoi(n.seen[i].Header.Get(laburnumridge.HeaderTimeout))
+			assert.NilError(t, err)
+			assert.Equal(t, left, want)
+		}
+	})
+}
+
+// TestBudgetBoundsRetries guards against a storm of retries while all hosts refuse.
+func TestBudgetBoundsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{steps: []func() (*http.Response, error){problem(503, "not_run")}}
+		c := n.client(t, laburnumridge.WithRetryBudget(0.1, 5))
+		for range 200 {
+			_, err := c.Do(t.Context(), "dosing-checks", "GET", "", nil)
+			assert.ErrorIs(t, err, laburnumridge.ErrNotRun)
+		}
+		assert.Assert(t, len(n.seen) <= 200+5+20, "%d attempts of 200 requests", len(n.seen))
+		assert.Assert(t, len(n.seen) > 200)
+	})
+}
+
+// TestCutAnswerIsNotReturned guards against a caller that takes the first part of an answer for all of it.
+func TestCutAnswerIsNotReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cut := func() (*http.Response, error) {
+			res, err := answers(200, "")()
+			res.Body = io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
+			return res, err
+		}
+		n := &network{steps: []func() (*http.Response, error){cut, answers(200, "half and half")}}
+		answer, err := n.client(t).Do(t.Context(), "release-plans", "GET", "", nil)
+		assert.NilError(t, err)
+		text, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(text), "half and half")
+	})
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
