--- /dev/null
+++ b/internal/host/forward.go
@@ -0,0 +1,127 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// hopMargin is taken off the time left at each hop, so that an answer about a timeout still arrives.
+const hopMargin = 20 * time.Millisecond
+
+// forward passes a request to another entry host. Nothing sent means not run; silence after sending means
+// unknown.
+func (h *Host) forward(
+	ctx context.Context, r caller.Request, host string, streams bool,
+) (*caller.Response, *laburnumridge.Problem) {
+	to, ok := h.hosts.snapshot().Host(host)
+	if !ok {
+		return nil, unavailable("peer_unknown", "entry host "+host+" is not on the host list")
+	}
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.Method, h.forwardURL(to.PeerAddress, r), strings.NewReader(string(r.Body)))
+	if err != nil {
+		return nil, unavailable("bad_request", err.Error())
+	}
+	req.GetBody = nil // the transport must not send a request twice
+	req.Header = r.Header.Clone()
+	req.Header.Set(caller.HeaderForwarded, h.id)
+	req.Header.Set(caller.HeaderRequestID, r.ID)
+	if !r.Deadline.IsZero() {
+		left := time.Until(r.Deadline) - hopMargin
+		if left <= 0 {
+			return nil, unavailable("deadline", "no time is left to pass the request on")
+		}
+		req.Header.Set(caller.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	}
+	res, err := h.forwarder.Do(req)
+	if err != nil {
+		if sent.Load() {
+			h.forwarder.CloseIdleConnections() // they may be as silent as this one
+			return nil, unknown("peer_silent", "entry host "+host+" gave no answer: "+err.Error())
+		}
+		return nil, unavailable("peer_unreachable", "entry host "+host+" was not reached: "+err.Error())
+	}
+	return h.forwarded(r, res, host, streams)
+}
+
+func (h *Host) forwarded(
+	r caller.Request, res *http.Response, host string, streams bool,
+) (*caller.Response, *laburnumridge.Problem) {
+	if got := res.Header.Get(caller.HeaderRequestID); got != r.ID {
+		_ = res.Body.Close()
+		h.explainRequest(r, "drop_answer", "entry host "+host+" answered request "+got, "")
+		return nil, unknown("foreign_answer", "entry host "+host+" answered another request")
+	}
+	if o := laburnumridge.Outcome(res.Header.Get(caller.HeaderOutcome)); o != laburnumridge.OutcomeDone {
+		defer func() { _ = res.Body.Close() }()
+		p := &laburnumridge.Problem{}
+		if err := json.NewDecoder(io.LimitReader(res.Body, 64<<10)).Decode(p); err != nil || p.Outcome == "" {
+			return nil, unknown("peer_answer_malformed", "entry host "+host+" gave no outcome")
+		}
+		return nil, p
+	}
+	return &caller.Response{Body: res.Body, Header: res.Header, Status: res.StatusCode, Streams: streams}, nil
+}
+
+func (h *Host) forwardURL(address string, r caller.Request) string {
+	url := h.peerScheme + address + "/forward/" + r.Service + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	return url
+}
+
+// elsewhere passes a request that this zone can't serve to another zone. Only attempts that did not run are
+// repeated.
+func (h *Host) elsewhere(
+	ctx context.Context, r caller.Request, streams bool, last *laburnumridge.Problem,
+) (*caller.Response, *laburnumridge.Problem) {
+	if r.Forwarded != "" {
+		return nil, last
+	}
+	for _, p := range h.otherZones() {
+		h.explainRequest(r, "forward", "zone "+h.zone+" can't serve it: "+last.Reason+"; to "+p.Host+" in "+p.Zone, "")
+		res, problem := h.forward(ctx, r.WithForwarded(h.id), p.Host, streams)
+		if problem == nil || problem.Outcome != laburnumridge.OutcomeNotRun {
+			return res, problem
+		}
+		last = problem
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, last
+}
+
+// otherZones returns one connected entry host of each other zone, in random order.
+func (h *Host) otherZones() []peer.Status {
+	seen := map[string]bool{h.zone: true}
+	var out []peer.Status
+	connected := h.mesh.Connected()
+	rand.Shuffle(len(connected), func(i, j int) { connected[i], connected[j] = connected[j], connected[i] })
+	for _, p := range connected {
+		if !seen[p.Zone] && !h.isPeerDraining(p.Host) {
+			seen[p.Zone] = true
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+var errNoAnswer = errors.New("no answer")
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,215 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/admission"
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+)
+
+// maxStartDelay spreads the hosts that start together, so that they do not contend for shards at once.
+const maxStartDelay = 2 * time.Second
+
+// Host is the daemon of an entry host.
+type Host struct {
+	admitted       *waiting
+	backends       *backends
+	check          *invariant.Checker
+	draining       atomic.Bool
+	drained        chan struct{}
+	flying         sync.WaitGroup
+	forwarder      *http.Client
+	hosts          *hostList
+	id             string
+	jobs           *jobs
+	keys           *keys
+	limiter        *platform.Limiter
+	log            *logrus.Entry
+	mesh           *peer.Mesh
+	notes          *notes
+	onFailure      func(name, detail string)
+	ownerCtx       context.Context
+	ownerStop      context.CancelFunc
+	peerScheme     string
+	peers          *peerStates
+	policies       *policies
+	quickStart     bool
+	ring           *explain.Ring
+	run            string
+	session        *session
+	settings       settings.Settings
+	shards         *shards
+	store          platform.Store
+	tls            tlsConfigs
+	workers        *worker.Client
+	zone           string
+	zoneEmptySince map[string]time.Time
+}
+
+// Option sets a property of a Host.
+type Option func(*Host)
+
+// WithFailure calls f at each violated invariant; tests end there.
+func WithFailure(f func(name, detail string)) Option { return func(h *Host) { h.onFailure = f } }
+
+// WithLog sets the log.
+func WithLog(log *logrus.Logger) Option {
+	return func(h *Host) { h.log = logrus.NewEntry(log).WithField("host", h.id) }
+}
+
+// WithQuickStart makes the host contend for shards without the delay that spreads restarts.
+func WithQuickStart() Option { return func(h *Host) { h.quickStart = true } }
+
+// New returns a host that is not started; errors say which credentials could not be read.
+func New(s settings.Settings, opts ...Option) (*Host, error) {
+	h := &Host{
+		drained:        make(chan struct{}),
+		id:             s.Host,
+		keys:           newKeys(),
+		limiter:        platform.NewLimiter(s.Platform.ReadsPerSecond, s.Platform.WritesPerSecond),
+		log:            logrus.NewEntry(logrus.StandardLogger()).WithField("host", s.Host),
+		onFailure:      func(string, string) {},
+		peerScheme:     "http://",
+		run:            s.Host + "#" + ulid.Make().String(),
+		settings:       s,
+		store:          platform.NewEtcd(s.Platform.Endpoints, s.Platform.Timeout.Duration),
+		zone:           s.Zone,
+		zoneEmptySince: map[string]time.Time{},
+	}
+	for _, o := range opts {
+		o(h)
+	}
+	var err error
+	if h.tls, err = loadTLS(s.Security); err != nil {
+		return nil, err
+	}
+	h.wire()
+	return h, nil
+}
+
+// wire builds the parts that need each other.
+func (h *Host) wire() {
+	h.ownerCtx, h.ownerStop = context.WithCancel(context.Background())
+	h.check = invariant.New(h.log, invariant.WithFailure(h.onFailure))
+	h.ring = explain.New(h.id, h.log)
+	h.session = &session{host: h.id, log: h.log, store: h.storeFor(platform.ClassOwnership)}
+	h.peers = newPeerStates()
+	h.hosts = &hostList{changed: func(fleet.Snapshot) { h.refreshPeers() }, log: h.log, store: h.storeFor(platform.ClassReads)}
+	h.notes = &notes{
+		applied: h.applied, check: h.check, log: h.log, ring: h.ring, store: h.storeFor(platform.ClassNotes),
+	}
+	h.jobs = newJobs(h.storeFor(platform.ClassLedger), h.log)
+	h.shards = newShards(h)
+	h.backends = newBackends(h, h.run, time.Now())
+	h.policies = newPolicies(h)
+	h.admitted = newWaiting(admission.NewQueue(0))
+	workerOptions := []worker.Option{}
+	if h.tls.worker != nil {
+		workerOptions = append(workerOptions, worker.WithTLS(h.tls.worker))
+	}
+	h.workers = worker.NewClient(workerOptions...)
+	if h.tls.peerClient != nil {
+		h.peerScheme = "https://"
+	}
+	h.forwarder = &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DisableCompression:  true,
+			IdleConnTimeout:     30 * time.Second,
+			MaxIdleConnsPerHost: 64,
+			TLSClientConfig:     h.tls.peerClient,
+		},
+	}
+	self := peer.Hello{Host: h.id, PeerAddress: h.settings.Listen.Peer, Run: h.run, Zone: h.zone}
+	h.mesh = peer.NewMesh(self, h.log,
+		peer.WithHeartbeat(h.heartbeat),
+		peer.WithMessages(h.peerMessage),
+		peer.WithRequests(h.peerRequest),
+		peer.WithTLS(clone(h.tls.peerClient)),
+	)
+}
+
+// Invariants returns how many checks were made and how many failed.
+func (h *Host) Invariants() (checked, violated int64) { return h.check.Checked(), h.check.Violations() }
+
+// Owns returns the number of shards that the host owns.
+func (h *Host) Owns() int { return len(h.shards.all()) }
+
+// Run serves until ctx ends, then drains: it fails its readiness check, hands its shards over, finishes what
+// is in flight and returns. Errors say which address could not be used.
+func (h *Host) Run(ctx context.Context) error {
+	servers, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.warnOfOpenAccess()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		h.session.run, h.hosts.run, h.notes.run, h.jobs.run, h.mesh.Run, h.shards.run, h.schedule, h.admit,
+	} {
+		loops.Go(func() { loop(work) })
+	}
+	h.log.WithFields(logrus.Fields{"zone": h.zone, "caller": h.settings.Listen.Caller}).Info("entry host serves")
+	select {
+	case <-ctx.Done():
+	case err = <-servers.failed:
+	}
+	h.drain(servers)
+	stop()
+	h.ownerStop()
+	loops.Wait()
+	h.workers.Close()
+	return err
+}
+
+// applied takes a new catalogue into force at this host.
+func (h *Host) applied(c note.Catalogue) {
+	kinds, teams := shares(c, h.hosts.snapshot(), h.zone)
+	h.admitted.decided(h.admitted.queue.SetShares(time.Now(), kinds, teams))
+	h.policies.retain(c)
+}
+
+func (h *Host) isDraining() bool { return h.draining.Load() }
+
+func (h *Host) ownerContext() context.Context { return h.ownerCtx }
+
+func (h *Host) shardCount(zone string) int { return h.shards.count(zone) }
+
+func (h *Host) startDelay() time.Duration {
+	if h.quickStart {
+		return 0
+	}
+	return jitter(maxStartDelay)
+}
+
+func (h *Host) storeFor(c platform.Class) platform.Store {
+	return platform.Limited(h.store, h.limiter, c)
+}
+
+func (h *Host) trustedRenewal(id fleet.ShardID, epoch int64) time.Time {
+	return h.shards.trustedRenewal(id, epoch)
+}
+
+func clone(c *tls.Config) *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return c.Clone()
+}
--- /dev/null
+++ b/internal/host/keyed.go
@@ -0,0 +1,123 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/idempotency"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// nonIdempotent runs a request at most once. One without a key of its caller is a request of its own: it is
+// sent again only if a worker refused it before running.
+func (h *Host) nonIdempotent(
+	ctx context.Context, r caller.Request, item note.Item,
+) (*caller.Response, *laburnumridge.Problem) {
+	if r.Key == "" {
+		key := idempotency.NewKey(h.zone, ulid.Make())
+		return h.dispatch(ctx, r, item, key.String())
+	}
+	key, err := idempotency.ParseKey(r.Key)
+	if err != nil {
+		return nil, problem(http.StatusBadRequest, laburnumridge.OutcomeNotRun, "bad_key", err.Error())
+	}
+	home := idempotency.Home(key, h.hosts.snapshot().Zones())
+	id := fleet.ShardID{Index: idempotency.Partition(key, h.shardCount(home)), Zone: home}
+	if table, ok := h.keys.get(id); ok {
+		return h.claimed(ctx, r, item, key, id, table)
+	}
+	owner, ok := h.shards.ownerOf(id)
+	if !ok || !owner.serving || r.Forwarded != "" {
+		h.explainRequest(r, "key_refuse", "no entry host that serves keys of "+id.String()+" is known", "")
+		return nil, unavailable("key_owner_unknown", "no entry host serves keys of "+id.String()+" now")
+	}
+	h.explainRequest(r, "key_forward", "key of "+id.String()+", owned by "+owner.host, "")
+	return h.forward(ctx, r, owner.host, false)
+}
+
+// claimed runs a request whose key's partition this host owns.
+func (h *Host) claimed(
+	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID, table keyTable,
+) (*caller.Response, *laburnumridge.Problem) {
+	print := idempotency.FingerprintOf(r.Method, r.Service+r.Path+"?"+r.Query, sha256.Sum256(r.Body))
+	claim := table.Claim(time.Now(), key, print)
+	h.explainRequest(r, "key_"+string(claim.Verdict), fmt.Sprintf("key of %s, epoch %d. %s", id, table.epoch, claim.Reason), "")
+	switch claim.Verdict {
+	case idempotency.VerdictMismatch:
+		return nil, problem(http.StatusUnprocessableEntity, laburnumridge.OutcomeNotRun, "key_of_other_request", claim.Reason)
+	case idempotency.VerdictNotRun:
+		return nil, unavailable("key_not_claimed", claim.Reason)
+	case idempotency.VerdictReplay:
+		return replay(claim.Response), nil
+	case idempotency.VerdictRunning:
+		p := problem(http.StatusConflict, laburnumridge.OutcomeUnknown, "key_running", "a request with this key is running")
+		p.RetryAfter = 1
+		return nil, p
+	case idempotency.VerdictUnknown:
+		return nil, problem(http.StatusConflict, laburnumridge.OutcomeUnknown, "key_unknown", claim.Reason)
+	case idempotency.VerdictProceed:
+	}
+	// The work goes on if the caller goes away, so that a repeat finds its response.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	defer cancel()
+	res, p := h.dispatch(ctx, r, item, key.String())
+	if p != nil {
+		if p.Outcome == laburnumridge.OutcomeNotRun {
+			table.Release(key)
+		} else {
+			table.Finish(key, idempotency.OutcomeUnknown, idempotency.Response{})
+		}
+		return nil, p
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		table.Finish(key, idempotency.OutcomeUnknown, idempotency.Response{})
+		return nil, unknown("response_broke_off", "the response broke off: "+err.Error())
+	}
+	table.Finish(key, idempotency.OutcomeDone, idempotency.Response{Body: body, Header: res.Header, Status: res.Status})
+	return &caller.Response{Body: io.NopCloser(bytes.NewReader(body)), Header: res.Header, Status: res.Status}, nil
+}
+
+func replay(r idempotency.Response) *caller.Response {
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(caller.HeaderReplayed, "true")
+	return &caller.Response{Body: io.NopCloser(bytes.NewReader(r.Body)), Header: header, Status: r.Status}
+}
+
+func (h *Host) explainRequest(r caller.Request, decision, reason, worker string) {
+	h.ring.Add(explain.Decision{
+		Decision: decision, Reason: reason, Request: r.ID, Work: r.Service, Worker: worker, Zone: h.zone,
+	})
+}
+
+func problem(status int, o laburnumridge.Outcome, reason, detail string) *laburnumridge.Problem {
+	return &laburnumridge.Problem{
+		Detail: detail, Outcome: o, Reason: reason, Status: status, Title: http.StatusText(status),
+	}
+}
+
+// unavailable is the problem of a request that was not run and may be repeated.
+func unavailable(reason, detail string) *laburnumridge.Problem {
+	p := problem(http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, reason, detail)
+	p.RetryAfter = 1
+	return p
+}
+
+func unknown(reason, detail string) *laburnumridge.Problem {
+	return problem(http.StatusGatewayTimeout, laburnumridge.OutcomeUnknown, reason, detail)
+}
--- /dev/null
+++ b/internal/host/keys.go
@@ -0,0 +1,49 @@
+package host
+
+import (
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/idempotency"
+)
+
+// keys holds the key tables of the shards that the host owns; a table lasts for one epoch.
+type keys struct {
+	mu     sync.Mutex
+	tables map[fleet.ShardID]keyTable
+}
+
+type keyTable struct {
+	*idempotency.Table
+	epoch int64
+}
+
+func newKeys() *keys { return &keys{tables: map[fleet.ShardID]keyTable{}} }
+
+func (k *keys) get(id fleet.ShardID) (keyTable, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t, ok := k.tables[id]
+	return t, ok
+}
+
+func (k *keys) lost(id fleet.ShardID, epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.tables[id].epoch == epoch {
+		delete(k.tables, id)
+	}
+}
+
+// mayServe reports whether the owner of a shard may claim keys now.
+func (k *keys) mayServe(id fleet.ShardID, now time.Time) bool {
+	t, ok := k.get(id)
+	return ok && t.MayClaim(now)
+}
+
+func (k *keys) took(id fleet.ShardID, epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tables[id] = keyTable{Table: idempotency.NewTable(idempotency.DefaultLimits()), epoch: epoch}
+}
--- /dev/null
+++ b/internal/host/listen.go
@@ -0,0 +1,152 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/operator"
+)
+
+const (
+	idleTimeout = 2 * time.Minute
+	// readyDrain is how long the balancer has to see that readiness failed before the listener closes.
+	readyDrain   = 500 * time.Millisecond
+	drainTimeout = 30 * time.Second
+)
+
+// servers are the listening sockets of a host.
+type servers struct {
+	all    []*http.Server
+	failed chan error
+}
+
+func (h *Host) listen() (*servers, error) {
+	s := &servers{failed: make(chan error, 3)}
+	limits := caller.Limits{
+		MaxBodyBytes:   h.settings.Limits.MaxBodyBytes,
+		ReadTimeout:    h.settings.Limits.ReadTimeout.Duration,
+		RequestTimeout: h.settings.Limits.RequestTimeout.Duration,
+	}
+	svc := caller.Service{Handle: h.handle, IsFeed: h.isFeed, Zone: h.zone}
+
+	callers := newEcho()
+	callers.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	callers.GET("/readyz", h.ready)
+	operator.Register(callers, h.operatorService(), operator.WithToken(h.settings.Security.OperatorToken))
+	caller.Register(callers, svc, limits, h.log)
+
+	peers := newEcho()
+	peers.GET("/peer", echo.WrapHandler(h.mesh))
+	caller.RegisterForward(peers, svc, limits, h.log)
+
+	debug := http.NewServeMux()
+	debug.Handle("/debug/vars", expvar.Handler())
+
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+		tls     *tls.Config
+	}{
+		{h.settings.Listen.Peer, peers, h.tls.peerServer},
+		{h.settings.Listen.Debug, debug, nil},
+		{h.settings.Listen.Caller, callers, h.tls.caller},
+	} {
+		if err := h.serve(s, l.address, l.handler, l.tls); err != nil {
+			for _, server := range s.all {
+				_ = server.Close()
+			}
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (h *Host) serve(s *servers, address string, handler http.Handler, c *tls.Config) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listening")
+	}
+	l = netutil.LimitListener(l, h.settings.Limits.MaxConnections)
+	if c != nil {
+		l = tls.NewListener(l, c)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes,
+		ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Duration,
+	}
+	s.all = append(s.all, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- eris.Wrapf(err, "serving %s", address)
+		}
+	}()
+	return nil
+}
+
+// drain stops gracefully: no new work, shards and keys to others, then what is in flight ends.
+func (h *Host) drain(s *servers) {
+	h.draining.Store(true)
+	close(h.drained)
+	h.log.Info("entry host drains")
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	pause(ctx, readyDrain)
+	// Callers first: their requests may need the peers and the shards.
+	if err := s.all[len(s.all)-1].Shutdown(ctx); err != nil {
+		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
+	}
+	h.flying.Wait()
+	h.shards.handOver(ctx)
+	for _, server := range s.all {
+		_ = server.Shutdown(ctx)
+	}
+	h.session.end(ctx)
+	h.log.Info("entry host has drained")
+}
+
+func (h *Host) ready(c echo.Context) error {
+	switch {
+	case h.isDraining():
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	case h.notes.revision() == 0:
+		return c.String(http.StatusServiceUnavailable, "no release note is in force\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (h *Host) isFeed(service string) bool {
+	c, _ := h.notes.current()
+	item, ok := c.Item(service)
+	return ok && item.Work.Kind == note.KindFeed
+}
+
+func (h *Host) warnOfOpenAccess() {
+	if h.settings.Security.OperatorToken == "" {
+		h.log.Warn("no operator token is set: anyone who reaches the caller address may publish notes")
+	}
+	if h.tls.peerServer == nil {
+		h.log.Warn("no certificate is set for peers: anyone who reaches the peer address may act as one")
+	}
+	if h.tls.worker == nil {
+		h.log.Warn("no certificate is set for workers: connections to them are plain text")
+	}
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
--- /dev/null
+++ b/internal/host/peers.go
@@ -0,0 +1,193 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+)
+
+const (
+	// peersPerZone is how many entry hosts of each other zone a host keeps a connection to.
+	peersPerZone = 2
+	pullTimeout  = 3 * time.Second
+)
+
+// peerState is what a peer's heartbeats say of it.
+type peerState struct {
+	draining bool
+	hello    peer.Hello
+	revision int64
+	seen     time.Time
+	// revisionSeen is when the peer first told its revision.
+	revisionSeen time.Time
+}
+
+type peerStates struct {
+	mu     sync.Mutex
+	pulls  map[string]bool
+	states map[string]peerState
+}
+
+func newPeerStates() *peerStates {
+	return &peerStates{pulls: map[string]bool{}, states: map[string]peerState{}}
+}
+
+func (p *peerStates) all() map[string]peerState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]peerState, len(p.states))
+	for id, s := range p.states {
+		out[id] = s
+	}
+	return out
+}
+
+func (p *peerStates) heard(from peer.Hello, hb peer.Heartbeat, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[from.Host]
+	if s.revision != hb.Revision || s.hello.Run != from.Run {
+		s.revisionSeen = now
+	}
+	s.draining, s.hello, s.revision, s.seen = hb.Draining, from, hb.Revision, now
+	p.states[from.Host] = s
+}
+
+// startPull reports whether no pull from the host is under way, and marks one.
+func (p *peerStates) startPull(host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pulls[host] {
+		return false
+	}
+	p.pulls[host] = true
+	return true
+}
+
+func (p *peerStates) endPull(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pulls, host)
+}
+
+func (h *Host) isPeerDraining(host string) bool {
+	s, ok := h.peers.all()[host]
+	return ok && s.draining
+}
+
+// refreshPeers keeps connections to all entry hosts of the own zone and to two of each other zone. A host's
+// choice in other zones depends on both ids, so that the connections spread over all hosts.
+func (h *Host) refreshPeers() {
+	s := h.hosts.snapshot()
+	var out []fleet.Host
+	for _, zone := range s.Zones() {
+		hosts := s.EntryHosts(zone)
+		if zone != h.zone && len(hosts) > peersPerZone {
+			slices.SortFunc(hosts, func(a, b fleet.Host) int { return int(h.affinity(b.ID)) - int(h.affinity(a.ID)) })
+			hosts = hosts[:peersPerZone]
+		}
+		out = append(out, hosts...)
+	}
+	h.mesh.SetPeers(out)
+	c, _ := h.notes.current()
+	kinds, teams := shares(c, s, h.zone)
+	h.admitted.decided(h.admitted.queue.SetShares(time.Now(), kinds, teams))
+}
+
+func (h *Host) affinity(other string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(h.id + " " + other))
+	return sum.Sum32() >> 1
+}
+
+func (h *Host) heartbeat() peer.Heartbeat {
+	hb := peer.Heartbeat{Draining: h.isDraining(), Revision: h.notes.revision()}
+	now := time.Now()
+	for _, o := range h.shards.all() {
+		hb.Owned = append(hb.Owned, peer.Owned{
+			Epoch: o.epoch, FreePercent: int(o.freePercent.Load()), Index: o.id.Index,
+			Serving: h.keys.mayServe(o.id, now), Zone: o.id.Zone,
+		})
+	}
+	return hb
+}
+
+// peerMessage takes a message that wants no reply; it must not block.
+func (h *Host) peerMessage(from peer.Hello, m peer.Message) {
+	now := time.Now()
+	switch {
+	case m.Heartbeat != nil:
+		h.peers.heard(from, *m.Heartbeat, now)
+		for _, o := range m.Heartbeat.Owned {
+			h.shards.saw(o.Shard(), sighting{
+				at: now, epoch: o.Epoch, free: o.FreePercent, host: from.Host, serving: o.Serving,
+			})
+		}
+		if m.Heartbeat.Revision > h.notes.revision() && h.peers.startPull(from.Host) {
+			go h.pullNotes(from.Host)
+		}
+	case m.Grant != nil:
+		ack := h.backends.install(*m.Grant, now)
+		_ = h.mesh.Send(from.Host, peer.Message{GrantAck: &ack}) // a lost ack is repeated with the next grant
+		h.admitted.decided(h.admitted.queue.SetCapacity(now, h.backends.granted(now)))
+	case m.GrantAck != nil:
+		if o, ok := h.shards.get(m.GrantAck.Slots.Shard); ok {
+			o.grants.acked(from.Run, *m.GrantAck)
+		}
+	}
+}
+
+func (h *Host) pullNotes(from string) {
+	defer h.peers.endPull(from)
+	ctx, cancel := context.WithTimeout(h.ownerCtx, pullTimeout)
+	defer cancel()
+	after := h.notes.revision()
+	reply, err := h.mesh.Request(ctx, from, peer.Message{Notes: &peer.NotesRequest{After: after}})
+	if err == nil && reply.NotesReply != nil {
+		err = h.notes.take(after, *reply.NotesReply)
+	}
+	if err != nil {
+		h.log.WithError(err).WithField("peer", from).Warn("notes were not pulled")
+	}
+}
+
+func (h *Host) peerRequest(ctx context.Context, _ peer.Hello, m peer.Message) (peer.Message, error) {
+	switch {
+	case m.Notes != nil:
+		reply, err := h.notes.since(m.Notes.After)
+		return peer.Message{NotesReply: &reply}, err
+	case m.Explain != nil:
+		return peer.Message{ExplainReply: &peer.ExplainReply{Decisions: h.ring.Find(m.Explain.ID)}}, nil
+	case m.Status != nil:
+		data, err := json.Marshal(h.localStatus(ctx, m.Status.Job))
+		return peer.Message{StatusReply: &peer.StatusReply{Status: data}}, eris.Wrap(err, "status")
+	}
+	return peer.Message{}, eris.New("request is of no known type")
+}
+
+// grantRecipients returns how to send grants to each entry host of the shard's zone, by run.
+func (h *Host) grantRecipients(zone string) map[string]func(peer.Grant) {
+	out := map[string]func(peer.Grant){h.run: func(g peer.Grant) {
+		now := time.Now()
+		ack := h.backends.install(g, now)
+		if o, ok := h.shards.get(g.Slots.Shard); ok {
+			o.grants.acked(h.run, ack)
+		}
+		h.admitted.decided(h.admitted.queue.SetCapacity(now, h.backends.granted(now)))
+	}}
+	if zone != h.zone {
+		return out
+	}
+	for _, p := range h.mesh.Zone(zone) {
+		out[p.Run] = func(g peer.Grant) { _ = h.mesh.Send(p.Host, peer.Message{Grant: &g}) }
+	}
+	return out
+}
--- /dev/null
+++ b/internal/host/schedule.go
@@ -0,0 +1,97 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/job"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/platform"
+)
+
+const scheduleEvery = time.Second
+
+// schedule submits the runs of scheduled work that are due. The owner of one shard does so for each work.
+func (h *Host) schedule(ctx context.Context) {
+	last := map[string]time.Time{}
+	for ctx.Err() == nil {
+		c, _ := h.notes.current()
+		for _, item := range c.Items() {
+			if item.Work.Kind == note.KindBatch && item.Work.Every.Duration > 0 && h.schedules(item.Work.Name) {
+				h.submitDue(ctx, item, last)
+			}
+		}
+		pause(ctx, scheduleEvery)
+	}
+}
+
+// schedules reports whether this host owns the shard whose owner submits the runs of a work.
+func (h *Host) schedules(work string) bool {
+	zones := h.hosts.snapshot().Zones()
+	if len(zones) == 0 {
+		return false
+	}
+	_, ok := h.shards.get(fleet.ShardID{Zone: zones[fleet.Partition(work, len(zones))]})
+	return ok
+}
+
+func (h *Host) submitDue(ctx context.Context, item note.Item, last map[string]time.Time) {
+	work := item.Work.Name
+	store := h.storeFor(platform.ClassLedger)
+	now := time.Now().UTC()
+	if last[work].IsZero() {
+		kv, err := store.Get(ctx, schedulePrefix+work)
+		if err != nil {
+			return
+		}
+		// A work without a record came into force just now: its first run is the next one due.
+		last[work] = now
+		if kv.ModRevision != 0 {
+			var at time.Time
+			if json.Unmarshal(kv.Value, &at) == nil {
+				last[work] = at
+			}
+		} else if err := h.recordDue(ctx, work, now); err != nil {
+			delete(last, work)
+			return
+		}
+	}
+	for _, run := range job.DueRuns(item.Work, last[work], now) {
+		shard, err := h.chooseShard("", item.Work)
+		if err != nil {
+			return
+		}
+		rec, err := h.jobs.create(ctx, jobRecord{
+			ID: run.ID, Revision: item.ChangedAt, Shard: shard, SubmittedAt: now, Tasks: 1, Work: work,
+		})
+		if err != nil && !errors.Is(err, errJobExists) {
+			return // it is tried again; the id keeps the run from being created twice
+		}
+		last[work] = run.Due
+		if err := h.recordDue(ctx, work, run.Due); err != nil {
+			h.log.WithError(err).WithField("work", work).Warn("due time was not recorded")
+		}
+		h.ring.Add(explain.Decision{
+			Decision: "submit_scheduled", Job: rec.ID, Note: item.NoteID, Reason: "due every " + item.Work.Every.String(),
+			Revision: item.ChangedAt, Work: work, Zone: shard.Zone,
+		})
+	}
+}
+
+func (h *Host) recordDue(ctx context.Context, work string, at time.Time) error {
+	store := h.storeFor(platform.ClassLedger)
+	kv, err := store.Get(ctx, schedulePrefix+work)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(at)
+	if err != nil {
+		return err
+	}
+	_, err = store.Swap(ctx, schedulePrefix+work, kv.ModRevision, value, 0)
+	return err
+}
--- /dev/null
+++ b/internal/host/waiting.go
@@ -0,0 +1,112 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/admission"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+)
+
+// admitEvery is how often queued requests are checked against their deadlines.
+const admitEvery = 100 * time.Millisecond
+
+// waiting connects the admission queue with the goroutines whose requests wait in it.
+type waiting struct {
+	mu    sync.Mutex
+	queue *admission.Queue
+	wait  map[string]chan admission.Decision
+}
+
+func newWaiting(q *admission.Queue) *waiting {
+	return &waiting{queue: q, wait: map[string]chan admission.Decision{}}
+}
+
+// admit waits until the request may take a slot, or is refused.
+func (w *waiting) admit(ctx context.Context, r admission.Request) admission.Decision {
+	decided := make(chan admission.Decision, 1)
+	w.mu.Lock()
+	d := w.queue.Offer(r.Arrived, r)
+	if d.Verdict == admission.VerdictQueued {
+		w.wait[r.ID] = decided
+	}
+	w.mu.Unlock()
+	if d.Verdict != admission.VerdictQueued {
+		return d
+	}
+	select {
+	case d = <-decided:
+		return d
+	case <-ctx.Done():
+	}
+	if w.queue.Cancel(r.ID) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.wait, r.ID)
+		return admission.Decision{Reason: admission.ReasonExpired, Verdict: admission.VerdictRefused}
+	}
+	// The queue has decided already; its decision is on the way.
+	return <-decided
+}
+
+// decided wakes the requests that the queue has decided on.
+func (w *waiting) decided(outcomes []admission.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range outcomes {
+		if ch, ok := w.wait[o.Request.ID]; ok {
+			delete(w.wait, o.Request.ID)
+			ch <- o.Decision
+		}
+	}
+}
+
+// done gives a request's slot back.
+func (w *waiting) done(id string, took time.Duration, result admission.Result) {
+	w.decided(w.queue.Done(time.Now(), id, took, result))
+}
+
+// admit runs the time-based part of the admission queue.
+func (h *Host) admit(ctx context.Context) {
+	ticker := time.NewTicker(admitEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.admitted.decided(h.admitted.queue.SetCapacity(now, h.backends.granted(now)))
+			h.admitted.decided(h.admitted.queue.Tick(now))
+		}
+	}
+}
+
+// demand returns how many slots and connections this host could use.
+func (h *Host) demand() (requests, feeds float64) {
+	running, queued := h.admitted.queue.Load()
+	return float64(running + queued), float64(h.feeds.Load())
+}
+
+// shares derives the guaranteed part of each service from the slots that its replicas reserve, unless the
+// note states a share, and the parts of teams from their declared shares.
+func shares(c note.Catalogue, hosts fleet.Snapshot, zone string) (kinds, teams map[string]float64) {
+	kinds, teams = map[string]float64{}, map[string]float64{}
+	var total float64
+	for _, w := range hosts.Workers(zone) {
+		total += float64(w.Capacity.Slots)
+	}
+	for _, item := range c.Items() {
+		w := item.Work
+		switch {
+		case w.Kind == note.KindTeam && w.Share > 0:
+			teams[w.Name] = w.Share
+		case w.Kind == note.KindService && w.Share > 0:
+			kinds[w.Name] = w.Share
+		case w.Kind == note.KindService && total > 0:
+			kinds[w.Name] = min(1, float64(w.ReplicasPerZone)*float64(w.Resources.Slots)/total)
+		}
+	}
+	return kinds, teams
+}
