--- /dev/null
+++ b/internal/interference/mitigator_test.go
@@ -0,0 +1,105 @@
+package interference_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/interference"
+)
+
+func observed(taken time.Time, slowdown float64) interference.Observation {
+	return interference.Observation{
+		Batch: []interference.Count{{Tasks: 2, Work: "noisy"}}, Began: taken, Service: "dosing",
+		Slowdown: slowdown, Taken: taken, Worker: "w", Worst: "noisy", WorstTasks: 2,
+	}
+}
+
+// Guards against two steps on one sample, steps on samples taken before the last step took effect, steps
+// that are skipped, and evictions beyond the budget, with reports and confirmations in any order.
+func TestDecideProperties(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		budget := interference.NewBudget(5)
+		m := interference.NewMitigator(budget)
+		// Nothing has been decided before the first step, so any sample may lead to it.
+		now, effective, slow := start, start.Add(-time.Hour), 1.0
+		var last interference.Decision
+		used := map[time.Time]bool{}
+		var evicted []time.Time
+		for range 3000 {
+			now = now.Add(time.Second)
+			if rng.IntN(60) == 0 {
+				slow = []float64{1, 1.1, 1.3, 2}[rng.IntN(4)]
+			}
+			taken := now.Add(-time.Duration(rng.IntN(10)) * time.Second)
+			before := m.Step("w")
+			d := m.Decide(now, observed(taken, slow))
+			if d.Reason == interference.ReasonUnconfirmed {
+				assert.Equal(t, d.Seq, last.Seq)
+			} else if d.Kind != interference.KindHold {
+				assert.Assert(t, !used[taken] && taken.After(effective), "seed %d: %+v", seed, d)
+				assert.Equal(t, d.Seq, last.Seq+1)
+				step := int(d.Step) - int(before)
+				assert.Assert(t, step == 1 || step == -1 || step == 0 && d.Step == interference.StepEvict, "seed %d: %+v", seed, d)
+				last, effective = d, now.Add(24*time.Hour)
+				for range d.Tasks {
+					evicted = append(evicted, now)
+				}
+				assert.Assert(t, len(evicted) < 6 || now.Sub(evicted[len(evicted)-6]) >= time.Hour)
+			}
+			used[taken] = true
+			if last.Seq > 0 && effective.After(now) && rng.IntN(4) == 0 {
+				effective = now
+				m.TookEffect("w", last.Seq, now)
+			}
+		}
+	}
+}
+
+// Guards against a worker that stays throttled for ever, and against steps that alternate without end.
+func TestUndoOneStepAtATime(t *testing.T) {
+	m := interference.NewMitigator(interference.NewBudget(60))
+	now := start
+	var steps []interference.Step
+	run := func(slowdown float64, seconds int) {
+		for range seconds {
+			now = now.Add(time.Second)
+			if d := m.Decide(now, observed(now, slowdown)); d.Kind != interference.KindHold {
+				steps = append(steps, d.Step)
+				m.TookEffect("w", d.Seq, now)
+			}
+		}
+	}
+	run(2, 4)
+	run(1, 120)
+	assert.DeepEqual(t, steps, []interference.Step{
+		interference.StepThrottle, interference.StepClosed, interference.StepThrottle, interference.StepNone,
+	})
+	steps = nil
+	for range 3600 {
+		slow := 2.0
+		if m.Step("w") > interference.StepNone {
+			slow = 1
+		}
+		run(slow, 1)
+	}
+	assert.Assert(t, len(steps) <= 30, "%d steps in an hour", len(steps))
+	run(2, 2)
+	before := m.Step("w")
+	assert.Assert(t, before > interference.StepNone)
+	assert.Equal(t, len(m.Relax(now.Add(time.Minute))), 0)
+	assert.Equal(t, m.Relax(now.Add(time.Hour))[0].Step, before-1)
+}
+
+// Guards against a step for a slowdown that no batch task causes.
+func TestNoBatchNoStep(t *testing.T) {
+	m := interference.NewMitigator(interference.NewBudget(60))
+	for i := range 5 {
+		o := observed(start.Add(time.Duration(i)*time.Second), 3)
+		o.Batch = nil
+		assert.Equal(t, m.Decide(o.Taken, o).Kind, interference.KindHold)
+	}
+}
