--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -17,18 +17,18 @@
 	}
 	detail := laburnumridge.NoteDetail{PublishedNote: PublishedOf(p)}
 	for _, name := range p.Items {
-		d := laburnumridge.ItemDetail{Name: name, State: laburnumridge.ItemWithdrawn}
 		item, ok := c.Item(name)
-		if !ok {
-			item, ok = c.WithdrawnItem(name)
-		} else {
-			d.Kind, d.State = string(item.Work.Kind), laburnumridge.ItemInForce
+		state := laburnumridge.ItemInForce
+		switch {
+		case !ok:
+			item, _ = c.WithdrawnItem(name)
+			state = laburnumridge.ItemWithdrawn
+		case item.NoteID != id:
+			state = laburnumridge.ItemSuperseded
 		}
-		if ok && item.NoteID != id {
-			d.State = laburnumridge.ItemSuperseded
-		}
-		d.Note, d.Revision = item.NoteID, item.ChangedAt
-		detail.Details = append(detail.Details, d)
+		detail.Details = append(detail.Details, laburnumridge.ItemDetail{
+			Kind: string(item.Work.Kind), Name: name, Note: item.NoteID, Revision: item.ChangedAt, State: state,
+		})
 	}
 	return detail, nil
 }
--- a/pkg/laburnumridge/note.go
+++ b/pkg/laburnumridge/note.go
@@ -33,7 +33,6 @@
 	// Note is the accepted note that last changed the item.
 	Note     string `json:"note"`
 	Revision int64  `json:"revision"`
-	// State is in_force, withdrawn, or superseded by a later note.
 	State ItemState `json:"state"`
 }
 
@@ -42,9 +41,11 @@
 
 // States of an item of an accepted note.
 const (
-	ItemInForce    ItemState = "in_force"
+	ItemInForce ItemState = "in_force"
+	// ItemSuperseded says that the item is in force by a later note.
 	ItemSuperseded ItemState = "superseded"
-	ItemWithdrawn  ItemState = "withdrawn"
+	// ItemWithdrawn says that the item is not in force, by this note or a later one.
+	ItemWithdrawn ItemState = "withdrawn"
 )
 
 // NoteDetail is an accepted note with its items.
