--- a/internal/fake/workerreport.go
+++ b/internal/fake/workerreport.go
@@ -96,6 +96,7 @@
 			Load:    float64(len(times)) / w.sampleInterval.Seconds(),
 			P99:     note.Duration{Duration: times[(len(times)*99-1)/100]},
 			TakenAt: wireAt,
+			Window:  note.Duration{Duration: w.sampleInterval},
 			Work:    work,
 		})
 	}
--- /dev/null
+++ b/internal/host/attempts.go
@@ -0,0 +1,161 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/routing"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+const (
+	// slotPoll bounds a wait for a slot, for changes that wake nobody, such as a grant that runs out.
+	slotPoll = 50 * time.Millisecond
+	// noBackendWait is how long a request waits for any usable backend server before it goes to another zone.
+	noBackendWait = 300 * time.Millisecond
+)
+
+// run is the state of one request over its attempts.
+type run struct {
+	excluded []string
+	fresh    bool
+	host     *Host
+	key      string
+	pending  int
+	results  chan tried
+	request  caller.Request
+	router   *routing.Router
+	tries    int
+}
+
+// attempts sends a request until it is answered. A request with a key is sent again only if the attempt
+// before did not run; others also after a silence, and beside a slow attempt. All draw on shared budgets.
+func (h *Host) attempts(ctx context.Context, r caller.Request, key string) (*caller.Response, *laburnumridge.Problem) {
+	a := &run{host: h, key: key, request: r, results: make(chan tried, 8), router: h.policies.router(r.Service)}
+	h.policies.retries.First(time.Now())
+	h.policies.hedges.First(time.Now())
+	defer a.abandon()
+	if p := a.send(ctx, "first attempt"); p != nil {
+		return nil, p
+	}
+	hedge := time.NewTimer(h.policies.hedges.Delay(r.Service))
+	defer hedge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, unknown("timeout", "no backend server answered in time")
+		case <-hedge.C:
+			if key == "" && a.tries == 1 && h.policies.hedges.Take(time.Now()) {
+				a.fresh = true
+				_ = a.send(ctx, "hedge: no answer within the usual time") // the first attempt goes on
+			}
+		case t := <-a.results:
+			a.pending--
+			if t.err == nil {
+				h.policies.hedges.Observe(r.Service, t.took)
+				return t.response, nil
+			}
+			if p, again := a.failed(ctx, t); !again {
+				return nil, p
+			}
+		}
+	}
+}
+
+// failed decides what follows an attempt without a response.
+func (a *run) failed(ctx context.Context, t tried) (*laburnumridge.Problem, bool) {
+	a.excluded = append(a.excluded, t.worker)
+	p := t.problem()
+	a.host.explainRequest(a.request, "attempt_failed", fmt.Sprintf("%s: %s", p.Outcome, p.Detail), t.worker)
+	if a.pending > 0 {
+		return nil, true // the other attempt may still answer
+	}
+	if p.Outcome != laburnumridge.OutcomeNotRun && a.key != "" {
+		return p, false
+	}
+	if !a.host.policies.retries.Take(time.Now()) {
+		p.Detail += "; the retry budget is spent"
+		return p, false
+	}
+	delay := a.host.policies.retries.Backoff(a.tries)
+	if time.Until(a.request.Deadline) <= delay {
+		return p, false
+	}
+	pause(ctx, delay)
+	a.fresh = errors.Is(t.err, errNoAnswer)
+	if next := a.send(ctx, "retry after "+p.Reason); next != nil {
+		if a.tries > 1 && p.Outcome != laburnumridge.OutcomeNotRun {
+			return p, false // an earlier attempt may have run
+		}
+		return next, false
+	}
+	return nil, true
+}
+
+// send routes one attempt and starts it; it waits for a slot as long as the deadline allows.
+func (a *run) send(ctx context.Context, why string) *laburnumridge.Problem {
+	h := a.host
+	since := time.Now()
+	for {
+		changed := h.backends.changed()
+		now := time.Now()
+		candidates := h.backends.candidates(a.request.Service, h.backends.slots, now)
+		d, err := a.router.Route(now, candidates, a.excluded...)
+		if err == nil && h.backends.slots.Take(d.Backend.Worker, now) {
+			a.tries++
+			a.pending++
+			h.explainRequest(a.request, "route", fmt.Sprintf("%s: %s %s, weighed %s", why, d.Policy, d.Reason, describe(d.Options)),
+				d.Backend.Worker)
+			a.router.Started(d.Backend.Worker)
+			go h.try(a.request, a.key, d.Backend, a.fresh, a.router, a.results)
+			return nil
+		}
+		var none *routing.NoBackendError
+		if errors.As(err, &none) && !waitsForSlot(none) && now.Sub(since) > noBackendWait {
+			return unavailable("no_backend", none.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return unavailable("timeout", "no slot became free in time")
+		case <-changed:
+		case <-time.After(slotPoll):
+		}
+	}
+}
+
+// abandon reads the attempts that nobody waits for any more to their end, which frees their slots.
+func (a *run) abandon() {
+	if a.pending == 0 {
+		return
+	}
+	go func(n int) {
+		for range n {
+			if t := <-a.results; t.err == nil {
+				_ = t.response.Body.Close()
+			}
+		}
+	}(a.pending)
+}
+
+func waitsForSlot(e *routing.NoBackendError) bool {
+	for _, r := range e.Rejections {
+		if r.Reason == routing.ReasonNoSlot || r.Reason == routing.ReasonCold || r.Reason == routing.ReasonProbing {
+			return true
+		}
+	}
+	return false
+}
+
+func describe(options []routing.Option) string {
+	text := ""
+	for i, o := range options {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s %.4g", o.Worker, o.Score)
+	}
+	return text
+}
--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -69,7 +69,7 @@
 }
 
 // reported takes a worker's count of requests in flight.
-func (g *granting) reported(now time.Time, c ledger.Contact, r worker.Report) {
+func (g *granting) reported(now time.Time, c ledger.Contact, r worker.Report, capable bool) {
 	byWork := map[string]int{}
 	var short, shortLower, long, longLower int
 	for _, f := range r.InFlight {
@@ -81,7 +81,7 @@
 		}
 	}
 	g.inFlight[c.Worker] = byWork
-	if c.Fence && r.EpochCapable {
+	if c.Fence && capable {
 		g.slots.Fenced(now, c.Worker, shortLower)
 		g.connections.Fenced(now, c.Worker, longLower)
 		return
--- /dev/null
+++ b/internal/host/handle.go
@@ -0,0 +1,69 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/admission"
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// handle answers a request of a caller, or one that another entry host passed on.
+func (h *Host) handle(ctx context.Context, r caller.Request) (*caller.Response, *laburnumridge.Problem) {
+	h.flying.Add(1)
+	defer h.flying.Done()
+	c, _ := h.notes.current()
+	item, ok := c.Item(r.Service)
+	if !ok || !item.Work.IsLatencyCritical() {
+		h.explainRequest(r, "refuse", "no service of this name is in force", "")
+		return nil, problem(http.StatusNotFound, laburnumridge.OutcomeNotRun, "no_such_service",
+			"no service "+r.Service+" is in force")
+	}
+	switch {
+	case item.Work.Kind == note.KindFeed:
+		return h.feed(ctx, r)
+	case item.Work.Idempotent || r.IsSafe():
+		return h.dispatch(ctx, r, item, "")
+	}
+	return h.nonIdempotent(ctx, r, item)
+}
+
+// dispatch runs a request on a backend server of this zone, or passes it to another zone if this one has
+// none. A key marks a request that must not run twice.
+func (h *Host) dispatch(
+	ctx context.Context, r caller.Request, item note.Item, key string,
+) (*caller.Response, *laburnumridge.Problem) {
+	if len(h.backends.candidates(r.Service, h.backends.slots, time.Now())) == 0 {
+		return h.elsewhere(ctx, r, false, unavailable("no_backend", "zone "+h.zone+" has no backend server of "+r.Service))
+	}
+	team := r.Team
+	if team == "" {
+		team = item.Work.Team
+	}
+	d := h.admitted.admit(ctx, admission.Request{
+		Arrived: time.Now(), Deadline: r.Deadline, ID: r.ID, Kind: r.Service, Team: team,
+	})
+	if d.Verdict != admission.VerdictAdmitted {
+		h.explainRequest(r, "refuse", string(d.Reason)+", predicted wait "+d.Wait.String(), "")
+		p := unavailable(string(d.Reason), "the request would not be answered in time; it was not run")
+		p.RetryAfter = max(1, int((d.RetryAfter+time.Second-1)/time.Second))
+		return nil, p
+	}
+	started := time.Now()
+	res, p := h.attempts(ctx, r, key)
+	result := admission.ResultOK
+	switch {
+	case p != nil && p.Outcome == laburnumridge.OutcomeNotRun:
+		result = admission.ResultRefused
+	case p != nil:
+		result = admission.ResultFailed
+	}
+	h.admitted.done(r.ID, time.Since(started), result)
+	if p != nil && p.Reason == "no_backend" {
+		return h.elsewhere(ctx, r, false, p)
+	}
+	return res, p
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -32,6 +32,7 @@
 	check          *invariant.Checker
 	draining       atomic.Bool
 	drained        chan struct{}
+	feeds          atomic.Int64
 	flying         sync.WaitGroup
 	forwarder      *http.Client
 	hosts          *hostList
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -121,8 +121,8 @@
 	switch {
 	case h.isDraining():
 		return c.String(http.StatusServiceUnavailable, "draining\n")
-	case h.notes.revision() == 0:
-		return c.String(http.StatusServiceUnavailable, "no release note is in force\n")
+	case !h.notes.loaded.Load():
+		return c.String(http.StatusServiceUnavailable, "release notes are not loaded yet\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
--- /dev/null
+++ b/internal/host/mitigation.go
@@ -0,0 +1,183 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/placement"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+)
+
+// throttled is the fraction of its speed that a batch task keeps while its worker is throttled.
+const throttled = 0.5
+
+// mitigation holds what a shard's owner learns about interference and does against it.
+type mitigation struct {
+	evicting  map[string]evicting
+	fastest   map[string]time.Duration // lowest latency seen, by service
+	mitigator *interference.Mitigator
+	model     *interference.Model
+	sets      map[string]interference.Set
+	throttled map[string]bool
+}
+
+// evicting is an eviction step that has not taken effect yet.
+type evicting struct {
+	seq   int64
+	tasks []string
+}
+
+func newMitigation(b *interference.Budget) *mitigation {
+	return &mitigation{
+		evicting:  map[string]evicting{},
+		fastest:   map[string]time.Duration{},
+		mitigator: interference.NewMitigator(b),
+		model:     interference.NewModel(),
+		sets:      map[string]interference.Set{},
+		throttled: map[string]bool{},
+	}
+}
+
+func (o *shardOwner) isClosedToBatch(worker string) bool {
+	return o.mitigation.mitigator.Step(worker) >= interference.StepClosed
+}
+
+func (o *shardOwner) predictedSlowdown(w *placement.Worker, t *placement.Task) float64 {
+	if t.IsLatencyCritical() {
+		return o.mitigation.model.PredictService(w.ID, t.Work)
+	}
+	return o.mitigation.model.Predict(w.ID, t.Work)
+}
+
+// observeLatency learns from the latency samples of a report, which lag behind, and decides what follows.
+func (o *shardOwner) observeLatency(now time.Time, id string, r worker.Report) {
+	h, _ := o.host.hosts.snapshot().Host(id)
+	m := o.mitigation
+	for _, s := range r.Latency {
+		item, ok := o.item(s.Work)
+		if !ok {
+			continue
+		}
+		if fastest := m.fastest[s.Work]; fastest == 0 || s.P99.Duration < fastest {
+			m.fastest[s.Work] = s.P99.Duration
+		}
+		// The used fraction is estimated from the rate and the service time without interference, so that a
+		// slowdown does not look like load.
+		load := s.Load * m.fastest[s.Work].Seconds() / float64(max(h.Capacity.Slots, 1))
+		d := m.mitigator.Decide(now, m.model.Observe(interference.Sample{
+			Latency: s.P99.Duration, Load: min(load, 1), Service: s.Work, Taken: now.Add(-r.SentAt.Sub(s.TakenAt)),
+			Target: item.Work.LatencyTarget.Duration, Window: s.Window.Duration, Worker: id,
+		}))
+		if d.Kind != interference.KindHold {
+			o.step(now, d)
+		}
+	}
+}
+
+// mitigate records what runs where, relaxes steps and confirms evictions that have taken effect.
+func (o *shardOwner) mitigate(now time.Time) {
+	m := o.mitigation
+	running := o.ledger.Running()
+	sets := map[string]interference.Set{}
+	byTask := map[string]bool{}
+	for _, r := range running {
+		set := sets[r.Worker]
+		if set.Batch == nil {
+			set = interference.Set{Batch: map[string]int{}, Throttled: m.throttled[r.Worker]}
+		}
+		if r.Job.IsLatencyCritical() {
+			set.Services = append(set.Services, r.Job.Work)
+		} else {
+			set.Batch[r.Job.Work]++
+		}
+		sets[r.Worker] = set
+		byTask[r.Task] = true
+	}
+	for id, set := range sets {
+		slices.Sort(set.Services)
+		old := m.sets[id]
+		if set.Throttled != old.Throttled || !slices.Equal(set.Services, old.Services) || !maps.Equal(set.Batch, old.Batch) {
+			m.model.Record(id, now, set)
+		}
+	}
+	m.sets = sets
+	for id, e := range m.evicting {
+		if !slices.ContainsFunc(e.tasks, func(task string) bool { return byTask[task] }) {
+			m.mitigator.TookEffect(id, e.seq, now)
+			delete(m.evicting, id)
+		}
+	}
+	for _, d := range m.mitigator.Relax(now) {
+		o.step(now, d)
+	}
+}
+
+// step carries out a mitigation step.
+func (o *shardOwner) step(now time.Time, d interference.Decision) {
+	o.explain(explain.Decision{
+		Decision: "mitigate_" + string(d.Kind),
+		Reason:   fmt.Sprintf("%s: %s is %.2f times slower, mostly by %s; step %s", d.Reason, d.Service, d.Slowdown, d.Work, d.Step),
+		Work:     d.Service,
+		Worker:   d.Worker,
+	})
+	m := o.mitigation
+	switch {
+	case d.Step == interference.StepEvict:
+		o.evictWorst(now, d)
+		return
+	case (d.Step >= interference.StepThrottle) != m.throttled[d.Worker]:
+		m.throttled[d.Worker] = d.Step >= interference.StepThrottle
+		go o.throttle(d, o.batchOn(d.Worker), m.throttled[d.Worker])
+		return
+	}
+	m.mitigator.TookEffect(d.Worker, d.Seq, now)
+}
+
+func (o *shardOwner) batchOn(worker string) []ledger.RunningTask {
+	return slices.DeleteFunc(o.ledger.Running(), func(r ledger.RunningTask) bool {
+		return r.Worker != worker || r.Job.Kind != note.KindBatch || r.Stopping
+	})
+}
+
+func (o *shardOwner) evictWorst(now time.Time, d interference.Decision) {
+	tasks := slices.DeleteFunc(o.batchOn(d.Worker), func(r ledger.RunningTask) bool { return r.Job.Work != d.Work })
+	slices.SortFunc(tasks, func(a, b ledger.RunningTask) int {
+		return cmp.Compare(o.lostIfEvicted(now, a), o.lostIfEvicted(now, b))
+	})
+	e := evicting{seq: d.Seq}
+	for _, r := range tasks[:min(d.Tasks, len(tasks))] {
+		o.evict(now, r.Task, fmt.Sprintf("slows %s down %.2f times", d.Service, d.Slowdown))
+		e.tasks = append(e.tasks, r.Task)
+	}
+	o.mitigation.evicting[d.Worker] = e
+}
+
+// throttle changes the speed of a worker's batch tasks; the step takes effect once all calls are answered.
+func (o *shardOwner) throttle(d interference.Decision, tasks []ledger.RunningTask, on bool) {
+	ctx, cancel := context.WithTimeout(o.host.ownerContext(), askTimeout)
+	defer cancel()
+	address, ok := o.address(d.Worker)
+	fraction := 1.0
+	if on {
+		fraction = throttled
+	}
+	for _, r := range tasks {
+		_, err := o.host.workers.Throttle(ctx, address, worker.ThrottleRequest{
+			AttemptRef: worker.AttemptRef{Attempt: int64(r.Attempt), Task: r.Task}, Epoch: o.epoch, Fraction: fraction,
+		})
+		if err != nil {
+			o.log.WithError(err).WithField("task", r.Task).Debug("task was not throttled")
+		}
+	}
+	if ok {
+		o.post(func(now time.Time) { o.mitigation.mitigator.TookEffect(d.Worker, d.Seq, now) })
+	}
+}
--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -81,6 +82,7 @@
 			return nil, err
 		}
 	}
+	n.loaded.Store(true)
 	return l, nil
 }
 
@@ -238,6 +240,7 @@
 
 // take applies what a peer sent for the notes after a revision.
 func (n *notes) take(after int64, reply peer.NotesReply) error {
+	defer n.loaded.Store(true)
 	if len(reply.Catalogue) > 0 {
 		return n.adopt(reply.Catalogue)
 	}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/attribution"
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
@@ -33,6 +35,7 @@
 // shardOwner runs one shard. All fields are used by its loop only; other goroutines post functions to it.
 type shardOwner struct {
 	attribution *attribution.Attributor
+	budget      *interference.Budget
 	// admitted is the worker on which a task that waits has room reserved, by task.
 	admitted map[string]string
 	// draining is when a replica's backend server stopped taking requests, by job.
@@ -43,21 +46,30 @@
 	handing   bool
 	host      *Host
 	id        fleet.ShardID
-	intake    intake
 	ledger    *ledger.Owner
+	mitigation *mitigation
+	// freePercent is the part of the shard's processors that is not reserved, for peers.
+	freePercent atomic.Int64
 	lastPlace time.Time
 	log       *logrus.Entry
 	mail      chan func(now time.Time)
+	pendingEntry *platform.Entry
 	placer    *placement.Placer
+	quarantined map[string]string
+	queue     *queue
+	reports   map[string]*workerReport
+	rollouts  map[string]time.Time
 	seenEnds  map[ledger.TaskEnd]time.Time
 	started   map[string]time.Time
 	store     *platform.Log
+	verifying atomic.Bool
 	waitsFor  map[string]string
 }
 
 func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
 	o := &shardOwner{
 		attribution: attribution.New(),
+		budget:      interference.NewBudget(interference.DefaultEvictions),
 		admitted:    map[string]string{},
 		draining:    map[string]time.Time{},
 		epoch:       epoch,
@@ -66,6 +78,10 @@
 		id:          id,
 		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
 		mail:        make(chan func(time.Time), 1024),
+		quarantined: map[string]string{},
+		queue:       newQueue(),
+		reports:     map[string]*workerReport{},
+		rollouts:    map[string]time.Time{},
 		seenEnds:    map[ledger.TaskEnd]time.Time{},
 		started:     map[string]time.Time{},
 		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
@@ -74,9 +90,10 @@
 	o.placer = placement.New(
 		placement.WithQuota(o.quota),
 		placement.WithViolated(h.check.Violated),
-		placement.WithEvictionsLeft(o.evictionsLeft),
+		placement.WithEvictionsLeft(func() int { return o.budget.Left(time.Now()) }),
 		placement.WithSlowdown(o.predictedSlowdown),
 	)
+	o.mitigation = newMitigation(o.budget)
 	o.grants = newGranting(o)
 	return o
 }
@@ -181,8 +198,10 @@
 	o.ledger.LeaseRenewed(o.host.trustedRenewal(o.id, o.epoch))
 	workers := o.workers()
 	o.ledger.HostList(now, workers)
+	o.updateKeys(now, workers)
 	if now.Sub(o.lastPlace) >= placeEvery && !o.handing {
 		o.lastPlace = now
+		o.forgetOld(now)
 		o.acceptServices(now)
 		o.acceptJobs(now)
 		o.place(now, workers)
@@ -206,6 +225,26 @@
 	return item.Work.Quota
 }
 
+// updateKeys tells the key table which workers' consent it needs and how long the platform lease is held.
+func (o *shardOwner) updateKeys(now time.Time, workers []fleet.Host) {
+	table, ok := o.host.keys.get(o.id)
+	if !ok || table.epoch != o.epoch {
+		return
+	}
+	ids := make([]string, 0, len(workers))
+	var capacity, reserved fleet.Resources
+	for _, w := range workers {
+		ids = append(ids, w.ID)
+		capacity = capacity.Add(w.Capacity)
+		reserved = reserved.Add(o.ledger.Reserved(w.ID).Total())
+	}
+	table.Workers(ids)
+	table.LeaseUntil(o.host.trustedRenewal(o.id, o.epoch).Add(sessionTrusted))
+	if capacity.CPUMilli > 0 {
+		o.freePercent.Store(max(0, 100-100*reserved.CPUMilli/capacity.CPUMilli))
+	}
+}
+
 // mayStart holds back the start of a bound task whose worker or team may take no more now.
 func (o *shardOwner) mayStart(worker string, j ledger.Job) bool {
 	if j.IsLatencyCritical() {
--- a/internal/host/ownerlearn.go
+++ b/internal/host/ownerlearn.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"errors"
 	"slices"
 	"time"
 
@@ -39,7 +38,6 @@
 		}
 	} else {
 		delete(o.failedOn, t.Task)
-		o.estimates.Finished(t.Work, outcome.RanFor, now)
 	}
 	o.explain(explain.Decision{
 		Attempt: int(t.Attempt), Decision: "task_" + string(t.Phase), Job: rec.Job, Reason: endReason(t), Task: t.Task,
@@ -80,5 +78,3 @@
 		}
 	}
 }
-
-var errWorkerGone = errors.New("worker is not on the host list")
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// placePerPass bounds the work of one pass, so that a flood of jobs does not hold up heartbeats.
-	placePerPass = 256
 	// boundAhead is how many tasks without room are bound in advance, so that they start on their worker
 	// during an outage of the platform store.
 	boundAhead = 256
@@ -25,21 +23,18 @@
 
 // place binds the tasks that wait, in the order of the queue.
 func (o *shardOwner) place(now time.Time, workers []fleet.Host) {
-	candidates := o.order(now, o.ledger.Unbound(now))
+	candidates := o.ledger.Unbound(now)
 	o.forgetStarted(candidates)
 	view := o.view(now, workers, candidates)
-	ahead, placed := 0, 0
-	for _, c := range candidates {
-		if c.Worker != "" && o.admitted[c.Task] == c.Worker && o.mayWait(c) {
-			continue
-		}
-		if placed++; placed > placePerPass {
-			return
-		}
+	ahead := 0
+	for _, c := range o.queue.next(now, candidates, o.hasRoom) {
 		d, err := o.placer.Place(view, o.placementTask(c))
 		switch {
 		case err == nil:
 			view = o.bind(now, view, c, d)
+			if o.admitted[c.Task] != "" {
+				o.queue.placed(now, c.Task)
+			}
 		case errors.Is(err, placement.ErrNeverFits):
 			o.neverFits(now, c, d)
 		case errors.Is(err, placement.ErrNoRoom) && ahead < boundAhead:
@@ -51,6 +46,11 @@
 	}
 }
 
+// hasRoom reports whether room is reserved for a task on the worker that it is bound to.
+func (o *shardOwner) hasRoom(c ledger.Candidate) bool {
+	return c.Worker != "" && o.admitted[c.Task] == c.Worker && o.mayWait(c)
+}
+
 // mayWait reports whether a task may go on waiting on the worker that it is bound to.
 func (o *shardOwner) mayWait(c ledger.Candidate) bool {
 	h, ok := o.host.hosts.snapshot().Host(c.Worker)
@@ -58,6 +58,11 @@
 		!slices.Contains(o.failedOn[c.Task], c.Worker)
 }
 
+func (o *shardOwner) isProposed(task string) bool {
+	_, ok := o.ledger.ProposedJob(task)
+	return ok
+}
+
 // forgetStarted drops the room reserved for tasks that no longer wait.
 func (o *shardOwner) forgetStarted(candidates []ledger.Candidate) {
 	waiting := make(map[string]bool, len(candidates))
@@ -142,6 +147,7 @@
 ) placement.View {
 	for _, victim := range d.Victims {
 		o.evict(now, victim, fmt.Sprintf("makes room for %s of priority %d", c.Task, c.Job.Priority))
+		o.budget.Take(now, 1)
 		if w, ok := view.Worker(d.Worker); ok {
 			view = view.WithEnded(w.ID, victim)
 		}
@@ -221,7 +227,6 @@
 		o.log.WithError(err).Warn("task was not evicted")
 		return
 	}
-	o.evicted(now)
 	t, _ := o.ledger.State().Task(task)
 	o.explain(explain.Decision{
 		Decision: "evict", Job: t.Job, Reason: reason, Task: task, Work: o.workOf(t.Job), Worker: t.Worker,
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -87,7 +87,7 @@
 			Epoch: c.Epoch, Owner: o.host.id, Shard: o.id,
 		})
 	} else {
-		in := worker.HeartbeatRequest{Epoch: c.Epoch, Full: true, Token: c.Token}
+		in := worker.HeartbeatRequest{Epoch: c.Epoch, Token: c.Token}
 		for _, ack := range c.Acks {
 			in.Acks = append(in.Acks, worker.AttemptRef{Attempt: int64(ack.Attempt), Task: ack.Task})
 		}
@@ -163,17 +163,23 @@
 
 // reported passes a worker's report to the ledger and to all that learn from it.
 func (o *shardOwner) reported(now time.Time, c ledger.Contact, r worker.Report) {
-	out := ledger.WorkerReport{
-		BootID: r.BootID, Capacity: r.Capacity, Epoch: r.Epoch, EpochCapable: r.EpochCapable,
-		Token: r.Token, Worker: c.Worker,
-	}
 	for _, t := range r.Tasks {
-		out.Tasks = append(out.Tasks, toTaskReport(t))
 		o.observeTask(now, c.Worker, t)
 	}
-	o.ledger.Reported(now, c, out)
-	o.host.keys.accepted(o.id, c.Worker, c.SentAt)
-	o.grants.reported(now, c, r)
+	known := o.reports[c.Worker]
+	if r.Full || known == nil {
+		known = &workerReport{}
+		o.reports[c.Worker] = known
+	}
+	o.ledger.Reported(now, c, known.merge(c, r))
+	if table, ok := o.host.keys.get(o.id); ok && table.epoch == o.epoch && o.ledger.MayAct(now, c.Worker) {
+		if known.EpochCapable {
+			table.Accepted(now, c.Worker, c.SentAt)
+		} else {
+			table.NoEpochs(now, c.Worker)
+		}
+	}
+	o.grants.reported(now, c, r, known.EpochCapable)
 	o.observeLatency(now, c.Worker, r)
 	o.checkCapacity(c.Worker)
 }
@@ -208,21 +214,3 @@
 		return o.store.SaveSnapshot(ctx, platform.Snapshot{Data: a.data, Seq: o.store.Seq()})
 	}
 }
-
-func toTaskReport(t worker.Task) ledger.TaskReport {
-	phase := ledger.PhaseRunning
-	switch t.Phase {
-	case worker.PhaseCancelled:
-		phase = ledger.PhaseStopped
-	case worker.PhaseDone:
-		phase = ledger.PhaseDone
-	case worker.PhaseEvicted:
-		phase = ledger.PhaseStopped
-	case worker.PhaseFailed:
-		phase = ledger.PhaseFailed
-	case worker.PhaseRunning:
-	}
-	return ledger.TaskReport{
-		Attempt: int(t.Attempt), Checkpoint: t.Checkpoint, Phase: phase, Reason: t.Reason, Task: t.Task,
-	}
-}
--- /dev/null
+++ b/internal/host/queue.go
@@ -0,0 +1,86 @@
+package host
+
+import (
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/job"
+	"github.com/laburnumridge/laburnumridge/internal/ledger"
+)
+
+const (
+	// placePerPass bounds the work of one pass, so that a flood of jobs does not hold up heartbeats.
+	placePerPass = 256
+	// queueLimit is above what the target has waiting in one shard.
+	queueLimit = 100_000
+)
+
+// queue keeps the order of a shard's batch tasks that wait for room over the passes of the placement.
+type queue struct {
+	queue  *job.Queue
+	taken  map[string]job.Task
+	queued map[string]bool
+}
+
+func newQueue() *queue {
+	return &queue{queue: job.NewQueue(job.WithLimit(queueLimit)), queued: map[string]bool{}, taken: map[string]job.Task{}}
+}
+
+// next returns the tasks to place in this pass: replicas first, then batch tasks in the order of the queue.
+// Tasks that the last pass took and did not place go back first.
+func (q *queue) next(
+	now time.Time, candidates []ledger.Candidate, hasRoom func(ledger.Candidate) bool,
+) []ledger.Candidate {
+	for _, t := range q.taken {
+		q.queue.PutBack(now, t)
+	}
+	clear(q.taken)
+	var out []ledger.Candidate
+	waiting := make(map[string]ledger.Candidate, len(candidates))
+	for _, c := range candidates {
+		switch {
+		case hasRoom(c):
+		case c.Job.IsLatencyCritical():
+			out = append(out, c)
+		default:
+			waiting[c.Task] = c
+			q.add(c)
+		}
+	}
+	for _, t := range q.queue.Batch(now, placePerPass) {
+		c, ok := waiting[t.ID]
+		if !ok {
+			q.queue.Started(now, t.ID)
+			delete(q.queued, t.ID)
+			continue
+		}
+		q.taken[t.ID] = t
+		out = append(out, c)
+	}
+	return out
+}
+
+// placed removes a task for which room was found.
+func (q *queue) placed(now time.Time, task string) {
+	if _, ok := q.taken[task]; !ok {
+		return
+	}
+	q.queue.Started(now, task)
+	delete(q.taken, task)
+	delete(q.queued, task)
+}
+
+func (q *queue) add(c ledger.Candidate) {
+	if q.queued[c.Task] {
+		return
+	}
+	t := job.Task{
+		ID: c.Task, Job: c.Job.ID, Priority: c.Job.Priority, Resources: c.Job.Resources,
+		Submitted: time.UnixMilli(c.Job.SubmittedAt), Team: c.Job.Team, Work: c.Job.Work,
+	}
+	if c.Job.DeadlineAt != 0 {
+		t.Deadline = time.UnixMilli(c.Job.DeadlineAt)
+	}
+	if q.queue.Add(t) == nil {
+		q.queued[c.Task] = true
+	}
+}
--- /dev/null
+++ b/internal/host/try.go
@@ -0,0 +1,138 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/routing"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+const (
+	// wholeBytes is how much of a response is read before it is passed on, so that most responses are known
+	// to be whole.
+	wholeBytes = 64 << 10
+	// lostHold is how long after its deadline a request without an answer still counts against the slots of
+	// its worker, where it may run on.
+	lostHold = time.Second
+)
+
+// tried is the end of one attempt.
+type tried struct {
+	err      error
+	response *caller.Response
+	took     time.Duration
+	worker   string
+}
+
+// problem says what is known of an attempt without a response.
+func (t tried) problem() *laburnumridge.Problem {
+	var refusal worker.Refusal
+	switch {
+	case errors.As(t.err, &refusal):
+		return unavailable("refused_"+string(refusal.Reason), "worker "+t.worker+" refused: "+string(refusal.Reason))
+	case errors.Is(t.err, worker.ErrUnreachable):
+		return unavailable("unreachable", "worker "+t.worker+" was not reached")
+	case errors.Is(t.err, worker.ErrRefused):
+		return unavailable("refused", "worker "+t.worker+" refused before running")
+	}
+	return unknown("no_answer", "worker "+t.worker+" gave no whole answer: "+t.err.Error())
+}
+
+// try sends one attempt on a slot that has been taken. It goes on when the caller has gone, since the worker
+// does too: the slot is free again only when the worker has answered, or well after the deadline.
+func (h *Host) try(
+	r caller.Request, key string, b routing.Backend, fresh bool, router *routing.Router, results chan<- tried,
+) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	started := time.Now()
+	res, err := h.workers.Serve(ctx, b.Address, worker.Request{
+		Body: bytes.NewReader(r.Body), ContentLength: int64(len(r.Body)), Epoch: b.Epoch, Fresh: fresh,
+		Header: r.Header, ID: r.ID, Key: key, Method: r.Method, Path: r.Path, Query: r.Query, Service: r.Service,
+		Shard: h.backends.shardOf(b.Worker),
+	})
+	var whole []byte
+	more := false
+	if err == nil {
+		if whole, more, err = readWhole(res.Body); err != nil {
+			_ = res.Body.Close()
+			err = errors.Join(errNoAnswer, err)
+		}
+	}
+	took := time.Since(started)
+	end := func(result routing.Result, hold time.Duration) {
+		cancel()
+		router.Finished(time.Now(), b.Worker, took, result)
+		if hold > 0 {
+			time.AfterFunc(hold, func() { h.release(b.Worker) })
+			return
+		}
+		h.release(b.Worker)
+	}
+	if err != nil {
+		result, hold := ended(err, r.Deadline)
+		end(result, hold)
+		results <- tried{err: err, took: took, worker: b.Worker}
+		return
+	}
+	result := routing.ResultOK
+	if res.StatusCode >= http.StatusInternalServerError {
+		result = routing.ResultFailed
+	}
+	out := &caller.Response{Header: res.Header, Status: res.StatusCode}
+	if more {
+		out.Body = &closing{Reader: io.MultiReader(bytes.NewReader(whole), res.Body), close: func() {
+			_ = res.Body.Close()
+			end(result, 0)
+		}}
+	} else {
+		_ = res.Body.Close()
+		end(result, 0)
+		out.Body = io.NopCloser(bytes.NewReader(whole))
+	}
+	results <- tried{response: out, took: took, worker: b.Worker}
+}
+
+// ended sorts errors of an attempt: only an attempt that may still run holds its slot.
+func ended(err error, deadline time.Time) (routing.Result, time.Duration) {
+	switch {
+	case errors.Is(err, worker.ErrRefused):
+		return routing.ResultRefused, 0
+	case errors.Is(err, worker.ErrUnreachable):
+		return routing.ResultFailed, 0
+	}
+	return routing.ResultFailed, max(time.Until(deadline), 0) + lostHold
+}
+
+func (h *Host) release(worker string) {
+	h.backends.slots.Release(worker)
+	h.backends.wake()
+}
+
+// readWhole reads up to wholeBytes and reports whether more follows.
+func readWhole(body io.Reader) ([]byte, bool, error) {
+	data, err := io.ReadAll(io.LimitReader(body, wholeBytes+1))
+	return data, len(data) > wholeBytes, err
+}
+
+// closing is a body that runs a function once when it is closed.
+type closing struct {
+	io.Reader
+	close func()
+	done  bool
+}
+
+// Close runs the function of the first call.
+func (c *closing) Close() error {
+	if !c.done {
+		c.done = true
+		c.close()
+	}
+	return nil
+}
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -81,7 +81,9 @@
 	P99  note.Duration `json:"p99"`
 	// TakenAt is the end of the interval by the worker's clock.
 	TakenAt time.Time `json:"taken_at"`
-	Work    string    `json:"work"`
+	// Window is the length of the interval.
+	Window note.Duration `json:"window"`
+	Work   string        `json:"work"`
 }
 
 // Report is the response to a fence or a heartbeat.
