--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -24,9 +24,9 @@
 
 type event struct {
 	at      time.Time
-	id      string
 	isEnd   bool
 	kind    string
+	request admission.Request
 	service time.Duration
 }
 
@@ -58,12 +58,12 @@
 // simulate runs a queue on virtual time.
 func simulate(q *admission.Queue, seed uint64, span time.Duration, loads map[string]load) map[string]*tally {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	out, requests := map[string]*tally{}, map[string]admission.Request{}
+	out := map[string]*tally{}
 	var pending events
 	gap := func(kind string) time.Duration { return time.Duration(rng.ExpFloat64() / loads[kind].rate * 1e9) }
 	run := func(now time.Time, r admission.Request) {
 		service := time.Duration(rng.ExpFloat64() * float64(loads[r.Kind].mean))
-		heap.Push(&pending, event{at: now.Add(service), id: r.ID, isEnd: true, kind: r.Kind, service: service})
+		heap.Push(&pending, event{at: now.Add(service), isEnd: true, kind: r.Kind, request: r, service: service})
 	}
 	for _, kind := range []string{"critical", "flood", "other"} {
 		if _, ok := loads[kind]; ok {
@@ -83,13 +83,12 @@
 				Arrived: e.at, Deadline: e.at.Add(loads[e.kind].budget), ID: fmt.Sprint(n), Kind: e.kind, Team: loads[e.kind].team,
 			}
 			t.offered++
-			requests[r.ID] = r
 			if q.Offer(e.at, r).Verdict == admission.VerdictAdmitted {
 				run(e.at, r)
 			}
 			continue
 		}
-		r := requests[e.id]
+		r := e.request
 		t.busy += e.service
 		t.latencies = append(t.latencies, e.at.Sub(r.Arrived))
 		if e.at.After(r.Deadline) {
@@ -97,7 +96,7 @@
 		} else {
 			t.good++
 		}
-		for _, o := range q.Done(e.at, e.id, e.service, admission.ResultOK) {
+		for _, o := range q.Done(e.at, r.ID, e.service, admission.ResultOK) {
 			if o.Verdict == admission.VerdictAdmitted {
 				run(e.at, o.Request)
 			}
