--- a/internal/cmd/configcmd.go
+++ b/internal/cmd/configcmd.go
@@ -17,18 +17,15 @@
 
 type configExampleCmd struct{}
 
-func (c *configCmd) run(sys *system) int {
-	switch {
-	case c.Check != nil:
-		if _, err := settings.Load(c.Check.File); err != nil {
-			return sys.fail(err)
-		}
-		fmt.Fprintln(sys.stdout, "ok")
-		return exitDone
-	case c.Example != nil:
-		fmt.Fprint(sys.stdout, settings.Example)
-		return exitDone
+func (c *configCheckCmd) run(sys *system) int {
+	if _, err := settings.Load(c.File); err != nil {
+		return sys.fail(err)
 	}
-	fmt.Fprintln(sys.stderr, "error: config needs check or example")
-	return exitUsage
+	fmt.Fprintln(sys.stdout, "ok")
+	return exitDone
+}
+
+func (*configExampleCmd) run(sys *system) int {
+	fmt.Fprint(sys.stdout, settings.Example)
+	return exitDone
 }
--- /dev/null
+++ b/internal/cmd/jobcmd.go
@@ -0,0 +1,65 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+type jobCmd struct {
+	Cancel *jobCancelCmd `arg:"subcommand:cancel" help:"cancel the tasks of a job that have not ended"`
+	Status *jobStatusCmd `arg:"subcommand:status" help:"show a job and its tasks"`
+	Submit *jobSubmitCmd `arg:"subcommand:submit" help:"submit a batch work"`
+}
+
+// runJob makes a call that returns a job's status, and prints it.
+func runJob(
+	sys *system, r remote, o output,
+	call func(context.Context, *laburnumridge.Client) (laburnumridge.JobStatus, error),
+) int {
+	j, err := ask(r, call)
+	switch {
+	case err != nil:
+		return sys.fail(err)
+	case o.JSON:
+		return sys.printJSON(j)
+	}
+	printJob(sys, j)
+	return exitDone
+}
+
+func printJob(sys *system, j laburnumridge.JobStatus) {
+	fmt.Fprintf(sys.stdout, "job %s, work %s, zone %s, shard %s: %s\n",
+		j.ID, j.Work, orDash(j.Zone), orDash(j.Shard), j.Phase)
+	if j.ParkedReason != "" {
+		fmt.Fprintln(sys.stdout, "parked because:", j.ParkedReason)
+	}
+	var parts []string
+	for _, n := range []struct {
+		phase laburnumridge.Phase
+		count int
+	}{
+		{laburnumridge.PhaseQueued, j.Counts.Queued},
+		{laburnumridge.PhaseBound, j.Counts.Bound},
+		{laburnumridge.PhaseRunning, j.Counts.Running},
+		{laburnumridge.PhaseDone, j.Counts.Done},
+		{laburnumridge.PhaseFailed, j.Counts.Failed},
+		{laburnumridge.PhaseCancelled, j.Counts.Cancelled},
+		{laburnumridge.PhaseParked, j.Counts.Parked},
+	} {
+		if n.count > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n.count, n.phase))
+		}
+	}
+	if len(parts) > 0 {
+		fmt.Fprintln(sys.stdout, "tasks:", strings.Join(parts, ", "))
+	}
+	var rows [][]string
+	for _, t := range j.Tasks {
+		rows = append(rows, []string{t.ID, string(t.Phase), orDash(t.Worker), strconv.Itoa(t.Attempt)})
+	}
+	sys.printTable("TASK PHASE WORKER ATTEMPT", rows)
+}
--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime/debug"
+	"strings"
 
 	"github.com/alexflint/go-arg"
 )
@@ -15,8 +17,21 @@
 	exitUsage   = 2
 )
 
+const program = "laburnumridge"
+
+// args names all commands; a command is run by the run method of the struct that its field points to.
 type args struct {
-	Config *configCmd `arg:"subcommand:config" help:"check settings or print an example"`
+	Config  *configCmd  `arg:"subcommand:config" help:"check settings or print an example"`
+	Explain *explainCmd `arg:"subcommand:explain" help:"show the decisions that concern an id"`
+	InForce *inForceCmd `arg:"subcommand:in-force" help:"show the revision in force on each entry host"`
+	Job     *jobCmd     `arg:"subcommand:job" help:"submit, show or cancel a job"`
+	Note    *noteCmd    `arg:"subcommand:note" help:"plan, publish, amend, show or list release notes"`
+	Status  *statusCmd  `arg:"subcommand:status" help:"show zones, shards, work and workers"`
+}
+
+// runner is a command without subcommands.
+type runner interface {
+	run(sys *system) int
 }
 
 // Description is shown by --help.
@@ -24,27 +39,40 @@
 	return "laburnumridge schedules latency-critical services and batch work on the same workers"
 }
 
+// Version is shown by --version.
+func (args) Version() string {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		version = info.Main.Version
+	}
+	return program + " " + version
+}
+
 // Main runs the command that the arguments name and returns its exit code.
 func Main(argv []string, stdout, stderr io.Writer) int {
 	var a args
-	p, err := arg.NewParser(arg.Config{Program: "laburnumridge", Out: stderr}, &a)
+	p, err := arg.NewParser(arg.Config{Program: program, Out: stderr}, &a)
 	if err != nil {
 		fmt.Fprintln(stderr, "error:", err)
 		return exitUsage
 	}
-	switch err := p.Parse(argv); {
+	err = p.Parse(argv)
+	names := p.SubcommandNames()
+	switch {
 	case errors.Is(err, arg.ErrHelp):
-		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
+		_ = p.WriteHelpForSubcommand(stdout, names...)
 		return exitDone
-	case err != nil:
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
-	}
-	sys := &system{stdout: stdout, stderr: stderr}
-	switch {
-	case a.Config != nil:
-		return a.Config.run(sys)
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(stdout, a.Version())
+		return exitDone
+	case err == nil:
+		if r, ok := p.Subcommand().(runner); ok {
+			return r.run(&system{stdout: stdout, stderr: stderr})
+		}
+		err = errors.New("a command is missing")
 	}
-	p.WriteHelp(stderr)
+	_ = p.WriteUsageForSubcommand(stderr, names...)
+	help := strings.Join(append([]string{program}, names...), " ")
+	fmt.Fprintf(stderr, "error: %s\nrun %q for the commands and options\n", err, help+" --help")
 	return exitUsage
 }
--- /dev/null
+++ b/internal/cmd/remote.go
@@ -0,0 +1,66 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// remote holds the options of commands that ask an entry host.
+type remote struct {
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"time after which the command gives up"`
+	Token   string        `arg:"--token,env:LABURNUMRIDGE_TOKEN" help:"bearer token of the operators' interface"`
+	URL     []string      `arg:"--url,separate" help:"base URL of an entry host; repeat it for hosts to be tried in turn [default: http://127.0.0.1:8400, env: LABURNUMRIDGE_URL, separated by commas]" placeholder:"URL"`
+}
+
+// output holds the option of commands that print what they read back.
+type output struct {
+	JSON bool `arg:"--json" help:"print JSON"`
+}
+
+// ask calls an entry host within the timeout.
+func ask[T any](r remote, call func(context.Context, *laburnumridge.Client) (T, error)) (T, error) {
+	opts := []laburnumridge.Option{laburnumridge.WithToken(r.Token)}
+	if urls := r.urls(); len(urls) > 0 {
+		opts = append(opts, laburnumridge.WithURLs(urls...))
+	}
+	client, err := laburnumridge.New(opts...)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
+	defer cancel()
+	return call(ctx, client)
+}
+
+// urls returns the URLs of the options or else of the environment; go-arg would join both lists.
+func (r remote) urls() []string {
+	if env := os.Getenv("LABURNUMRIDGE_URL"); len(r.URL) == 0 && env != "" {
+		return strings.Split(env, ",")
+	}
+	return r.URL
+}
+
+// readNoteFile reads the text of a note; "-" is the standard input.
+func readNoteFile(name string) ([]byte, error) {
+	in := os.Stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, eris.Wrap(err, "reading the note")
+		}
+		defer f.Close()
+		in = f
+	}
+	// One byte more than allowed lets the entry host refuse a note that is too long.
+	text, err := io.ReadAll(io.LimitReader(in, note.MaxNoteBytes+1))
+	return text, eris.Wrap(err, "reading the note")
+}
--- /dev/null
+++ b/internal/cmd/statuscmd.go
@@ -0,0 +1,98 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+type statusCmd struct {
+	remote
+	output
+	Workers bool `arg:"--workers" help:"list all workers, not only those that are quarantined or leaving"`
+}
+
+func (c *statusCmd) run(sys *system) int {
+	s, err := ask(c.remote, func(ctx context.Context, client *laburnumridge.Client) (laburnumridge.Status, error) {
+		return client.Status(ctx)
+	})
+	switch {
+	case err != nil:
+		return sys.fail(err)
+	case c.JSON:
+		return sys.printJSON(s)
+	}
+	sys.printTable("ZONE ENTRY_HOSTS WORKERS REACHABLE", zoneRows(s.Zones))
+	sys.printTable("HOST ZONE REVISION DRAINING REACHABLE", hostRows(s.Hosts))
+	sys.printTable("SHARD OWNER EPOCH", shardRows(s.Shards))
+	sys.printTable("WORK KIND ZONE REPLICAS RUNNING WAITING", workRows(s.Works))
+	sys.printTable("TEAM ZONE USED QUOTA", teamRows(s.Teams))
+	sys.printTable("WORKER ZONE RESERVED CAPACITY STATE", workerRows(s.Workers, c.Workers))
+	if len(s.Unreachable) > 0 {
+		fmt.Fprintln(sys.stdout, "could not be asked:", strings.Join(s.Unreachable, ", "))
+	}
+	return exitDone
+}
+
+func hostRows(hosts []laburnumridge.HostStatus) (rows [][]string) {
+	for _, h := range hosts {
+		rows = append(rows, []string{
+			h.ID, h.Zone, strconv.FormatInt(h.Revision, 10), yesNo(h.Draining), yesNo(h.Reachable),
+		})
+	}
+	return rows
+}
+
+func shardRows(shards []laburnumridge.ShardStatus) (rows [][]string) {
+	for _, s := range shards {
+		rows = append(rows, []string{s.Shard, orDash(s.Owner), strconv.FormatInt(s.Epoch, 10)})
+	}
+	return rows
+}
+
+func teamRows(teams []laburnumridge.TeamStatus) (rows [][]string) {
+	for _, t := range teams {
+		rows = append(rows, []string{t.Team, t.Zone, orDash(t.Used.String()), orDash(t.Quota.String())})
+	}
+	return rows
+}
+
+func workRows(works []laburnumridge.WorkStatus) (rows [][]string) {
+	for _, w := range works {
+		replicas := "-"
+		if w.Replicas > 0 {
+			replicas = strconv.Itoa(w.Replicas)
+		}
+		rows = append(rows, []string{w.Work, w.Kind, w.Zone, replicas, strconv.Itoa(w.Running), strconv.Itoa(w.Waiting)})
+	}
+	return rows
+}
+
+func workerRows(workers []laburnumridge.WorkerStatus, all bool) (rows [][]string) {
+	for _, w := range workers {
+		state := "ok"
+		switch {
+		case w.Quarantined:
+			state = "quarantined"
+		case w.Leaving:
+			state = "leaving"
+		case !all:
+			continue
+		}
+		if w.Reason != "" {
+			state += ": " + w.Reason
+		}
+		rows = append(rows, []string{w.ID, w.Zone, orDash(w.Reserved.String()), w.Capacity.String(), state})
+	}
+	return rows
+}
+
+func zoneRows(zones []laburnumridge.ZoneStatus) (rows [][]string) {
+	for _, z := range zones {
+		rows = append(rows, []string{z.Name, strconv.Itoa(z.EntryHosts), strconv.Itoa(z.Workers), yesNo(z.Reachable)})
+	}
+	return rows
+}
--- a/internal/cmd/system.go
+++ b/internal/cmd/system.go
@@ -1,8 +1,11 @@
 package cmd
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
+	"text/tabwriter"
 )
 
 // system is what the commands share: where they print.
@@ -16,3 +19,33 @@
 	fmt.Fprintln(s.stderr, "error:", err)
 	return exitRefused
 }
+
+// printJSON prints a value as indented JSON.
+func (s *system) printJSON(v any) int {
+	enc := json.NewEncoder(s.stdout)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return s.fail(err)
+	}
+	return exitDone
+}
+
+// printRows prints rows with aligned columns and without trailing blanks.
+func (s *system) printRows(rows [][]string) {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+	for line := range strings.Lines(text.String()) {
+		fmt.Fprintln(s.stdout, strings.TrimRight(line, " \n"))
+	}
+}
+
+// printTable prints rows below a heading, or nothing if there are none.
+func (s *system) printTable(heading string, rows [][]string) {
+	if len(rows) > 0 {
+		s.printRows(append([][]string{strings.Fields(heading)}, rows...))
+	}
+}
