--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -26,6 +26,9 @@
 		Dir:                 "testdata/script",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
+			if err := os.CopyFS(env.Cd, os.DirFS("testdata/notes")); err != nil {
+				return err
+			}
 			e := echo.New()
 			operator.Register(e, newService(), operator.WithToken("secret"))
 			up := httptest.NewServer(e)
--- a/pkg/laburnumridge/note.go
+++ b/pkg/laburnumridge/note.go
@@ -31,9 +31,9 @@
 	Kind string `json:"kind,omitempty"`
 	Name string `json:"name"`
 	// Note is the accepted note that last changed the item.
-	Note     string `json:"note"`
-	Revision int64  `json:"revision"`
-	State ItemState `json:"state"`
+	Note     string    `json:"note"`
+	Revision int64     `json:"revision"`
+	State    ItemState `json:"state"`
 }
 
 // ItemState is the state of an item of an accepted note.
