--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/routing"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
@@ -35,27 +36,27 @@
 // before did not run; others also after a silence, and beside a slow attempt. All draw on shared budgets.
 func (h *Host) attempts(ctx context.Context, r caller.Request, key string) (*caller.Response, *laburnumridge.Problem) {
 	a := &run{host: h, key: key, request: r, results: make(chan tried, 8), router: h.policies.router(r.Service)}
-	h.policies.retries.First(time.Now())
-	h.policies.hedges.First(time.Now())
+	latency := h.policies.latency(r.Service)
+	h.policies.budget.Started(time.Now())
 	defer a.abandon()
 	if p := a.send(ctx, "first attempt"); p != nil {
 		return nil, p
 	}
-	hedge := time.NewTimer(h.policies.hedges.Delay(r.Service))
+	hedge := time.NewTimer(latency.HedgeDelay())
 	defer hedge.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, unknown("timeout", "no backend server answered in time")
 		case <-hedge.C:
-			if key == "" && a.tries == 1 && h.policies.hedges.Take(time.Now()) {
+			if key == "" && a.tries == 1 && h.policies.budget.Spend(time.Now(), retry.KindHedge) {
 				a.fresh = true
 				_ = a.send(ctx, "hedge: no answer within the usual time") // the first attempt goes on
 			}
 		case t := <-a.results:
 			a.pending--
 			if t.err == nil {
-				h.policies.hedges.Observe(r.Service, t.took)
+				latency.Observe(t.took)
 				return t.response, nil
 			}
 			if p, again := a.failed(ctx, t); !again {
@@ -76,12 +77,12 @@
 	if p.Outcome != laburnumridge.OutcomeNotRun && a.key != "" {
 		return p, false
 	}
-	if !a.host.policies.retries.Take(time.Now()) {
+	if !a.host.policies.budget.Spend(time.Now(), retry.KindRetry) {
 		p.Detail += "; the retry budget is spent"
 		return p, false
 	}
-	delay := a.host.policies.retries.Backoff(a.tries)
-	if time.Until(a.request.Deadline) <= delay {
+	delay := a.host.policies.backoff.Pause(a.tries, 0)
+	if !(retry.Deadline{Time: a.request.Deadline}).Allows(time.Now(), delay, t.took) {
 		return p, false
 	}
 	pause(ctx, delay)
--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -15,12 +15,10 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
-// hopMargin is taken off the time left at each hop, so that an answer about a timeout still arrives.
-const hopMargin = 20 * time.Millisecond
-
 // forward passes a request to another entry host. Nothing sent means not run; silence after sending means
 // unknown.
 func (h *Host) forward(
@@ -43,8 +41,8 @@
 	req.Header.Set(caller.HeaderForwarded, h.id)
 	req.Header.Set(caller.HeaderRequestID, r.ID)
 	if !r.Deadline.IsZero() {
-		left := time.Until(r.Deadline) - hopMargin
-		if left <= 0 {
+		left, ok := retry.Deadline{Time: r.Deadline}.Next(time.Now())
+		if !ok {
 			return nil, unavailable("deadline", "no time is left to pass the request on")
 		}
 		req.Header.Set(caller.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -30,8 +30,10 @@
 type notes struct {
 	applied func(note.Catalogue)
 	check   *invariant.Checker
-	log     *logrus.Entry
-	mu      sync.Mutex
+	// loaded says that the catalogue is that of the platform or of a peer, which may be empty.
+	loaded atomic.Bool
+	log    *logrus.Entry
+	mu     sync.Mutex
 	// publishing serialises this host's appends.
 	publishing sync.Mutex
 	catalogue  note.Catalogue
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -39,31 +40,32 @@
 	// admitted is the worker on which a task that waits has room reserved, by task.
 	admitted map[string]string
 	// draining is when a replica's backend server stopped taking requests, by job.
-	draining  map[string]time.Time
-	epoch     int64
-	failedOn  map[string][]string
-	grants    *granting
-	handing   bool
-	host      *Host
-	id        fleet.ShardID
-	ledger    *ledger.Owner
+	draining   map[string]time.Time
+	epoch      int64
+	failedOn   map[string][]string
+	grants     *granting
+	handing    bool
+	host       *Host
+	id         fleet.ShardID
+	ledger     *ledger.Owner
 	mitigation *mitigation
 	// freePercent is the part of the shard's processors that is not reserved, for peers.
-	freePercent atomic.Int64
-	lastPlace time.Time
-	log       *logrus.Entry
-	mail      chan func(now time.Time)
+	freePercent  atomic.Int64
+	lastPlace    time.Time
+	log          *logrus.Entry
+	mail         chan func(now time.Time)
 	pendingEntry *platform.Entry
-	placer    *placement.Placer
-	quarantined map[string]string
-	queue     *queue
-	reports   map[string]*workerReport
-	rollouts  map[string]time.Time
-	seenEnds  map[ledger.TaskEnd]time.Time
-	started   map[string]time.Time
-	store     *platform.Log
-	verifying atomic.Bool
-	waitsFor  map[string]string
+	placer       *placement.Placer
+	probes       map[string]string // worker that a task probes
+	quarantined  map[string]string
+	queue        *queue
+	reports      map[string]*workerReport
+	rollouts     map[string]time.Time
+	seenEnds     map[ledger.TaskEnd]time.Time
+	started      map[string]time.Time
+	store        *platform.Log
+	verifying    atomic.Bool
+	waitsFor     map[string]string
 }
 
 func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
@@ -78,6 +80,7 @@
 		id:          id,
 		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
 		mail:        make(chan func(time.Time), 1024),
+		probes:      map[string]string{},
 		quarantined: map[string]string{},
 		queue:       newQueue(),
 		reports:     map[string]*workerReport{},
@@ -251,7 +254,7 @@
 		return true
 	}
 	if o.attribution.IsQuarantined(worker) {
-		return o.attribution.MayProbe(worker, time.Now()) && o.attribution.IsGoodProbe(j.ID, j.Work)
+		return slices.ContainsFunc(j.TaskIDs(), func(task string) bool { return o.probes[task] == worker })
 	}
 	return !o.isClosedToBatch(worker)
 }
--- a/internal/host/ownerlearn.go
+++ b/internal/host/ownerlearn.go
@@ -23,6 +23,7 @@
 		return
 	}
 	o.seenEnds[end] = now
+	delete(o.probes, t.Task)
 	rec, ok := o.ledger.State().Task(t.Task)
 	if !ok || isReplica(rec.Job) {
 		return
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -27,6 +27,7 @@
 	o.forgetStarted(candidates)
 	view := o.view(now, workers, candidates)
 	ahead := 0
+	o.probe(now, workers, candidates)
 	for _, c := range o.queue.next(now, candidates, o.hasRoom) {
 		d, err := o.placer.Place(view, o.placementTask(c))
 		switch {
@@ -54,7 +55,8 @@
 // mayWait reports whether a task may go on waiting on the worker that it is bound to.
 func (o *shardOwner) mayWait(c ledger.Candidate) bool {
 	h, ok := o.host.hosts.snapshot().Host(c.Worker)
-	return ok && !h.IsLeaving() && !o.attribution.IsQuarantined(c.Worker) &&
+	return ok && !h.IsLeaving() &&
+		(!o.attribution.IsQuarantined(c.Worker) || o.probes[c.Task] == c.Worker) &&
 		!slices.Contains(o.failedOn[c.Task], c.Worker)
 }
 
@@ -244,7 +246,12 @@
 		Decision: string(d.Kind), Job: d.Job, Options: d.Jobs, Reason: d.Reason, Work: o.workOf(d.Job),
 		Worker: d.Worker,
 	})
-	if d.Kind == attribution.KindPark {
+	switch d.Kind {
+	case attribution.KindQuarantine, attribution.KindExtend:
+		o.quarantined[d.Worker] = d.Reason
+	case attribution.KindRelease:
+		delete(o.quarantined, d.Worker)
+	case attribution.KindPark:
 		if err := o.ledger.Park(d.Job, d.Reason); err != nil {
 			o.log.WithError(err).Warn("job was not parked")
 		}
--- a/internal/host/policies.go
+++ b/internal/host/policies.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,18 +10,30 @@
 	"github.com/laburnumridge/laburnumridge/internal/routing"
 )
 
+const (
+	firstPause   = 10 * time.Millisecond
+	longestPause = time.Second
+	// hedgeFallback is the hedge delay of a service until enough of its answers have been seen.
+	hedgeFallback = 500 * time.Millisecond
+)
+
 // policies holds what an entry host has learned for each service, and the budgets that all share.
 type policies struct {
-	hedges  *retry.Hedger
-	mu      sync.Mutex
-	retries *retry.Budget
-	routers map[string]*routing.Router
-	zone    string
+	backoff   *retry.Backoff
+	budget    *retry.Budget
+	latencies map[string]*retry.Latency
+	mu        sync.Mutex
+	routers   map[string]*routing.Router
+	zone      string
 }
 
 func newPolicies(h *Host) *policies {
 	return &policies{
-		hedges: retry.NewHedger(), retries: retry.NewBudget(), routers: map[string]*routing.Router{}, zone: h.zone,
+		backoff:   retry.NewBackoff(firstPause, longestPause, rand.Uint64()),
+		budget:    retry.NewBudget(time.Now()),
+		latencies: map[string]*retry.Latency{},
+		routers:   map[string]*routing.Router{},
+		zone:      h.zone,
 	}
 }
 
@@ -31,16 +44,28 @@
 	for work := range p.routers {
 		if _, ok := c.Item(work); !ok {
 			delete(p.routers, work)
+			delete(p.latencies, work)
 		}
 	}
 }
 
+func (p *policies) latency(work string) *retry.Latency {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.latencies[work]
+	if l == nil {
+		l = retry.NewLatency(hedgeFallback)
+		p.latencies[work] = l
+	}
+	return l
+}
+
 func (p *policies) router(work string) *routing.Router {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routers[work]
 	if r == nil {
-		r = routing.NewRouter(p.zone, routing.WithSeed(uint64(time.Now().UnixNano())))
+		r = routing.NewRouter(p.zone, routing.WithSeed(rand.Uint64()))
 		p.routers[work] = r
 	}
 	return r
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -11,8 +11,8 @@
 	Host        string `json:"host"`
 	PeerAddress string `json:"peer_address"`
 	// Run is unique to the process, so that a restarted host is told from the former one.
-	Run string `json:"run"`
-	Zone        string `json:"zone"`
+	Run  string `json:"run"`
+	Zone string `json:"zone"`
 }
 
 // Owned tells that the sender owns a shard.
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -96,10 +96,10 @@
 	// EpochCapable is present in full reports.
 	EpochCapable bool `json:"epoch_capable,omitempty"`
 	// Full says that Tasks lists every attempt the worker holds, not only the changed ones.
-	Full     bool       `json:"full,omitempty"`
-	InFlight []InFlight `json:"in_flight,omitempty"`
-	Latency []LatencySample `json:"latency,omitempty"`
-	Leaving bool            `json:"leaving,omitempty"`
+	Full     bool            `json:"full,omitempty"`
+	InFlight []InFlight      `json:"in_flight,omitempty"`
+	Latency  []LatencySample `json:"latency,omitempty"`
+	Leaving  bool            `json:"leaving,omitempty"`
 	// SentAt is the worker's clock, present with samples: the age of a sample is SentAt less TakenAt.
 	SentAt time.Time `json:"sent_at,omitzero"`
 	// Tasks always includes the ended attempts that are not acknowledged.
