--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -22,10 +22,12 @@
 // args names all commands; a command is run by the run method of the struct that its field points to.
 type args struct {
 	Config  *configCmd  `arg:"subcommand:config" help:"check settings or print an example"`
+	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a small fleet in this process and report on it"`
 	Explain *explainCmd `arg:"subcommand:explain" help:"show the decisions that concern an id"`
 	InForce *inForceCmd `arg:"subcommand:in-force" help:"show the revision in force on each entry host"`
 	Job     *jobCmd     `arg:"subcommand:job" help:"submit, show or cancel a job"`
 	Note    *noteCmd    `arg:"subcommand:note" help:"plan, publish, amend, show or list release notes"`
+	Serve   *serveCmd   `arg:"subcommand:serve" help:"run the daemon of an entry host"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show zones, shards, work and workers"`
 }
 
--- a/internal/cmd/system.go
+++ b/internal/cmd/system.go
@@ -20,6 +20,12 @@
 	return exitRefused
 }
 
+// usage prints an error of the arguments and returns the exit code for it.
+func (s *system) usage(err error) int {
+	fmt.Fprintln(s.stderr, "error:", err)
+	return exitUsage
+}
+
 // printJSON prints a value as indented JSON.
 func (s *system) printJSON(v any) int {
 	enc := json.NewEncoder(s.stdout)
--- /dev/null
+++ b/internal/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo runs a small fleet of stand-ins and entry hosts in one process.
+package demo
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,201 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/fake"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/host"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+)
+
+// hostListLag is the lag of the platform's host list.
+const hostListLag = 500 * time.Millisecond
+
+// Fleet is a platform stand-in, workers and entry hosts on loopback.
+type Fleet struct {
+	Journal  *fake.Journal
+	Platform *fake.Platform
+
+	endpoint  string
+	log       *logrus.Logger
+	mu        sync.Mutex
+	nodes     map[string]*node
+	onFailure func(name, detail string)
+	user      User
+	workers   map[string]*fake.Worker
+}
+
+// node is a running entry host.
+type node struct {
+	cancel context.CancelFunc
+	done   chan error
+	host   *host.Host
+	listen settings.Listen
+}
+
+// StartFleet starts the platform stand-in and the workers of a user's first zones, without entry hosts.
+func StartFleet(user User, log *logrus.Logger, onFailure func(name, detail string)) (*Fleet, error) {
+	f := &Fleet{
+		Journal:   fake.NewJournal(time.Now),
+		Platform:  fake.NewPlatform(fake.WithHostLag(hostListLag)),
+		log:       log,
+		nodes:     map[string]*node{},
+		onFailure: onFailure,
+		user:      user,
+		workers:   map[string]*fake.Worker{},
+	}
+	var err error
+	if f.endpoint, err = f.Platform.Start(); err != nil {
+		return nil, eris.Wrap(err, "platform stand-in")
+	}
+	for _, zone := range user.Zones {
+		for i := range user.WorkersPerZone {
+			if err := f.StartWorker(fmt.Sprintf("%s-worker-%02d", zone, i+1), zone, i/user.WorkersPerRack); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// Invariants returns the checks made and failed by the entry hosts that run.
+func (f *Fleet) Invariants() (checked, violated int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		c, v := n.host.Invariants()
+		checked, violated = checked+c, violated+v
+	}
+	return checked, violated
+}
+
+// RemoveHost takes an entry host off the host list and stops it gracefully.
+func (f *Fleet) RemoveHost(id string) error {
+	f.mu.Lock()
+	n, ok := f.nodes[id]
+	delete(f.nodes, id)
+	f.mu.Unlock()
+	if !ok {
+		return eris.Errorf("no entry host %s", id)
+	}
+	f.Platform.RemoveHost(id)
+	n.cancel()
+	return <-n.done
+}
+
+// KillWorker ends a worker as a power failure does and takes it off the host list.
+func (f *Fleet) KillWorker(id string) {
+	f.mu.Lock()
+	w := f.workers[id]
+	delete(f.workers, id)
+	f.mu.Unlock()
+	if w != nil {
+		w.Kill()
+	}
+	f.Platform.RemoveHost(id)
+}
+
+// StartHost starts an entry host with free ports.
+func (f *Fleet) StartHost(id, zone string) error {
+	s := settings.Default()
+	s.Host, s.Region, s.Zone = id, f.user.Region, zone
+	s.Platform.Endpoints = []string{f.endpoint}
+	s.Log.Level = "info"
+	for _, address := range []*string{&s.Listen.Caller, &s.Listen.Debug, &s.Listen.Peer} {
+		free, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	h, err := host.New(s, host.WithLog(f.log), host.WithQuickStart(), host.WithFailure(f.onFailure))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{cancel: cancel, done: make(chan error, 1), host: h, listen: s.Listen}
+	go func() { n.done <- h.Run(ctx) }()
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	f.Platform.SetHost(fleet.Host{
+		Address: s.Listen.Caller, ID: id, Kind: fleet.KindEntryHost, PeerAddress: s.Listen.Peer,
+		State: fleet.StateLive, Zone: zone,
+	})
+	return nil
+}
+
+// StartWorker starts a worker and puts it on the host list.
+func (f *Fleet) StartWorker(id, zone string, rack int) error {
+	w := fake.NewWorker(
+		fake.WithID(id), fake.WithJournal(f.Journal), fake.WithCapacity(f.user.Worker), fake.WithProfile(shortRuns),
+	)
+	if err := w.Start(); err != nil {
+		return eris.Wrapf(err, "worker %s", id)
+	}
+	f.mu.Lock()
+	f.workers[id] = w
+	f.mu.Unlock()
+	f.Platform.SetHost(fleet.Host{
+		Address: w.Address(), Capacity: f.user.Worker, ID: id, Kind: fleet.KindWorker,
+		Rack: fmt.Sprintf("%s-rack-%d", zone, rack+1), State: fleet.StateLive, Zone: zone,
+	})
+	return nil
+}
+
+// Stop stops all entry hosts gracefully, then the stand-ins.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	nodes, workers := f.nodes, f.workers
+	f.nodes, f.workers = map[string]*node{}, map[string]*fake.Worker{}
+	f.mu.Unlock()
+	var all sync.WaitGroup
+	for _, n := range nodes {
+		all.Go(func() {
+			n.cancel()
+			<-n.done
+		})
+	}
+	all.Wait()
+	for _, w := range workers {
+		w.Kill()
+	}
+	f.Platform.Stop()
+}
+
+// URLs returns the base URLs of the entry hosts that run.
+func (f *Fleet) URLs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, n := range f.nodes {
+		out = append(out, "http://"+n.listen.Caller)
+	}
+	return out
+}
+
+// shortRuns makes tasks end within seconds, whatever their declared run time is.
+func shortRuns(in worker.StartRequest) fake.Profile {
+	p := fake.DeclaredProfile(in)
+	p.RunTime = 500*time.Millisecond + in.RunTime.Duration/5000
+	p.CheckpointInterval = 200 * time.Millisecond
+	return p
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -56,15 +57,54 @@
 	if g.Slots.Epoch == s.epoch {
 		b.installCounts(s, g, now)
 	}
+	b.mu.Unlock()
+	b.wake()
+	return b.ack(id, now)
+}
+
+// ack returns what the host has of a shard and needs; it is also sent without a grant, so that a new owner
+// learns of the host.
+func (b *backends) ack(id fleet.ShardID, now time.Time) peer.GrantAck {
 	ack := peer.GrantAck{
-		Connections: b.connections.Ack(id, now), ReplicasVersion: s.version, Slots: b.slots.Ack(id, now),
+		Connections: b.connections.Ack(id, now), ReplicasVersion: -1, Slots: b.slots.Ack(id, now),
+	}
+	b.mu.Lock()
+	if s := b.shards[id]; s != nil {
+		ack.ReplicasVersion = s.version
 	}
 	b.mu.Unlock()
-	b.wake()
 	ack.SlotDemand, ack.ConnectionDemand = b.host.demand()
 	return ack
 }
 
+// run announces the host to the owners of its zone's shards until ctx ends.
+func (b *backends) run(ctx context.Context) {
+	ticker := time.NewTicker(grantEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			b.announce(now)
+		}
+	}
+}
+
+func (b *backends) announce(now time.Time) {
+	for i := range b.host.shardCount(b.host.zone) {
+		id := fleet.ShardID{Index: i, Zone: b.host.zone}
+		if o, ok := b.host.shards.get(id); ok {
+			o.grants.acked(b.host.run, b.ack(id, now))
+			continue
+		}
+		if owner, ok := b.host.shards.ownerOf(id); ok {
+			ack := b.ack(id, now)
+			_ = b.host.mesh.Send(owner.host, peer.Message{GrantAck: &ack}) // the next one follows soon
+		}
+	}
+}
+
 func (b *backends) installCounts(s *shardBackends, g peer.Grant, now time.Time) {
 	if g.Renews {
 		// Without the counts that it renews, the acknowledgement shows an old grant and a whole one follows.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -163,7 +163,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		h.session.run, h.hosts.run, h.notes.run, h.jobs.run, h.mesh.Run, h.shards.run, h.schedule, h.admit,
+		h.session.run, h.hosts.run, h.notes.run, h.jobs.run, h.mesh.Run, h.shards.run, h.schedule, h.admit, h.backends.run,
 	} {
 		loops.Go(func() { loop(work) })
 	}
--- a/internal/host/ownerwork.go
+++ b/internal/host/ownerwork.go
@@ -19,11 +19,11 @@
 
 // replicaJob returns the job of a replica. The id changes with the resources only, so that a note that
 // changes anything else of a service restarts nothing.
-func replicaJob(w note.Work, index int) ledger.Job {
+func replicaJob(w note.Work, zone string, index int) ledger.Job {
 	h := fnv.New32a()
 	fmt.Fprintf(h, "%s %+v", w.Kind, w.Resources)
 	return ledger.Job{
-		ID:        fmt.Sprintf("%s%s~%08x~%d", replicaPrefix, w.Name, h.Sum32(), index),
+		ID:        fmt.Sprintf("%s%s~%s~%08x~%d", replicaPrefix, w.Name, zone, h.Sum32(), index),
 		Kind:      w.Kind,
 		Resources: w.Resources,
 		Tasks:     1,
@@ -54,7 +54,7 @@
 			if i%shards != o.id.Index {
 				continue
 			}
-			j := replicaJob(w, i)
+			j := replicaJob(w, o.id.Zone, i)
 			wanted[j.ID] = true
 			j.SubmittedAt = now.UnixMilli()
 			o.ledger.Accept(j)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -136,7 +136,7 @@
 		}
 	case m.Grant != nil:
 		ack := h.backends.install(*m.Grant, now)
-		_ = h.mesh.Send(from.Host, peer.Message{GrantAck: &ack}) // a lost ack is repeated with the next grant
+		_ = h.mesh.Send(from.Host, peer.Message{GrantAck: &ack}) // a lost one is followed by the next
 		h.admitted.decided(h.admitted.queue.SetCapacity(now, h.backends.granted(now)))
 	case m.GrantAck != nil:
 		if o, ok := h.shards.get(m.GrantAck.Slots.Shard); ok {
