--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -58,10 +58,11 @@
 func WithViolated(f func(name, detail string)) Option { return func(o *Owner) { o.violated = f } }
 
 // NewOwner returns the owner of a shard whose log reads as s, with an epoch that no other owner has.
-// It proposes the takeover first and acts once that is committed.
+// It proposes the takeover first and acts once that is committed. It is deposed at once if the log holds a
+// takeover with this or a later epoch: its host was paused after it took the epoch.
 func NewOwner(s State, host string, epoch int64, renewedAt time.Time, options ...Option) *Owner {
 	o := &Owner{
-		epoch: epoch, host: host, lastRenewal: renewedAt, proposed: map[string]bool{},
+		deposed: epoch <= s.Epoch(), epoch: epoch, host: host, lastRenewal: renewedAt, proposed: map[string]bool{},
 		runs: map[string]*run{}, state: s, timing: DefaultTiming(), views: map[string]*view{},
 		violated: func(string, string) {},
 	}
--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -281,6 +281,12 @@
 	assert.Assert(t, errors.Is(b.Bind("job/0", "w2"), ledger.ErrNotOwner))
 }
 
+func TestOwnerPausedBeforeItsTakeoverOverridesALaterOne(t *testing.T) {
+	o := ledger.NewOwner(stateOf(t, false), "host", 1, t0)
+	assert.Assert(t, o.IsDeposed())
+	assert.Assert(t, o.Tick(t0).Commit == nil)
+}
+
 func TestWithdrawnJobEndsWhileItRuns(t *testing.T) {
 	b := newBench(t, stateOf(t, false), 2, "w1")
 	b.answer("w1", "boot", true, report("job/0", 1, ledger.PhaseRunning, 0))
