Hand keys over with their shard and let stale grants wait for new ones

Change: a draining owner gives its key table to its successor; the first owner of a shard has no predecessor to wait for; a new owner tells its zone at once; a refusal for a stale epoch costs no retry budget; a keyed request whose owner is not known is unknown, since an earlier one may have run.

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/caller"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/routing"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -25,11 +26,13 @@
 	fresh    bool
 	host     *Host
 	key      string
-	pending  int
-	results  chan tried
-	request  caller.Request
-	router   *routing.Router
-	tries    int
+	// mayHaveRun says that an attempt ended without telling whether it ran.
+	mayHaveRun bool
+	pending    int
+	results    chan tried
+	request    caller.Request
+	router     *routing.Router
+	tries      int
 }
 
 // attempts sends a request until it is answered. A request with a key is sent again only if the attempt
@@ -39,7 +42,7 @@
 	latency := h.policies.latency(r.Service)
 	h.policies.budget.Started(time.Now())
 	defer a.abandon()
-	if p := a.send(ctx, "first attempt"); p != nil {
+	if p := a.send(ctx, "first attempt", true); p != nil {
 		return nil, p
 	}
 	hedge := time.NewTimer(latency.HedgeDelay())
@@ -51,7 +54,7 @@
 		case <-hedge.C:
 			if key == "" && a.tries == 1 && h.policies.budget.Spend(time.Now(), retry.KindHedge) {
 				a.fresh = true
-				_ = a.send(ctx, "hedge: no answer within the usual time") // the first attempt goes on
+				_ = a.send(ctx, "hedge: no answer within the usual time", false) // the first attempt goes on
 			}
 		case t := <-a.results:
 			a.pending--
@@ -59,45 +62,55 @@
 				latency.Observe(t.took)
 				return t.response, nil
 			}
-			if p, again := a.failed(ctx, t); !again {
-				return nil, p
+			if p := a.failed(ctx, t); p != nil {
+				return nil, a.truthful(p)
 			}
 		}
 	}
 }
 
-// failed decides what follows an attempt without a response.
-func (a *run) failed(ctx context.Context, t tried) (*laburnumridge.Problem, bool) {
+// truthful turns not_run into unknown if an earlier attempt may have run.
+func (a *run) truthful(p *laburnumridge.Problem) *laburnumridge.Problem {
+	if a.mayHaveRun && p.Outcome == laburnumridge.OutcomeNotRun {
+		return unknown(p.Reason, p.Detail+"; an earlier attempt may have run")
+	}
+	return p
+}
+
+// failed decides what follows an attempt without a response; nil means that another one is under way.
+func (a *run) failed(ctx context.Context, t tried) *laburnumridge.Problem {
 	a.excluded = append(a.excluded, t.worker)
 	p := t.problem()
 	a.host.explainRequest(a.request, "attempt_failed", fmt.Sprintf("%s: %s", p.Outcome, p.Detail), t.worker)
+	a.mayHaveRun = a.mayHaveRun || p.Outcome != laburnumridge.OutcomeNotRun
 	if a.pending > 0 {
-		return nil, true // the other attempt may still answer
+		return nil // the other attempt may still answer
+	}
+	if a.mayHaveRun && a.key != "" {
+		return p
 	}
-	if p.Outcome != laburnumridge.OutcomeNotRun && a.key != "" {
-		return p, false
+	var refusal worker.Refusal
+	if errors.As(t.err, &refusal) && refusal.Reason == worker.ReasonStaleEpoch {
+		// A new owner has fenced the worker and will grant slots; the refusal cost the worker nothing.
+		a.host.backends.fence(t.worker, refusal.Epoch)
+		a.excluded = nil
+		return a.send(ctx, "grant of an earlier owner was refused", true)
 	}
 	if !a.host.policies.budget.Spend(time.Now(), retry.KindRetry) {
 		p.Detail += "; the retry budget is spent"
-		return p, false
+		return p
 	}
 	delay := a.host.policies.backoff.Pause(a.tries, 0)
 	if !(retry.Deadline{Time: a.request.Deadline}).Allows(time.Now(), delay, t.took) {
-		return p, false
+		return p
 	}
 	pause(ctx, delay)
 	a.fresh = errors.Is(t.err, errNoAnswer)
-	if next := a.send(ctx, "retry after "+p.Reason); next != nil {
-		if a.tries > 1 && p.Outcome != laburnumridge.OutcomeNotRun {
-			return p, false // an earlier attempt may have run
-		}
-		return next, false
-	}
-	return nil, true
+	return a.send(ctx, "retry after "+p.Reason, true)
 }
 
-// send routes one attempt and starts it; it waits for a slot as long as the deadline allows.
-func (a *run) send(ctx context.Context, why string) *laburnumridge.Problem {
+// send routes one attempt and starts it. It may wait for a slot as long as the deadline allows.
+func (a *run) send(ctx context.Context, why string, wait bool) *laburnumridge.Problem {
 	h := a.host
 	since := time.Now()
 	for {
@@ -118,6 +131,9 @@
 		if errors.As(err, &none) && !waitsForSlot(none) && now.Sub(since) > noBackendWait {
 			return unavailable("no_backend", none.Error())
 		}
+		if !wait {
+			return unavailable("no_slot", "no slot is free at once")
+		}
 		select {
 		case <-ctx.Done():
 			return unavailable("timeout", "no slot became free in time")
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -166,6 +166,13 @@
 	return sum
 }
 
+// fence makes grants of a worker's shard under earlier epochs unusable.
+func (b *backends) fence(worker string, epoch int64) {
+	id := b.shardOf(worker)
+	b.slots.Fence(id, epoch)
+	b.connections.Fence(id, epoch)
+}
+
 // shardOf returns the shard in which a worker is.
 func (b *backends) shardOf(worker string) fleet.ShardID {
 	h, _ := b.host.hosts.snapshot().Host(worker)
--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -43,7 +43,7 @@
 	if !r.Deadline.IsZero() {
 		left, ok := retry.Deadline{Time: r.Deadline}.Next(time.Now())
 		if !ok {
-			return nil, unavailable("deadline", "no time is left to pass the request on")
+			return nil, unavailable("peer_deadline", "no time is left to pass the request on")
 		}
 		req.Header.Set(caller.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	}
--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -62,9 +62,12 @@
 	g.slots.SetDemand(run, ack.Slots.Stamp, map[string]float64{anyService: ack.SlotDemand})
 	g.connections.SetDemand(run, ack.Connections.Stamp, map[string]float64{anyService: ack.ConnectionDemand})
 	g.owner.post(func(time.Time) {
-		if s := g.sent[run]; s != nil {
-			s.ackedReplicas, s.ackedSlots = ack.ReplicasVersion, ack.Slots.Seq
+		s := g.sent[run]
+		if s == nil {
+			g.lastRound = time.Time{} // a host that is new gets its grant at the next tick
+			return
 		}
+		s.ackedReplicas, s.ackedSlots = ack.ReplicasVersion, ack.Slots.Seq
 	})
 }
 
--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -40,10 +41,24 @@
 	owner, ok := h.shards.ownerOf(id)
 	if !ok || !owner.serving || r.Forwarded != "" {
 		h.explainRequest(r, "key_refuse", "no entry host that serves keys of "+id.String()+" is known", "")
-		return nil, unavailable("key_owner_unknown", "no entry host serves keys of "+id.String()+" now")
+		return nil, repeatable("key_owner_unknown", "no entry host serves keys of "+id.String()+" now")
 	}
 	h.explainRequest(r, "key_forward", "key of "+id.String()+", owned by "+owner.host, "")
-	return h.forward(ctx, r, owner.host, false)
+	res, p := h.forward(ctx, r, owner.host, false)
+	if p != nil && p.Outcome == laburnumridge.OutcomeNotRun && p.Reason != "" && strings.HasPrefix(p.Reason, "peer_") {
+		// Only the owner knows whether an earlier request with this key has run.
+		return nil, repeatable(p.Reason, p.Detail)
+	}
+	return res, p
+}
+
+// repeatable is the problem of a request whose key was not looked up: an earlier one may have run, and it may
+// be repeated with the same key without harm.
+func repeatable(reason, detail string) *laburnumridge.Problem {
+	p := problem(http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, reason,
+		detail+"; a repeat with the same key is safe")
+	p.RetryAfter = 1
+	return p
 }
 
 // claimed runs a request whose key's partition this host owns.
--- a/internal/host/keys.go
+++ b/internal/host/keys.go
@@ -42,8 +42,10 @@
 	return ok && t.MayClaim(now)
 }
 
-func (k *keys) took(id fleet.ShardID, epoch int64) {
+func (k *keys) took(id fleet.ShardID, epoch int64) *idempotency.Table {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.tables[id] = keyTable{Table: idempotency.NewTable(idempotency.DefaultLimits()), epoch: epoch}
+	table := idempotency.NewTable(idempotency.DefaultLimits())
+	k.tables[id] = keyTable{Table: table, epoch: epoch}
+	return table
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -126,10 +126,14 @@
 	switch {
 	case m.Heartbeat != nil:
 		h.peers.heard(from, *m.Heartbeat, now)
+		changed := false
 		for _, o := range m.Heartbeat.Owned {
-			h.shards.saw(o.Shard(), sighting{
+			changed = h.shards.saw(o.Shard(), sighting{
 				at: now, epoch: o.Epoch, free: o.FreePercent, host: from.Host, serving: o.Serving,
-			})
+			}) || changed
+		}
+		if changed {
+			h.backends.announce(now) // a new owner grants only to hosts that it knows
 		}
 		if m.Heartbeat.Revision > h.notes.revision() && h.peers.startPull(from.Host) {
 			go h.pullNotes(from.Host)
@@ -166,6 +170,8 @@
 		return peer.Message{NotesReply: &reply}, err
 	case m.Explain != nil:
 		return peer.Message{ExplainReply: &peer.ExplainReply{Decisions: h.ring.Find(m.Explain.ID)}}, nil
+	case m.Handover != nil:
+		return peer.Message{}, h.shards.takeHandover(ctx, *m.Handover)
 	case m.Status != nil:
 		data, err := json.Marshal(h.localStatus(ctx, m.Status.Job))
 		return peer.Message{StatusReply: &peer.StatusReply{Status: data}}, eris.Wrap(err, "status")
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -36,6 +36,8 @@
 // shards holds the shards that the host owns and what peers say of theirs.
 type shards struct {
 	counts map[string]int // shards of each zone
+	// handed holds the keys of shards that their last owner gave to this host.
+	handed map[fleet.ShardID]handed
 	host   *Host
 	mu     sync.Mutex
 	owned  map[fleet.ShardID]*ownedShard
@@ -51,6 +53,12 @@
 	owner  *shardOwner
 }
 
+// handed is what the owner of an epoch gave to this host.
+type handed struct {
+	epoch int64
+	keys  handedKeys
+}
+
 type sighting struct {
 	at      time.Time
 	epoch   int64
@@ -62,6 +70,7 @@
 func newShards(h *Host) *shards {
 	return &shards{
 		counts:   map[string]int{},
+		handed:   map[fleet.ShardID]handed{},
 		host:     h,
 		owned:    map[fleet.ShardID]*ownedShard{},
 		seen:     map[fleet.ShardID]sighting{},
@@ -95,13 +104,16 @@
 	return out
 }
 
-// saw takes a peer's word that it owns a shard; of two, the higher epoch counts.
-func (s *shards) saw(id fleet.ShardID, w sighting) {
+// saw takes a peer's word that it owns a shard and reports whether it is news; of two owners, the one with the
+// higher epoch counts.
+func (s *shards) saw(id fleet.ShardID, w sighting) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.epoch >= s.seen[id].epoch {
+	have := s.seen[id].epoch
+	if w.epoch >= have {
 		s.seen[id] = w
 	}
+	return w.epoch > have
 }
 
 // ownerOf returns the last host that said it owns a shard.
@@ -254,7 +266,9 @@
 	s.owned[id] = o
 	s.verified[id] = verified
 	s.mu.Unlock()
-	s.host.keys.took(id, epoch)
+	table := s.host.keys.took(id, epoch)
+	s.inherit(id, epoch, table)
+	s.host.mesh.BeatNow()
 	go func() {
 		defer close(o.done)
 		defer cancel()
@@ -327,6 +341,7 @@
 	var all sync.WaitGroup
 	for id, o := range owned {
 		all.Go(func() {
+			keys := s.handedOf(id, o.owner.epoch)
 			o.owner.post(func(time.Time) { o.owner.handing = true })
 			select {
 			case <-o.done:
@@ -334,20 +349,38 @@
 				o.cancel()
 				<-o.done
 			}
-			s.free(ctx, id, o.owner.epoch)
+			if s.free(ctx, id, o.owner.epoch) {
+				s.handTo(ctx, id, o.owner.epoch, keys)
+			}
 		})
 	}
 	all.Wait()
 }
 
-func (s *shards) free(ctx context.Context, id fleet.ShardID, epoch int64) {
+// handedOf ends the claims of a shard's key table and returns it for the next owner.
+func (s *shards) handedOf(id fleet.ShardID, epoch int64) []byte {
+	table, ok := s.host.keys.get(id)
+	if !ok || table.epoch != epoch {
+		return nil
+	}
+	var keys handedKeys
+	keys.Handed, keys.Since = table.HandOver(handedResponses)
+	data, err := json.Marshal(keys)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// free takes the host out of the shard's record and reports whether that is certain.
+func (s *shards) free(ctx context.Context, id fleet.ShardID, epoch int64) bool {
 	rec, mod, err := s.read(ctx, id)
 	if err != nil || rec.Owner != s.host.id || rec.Epoch != epoch {
-		return
+		return false
 	}
 	value, err := json.Marshal(shardRecord{Epoch: epoch})
 	if err != nil {
-		return
+		return false
 	}
 	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
 	s.host.ring.Add(explain.Decision{
@@ -356,4 +389,5 @@
 	if err != nil {
 		s.host.log.WithError(err).Warn("shard was not freed; it is taken over when this host's lease has run out")
 	}
+	return err == nil
 }
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -90,11 +90,15 @@
 
 // Table holds the keys that one owner of a shard claimed in one epoch. It is safe for concurrent use.
 type Table struct {
-	bytes   int
+	bytes int
+	// closed says that the table was handed over.
+	closed  bool
 	entries map[string]*entry
-	lease   claimLease
-	limits  Limits
-	mu      sync.Mutex
+	// inherited is the time since which the table of the last owner is complete, if it was handed over.
+	inherited *time.Time
+	lease     claimLease
+	limits    Limits
+	mu        sync.Mutex
 	// order holds the entries in the order of their claims.
 	order *list.List
 }
@@ -115,7 +119,7 @@
 func (t *Table) Claim(now time.Time, k Key, f Fingerprint) Claim {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[k.text]; e != nil {
+	if e := t.entries[k.text]; e != nil && !t.closed {
 		return e.claim(f)
 	}
 	if c, ok := t.refuse(now, k); ok {
@@ -214,17 +218,19 @@
 	if k.MintedAt.Sub(now) > t.limits.ClockTolerance {
 		return Claim{Verdict: VerdictNotRun, Reason: "key has a time in the future"}, true
 	}
+	if t.closed {
+		return unknown("the owner hands its keys over")
+	}
 	from := t.lease.servesFrom
 	if from.IsZero() || now.Before(from) {
 		return unknown("an earlier owner may have run the request")
 	}
-	// An earlier owner could claim until now; its clock and the caller's may each be off by the tolerance.
-	from = from.Add(2 * t.limits.ClockTolerance)
+	since := t.since()
 	if k.MintedAt.IsZero() {
-		if now.Before(from.Add(t.limits.Window)) {
+		if !since.IsZero() && now.Before(since.Add(t.limits.Window)) {
 			return unknown("key has no time, and an earlier owner may have run the request")
 		}
-	} else if k.MintedAt.Before(from) {
+	} else if k.MintedAt.Before(since) {
 		return unknown("key was minted before this owner took over")
 	} else if now.Sub(k.MintedAt) > t.limits.Window {
 		return unknown("key is too old")
@@ -235,6 +241,15 @@
 	return Claim{}, false
 }
 
+// since is the time from which keys were minted that no earlier owner can have claimed unknown to the table;
+// zero means all. An earlier owner's clock and a caller's may each be off by the tolerance.
+func (t *Table) since() time.Time {
+	if t.inherited != nil {
+		return *t.inherited
+	}
+	return t.lease.servesFrom.Add(2 * t.limits.ClockTolerance)
+}
+
 func (t *Table) remove(e *entry) {
 	t.order.Remove(e.element)
 	delete(t.entries, e.key)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// BeatNow sends a heartbeat to the peers of the zone at once, for news that should not wait.
+func (m *Mesh) BeatNow() {
+	hb := m.heartbeat()
+	frame := encode(Message{Heartbeat: &hb})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		if c.hello.Zone == m.self.Zone {
+			_ = c.sendFrame(frame) // the regular heartbeat follows
+		}
+	}
+}
+
 // Connected returns the connected peers by id.
 func (m *Mesh) Connected() []Status {
 	m.mu.Lock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -89,6 +89,14 @@
 	Status []byte `json:"status"`
 }
 
+// Handover gives a shard and its idempotency keys to the host that is to own it next.
+type Handover struct {
+	Epoch int64  `json:"epoch"`
+	Index int    `json:"index"`
+	Keys  []byte `json:"keys"`
+	Zone  string `json:"zone"`
+}
+
 // Message is one frame; one of its pointers is set. ID matches a reply to its request.
 type Message struct {
 	Explain        *ExplainRequest `json:"explain,omitempty"`
@@ -97,6 +105,7 @@
 	GrantAck       *GrantAck       `json:"grant_ack,omitempty"`
 	Heartbeat      *Heartbeat      `json:"hb,omitempty"`
 	Hello          *Hello          `json:"hello,omitempty"`
+	Handover       *Handover       `json:"handover,omitempty"`
 	ID             uint64          `json:"id,omitempty"`
 	Notes          *NotesRequest   `json:"notes,omitempty"`
 	NotesReply     *NotesReply     `json:"notes_reply,omitempty"`
