--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -65,8 +65,8 @@
 func (h *Host) claimed(
 	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID, table keyTable,
 ) (*caller.Response, *laburnumridge.Problem) {
-	print := idempotency.FingerprintOf(r.Method, r.Service+r.Path+"?"+r.Query, sha256.Sum256(r.Body))
-	claim := table.Claim(time.Now(), key, print)
+	fingerprint := idempotency.FingerprintOf(r.Method, r.Service+r.Path+"?"+r.Query, sha256.Sum256(r.Body))
+	claim := table.Claim(time.Now(), key, fingerprint)
 	h.explainRequest(r, "key_"+string(claim.Verdict), fmt.Sprintf("key of %s, epoch %d. %s", id, table.epoch, claim.Reason), "")
 	switch claim.Verdict {
 	case idempotency.VerdictMismatch:
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -201,7 +201,7 @@
 	o.ledger.LeaseRenewed(o.host.trustedRenewal(o.id, o.epoch))
 	workers := o.workers()
 	o.ledger.HostList(now, workers)
-	o.updateKeys(now, workers)
+	o.updateKeys(workers)
 	if now.Sub(o.lastPlace) >= placeEvery && !o.handing {
 		o.lastPlace = now
 		o.forgetOld(now)
@@ -229,7 +229,7 @@
 }
 
 // updateKeys tells the key table which workers' consent it needs and how long the platform lease is held.
-func (o *shardOwner) updateKeys(now time.Time, workers []fleet.Host) {
+func (o *shardOwner) updateKeys(workers []fleet.Host) {
 	table, ok := o.host.keys.get(o.id)
 	if !ok || table.epoch != o.epoch {
 		return
