Slots: renew unchanged grants without listing counts

Cause: a grant for 40 backend servers takes 1,300 bytes of CBOR; twice a second to each of 7 peers exceeds the 3 KB/s of control traffic that a node may cause. Change: a grant whose counts the host has acknowledged names the grant that listed them; counts are listed again every 20 rounds. Acks list only servers on which more is in use than granted.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -125,7 +125,8 @@
 	return q.inUse, q.queued
 }
 
-// Offer admits, queues or refuses a request. An admitted request is to be ended by Done.
+// Offer admits, queues or refuses a request. An admitted request is to be ended by Done. The caller
+// checks that the kind exists: state of a kind stays until SetShares is called without it.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/slots/account.go
+++ b/internal/slots/account.go
@@ -1,15 +1,25 @@
 package slots
 
-import "time"
+import (
+	"maps"
+	"time"
+)
+
+// resendEvery is the number of rounds after which counts are listed again although the host has
+// acknowledged them, so that a host that lost them recovers within 10 s.
+const resendEvery = 20
 
 // account is what the owner knows of one host: grants that it may hold and slots that it uses.
 type account struct {
 	acked    int64
 	ackStamp Stamp
-	demand   map[string]float64
-	hasAck   bool
-	hasStamp bool
-	inUse    map[string]int
+	// counts were last sent, and unchanged since the grant with sequence number countsSeq.
+	counts    map[string]int
+	countsSeq int64
+	demand    map[string]float64
+	hasAck    bool
+	hasStamp  bool
+	inUse     map[string]int
 	// isGone says that the host receives no further grants; its account stays until nothing is held.
 	isGone bool
 	// lapsed holds counts of grants that ran out before a later report: requests begun under them
@@ -35,6 +45,22 @@
 	}
 }
 
+// grant records that counts are sent now and returns the grant's variable part.
+func (a *account) grant(counts map[string]int, seq int64, expires time.Time) Grant {
+	a.sent = append(a.sent, sentGrant{counts: counts, expires: expires, seq: seq})
+	isSame := a.countsSeq > 0 && maps.Equal(counts, a.counts)
+	if !isSame {
+		a.counts, a.countsSeq = counts, seq
+	}
+	g := Grant{Seq: seq, Stamp: a.stamp}
+	if isSame && a.acked >= a.countsSeq && seq%resendEvery != 0 {
+		g.SameAs = a.countsSeq
+	} else {
+		g.Counts = maps.Clone(counts)
+	}
+	return g
+}
+
 // ack applies a report of the host under the owner's epoch.
 func (a *account) ack(k Ack) {
 	// An older report that arrives later may name fewer slots in use than a newer one.
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -19,11 +19,15 @@
 // Grant tells a host how many slots it may use on each backend server of a shard; a server that is
 // not listed has none.
 type Grant struct {
-	Counts map[string]int `cbor:"counts"`
+	Counts map[string]int `cbor:"counts,omitempty"`
 	Epoch  int64          `cbor:"epoch"`
 	Host   string         `cbor:"host"`
-	Seq    int64          `cbor:"seq"`
-	Shard  fleet.ShardID  `cbor:"shard"`
+	// SameAs, if above zero, says that the counts are those since the grant with that sequence
+	// number. Most grants renew only; listing all counts twice a second would exceed the control
+	// traffic that a host may cause.
+	SameAs int64         `cbor:"same_as,omitempty"`
+	Seq    int64         `cbor:"seq"`
+	Shard  fleet.ShardID `cbor:"shard"`
 	// Stamp is the latest stamp that the owner had from the host. The TTL counts from it, so a
 	// grant that was delayed on its way does not outlive the time for which the owner counts it.
 	Stamp Stamp         `cbor:"stamp"`
@@ -34,10 +38,12 @@
 type Ack struct {
 	Epoch int64 `cbor:"epoch"`
 	// Expired says that the host could no longer use the grant when it sent the ack.
-	Expired bool           `cbor:"expired"`
-	Host    string         `cbor:"host"`
-	InUse   map[string]int `cbor:"in_use"`
-	Seq     int64          `cbor:"seq"`
-	Shard   fleet.ShardID  `cbor:"shard"`
-	Stamp   Stamp          `cbor:"stamp"`
+	Expired bool   `cbor:"expired"`
+	Host    string `cbor:"host"`
+	// InUse lists the backend servers on which more is in use than the host may use. Elsewhere the
+	// grant itself bounds the use.
+	InUse map[string]int `cbor:"in_use,omitempty"`
+	Seq   int64          `cbor:"seq"`
+	Shard fleet.ShardID  `cbor:"shard"`
+	Stamp Stamp          `cbor:"stamp"`
 }
--- a/internal/slots/granter.go
+++ b/internal/slots/granter.go
@@ -160,13 +160,9 @@
 	var out []Grant
 	for _, host := range hosts {
 		a := g.hosts[host]
-		a.sent = append(a.sent, sentGrant{
-			counts: counts[host], expires: now.Add(g.ttl + g.ttl/drift), seq: g.seq,
-		})
-		out = append(out, Grant{
-			Counts: maps.Clone(counts[host]), Epoch: g.epoch, Host: host, Seq: g.seq, Shard: g.shard,
-			Stamp: a.stamp, TTL: g.ttl,
-		})
+		grant := a.grant(counts[host], g.seq, now.Add(g.ttl+g.ttl/drift))
+		grant.Epoch, grant.Host, grant.Shard, grant.TTL = g.epoch, host, g.shard, g.ttl
+		out = append(out, grant)
 	}
 	g.check(before)
 	return out
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -196,6 +196,30 @@
 	assert.Equal(t, w.InUse("b"), 1)
 }
 
+// Guards against listing all counts in each round, and against renewing counts that a host has not
+// installed.
+func TestUnchangedGrantsOnlyRenew(t *testing.T) {
+	p := newPair()
+	for range 3 {
+		p.step(0, 0)
+	}
+	p.g.SetDemand("h1", p.wallets["h1"].Ack(shard, p.now).Stamp, nil)
+	g := p.g.Round(p.now)[0]
+	assert.Equal(t, len(g.Counts), 0)
+	assert.Equal(t, g.SameAs, int64(1))
+	fresh := slots.NewWallet("h1", start)
+	assert.ErrorIs(t, fresh.Install(g, p.now), slots.ErrMissed)
+	assert.NilError(t, p.wallets["h1"].Install(g, p.now))
+	p.now = p.now.Add(slots.DefaultTTL - time.Millisecond)
+	assert.Equal(t, p.free("h1"), 4)
+
+	p.wallets["h1"] = fresh
+	for range 20 {
+		p.step(0, 0)
+	}
+	assert.Equal(t, p.free("h1"), 4)
+}
+
 func BenchmarkRound(b *testing.B) {
 	for _, n := range []int{8, 50, 200, 600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/slots/wallet.go
+++ b/internal/slots/wallet.go
@@ -9,8 +9,14 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 )
 
-// ErrStale says that a grant is older than one already installed, has expired, or is not for this host.
-var ErrStale = eris.New("stale slot grant")
+// Errors that Install returns.
+var (
+	// ErrMissed says that a grant renews counts that this host has not received.
+	ErrMissed = eris.New("slot grant renews counts that were not received")
+	// ErrStale says that a grant is older than one already installed, has expired, or is not for
+	// this host.
+	ErrStale = eris.New("stale slot grant")
+)
 
 // Wallet holds the slots granted to one entry host; it is safe for concurrent use.
 type Wallet struct {
@@ -29,11 +35,13 @@
 
 // lease is the newest grant of a shard, shared by its entries.
 type lease struct {
-	epoch   int64
-	expires time.Time
-	fenced  int64
-	seq     int64
-	shard   fleet.ShardID
+	// countsSeq is the sequence number of the last grant that listed counts.
+	countsSeq int64
+	epoch     int64
+	expires   time.Time
+	fenced    int64
+	seq       int64
+	shard     fleet.ShardID
 }
 
 func (l *lease) isUsable(now time.Time) bool { return l.epoch >= l.fenced && now.Before(l.expires) }
@@ -58,7 +66,7 @@
 	}
 	a.Epoch, a.Expired, a.Seq = l.epoch, !l.isUsable(now), l.seq
 	for backend, e := range w.entries {
-		if e.lease == l && e.inUse > 0 {
+		if e.lease == l && (e.inUse > e.count || a.Expired && e.inUse > 0) {
 			a.InUse[backend] = e.inUse
 		}
 	}
@@ -94,7 +102,7 @@
 	return 0
 }
 
-// Install replaces the grant of a shard; the error matches ErrStale.
+// Install replaces the grant of a shard; the error matches ErrMissed or ErrStale.
 func (w *Wallet) Install(g Grant, now time.Time) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -107,21 +115,15 @@
 		return eris.Wrapf(ErrStale, "shard %s epoch %d seq %d, installed is epoch %d seq %d",
 			g.Shard, g.Epoch, g.Seq, l.epoch, l.seq)
 	}
-	l.epoch, l.expires, l.seq = g.Epoch, expires, g.Seq
-	for backend, e := range w.entries {
-		if e.lease == l {
-			e.count = 0
-			w.dropIdle(backend, e)
-		}
-	}
-	for backend, n := range g.Counts {
-		e, ok := w.entries[backend]
-		if !ok {
-			e = &entry{}
-			w.entries[backend] = e
+	if g.SameAs > 0 {
+		if g.Epoch != l.epoch || l.countsSeq < g.SameAs {
+			return eris.Wrapf(ErrMissed, "shard %s epoch %d seq %d", g.Shard, g.Epoch, g.SameAs)
 		}
-		e.count, e.lease = n, l
+		l.expires, l.seq = expires, g.Seq
+		return nil
 	}
+	l.countsSeq, l.epoch, l.expires, l.seq = g.Seq, g.Epoch, expires, g.Seq
+	w.replaceCounts(l, g.Counts)
 	return nil
 }
 
@@ -162,4 +164,21 @@
 	return l
 }
 
+func (w *Wallet) replaceCounts(l *lease, counts map[string]int) {
+	for backend, e := range w.entries {
+		if e.lease == l {
+			e.count = 0
+			w.dropIdle(backend, e)
+		}
+	}
+	for backend, n := range counts {
+		e, ok := w.entries[backend]
+		if !ok {
+			e = &entry{}
+			w.entries[backend] = e
+		}
+		e.count, e.lease = n, l
+	}
+}
+
 func (w *Wallet) stamp(now time.Time) Stamp { return Stamp(now.Sub(w.started)) }
