--- a/internal/slots/granter.go
+++ b/internal/slots/granter.go
@@ -160,13 +160,9 @@
 	var out []Grant
 	for _, host := range hosts {
 		a := g.hosts[host]
-		a.sent = append(a.sent, sentGrant{
-			counts: counts[host], expires: now.Add(g.ttl + g.ttl/drift), seq: g.seq,
-		})
-		out = append(out, Grant{
-			Counts: maps.Clone(counts[host]), Epoch: g.epoch, Host: host, Seq: g.seq, Shard: g.shard,
-			Stamp: a.stamp, TTL: g.ttl,
-		})
+		grant := a.grant(counts[host], g.seq, now.Add(g.ttl+g.ttl/drift))
+		grant.Epoch, grant.Host, grant.Shard, grant.TTL = g.epoch, host, g.shard, g.ttl
+		out = append(out, grant)
 	}
 	g.check(before)
 	return out
@@ -192,7 +188,13 @@
 func (g *Granter) SetDemand(host string, stamp Stamp, demand map[string]float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := g.accountOf(host)
+	a, ok := g.hosts[host]
+	if !ok {
+		// Nothing was held when the host's last account was dropped; acks from before that are void.
+		a = newAccount()
+		a.ackStamp, a.hasAck = stamp, true
+		g.hosts[host] = a
+	}
 	a.renew(stamp)
 	a.demand, a.isGone = maps.Clone(demand), false
 }
@@ -206,15 +208,6 @@
 	}
 }
 
-func (g *Granter) accountOf(host string) *account {
-	a, ok := g.hosts[host]
-	if !ok {
-		a = newAccount()
-		g.hosts[host] = a
-	}
-	return a
-}
-
 // check reports backend servers on which a round raised the sum above the capacity. A capacity that
 // was lowered while its slots were held is no fault.
 func (g *Granter) check(before map[string]int) {
@@ -253,6 +246,11 @@
 		a := g.hosts[host]
 		held := a.held(id)
 		n := min(a.target[id], held+max(0, spare))
+		if spare < 0 {
+			// A late report may have added use that others' grants do not leave room for; it must
+			// not turn into a grant.
+			n = min(n, a.granted(id))
+		}
 		spare -= max(0, n-held)
 		if n > 0 {
 			counts[host][id] = n
