Test more faults of placement, attribution and the queue

Cause: with single faults put into the code, the tests missed victims that are not needed, evidence against a worker from jobs that did well nowhere, failures on repaired workers that still count against jobs, successes of old tasks that clear later failures, and a team that gains from idleness.

Change: a test for each of these, and for services that evict batch tasks and for the choice of each baseline policy.

One is still missed: not counting cancelled entries, which only delays the rebuild of the heaps.

Conclusion: no change of behaviour.

--- a/internal/attribution/attributor_test.go
+++ b/internal/attribution/attributor_test.go
@@ -141,6 +141,64 @@
 	assert.Assert(t, !f.a.IsQuarantined("bad"))
 }
 
+// Guards against a healthy worker that is quarantined because a wave of bad jobs of good works reaches it
+// first.
+func TestWaveOfBadJobs(t *testing.T) {
+	f := newFleet()
+	for range 100 {
+		f.run("good", "other0", time.Second)
+	}
+	for i := range 20 {
+		job := fmt.Sprintf("bad%d0", i)
+		f.badJobs[job] = true
+		f.run("first", job, time.Second)
+	}
+	assert.Equal(t, f.kinds(), "")
+}
+
+// Guards against a worker that looks healthy because tasks end well that started before it went bad.
+func TestOldTasksProveNothing(t *testing.T) {
+	f := newFleet()
+	f.badWorkers["w"] = true
+	f.run("w", "j0", time.Second)
+	f.run("w", "j1", time.Second)
+	assert.Assert(t, f.a.IsSuspect("w"))
+	f.badWorkers["w"] = false
+	f.run("w", "j2", time.Hour)
+	assert.Assert(t, f.a.IsSuspect("w"))
+	f.run("w", "j2", time.Second)
+	assert.Assert(t, !f.a.IsSuspect("w"))
+}
+
+// Guards against a good job that is parked for failures on workers that were quarantined and repaired.
+func TestRepairedWorkersClearJobs(t *testing.T) {
+	f := newFleet()
+	bad := []string{"b0", "b1", "b2"}
+	for i := range 6 {
+		for range 8 {
+			f.run("good", fmt.Sprint("j", i), time.Second)
+		}
+	}
+	for _, w := range bad {
+		f.badWorkers[w] = true
+		for _, job := range []string{"j6", "j0", "j1", "j2", "j3", "j4", "j5"} {
+			f.run(w, job, time.Second)
+		}
+		assert.Assert(t, f.a.IsQuarantined(w), f.kinds())
+	}
+	clear(f.badWorkers)
+	for _, w := range bad {
+		f.now = f.now.Add(time.Hour)
+		f.run(w, "j0", time.Second)
+		assert.Assert(t, !f.a.IsQuarantined(w))
+	}
+	f.badJobs["j6"] = true
+	f.run("good", "j6", time.Second)
+	f.run("good", "j0", time.Second)
+	_, parked := f.a.IsParked("j6")
+	assert.Assert(t, !parked)
+}
+
 // Guards against a bad worker that is found only after long tasks have ended elsewhere.
 func TestRunningElsewhereIsEvidence(t *testing.T) {
 	f := newFleet()
--- a/internal/job/queue_test.go
+++ b/internal/job/queue_test.go
@@ -79,7 +79,7 @@
 // Guards against a team that gets more than its share by the number or the names of its tasks, when all
 // but one task are put back each time.
 func TestTeamShares(t *testing.T) {
-	q := job.NewQueue(job.WithWeight(func(team string) float64 { return map[string]float64{"a": 1, "b": 3, "c": 1}[team] }))
+	q := job.NewQueue(job.WithWeight(func(team string) float64 { return map[string]float64{"a": 1, "b": 3, "c": 1, "d": 1}[team] }))
 	for i := range 400 {
 		add(t, q, task(fmt.Sprint("a", i), of("a", "wa")), task(fmt.Sprint("b", i), of("b", "wb")))
 	}
@@ -89,6 +89,15 @@
 		starts[startOne(q, start).Team]++
 	}
 	assert.DeepEqual(t, starts, map[string]int{"a": 50, "b": 150, "c": 2})
+	// A team that was idle is not ahead of the others for that.
+	for i := range 50 {
+		add(t, q, task(fmt.Sprint("d", i), of("d", "wd")))
+	}
+	clear(starts)
+	for range 50 {
+		starts[startOne(q, start).Team]++
+	}
+	assert.DeepEqual(t, starts, map[string]int{"a": 10, "b": 30, "d": 10})
 }
 
 // Guards against low priorities that starve, and against works that lose their starts to a flood of
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -119,12 +119,45 @@
 	assert.DeepEqual(t, d.Victims, []string{"d"})
 	_, err = p.Place(view, batch("ordinary", 8, size(16, 10)))
 	assert.ErrorIs(t, err, placement.ErrNoRoom)
+	budget = 2
+	few := placement.NewView(worker(0, holding(
+		placement.Held{Task: batch("small", 0, size(4, 1))}, placement.Held{Task: batch("large", 1, size(28, 1)), Lost: time.Hour})))
+	d, err = p.Place(few, batch("urgent", 9, size(20, 10)))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, d.Victims, []string{"large"})
 	budget = 0
 	d, err = p.Place(view, batch("urgent", 9, size(16, 10)))
 	assert.ErrorIs(t, err, placement.ErrNoRoom)
 	assert.Equal(t, d.Reason, placement.ReasonNoBudget)
 }
 
+// Guards against a service that stays away because batch work fills every worker, and against services
+// that are evicted.
+func TestServicesEvictBatchOnly(t *testing.T) {
+	service := placement.Task{ID: "s", Kind: note.KindService, Work: "dosing", Resources: size(20, 1)}
+	p := placement.New(placement.WithEvictionsLeft(func() int { return 9 }))
+	d, err := p.Place(placement.NewView(worker(0, holding(placement.Held{Task: batch("b", 8, size(20, 1))}))), service)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, d.Victims, []string{"b"})
+	service.ID = "other"
+	_, err = p.Place(placement.NewView(worker(0, holding(placement.Held{Task: service}))), batch("u", 9, size(20, 1)))
+	assert.ErrorIs(t, err, placement.ErrNoRoom)
+}
+
+// Guards against baselines that choose like the policy that they are compared with.
+func TestBaselines(t *testing.T) {
+	v := placement.NewView(
+		worker(2, holding(placement.Held{Task: batch("x", 0, size(20, 1))})),
+		worker(1), worker(0, holding(placement.Held{Task: batch("y", 0, size(4, 1))})))
+	for policy, want := range map[placement.Policy]string{
+		placement.PolicyFirstFit: "w000", placement.PolicyLeastLoaded: "w001", placement.PolicyScore: "w002",
+	} {
+		d, err := placement.New(placement.WithPolicy(policy)).Place(v, batch("t", 0, size(1, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, d.Worker, want, "%s", policy)
+	}
+}
+
 // Guards against a stale decision that overfills a worker without notice.
 func TestReserveAsserts(t *testing.T) {
 	var name string
