Let the wallet renew grants and smooth demand

Cause: renewals were left out twice, by the peer message and by the grants. Change: the grants' own renewals are used; demand decays instead of following every request. Conclusion: the gap at a handover is still too long.

--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/routing"
@@ -23,13 +26,10 @@
 }
 
 type shardBackends struct {
-	lastConnections map[string]int
-	lastSeq         int64
-	lastSlots       map[string]int
-	epoch           int64
-	replicas        map[string][]string
-	seen            time.Time
-	version         int64
+	epoch    int64
+	granted  []string // workers of the last grant
+	replicas map[string][]string
+	version  int64
 }
 
 func newBackends(h *Host, run string, now time.Time) *backends {
@@ -106,17 +106,15 @@
 }
 
 func (b *backends) installCounts(s *shardBackends, g peer.Grant, now time.Time) {
-	if g.Renews {
-		// Without the counts that it renews, the acknowledgement shows an old grant and a whole one follows.
-		if s.lastSlots == nil {
-			return
-		}
-		g.Slots.Counts, g.Connections.Counts = s.lastSlots, s.lastConnections
+	// A grant that can't be installed shows in the acknowledgement, and a whole one follows.
+	slotsErr, connectionsErr := b.slots.Install(g.Slots, now), b.connections.Install(g.Connections, now)
+	if slotsErr == nil && g.Slots.Counts != nil {
+		s.granted = slices.Collect(maps.Keys(g.Slots.Counts))
 	}
-	if b.slots.Install(g.Slots, now) != nil || b.connections.Install(g.Connections, now) != nil {
-		return
+	if slotsErr != nil || connectionsErr != nil {
+		b.host.log.WithFields(logrus.Fields{"shard": g.Slots.Shard.String(), "epoch": g.Slots.Epoch}).
+			Debug("grant was not installed")
 	}
-	s.lastSlots, s.lastConnections, s.lastSeq, s.seen = g.Slots.Counts, g.Connections.Counts, g.Slots.Seq, now
 	if g.Replicas != nil || g.ReplicasVersion == s.version {
 		if g.Replicas != nil {
 			s.replicas = g.Replicas
@@ -158,7 +156,7 @@
 	defer b.mu.Unlock()
 	sum := 0
 	for _, s := range b.shards {
-		for w := range s.lastSlots {
+		for _, w := range s.granted {
 			free, _ := b.slots.Free(w, now)
 			sum += free + b.slots.InUse(w)
 		}
--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -25,32 +25,24 @@
 // granting shares the slots and connections of a shard's workers out to the zone's entry hosts. All but
 // acks is used by the owner's loop only.
 type granting struct {
+	acks        map[string]int64 // version of the replicas that a host run has
 	connections *slots.Granter
 	inFlight    map[string]map[string]int // by worker and work
 	lastRound   time.Time
 	owner       *shardOwner
 	replicas    map[string][]string
-	sent        map[string]*sentGrant // by host run
 	slots       *slots.Granter
 	version     int64
 }
 
-// sentGrant is what an entry host was sent last and has acknowledged.
-type sentGrant struct {
-	ackedReplicas int64
-	ackedSlots    int64
-	connections   slots.Grant
-	slots         slots.Grant
-}
-
 func newGranting(o *shardOwner) *granting {
 	until := time.Now().Add(takeoverWait)
 	common := []slots.GranterOption{slots.WithTakeover(until), slots.WithViolated(o.host.check.Violated)}
 	return &granting{
+		acks:        map[string]int64{},
 		connections: slots.NewGranter(o.id, o.epoch, append(common, slots.WithMaxRequest(0))...),
 		inFlight:    map[string]map[string]int{},
 		owner:       o,
-		sent:        map[string]*sentGrant{},
 		slots:       slots.NewGranter(o.id, o.epoch, common...),
 	}
 }
@@ -62,12 +54,11 @@
 	g.slots.SetDemand(run, ack.Slots.Stamp, map[string]float64{anyService: ack.SlotDemand})
 	g.connections.SetDemand(run, ack.Connections.Stamp, map[string]float64{anyService: ack.ConnectionDemand})
 	g.owner.post(func(time.Time) {
-		s := g.sent[run]
-		if s == nil {
+		if _, ok := g.acks[run]; !ok {
 			g.lastRound = time.Time{} // a host that is new gets its grant at the next tick
 			return
 		}
-		s.ackedReplicas, s.ackedSlots = ack.ReplicasVersion, ack.Slots.Seq
+		g.acks[run] = ack.ReplicasVersion
 	})
 }
 
@@ -116,6 +107,7 @@
 	g.setBackends()
 	recipients := g.owner.host.grantRecipients(g.owner.id.Zone)
 	runs := slices.Collect(maps.Keys(recipients))
+	maps.DeleteFunc(g.acks, func(run string, _ int64) bool { return recipients[run] == nil })
 	g.slots.SetHosts(runs)
 	g.connections.SetHosts(runs)
 	short, long := byHost(g.slots.Round(now)), byHost(g.connections.Round(now))
@@ -128,22 +120,17 @@
 	}
 }
 
-// message leaves out what the entry host has acknowledged, since grants are renewed twice a second.
+// message leaves out the replicas if the entry host has them, since grants are renewed twice a second.
 func (g *granting) message(run string, short, long slots.Grant) peer.Grant {
-	last := g.sent[run]
-	if last == nil {
-		last = &sentGrant{ackedReplicas: -1, ackedSlots: -1}
-		g.sent[run] = last
+	acked, ok := g.acks[run]
+	if !ok {
+		acked = -1
+		g.acks[run] = acked
 	}
 	m := peer.Grant{Connections: long, ReplicasVersion: g.version, Slots: short}
-	if last.ackedReplicas != g.version {
+	if acked != g.version {
 		m.Replicas = g.replicas
 	}
-	if last.slots.Seq == last.ackedSlots && maps.Equal(last.slots.Counts, short.Counts) &&
-		maps.Equal(last.connections.Counts, long.Counts) {
-		m.Renews, m.Slots.Counts, m.Connections.Counts = true, nil, nil
-	}
-	last.slots, last.connections = short, long
 	return m
 }
 
@@ -180,8 +167,6 @@
 	g.connections.SetBackends(long)
 }
 
-func (g *granting) stop() {}
-
 func byHost(grants []slots.Grant) map[string]slots.Grant {
 	out := make(map[string]slots.Grant, len(grants))
 	for _, gr := range grants {
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -277,7 +277,6 @@
 		delete(s.owned, id)
 		s.mu.Unlock()
 		s.host.keys.lost(id, epoch)
-		o.owner.grants.stop()
 		if err != nil && !errors.Is(err, context.Canceled) {
 			s.host.ring.Add(explain.Decision{
 				Decision: "lose_shard", Reason: err.Error(), Task: "shard/" + id.String(), Zone: id.Zone,
--- a/internal/host/waiting.go
+++ b/internal/host/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 // waiting connects the admission queue with the goroutines whose requests wait in it.
 type waiting struct {
 	mu    sync.Mutex
+	peak  float64 // of the demand, decaying
 	queue *admission.Queue
 	wait  map[string]chan admission.Decision
 }
@@ -83,10 +85,17 @@
 	}
 }
 
+// demandDecay is how much of the peak demand remains at each announcement, so that grants do not change with
+// every request.
+const demandDecay = 0.8
+
 // demand returns how many slots and connections this host could use.
 func (h *Host) demand() (requests, feeds float64) {
 	running, queued := h.admitted.queue.Load()
-	return float64(running + queued), float64(h.feeds.Load())
+	h.admitted.mu.Lock()
+	defer h.admitted.mu.Unlock()
+	h.admitted.peak = math.Ceil(max(float64(running+queued), h.admitted.peak*demandDecay-demandDecay/2))
+	return h.admitted.peak, float64(h.feeds.Load())
 }
 
 // shares derives the guaranteed part of each service from the slots that its replicas reserve, unless the
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,8 +52,6 @@
 // Grant carries an entry host's slots and connections of a shard and where its work runs.
 type Grant struct {
 	Connections slots.Grant `json:"c"`
-	// Renews says that the counts are those of the grant that the host acknowledged last and are left out.
-	Renews bool `json:"r,omitempty"`
 	// Replicas lists the workers of each work; it is left out if the host has this version.
 	Replicas        map[string][]string `json:"w,omitempty"`
 	ReplicasVersion int64               `json:"v"`
