Fix a crash on a report before the first grant and fence known servers

Cause: a worker's report crashed the granter while a host had announced itself and held no grant; a fence that came before the server was listed was lost, so a new owner waited 2.2 s before granting. Change: counts are lowered only where they exist; servers are listed before a fence is noted. Figures: the new test crashes without the change.

--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -76,6 +76,8 @@
 	}
 	g.inFlight[c.Worker] = byWork
 	if c.Fence && capable {
+		// A fence counts for known backend servers only, and this report may be the first to list one.
+		g.setBackends()
 		g.slots.Fenced(now, c.Worker, shortLower)
 		g.connections.Fenced(now, c.Worker, longLower)
 		return
--- a/internal/slots/account.go
+++ b/internal/slots/account.go
@@ -139,8 +139,12 @@
 
 // seen applies a worker's count of requests in flight, taken at a time.
 func (a *account) seen(at time.Time, backend string, inFlight int) {
-	if len(a.sent) == 0 && at.After(a.lapsedAt) {
-		a.lapsed[backend] = min(a.lapsed[backend], inFlight)
-		a.inUse[backend] = min(a.inUse[backend], inFlight)
+	if len(a.sent) > 0 || !at.After(a.lapsedAt) {
+		return
+	}
+	for _, counts := range []map[string]int{a.lapsed, a.inUse} {
+		if counts[backend] > inFlight {
+			counts[backend] = inFlight
+		}
 	}
 }
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -265,3 +265,12 @@
 		})
 	}
 }
+
+// Guards against a crash when a worker reports before a host that has announced itself holds a grant.
+func TestReportBeforeFirstGrantIsHarmless(t *testing.T) {
+	p := newPair()
+	p.g.SetDemand("h1", p.wallets["h1"].Ack(shard, p.now).Stamp, map[string]float64{"s": 1})
+	p.g.InFlight(p.now.Add(time.Second), "b", 0, 0)
+	p.step(1, 0)
+	assert.Equal(t, p.free("h1"), 5)
+}
