Make the test of the granter's crash fail without its fix

Cause: the first version of the test passed without the fix, since the crash needs an acknowledgement with nothing in use and a grant that has run out. Change: the test brings that state about. Conclusion: the fault is guarded against.

--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -266,11 +266,16 @@
 	}
 }
 
-// Guards against a crash when a worker reports before a host that has announced itself holds a grant.
-func TestReportBeforeFirstGrantIsHarmless(t *testing.T) {
+// Guards against a crash when a worker reports on a host whose grants have run out with nothing in use.
+func TestReportAfterExpiryIsHarmless(t *testing.T) {
 	p := newPair()
-	p.g.SetDemand("h1", p.wallets["h1"].Ack(shard, p.now).Stamp, map[string]float64{"s": 1})
+	p.step(1, 1)
+	p.step(1, 1)
+	p.now = p.now.Add(3 * slots.DefaultTTL)
+	p.g.Round(p.now)
 	p.g.InFlight(p.now.Add(time.Second), "b", 0, 0)
-	p.step(1, 0)
-	assert.Equal(t, p.free("h1"), 5)
+	for range 3 {
+		p.step(1, 1)
+	}
+	assert.Equal(t, p.free("h1"), 4)
 }
