Shorten the gap at a handover

Cause: keyed requests were refused until the next heartbeat told that the new owner serves, up to 3 s in another zone, and each step of a takeover waited for the owner's ticker. Change: the news goes to all peers at once, keyed requests wait up to 2 s for it, commits and fences are followed by a tick at once; logs show milliseconds.

--- a/internal/cmd/democmd.go
+++ b/internal/cmd/democmd.go
@@ -29,6 +29,7 @@
 	defer stop()
 	log := logrus.New()
 	log.SetOutput(sys.stderr)
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: timestamps})
 	log.SetLevel(logrus.ErrorLevel)
 	if c.Verbose {
 		log.SetLevel(logrus.InfoLevel)
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -12,6 +12,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 )
 
+// timestamps shows milliseconds, since most decisions of a takeover fall into the same second.
+const timestamps = "2006-01-02T15:04:05.000Z07:00"
+
 var errShortDemo = errors.New("--duration must be at least 1s")
 
 type serveCmd struct {
@@ -48,8 +51,9 @@
 		return nil, err
 	}
 	log.SetLevel(level)
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: timestamps})
 	if s.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestamps})
 	}
 	return log, nil
 }
--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -78,6 +78,7 @@
 	if c.Fence && capable {
 		// A fence counts for known backend servers only, and this report may be the first to list one.
 		g.setBackends()
+		g.lastRound = time.Time{}
 		g.slots.Fenced(now, c.Worker, shortLower)
 		g.connections.Fenced(now, c.Worker, longLower)
 		return
--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -20,6 +20,11 @@
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
+const (
+	keyOwnerPoll = 20 * time.Millisecond
+	keyOwnerWait = 2 * time.Second
+)
+
 // nonIdempotent runs a request at most once. One without a key of its caller is a request of its own: it is
 // sent again only if a worker refused it before running.
 func (h *Host) nonIdempotent(
@@ -38,8 +43,8 @@
 	if table, ok := h.keys.get(id); ok {
 		return h.claimed(ctx, r, item, key, id, table)
 	}
-	owner, ok := h.shards.ownerOf(id)
-	if !ok || !owner.serving || r.Forwarded != "" {
+	owner, ok := h.awaitKeyOwner(ctx, id, r.Forwarded != "")
+	if !ok {
 		h.explainRequest(r, "key_refuse", "no entry host that serves keys of "+id.String()+" is known", "")
 		return nil, repeatable("key_owner_unknown", "no entry host serves keys of "+id.String()+" now")
 	}
@@ -52,6 +57,26 @@
 	return res, p
 }
 
+// awaitKeyOwner returns the host that serves a shard's keys; it waits a little, as a handover takes a moment.
+// A request that was forwarded waits at its first host only.
+func (h *Host) awaitKeyOwner(ctx context.Context, id fleet.ShardID, forwarded bool) (sighting, bool) {
+	if forwarded {
+		return sighting{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, keyOwnerWait)
+	defer cancel()
+	for {
+		owner, ok := h.shards.ownerOf(id)
+		if ok && owner.serving && !h.isPeerDraining(owner.host) {
+			return owner, true
+		}
+		if ctx.Err() != nil {
+			return owner, false
+		}
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
 // repeatable is the problem of a request whose key was not looked up: an earlier one may have run, and it may
 // be repeated with the same key without harm.
 func repeatable(reason, detail string) *laburnumridge.Problem {
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -40,12 +40,14 @@
 	// admitted is the worker on which a task that waits has room reserved, by task.
 	admitted map[string]string
 	// draining is when a replica's backend server stopped taking requests, by job.
-	draining   map[string]time.Time
-	epoch      int64
-	failedOn   map[string][]string
-	grants     *granting
-	handing    bool
-	host       *Host
+	draining map[string]time.Time
+	epoch    int64
+	failedOn map[string][]string
+	grants   *granting
+	handing  bool
+	host     *Host
+	// hurry asks for a tick at once, so that a takeover does not wait for the ticker at each of its steps.
+	hurry      bool
 	id         fleet.ShardID
 	ledger     *ledger.Owner
 	mitigation *mitigation
@@ -62,6 +64,7 @@
 	reports      map[string]*workerReport
 	rollouts     map[string]time.Time
 	seenEnds     map[ledger.TaskEnd]time.Time
+	serves       bool // keys, as peers were told last
 	started      map[string]time.Time
 	store        *platform.Log
 	verifying    atomic.Bool
@@ -118,7 +121,10 @@
 			return ctx.Err()
 		case f := <-o.mail:
 			f(time.Now())
-			continue
+			if !o.hurry {
+				continue
+			}
+			o.hurry = false
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -243,6 +249,10 @@
 	}
 	table.Workers(ids)
 	table.LeaseUntil(o.host.trustedRenewal(o.id, o.epoch).Add(sessionTrusted))
+	if serves := table.MayClaim(time.Now()); serves != o.serves {
+		o.serves = serves
+		o.host.mesh.BeatNow() // keyed requests wait for this news
+	}
 	if capacity.CPUMilli > 0 {
 		o.freePercent.Store(max(0, 100-100*reserved.CPUMilli/capacity.CPUMilli))
 	}
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -43,6 +43,7 @@
 		switch {
 		case err == nil:
 			o.ledger.Committed(now)
+			o.hurry = true
 		case errors.Is(err, platform.ErrBehind):
 			o.log.WithError(err).Warn("another host appended to the shard's ledger")
 			o.ledger.Conflicted()
@@ -98,6 +99,7 @@
 		switch {
 		case err == nil:
 			o.reported(now, c, report)
+			o.hurry = o.hurry || c.Fence
 		case errors.As(err, &refusal):
 			o.ledger.ContactRefused(c, refusal.Epoch)
 		default:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -113,16 +113,14 @@
 	}
 }
 
-// BeatNow sends a heartbeat to the peers of the zone at once, for news that should not wait.
+// BeatNow sends a heartbeat to all peers at once, for news that should not wait.
 func (m *Mesh) BeatNow() {
 	hb := m.heartbeat()
 	frame := encode(Message{Heartbeat: &hb})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range m.conns {
-		if c.hello.Zone == m.self.Zone {
-			_ = c.sendFrame(frame) // the regular heartbeat follows
-		}
+		_ = c.sendFrame(frame) // the regular heartbeat follows
 	}
 }
 
