Reach the ends of leases and autonomy in the ledger's random run

Change: every second seed is calm: few faults, but long splits in which a host goes on with workers that the new owner can't reach, and links that lose only responses. Workers without epochs may gain them at a restart, and live workers may be missing from the host list for less than two leases. Unit tests cover late reports, strays and the mark of upgraded workers, which the run seldom reaches.

--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -81,22 +81,32 @@
 	b.committed()
 }
 
-// answer gives the worker's response to the newest contact.
-func (b *bench) answer(worker, boot string, capable bool, tasks ...ledger.TaskReport) {
+// contact returns the newest contact of a worker.
+func (b *bench) contact(worker string) ledger.Contact {
 	for range 3 {
 		for _, c := range b.last.Contacts {
 			if c.Worker == worker {
-				r := ledger.WorkerReport{Worker: worker, BootID: boot, Token: "t", EpochCapable: capable, Capacity: size(4), Tasks: tasks}
-				if capable {
-					r.Epoch = b.Epoch()
-				}
-				b.Reported(b.now, c, r)
-				return
+				return c
 			}
 		}
 		b.renewed(time.Second)
 	}
 	b.t.Fatalf("no contact of %s", worker)
+	return ledger.Contact{}
+}
+
+func (b *bench) answer(worker, boot string, capable bool, tasks ...ledger.TaskReport) {
+	b.answerTo(b.contact(worker), boot, capable, tasks...)
+}
+
+func (b *bench) answerTo(c ledger.Contact, boot string, capable bool, tasks ...ledger.TaskReport) bool {
+	r := ledger.WorkerReport{
+		BootID: boot, Capacity: size(4), EpochCapable: capable, Tasks: tasks, Token: "t", Worker: c.Worker,
+	}
+	if capable {
+		r.Epoch = b.Epoch()
+	}
+	return b.Reported(b.now, c, r)
 }
 
 func (b *bench) bound(job ledger.Job, worker string) {
@@ -155,9 +165,7 @@
 	b := newBench(t, stateOf(t, false), 2, "w1")
 	b.answer("w1", "boot", true)
 	b.tick(30 * time.Second)
-	for _, c := range b.last.Contacts {
-		b.Reported(b.now, c, ledger.WorkerReport{Worker: "w1", BootID: "boot2", Epoch: 2, EpochCapable: true, Capacity: size(4), Token: "t"})
-	}
+	assert.Assert(t, !b.answerTo(b.last.Contacts[0], "boot2", true))
 	b.tick(0)
 	assert.Equal(t, len(b.last.Starts), 0)
 }
@@ -217,6 +225,63 @@
 	assert.Equal(t, b.unbound(), "job/0@w1 ")
 }
 
+func TestLateReportEndsARunningTask(t *testing.T) {
+	for _, c := range []struct{ name, first, second string }{
+		{"sent earlier", "boot", "boot"},
+		{"of an earlier boot", "boot1", "boot2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, stateOf(t, false), 2, "w1")
+			b.answer("w1", c.first, true)
+			b.tick(0)
+			before, after := b.contact("w1"), ledger.Contact{}
+			b.renewed(2 * time.Second)
+			after = b.contact("w1")
+			if c.first != c.second {
+				// The worker handled the later contact first and then restarted.
+				before, after = after, before
+			}
+			running := report("job/0", 1, ledger.PhaseRunning, 0)
+			assert.Assert(t, b.answerTo(after, c.second, true, running))
+			b.renewed(time.Second)
+			assert.Assert(t, !b.answerTo(before, c.first, true))
+			b.renewed(time.Second)
+			assert.Equal(t, len(b.last.Starts), 0)
+		})
+	}
+}
+
+func TestReportOlderThanTheStartEndsIt(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true)
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 1)
+	start, early := b.last.Starts[0], b.contact("w1")
+	b.renewed(time.Second)
+	b.Started(b.now, start)
+	assert.Assert(t, b.answerTo(early, "boot", true))
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 0)
+	assert.Equal(t, b.unbound(), "")
+}
+
+func TestTaskOfUpgradedWorkerOutlivesTheLease(t *testing.T) {
+	b := newBench(t, stateOf(t, true), 2, "w1")
+	b.answer("w1", "boot", true)
+	b.tick(30 * time.Second)
+	assert.Assert(t, !b.MayAct(b.now, "w1"))
+}
+
+func TestStrayAndStartExceedTheWorker(t *testing.T) {
+	b := newBench(t, stateOf(t, false), 2, "w1")
+	b.answer("w1", "boot", true, report("gone/0", 1, ledger.PhaseRunning, 0))
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 0)
+	b.answer("w1", "boot", true)
+	b.tick(0)
+	assert.Equal(t, len(b.last.Starts), 1)
+}
+
 func TestEvictedTaskResumesTwice(t *testing.T) {
 	b := newBench(t, stateOf(t, false), 2, "w1")
 	b.answer("w1", "boot", true, report("job/0", 1, ledger.PhaseRunning, 1))
--- a/internal/ledger/soak_test.go
+++ b/internal/ledger/soak_test.go
@@ -52,6 +52,8 @@
 
 // sim is one run in virtual time; the seed decides all of it.
 type sim struct {
+	// calm runs have few faults but long ones, so that owners reach the ends of leases and of autonomy.
+	calm  bool
 	binds map[string]int // binds counts the bindings of each task.
 	count map[string]int
 	// ends holds the checkpoints of attempts that ended under a binding and boot.
@@ -70,6 +72,7 @@
 
 func newSim(seed uint64) *sim {
 	s := &sim{
+		calm:  seed%2 == 0,
 		binds: map[string]int{}, count: map[string]int{}, ends: map[string]int64{}, now: t0, r: rand.New(rand.NewPCG(seed, 2)),
 		reached: map[string]int64{},
 	}
@@ -79,19 +82,19 @@
 	}
 	for i := range 5 {
 		w := &simWorker{
-			capable: i > 0, cut: map[string]bool{}, id: fmt.Sprint("w", i), listed: true,
-			rate: 0.92 + 0.16*s.r.Float64(), s: s, tokens: map[string]token{},
+			capable: i > 1, cutUntil: map[string]time.Time{}, id: fmt.Sprint("w", i), listed: true, mute: map[string]bool{},
+			rate: 0.92 + 0.08*float64(s.r.IntN(3)), s: s, tokens: map[string]token{},
 		}
 		w.restart()
 		s.workers = append(s.workers, w)
 	}
-	for i := range 24 {
+	for i := range 48 {
 		j := simJob{Job: batch(fmt.Sprint("job", i), 1+s.r.Int64N(3), 1+s.r.IntN(2)), withdraw: i%6 == 5}
-		j.RunTime = note.Duration{Duration: 2*time.Second + s.upTo(20*time.Second)}
+		j.RunTime = note.Duration{Duration: 2*time.Second + s.upTo(15*time.Second)}
 		j.Priority = s.r.IntN(3)
 		j.at = t0.Add(s.upTo(simFaults))
-		if i == 0 {
-			j.Kind, j.at = note.KindService, t0
+		if i%16 == 0 {
+			j.Kind, j.Resources = note.KindService, size(1)
 		}
 		s.jobs = append(s.jobs, j)
 	}
@@ -119,8 +122,11 @@
 }
 
 func (s *sim) delay() time.Duration {
-	if s.faulty() && s.r.IntN(30) == 0 {
-		return s.upTo(12 * time.Second)
+	if s.faulty() && s.calm && s.r.IntN(2) == 0 {
+		return s.upTo(1500 * time.Millisecond)
+	}
+	if s.faulty() && s.r.IntN(20) == 0 {
+		return s.upTo(6 * time.Second << (3 * s.r.IntN(2)))
 	}
 	return time.Millisecond + s.upTo(30*time.Millisecond)
 }
@@ -142,6 +148,14 @@
 	h.pausedUntil = s.now.Add(d)
 }
 
+// until returns the later of a time and the end of a fault that begins now.
+func (s *sim) until(t time.Time, d time.Duration) time.Time {
+	if end := s.now.Add(d); end.After(t) {
+		return end
+	}
+	return t
+}
+
 func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.r.Int64N(int64(d))) }
 
 func (s *sim) worker(id string) *simWorker { return s.workers[id[1]-'0'] }
@@ -188,19 +202,21 @@
 	h, w := s.hosts[s.r.IntN(len(s.hosts))], s.workers[s.r.IntN(len(s.workers))]
 	// Faults of the owner matter most.
 	for _, o := range s.hosts {
-		if o.id == s.store.owner && s.r.IntN(2) == 0 {
+		if o.id == s.store.owner && (s.calm || s.r.IntN(2) == 0) {
 			h = o
 		}
 	}
-	switch s.r.IntN(8) {
+	kind, wait := s.r.IntN(12), s.upTo(16*time.Second)
+	if s.calm {
+		kind, wait = []int{4, 8, 8, 8, 10, 10, 11}[s.r.IntN(7)], s.upTo(50*time.Second)
+	}
+	switch kind {
 	case 0:
 		s.pause(h)
 	case 1:
-		h.cut = true
-		s.after(s.upTo(100*time.Second), func() { h.cut = false })
+		h.cutUntil = s.until(h.cutUntil, s.upTo(100*time.Second))
 	case 2:
-		w.cut[h.id] = true
-		s.after(s.upTo(40*time.Second), func() { w.cut[h.id] = false })
+		w.cutUntil[h.id] = s.until(w.cutUntil[h.id], s.upTo(40*time.Second))
 	case 3:
 		s.store.outage = true
 		s.after(s.upTo(20*time.Second), func() { s.store.outage = false })
@@ -217,12 +233,36 @@
 		h.crash()
 	case 7:
 		for _, o := range s.hosts {
-			w.cut[o.id] = true
+			w.cutUntil[o.id] = s.until(w.cutUntil[o.id], s.upTo(40*time.Second))
 		}
-		s.after(s.upTo(40*time.Second), func() { clear(w.cut) })
+	case 8, 9:
+		s.split(h)
+	case 10:
+		w.mute[h.id] = true
+		s.after(10*time.Second+s.upTo(10*time.Second), func() { w.mute[h.id] = false })
+	case 11:
+		// A live worker may be missing from the host list for less than two leases.
+		w.listed = false
+		s.after(s.upTo(9*time.Second), func() { w.listed = !w.down })
 	}
 	if s.faulty() {
-		s.after(s.upTo(8*time.Second), s.disturb)
+		s.after(wait, s.disturb)
+	}
+}
+
+// split cuts a host off from the platform, and all other hosts from some workers, so that it may go on there.
+func (s *sim) split(h *simHost) {
+	d := s.upTo(150 * time.Second)
+	if s.calm {
+		d += simAutonomy
+	}
+	h.cutUntil = s.until(h.cutUntil, d)
+	for _, w := range s.workers {
+		for _, o := range s.hosts {
+			if o != h && s.r.IntN(2) == 0 {
+				w.cutUntil[o.id] = s.until(w.cutUntil[o.id], d)
+			}
+		}
 	}
 }
 
@@ -267,7 +307,10 @@
 	s.after(5*time.Second, s.disturb)
 	s.at(t0.Add(simFaults), func() {
 		for _, h := range s.hosts {
-			h.cut, h.pausedUntil = false, s.now
+			h.cutUntil, h.pausedUntil = s.now, s.now
+		}
+		for _, w := range s.workers {
+			clear(w.cutUntil)
 		}
 	})
 	steps := 0
--- a/internal/ledger/soakhost_test.go
+++ b/internal/ledger/soakhost_test.go
@@ -11,7 +11,7 @@
 // simHost is an entry host that may own the shard.
 type simHost struct {
 	batches     int
-	cut         bool // cut says that the host can't reach the platform.
+	cutUntil    time.Time // cutUntil is when the host can reach the platform again.
 	id          string
 	life        int
 	nextRenewal time.Time
@@ -48,7 +48,7 @@
 
 // call sends to the platform; reply gets false if the outcome is unknown.
 func (h *simHost) call(request func() bool, reply func(known, ok bool)) {
-	if h.cut || h.s.store.outage {
+	if h.s.now.Before(h.cutUntil) || h.s.store.outage {
 		h.s.after(time.Second, h.inLife(func() { reply(false, false) }))
 		return
 	}
@@ -89,7 +89,7 @@
 	h.drive()
 	a := h.owner.Tick(h.clock())
 	// A pause here lies between the owner's check and the sending.
-	if h.s.faulty() && h.s.r.IntN(700) == 0 {
+	if h.s.faulty() && !h.s.calm && (h.s.r.IntN(700) == 0 || len(a.Starts) > 0 && h.s.r.IntN(20) == 0) {
 		h.s.pause(h)
 	}
 	for _, c := range a.Contacts {
@@ -132,7 +132,7 @@
 func (h *simHost) exchange(worker string, handle func(*simWorker, *ledger.Owner) func()) {
 	w, o := h.s.worker(worker), h.owner
 	h.s.carry(h.pausedUntil, func() {
-		if w.down || w.cut[h.id] {
+		if w.down || w.isCut(h.id) {
 			return
 		}
 		w.expire()
@@ -141,7 +141,7 @@
 			return
 		}
 		h.s.carry(h.s.now, h.inLife(func() {
-			if !w.cut[h.id] && h.owner == o {
+			if !w.isCut(h.id) && !w.mute[h.id] && h.owner == o {
 				respond()
 			}
 		}))
@@ -257,7 +257,7 @@
 		}
 	}
 	for _, c := range o.Unbound(h.clock()) {
-		if c.Worker != "" && s.worker(c.Worker).listed && s.r.IntN(60) != 0 {
+		if c.Worker != "" && s.worker(c.Worker).listed && (s.r.IntN(3) != 0 || !s.faulty() && s.r.IntN(10) != 0) {
 			continue
 		}
 		if w := s.workers[s.r.IntN(len(s.workers))]; w.listed && o.Bind(c.Task, w.id) == nil && c.Worker != "" {
--- a/internal/ledger/soakworker_test.go
+++ b/internal/ledger/soakworker_test.go
@@ -30,13 +30,14 @@
 type simWorker struct {
 	boot     int
 	capable  bool
-	cut      map[string]bool
+	cutUntil map[string]time.Time // cutUntil holds by host when a link fault ends.
 	down     bool
 	ends     map[string]ledger.TaskReport
 	epoch    int64
 	id       string
 	last     map[string]int
 	listed   bool
+	mute     map[string]bool // mute lists the hosts that its responses don't reach.
 	rate     float64
 	running  map[string]*attempt
 	s        *sim
@@ -46,11 +47,16 @@
 
 func (w *simWorker) bootID() string { return fmt.Sprintf("%s-%d", w.id, w.boot) }
 
+func (w *simWorker) isCut(host string) bool { return w.s.now.Before(w.cutUntil[host]) }
+
 func (w *simWorker) clock() time.Duration { return time.Duration(w.rate * float64(w.s.now.Sub(t0))) }
 
 func (w *simWorker) restart() {
 	w.boot++
 	w.epoch = 0
+	if w.id == "w1" && w.s.r.IntN(2) == 0 {
+		w.capable = !w.capable
+	}
 	w.ends, w.last, w.running = map[string]ledger.TaskReport{}, map[string]int{}, map[string]*attempt{}
 }
 
