Verify a shard's record by writing it again after a lapse

Cause: a takeover that had read that the owner's lease was gone could still succeed after the owner had renewed it, and a new lease within 6 s was taken for the old one; workers' consent was counted for reports that the ledger did not trust. Change: after a lapse or with another lease the record is rewritten by compare-and-swap before the owner trusts it; consent counts for trusted reports only.

--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	o.ledger = ledger.NewOwner(state, o.host.id, o.epoch, o.host.session.renewedAt(),
+	o.ledger = ledger.NewOwner(state, o.host.id, o.epoch, o.host.trustedRenewal(o.id, o.epoch),
 		ledger.WithViolated(o.ledgerViolated), ledger.WithStartGate(o.mayStart))
 	ticker := time.NewTicker(ownerTick)
 	defer ticker.Stop()
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -173,8 +173,8 @@
 		known = &workerReport{}
 		o.reports[c.Worker] = known
 	}
-	o.ledger.Reported(now, c, known.merge(c, r))
-	if table, ok := o.host.keys.get(o.id); ok && table.epoch == o.epoch && o.ledger.MayAct(now, c.Worker) {
+	trusted := o.ledger.Reported(now, c, known.merge(c, r))
+	if table, ok := o.host.keys.get(o.id); ok && trusted && table.epoch == o.epoch {
 		if known.EpochCapable {
 			table.Accepted(now, c.Worker, c.SentAt)
 		} else {
--- a/internal/host/session.go
+++ b/internal/host/session.go
@@ -43,15 +43,15 @@
 	}
 }
 
-// renewedAt returns when the last successful renewal was sent; zero means never.
-func (s *session) renewedAt() time.Time {
+// current returns when the last successful renewal was sent, zero if never, and the lease.
+func (s *session) current() (time.Time, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.renewed
+	return s.renewed, s.lease
 }
 
 func (s *session) isTrusted(now time.Time) bool {
-	at := s.renewedAt()
+	at, _ := s.current()
 	return !at.IsZero() && now.Sub(at) < sessionTrusted
 }
 
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -44,7 +44,13 @@
 	// seen is the last word of each shard's owner.
 	seen map[fleet.ShardID]sighting
 	// verified is the last renewal of the platform lease before which the record was still ours.
-	verified map[fleet.ShardID]time.Time
+	verified map[fleet.ShardID]trust
+}
+
+// trust is a time at which the record was ours, and the platform lease held then.
+type trust struct {
+	at    time.Time
+	lease int64
 }
 
 type ownedShard struct {
@@ -74,7 +80,7 @@
 		host:     h,
 		owned:    map[fleet.ShardID]*ownedShard{},
 		seen:     map[fleet.ShardID]sighting{},
-		verified: map[fleet.ShardID]time.Time{},
+		verified: map[fleet.ShardID]trust{},
 	}
 }
 
@@ -235,6 +241,7 @@
 		return
 	}
 	sent := time.Now()
+	_, lease := s.host.session.current()
 	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
 	if errors.Is(err, platform.ErrUnknownOutcome) {
 		// Another process of this host id cannot have written this epoch: it would own the live key.
@@ -249,7 +256,7 @@
 		Decision: "take_shard", Reason: fmt.Sprintf("%s; epoch %d", ownerGone(rec), next.Epoch), Work: "",
 		Zone: id.Zone, Task: "shard/" + id.String(),
 	})
-	s.start(id, next.Epoch, sent)
+	s.start(id, next.Epoch, trust{at: sent, lease: lease})
 }
 
 func ownerGone(rec shardRecord) string {
@@ -259,7 +266,7 @@
 	return "owner " + rec.Owner + " is gone"
 }
 
-func (s *shards) start(id fleet.ShardID, epoch int64, verified time.Time) {
+func (s *shards) start(id fleet.ShardID, epoch int64, verified trust) {
 	ctx, cancel := context.WithCancel(s.host.ownerContext())
 	o := &ownedShard{cancel: cancel, done: make(chan struct{}), owner: newShardOwner(s.host, id, epoch)}
 	s.mu.Lock()
@@ -288,27 +295,28 @@
 // trustedRenewal returns when the last renewal of the platform lease was sent that counts for the shard.
 // After the lease had lapsed, another host may have taken over, so the record is read again first.
 func (s *shards) trustedRenewal(id fleet.ShardID, epoch int64) time.Time {
-	renewed := s.host.session.renewedAt()
+	renewed, lease := s.host.session.current()
 	s.mu.Lock()
 	verified := s.verified[id]
 	s.mu.Unlock()
-	if renewed.Sub(verified) < sessionTrusted {
-		s.setVerified(id, renewed)
+	if lease == verified.lease && renewed.Sub(verified.at) < sessionTrusted {
+		s.setVerified(id, trust{at: renewed, lease: lease})
 		return renewed
 	}
 	s.verify(id, epoch)
-	return verified
+	return verified.at
 }
 
-func (s *shards) setVerified(id fleet.ShardID, at time.Time) {
+func (s *shards) setVerified(id fleet.ShardID, t trust) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at.After(s.verified[id]) {
-		s.verified[id] = at
+	if t.at.After(s.verified[id].at) {
+		s.verified[id] = t
 	}
 }
 
-// verify reads the shard's record in the background, once at a time.
+// verify writes the shard's record again as it was, in the background and once at a time. The write makes a
+// takeover fail that read the record while the lease had lapsed.
 func (s *shards) verify(id fleet.ShardID, epoch int64) {
 	o, ok := s.get(id)
 	if !ok || !o.verifying.CompareAndSwap(false, true) {
@@ -318,13 +326,22 @@
 		defer o.verifying.Store(false)
 		defer pause(s.host.ownerContext(), contendEvery)
 		asked := time.Now()
-		rec, _, err := s.read(s.host.ownerContext(), id)
-		switch {
-		case err != nil:
-		case rec.Owner == s.host.id && rec.Epoch == epoch:
-			s.setVerified(id, asked)
-		default:
+		_, lease := s.host.session.current()
+		rec, mod, err := s.read(s.host.ownerContext(), id)
+		if err != nil {
+			return
+		}
+		if rec.Owner != s.host.id || rec.Epoch != epoch {
 			o.post(func(time.Time) { o.ledger.Conflicted() })
+			return
+		}
+		value, err := json.Marshal(rec)
+		if err != nil {
+			return
+		}
+		_, err = s.host.storeFor(platform.ClassOwnership).Swap(s.host.ownerContext(), shardPrefix+id.String(), mod, value, 0)
+		if err == nil {
+			s.setVerified(id, trust{at: asked, lease: lease})
 		}
 	}()
 }
