Keep serving keys while draining and repeat requests that meet a handover

Cause: keyed requests waited from the start of a drain until the handover had ended. Change: a draining owner serves keys until it closes its table; a request that meets the closed table is passed to the next owner with the same key. Conclusion: no keyed request waits for the drain any more; a few requests still wait a second.

--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -20,6 +20,9 @@
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
+// reasonHandingOver is the reason of a keyed request that came to its owner while the keys were handed over.
+const reasonHandingOver = "key_handing_over"
+
 const (
 	keyOwnerPoll = 20 * time.Millisecond
 	keyOwnerWait = 2 * time.Second
@@ -40,6 +43,19 @@
 	}
 	home := idempotency.Home(key, h.hosts.snapshot().Zones())
 	id := fleet.ShardID{Index: idempotency.Partition(key, h.shardCount(home)), Zone: home}
+	for {
+		res, p := h.atOwner(ctx, r, item, key, id)
+		if p == nil || p.Reason != reasonHandingOver || r.Forwarded != "" || ctx.Err() != nil {
+			return res, p
+		}
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
+// atOwner runs a keyed request at the owner of its partition, here or at another entry host.
+func (h *Host) atOwner(
+	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID,
+) (*caller.Response, *laburnumridge.Problem) {
 	if table, ok := h.keys.get(id); ok {
 		return h.claimed(ctx, r, item, key, id, table)
 	}
@@ -67,7 +83,7 @@
 	defer cancel()
 	for {
 		owner, ok := h.shards.ownerOf(id)
-		if ok && owner.serving && !h.isPeerDraining(owner.host) {
+		if ok && owner.serving {
 			return owner, true
 		}
 		if ctx.Err() != nil {
@@ -94,6 +110,8 @@
 	claim := table.Claim(time.Now(), key, fingerprint)
 	h.explainRequest(r, "key_"+string(claim.Verdict), fmt.Sprintf("key of %s, epoch %d. %s", id, table.epoch, claim.Reason), "")
 	switch claim.Verdict {
+	case idempotency.VerdictHandingOver:
+		return nil, repeatable(reasonHandingOver, claim.Reason)
 	case idempotency.VerdictMismatch:
 		return nil, problem(http.StatusUnprocessableEntity, laburnumridge.OutcomeNotRun, "key_of_other_request", claim.Reason)
 	case idempotency.VerdictNotRun:
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -57,6 +57,8 @@
 
 // Verdicts of Claim.
 const (
+	// VerdictHandingOver: the table was handed over; the next owner decides.
+	VerdictHandingOver Verdict = "handing_over"
 	// VerdictMismatch: the key belongs to another request (422).
 	VerdictMismatch Verdict = "mismatch"
 	// VerdictNotRun: the request was not run and may be repeated.
@@ -119,7 +121,10 @@
 func (t *Table) Claim(now time.Time, k Key, f Fingerprint) Claim {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[k.text]; e != nil && !t.closed {
+	if t.closed {
+		return Claim{Verdict: VerdictHandingOver, Reason: "the owner hands its keys over"}
+	}
+	if e := t.entries[k.text]; e != nil {
 		return e.claim(f)
 	}
 	if c, ok := t.refuse(now, k); ok {
@@ -218,9 +223,6 @@
 	if k.MintedAt.Sub(now) > t.limits.ClockTolerance {
 		return Claim{Verdict: VerdictNotRun, Reason: "key has a time in the future"}, true
 	}
-	if t.closed {
-		return unknown("the owner hands its keys over")
-	}
 	from := t.lease.servesFrom
 	if from.IsZero() || now.Before(from) {
 		return unknown("an earlier owner may have run the request")
