Leave an unreachable backend server at once

Cause: a worker without power refused connections quickly and drew requests for about 0.5 s, since its recent successes kept the failure rate low; the retries used up the budget and requests waited for Retry-After. Change: a refused connection opens the circuit at once, and trying another worker after it costs no budget, since nothing was sent.

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -96,6 +96,10 @@
 		a.excluded = nil
 		return a.send(ctx, "grant of an earlier owner was refused", true)
 	}
+	if errors.Is(t.err, worker.ErrUnreachable) && !a.mayHaveRun {
+		// Nothing was sent, so another try adds no load; each worker is tried once.
+		return a.send(ctx, "worker "+t.worker+" was not reached", true)
+	}
 	if !a.host.policies.budget.Spend(time.Now(), retry.KindRetry) {
 		p.Detail += "; the retry budget is spent"
 		return p
--- a/internal/host/try.go
+++ b/internal/host/try.go
@@ -105,7 +105,7 @@
 	case errors.Is(err, worker.ErrRefused):
 		return routing.ResultRefused, 0
 	case errors.Is(err, worker.ErrUnreachable):
-		return routing.ResultFailed, 0
+		return routing.ResultUnreachable, 0
 	}
 	return routing.ResultFailed, max(time.Until(deadline), 0) + lostHold
 }
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -18,6 +18,8 @@
 	ResultOK
 	// ResultRefused says that the backend server refused before running, because of overload.
 	ResultRefused
+	// ResultUnreachable says that no connection could be opened, so nothing was sent.
+	ResultUnreachable
 )
 
 const (
@@ -67,8 +69,23 @@
 	case c.isOpen && now.Before(c.until):
 		// Requests sent before the circuit opened do not prolong the pause.
 	case c.isOpen, c.failures >= circuitFailures && c.failures >= circuitRate*c.total:
-		c.pause = grow(c.pause, circuitPause, circuitPauseMax)
-		c.isOpen, c.good, c.until = true, 0, now.Add(spread(c.pause, jitter))
+		c.open(now, jitter)
+	}
+}
+
+func (c *circuit) open(now time.Time, jitter float64) {
+	c.pause = grow(c.pause, circuitPause, circuitPauseMax)
+	c.isOpen, c.good, c.until = true, 0, now.Add(spread(c.pause, jitter))
+}
+
+// unreachable opens the circuit at once: a server that accepts no connection serves nobody, and its quick
+// refusals would draw more requests to it than to the servers that work.
+func (c *circuit) unreachable(now time.Time, jitter float64) {
+	c.fade(now)
+	c.failures++
+	c.total++
+	if !c.isOpen || !now.Before(c.until) {
+		c.open(now, jitter)
 	}
 }
 
@@ -155,6 +172,8 @@
 	case ResultFailed:
 		h.circuit.failed(now, jitter)
 		h.measureAtLeast(now, latency.Seconds())
+	case ResultUnreachable:
+		h.circuit.unreachable(now, jitter)
 	case ResultCancelled:
 		h.measureAtLeast(now, latency.Seconds())
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// Guards against a dead server that draws requests because it refuses connections quickly, although most of
+// its recent requests went well.
+func TestUnreachableServerIsLeftAtOnce(t *testing.T) {
+	r := routing.NewRouter("a", routing.WithSeed(1))
+	bs := backends(2)
+	for range 200 {
+		end(r, start, bs, routing.ResultOK)
+	}
+	r.Started("w0")
+	r.Finished(start, "w0", time.Millisecond, routing.ResultUnreachable)
+	for range 50 {
+		d, err := r.Route(start.Add(500*time.Millisecond), bs)
+		assert.NilError(t, err)
+		assert.Equal(t, d.Backend.Worker, "w1")
+	}
+}
