Wait for a new key owner's first consent

Cause: keyed requests in the first moments of a new owner were unknown, since no worker had consented yet.

--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// awaitServing waits a little for a new owner to hear from its workers.
+func awaitServing(ctx context.Context, table keyTable) {
+	ctx, cancel := context.WithTimeout(ctx, keyOwnerWait)
+	defer cancel()
+	for ctx.Err() == nil && !table.MayClaim(time.Now()) && !table.IsHandedOver() {
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
 // repeatable is the problem of a request whose key was not looked up: an earlier one may have run, and it may
 // be repeated with the same key without harm.
 func repeatable(reason, detail string) *laburnumridge.Problem {
@@ -107,6 +116,7 @@
 	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID, table keyTable,
 ) (*caller.Response, *laburnumridge.Problem) {
 	fingerprint := idempotency.FingerprintOf(r.Method, r.Service+r.Path+"?"+r.Query, sha256.Sum256(r.Body))
+	awaitServing(ctx, table)
 	claim := table.Claim(time.Now(), key, fingerprint)
 	h.explainRequest(r, "key_"+string(claim.Verdict), fmt.Sprintf("key of %s, epoch %d. %s", id, table.epoch, claim.Reason), "")
 	switch claim.Verdict {
--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -37,6 +37,13 @@
 	return out, t.since()
 }
 
+// IsHandedOver reports whether HandOver has ended all claims.
+func (t *Table) IsHandedOver() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed
+}
+
 // Inherit takes what the last owner handed over, or nothing if there was no earlier owner. Nobody else can
 // claim a key, so the table serves at once.
 func (t *Table) Inherit(now time.Time, handed []Handed, since time.Time) {
--- /dev/null
+++ b/internal/idempotency/handover_test.go
@@ -0,0 +1,42 @@
+package idempotency_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/idempotency"
+)
+
+// successor returns the table of the owner that inherits from t at t0.
+func successor(t *idempotency.Table) *idempotency.Table {
+	handed, since := t.HandOver(1 << 20)
+	next := idempotency.NewTable(idempotency.DefaultLimits())
+	next.Workers([]string{"w1", "w2", "w3"})
+	next.Inherit(t0, handed, since)
+	heartbeat(next, t0, "w1", "w2")
+	return next
+}
+
+func TestHandedOverKeyRunsAgain(t *testing.T) {
+	old := serving(idempotency.DefaultLimits())
+	done, running := keyAt(t0, 1), keyAt(t0, 2)
+	assert.Equal(t, verdict(old, t0, done), idempotency.VerdictProceed)
+	old.Finish(done, idempotency.OutcomeDone, idempotency.Response{Status: http.StatusOK, Body: []byte("dosed")})
+	assert.Equal(t, verdict(old, t0, running), idempotency.VerdictProceed)
+	next := successor(old)
+	assert.Equal(t, verdict(old, t0, keyAt(t0, 3)), idempotency.VerdictHandingOver)
+	assert.Equal(t, verdict(next, t0, done), idempotency.VerdictReplay)
+	assert.Equal(t, verdict(next, t0, running), idempotency.VerdictUnknown)
+	assert.Equal(t, verdict(next, t0, keyAt(t0, 3)), idempotency.VerdictProceed)
+}
+
+// Guards against a successor that trusts its predecessor's table for keys of an owner before that.
+func TestKeyOfOwnerBeforePredecessorRunsAgain(t *testing.T) {
+	old := serving(idempotency.DefaultLimits())
+	early := keyAt(t0.Add(-time.Minute), 1) // older than the predecessor's own takeover
+	assert.Equal(t, verdict(old, t0, early), idempotency.VerdictUnknown)
+	assert.Equal(t, verdict(successor(old), t0, early), idempotency.VerdictUnknown)
+}
