Replace replicas of silent or leaving workers by successors

Cause: a replica on a lost worker waited 11 s for the proof that it had ended, although another replica is another task; work on a leaving worker stayed there. Change: a silent (5 s) or leaving worker's replicas get successors at once and are retired after draining; batch tasks of a leaving worker are evicted with a checkpoint; readiness waits for the first grants; requests to hosts without a connection are relayed through their zone.

--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/fake"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -163,28 +164,33 @@
 	return append(said, f.resumed(ctx, lost, running)...), nil
 }
 
-// resumed waits until the tasks of a lost worker run or have ended elsewhere.
-func (f *Fleet) resumed(ctx context.Context, lost string, tasks []string) []string {
+// resumed waits until the work of a lost worker runs elsewhere: its batch tasks, and successors of its replicas.
+func (f *Fleet) resumed(ctx context.Context, lost string, tasks []fake.Run) []string {
 	started := time.Now()
 	left := slices.Clone(tasks)
+	counted := map[string]bool{}
 	for ctx.Err() == nil && len(left) > 0 {
 		for _, r := range f.Journal.Runs() {
-			if r.Worker != lost && r.Start.After(started) {
-				left = slices.DeleteFunc(left, func(task string) bool { return task == r.Task })
+			if r.Worker == lost || !r.Start.After(started) || counted[r.Task] {
+				continue
+			}
+			if i := slices.IndexFunc(left, func(l fake.Run) bool { return l.Work == r.Work }); i >= 0 {
+				left = slices.Delete(left, i, i+1)
+				counted[r.Task] = true
 			}
 		}
 		sleep(ctx, 100*time.Millisecond)
 	}
-	said := fmt.Sprintf("Worker %s lost power with %d tasks; %d of them started elsewhere within %s.",
+	said := fmt.Sprintf("Worker %s lost power with %d tasks; the work of %d started elsewhere within %s.",
 		lost, len(tasks), len(tasks)-len(left), roughly(started))
 	return []string{said}
 }
 
-func (f *Fleet) runningOn(worker string) []string {
-	var out []string
+func (f *Fleet) runningOn(worker string) []fake.Run {
+	var out []fake.Run
 	for _, r := range f.Journal.Runs() {
 		if r.Worker == worker && r.End.IsZero() {
-			out = append(out, r.Task)
+			out = append(out, r)
 		}
 	}
 	return out
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -23,8 +23,12 @@
 	mu          sync.Mutex
 	shards      map[fleet.ShardID]*shardBackends
 	slots       *slots.Wallet
+	started     time.Time
 }
 
+// firstGrantWait is how long a host that starts waits for grants before it calls itself ready without any.
+const firstGrantWait = 5 * time.Second
+
 type shardBackends struct {
 	epoch    int64
 	granted  []string // workers of the last grant
@@ -39,6 +43,7 @@
 		host:        h,
 		shards:      map[fleet.ShardID]*shardBackends{},
 		slots:       slots.NewWallet(run, now),
+		started:     now,
 	}
 }
 
@@ -177,6 +182,15 @@
 	return fleet.ShardOf(h.Zone, h.Rack, b.host.shardCount(h.Zone))
 }
 
+// isReady reports whether the zone's owners have granted slots to the host, or had the time to do so: without
+// an owner the host still passes requests on to other zones.
+func (b *backends) isReady(now time.Time) bool {
+	shards := b.host.shardCount(b.host.zone)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.shards) >= shards || now.Sub(b.started) > firstGrantWait
+}
+
 // changed returns a channel that is closed when a slot may have become free.
 func (b *backends) changed() <-chan struct{} {
 	b.mu.Lock()
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -123,6 +123,8 @@
 		return c.String(http.StatusServiceUnavailable, "draining\n")
 	case !h.notes.loaded.Load():
 		return c.String(http.StatusServiceUnavailable, "release notes are not loaded yet\n")
+	case !h.backends.isReady(time.Now()):
+		return c.String(http.StatusServiceUnavailable, "no grant of the zone's shards has come yet\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
--- a/internal/host/operators.go
+++ b/internal/host/operators.go
@@ -286,7 +286,7 @@
 			continue
 		}
 		all.Go(func() {
-			reply, err := h.mesh.Request(ctx, e.ID, peer.Message{Explain: &peer.ExplainRequest{ID: id}})
+			reply, err := h.ask(ctx, e.ID, peer.Message{Explain: &peer.ExplainRequest{ID: id}})
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || reply.ExplainReply == nil {
@@ -305,7 +305,7 @@
 // askPeer returns a peer's part of the status.
 func (h *Host) askPeer(ctx context.Context, host, job string) (hostPart, error) {
 	var part hostPart
-	reply, err := h.mesh.Request(ctx, host, peer.Message{Status: &peer.StatusRequest{Job: job}})
+	reply, err := h.ask(ctx, host, peer.Message{Status: &peer.StatusRequest{Job: job}})
 	if err != nil {
 		return part, err
 	}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -45,6 +45,7 @@
 	failedOn map[string][]string
 	grants   *granting
 	handing  bool
+	heard    map[string]time.Time // last report of each worker
 	host     *Host
 	// hurry asks for a tick at once, so that a takeover does not wait for the ticker at each of its steps.
 	hurry      bool
@@ -63,12 +64,14 @@
 	queue        *queue
 	reports      map[string]*workerReport
 	rollouts     map[string]time.Time
-	seenEnds     map[ledger.TaskEnd]time.Time
-	serves       bool // keys, as peers were told last
-	started      map[string]time.Time
-	store        *platform.Log
-	verifying    atomic.Bool
-	waitsFor     map[string]string
+	// since is when the host took the shard.
+	since     time.Time
+	seenEnds  map[ledger.TaskEnd]time.Time
+	serves    bool // keys, as peers were told last
+	started   map[string]time.Time
+	store     *platform.Log
+	verifying atomic.Bool
+	waitsFor  map[string]string
 }
 
 func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
@@ -79,6 +82,7 @@
 		draining:    map[string]time.Time{},
 		epoch:       epoch,
 		failedOn:    map[string][]string{},
+		heard:       map[string]time.Time{},
 		host:        h,
 		id:          id,
 		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
@@ -88,6 +92,7 @@
 		queue:       newQueue(),
 		reports:     map[string]*workerReport{},
 		rollouts:    map[string]time.Time{},
+		since:       time.Now(),
 		seenEnds:    map[ledger.TaskEnd]time.Time{},
 		started:     map[string]time.Time{},
 		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
--- a/internal/host/ownerlearn.go
+++ b/internal/host/ownerlearn.go
@@ -72,6 +72,12 @@
 			delete(o.seenEnds, end)
 		}
 	}
+	for job := range o.draining {
+		if rec, ok := o.ledger.State().Job(job); !ok || rec.EndedAt != 0 {
+			delete(o.draining, job)
+			delete(o.rollouts, job)
+		}
+	}
 	for task := range o.started {
 		if rec, ok := o.ledger.State().Task(task); !ok || rec.Phase.IsEnd() {
 			delete(o.started, task)
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -27,6 +27,7 @@
 	o.forgetStarted(candidates)
 	view := o.view(now, workers, candidates)
 	ahead := 0
+	o.evictFromLeaving(now, workers)
 	o.probe(now, workers, candidates)
 	for _, c := range o.queue.next(now, candidates, o.hasRoom) {
 		d, err := o.placer.Place(view, o.placementTask(c))
@@ -47,6 +48,20 @@
 	}
 }
 
+// evictFromLeaving stops the batch tasks of workers that leave, so that they resume elsewhere from their
+// checkpoints. It is not charged to the eviction budget, since they would be lost otherwise.
+func (o *shardOwner) evictFromLeaving(now time.Time, workers []fleet.Host) {
+	leaving := map[string]bool{}
+	for _, w := range workers {
+		leaving[w.ID] = w.IsLeaving()
+	}
+	for _, r := range o.ledger.Running() {
+		if leaving[r.Worker] && r.Reported && !r.Stopping && !r.Job.IsLatencyCritical() {
+			o.evict(now, r.Task, "worker is leaving")
+		}
+	}
+}
+
 // hasRoom reports whether room is reserved for a task on the worker that it is bound to.
 func (o *shardOwner) hasRoom(c ledger.Candidate) bool {
 	return c.Worker != "" && o.admitted[c.Task] == c.Worker && o.mayWait(c)
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -173,6 +173,7 @@
 		known = &workerReport{}
 		o.reports[c.Worker] = known
 	}
+	o.heard[c.Worker] = now
 	trusted := o.ledger.Reported(now, c, known.merge(c, r))
 	if table, ok := o.host.keys.get(o.id); ok && trusted && table.epoch == o.epoch {
 		if known.EpochCapable {
--- a/internal/host/ownerwork.go
+++ b/internal/host/ownerwork.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,37 +15,52 @@
 // replicaPrefix marks the jobs that hold one replica of a service or feed.
 const replicaPrefix = "svc~"
 
-// rolloutWait is how long a changed service waits for room beside its old replicas before they are stopped.
-const rolloutWait = 10 * time.Second
+const (
+	// rolloutWait is how long a replica that is to be replaced waits for its successor to run.
+	rolloutWait = 10 * time.Second
+	// workerSilence is how long a worker may be silent before its replicas get successors elsewhere. It is two
+	// and a half heartbeats, so that one lost heartbeat moves nothing.
+	workerSilence = 5 * time.Second
+)
 
-// replicaJob returns the job of a replica. The id changes with the resources only, so that a note that
-// changes anything else of a service restarts nothing.
-func replicaJob(w note.Work, zone string, index int) ledger.Job {
+// replicaID is the part of a replica's job id that its successors share. It changes with the resources only,
+// so that a note that changes anything else of a service restarts nothing.
+func replicaID(w note.Work, zone string, index int) string {
 	h := fnv.New32a()
 	fmt.Fprintf(h, "%s %+v", w.Kind, w.Resources)
-	return ledger.Job{
-		ID:        fmt.Sprintf("%s%s~%s~%08x~%d", replicaPrefix, w.Name, zone, h.Sum32(), index),
-		Kind:      w.Kind,
-		Resources: w.Resources,
-		Tasks:     1,
-		Team:      w.Team,
-		Work:      w.Name,
-	}
+	return fmt.Sprintf("%s%s~%s~%08x~%d", replicaPrefix, w.Name, zone, h.Sum32(), index)
+}
+
+// generation splits a replica's job id into the part that its successors share and its number among them.
+func generation(job string) (id string, n int) {
+	i := strings.LastIndexByte(job, '~')
+	n, err := strconv.Atoi(job[i+1:])
+	if err != nil {
+		return job, 0
+	}
+	return job[:i], n
 }
 
 func isReplica(job string) bool { return strings.HasPrefix(job, replicaPrefix) }
 
+// replicas is what the ledger holds of the jobs that share a replica id.
+type replicas struct {
+	latest int                // highest generation ever recorded
+	live   []ledger.JobRecord // not ended and not withdrawn
+}
+
 // acceptServices brings the replicas in the ledger in line with the catalogue, in steps that keep a service
-// answering: new replicas start first, and old ones are stopped after their requests have drained.
+// answering: successors start first, and replicas are stopped after their requests have drained.
 func (o *shardOwner) acceptServices(now time.Time) {
 	c, _ := o.host.notes.current()
 	if c.Revision() == 0 {
 		return
 	}
 	shards := o.host.shardCount(o.id.Zone)
+	recorded := o.recordedReplicas()
+	running := o.runningJobs(now)
 	wanted := map[string]bool{}
-	pending := map[string]bool{} // work that has a wanted replica which does not run yet
-	running := o.runningJobs()
+	pending := map[string]bool{} // work with a wanted replica that does not run yet
 	for _, item := range c.Items() {
 		w := item.Work
 		if !w.IsLatencyCritical() {
@@ -54,32 +70,75 @@
 			if i%shards != o.id.Index {
 				continue
 			}
-			j := replicaJob(w, o.id.Zone, i)
-			wanted[j.ID] = true
-			j.SubmittedAt = now.UnixMilli()
-			o.ledger.Accept(j)
-			if !running[j.ID] {
-				pending[w.Name] = true
+			id := replicaID(w, o.id.Zone, i)
+			if keep := o.ensureReplica(now, w, id, recorded[id], running); keep != "" {
+				wanted[keep] = true
+				pending[w.Name] = pending[w.Name] || running[keep] != replicaServes
+			}
+		}
+	}
+	for _, set := range recorded {
+		for _, r := range set.live {
+			if !wanted[r.Job.ID] {
+				o.retire(now, r, pending[r.Job.Work])
 			}
 		}
 	}
+}
+
+func (o *shardOwner) recordedReplicas() map[string]replicas {
+	out := map[string]replicas{}
 	for _, r := range o.ledger.State().Jobs() {
-		if isReplica(r.Job.ID) && !wanted[r.Job.ID] && r.EndedAt == 0 && !r.Withdrawn {
-			o.retire(now, r, pending[r.Job.Work])
+		if !isReplica(r.Job.ID) {
+			continue
+		}
+		id, n := generation(r.Job.ID)
+		set := out[id]
+		set.latest = max(set.latest, n)
+		if r.EndedAt == 0 && !r.Withdrawn {
+			set.live = append(set.live, r)
 		}
+		out[id] = set
 	}
+	return out
+}
+
+// ensureReplica keeps one replica under an id and returns its job. A replica whose worker is silent or leaving
+// gets a successor: that is another task, so the lost one need not be proven ended first.
+func (o *shardOwner) ensureReplica(
+	now time.Time, w note.Work, id string, have replicas, running map[string]replicaState,
+) string {
+	best, bestN := "", -1
+	for _, r := range have.live {
+		if _, n := generation(r.Job.ID); n > bestN {
+			best, bestN = r.Job.ID, n
+		}
+	}
+	if best != "" && running[best] != replicaLost {
+		return best
+	}
+	next := fmt.Sprintf("%s~%d", id, have.latest+1)
+	accepted := o.ledger.Accept(ledger.Job{
+		ID: next, Kind: w.Kind, Resources: w.Resources, SubmittedAt: now.UnixMilli(), Tasks: 1, Team: w.Team, Work: w.Name,
+	})
+	if accepted && best != "" {
+		o.explain(explain.Decision{
+			Decision: "replace_replica", Job: next, Reason: "worker of " + best + " is silent or leaving", Work: w.Name,
+		})
+	}
+	return next
 }
 
 // retire stops a replica that is no longer wanted: first its backend server gets no new requests.
 func (o *shardOwner) retire(now time.Time, r ledger.JobRecord, successorPending bool) {
 	since, ok := o.draining[r.Job.ID]
 	if !ok {
-		if successorPending && now.Sub(o.rolloutSince(r.Job.Work, now)) < rolloutWait {
+		if successorPending && now.Sub(o.retiring(r.Job.ID, now)) < rolloutWait {
 			return
 		}
 		o.draining[r.Job.ID] = now
 		o.explain(explain.Decision{
-			Decision: "drain_replica", Job: r.Job.ID, Reason: "not listed by the notes in force", Work: r.Job.Work,
+			Decision: "drain_replica", Job: r.Job.ID, Reason: "replaced, or not listed by the notes in force", Work: r.Job.Work,
 		})
 		return
 	}
@@ -91,20 +150,40 @@
 	}
 }
 
-func (o *shardOwner) rolloutSince(work string, now time.Time) time.Time {
-	since, ok := o.rollouts[work]
-	if !ok {
-		o.rollouts[work] = now
-		return now
+// retiring returns since when a replica is to be retired.
+func (o *shardOwner) retiring(job string, now time.Time) time.Time {
+	if _, ok := o.rollouts[job]; !ok {
+		o.rollouts[job] = now
 	}
-	return since
+	return o.rollouts[job]
 }
 
-func (o *shardOwner) runningJobs() map[string]bool {
-	out := map[string]bool{}
+// replicaState is what is known of a replica that has been started.
+type replicaState int
+
+const (
+	// replicaWaits: it has no attempt yet.
+	replicaWaits replicaState = iota
+	// replicaLost: its worker is silent or leaving.
+	replicaLost
+	// replicaServes: its worker has confirmed it.
+	replicaServes
+)
+
+func (o *shardOwner) runningJobs(now time.Time) map[string]replicaState {
+	out := map[string]replicaState{}
+	hosts := o.host.hosts.snapshot()
 	for _, r := range o.ledger.Running() {
-		if r.Reported {
-			out[r.Job.ID] = true
+		h, listed := hosts.Host(r.Worker)
+		heard := o.heard[r.Worker]
+		if heard.IsZero() {
+			heard = o.since
+		}
+		switch {
+		case !listed || h.IsLeaving() || now.Sub(heard) > workerSilence:
+			out[r.Job.ID] = replicaLost
+		case r.Reported:
+			out[r.Job.ID] = replicaServes
 		}
 	}
 	return out
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"hash/fnv"
 	"slices"
 	"sync"
@@ -163,7 +164,30 @@
 	}
 }
 
+// ask sends a request to an entry host, through one of its zone if there is no connection to it.
+func (h *Host) ask(ctx context.Context, host string, m peer.Message) (peer.Message, error) {
+	reply, err := h.mesh.Request(ctx, host, m)
+	if !errors.Is(err, peer.ErrNotConnected) {
+		return reply, err
+	}
+	to, ok := h.hosts.snapshot().Host(host)
+	if !ok || to.Zone == h.zone {
+		return reply, err
+	}
+	for _, p := range h.mesh.Zone(to.Zone) {
+		m.RelayTo = host
+		return h.mesh.Request(ctx, p.Host, m)
+	}
+	return reply, err
+}
+
 func (h *Host) peerRequest(ctx context.Context, _ peer.Hello, m peer.Message) (peer.Message, error) {
+	if to := m.RelayTo; to != "" && to != h.id {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		m.RelayTo = ""
+		return h.mesh.Request(ctx, to, m)
+	}
 	switch {
 	case m.Notes != nil:
 		reply, err := h.notes.since(m.Notes.After)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -97,30 +97,20 @@
 
 // Message is one frame; one of its pointers is set. ID matches a reply to its request.
 type Message struct {
-	Explain        *ExplainRequest `json:"explain,omitempty"`
-	ExplainReply   *ExplainReply   `json:"explain_reply,omitempty"`
-	Grant          *Grant          `json:"grant,omitempty"`
-	GrantAck       *GrantAck       `json:"grant_ack,omitempty"`
-	Heartbeat      *Heartbeat      `json:"hb,omitempty"`
-	Hello          *Hello          `json:"hello,omitempty"`
-	Handover       *Handover       `json:"handover,omitempty"`
-	ID             uint64          `json:"id,omitempty"`
-	Notes          *NotesRequest   `json:"notes,omitempty"`
-	NotesReply     *NotesReply     `json:"notes_reply,omitempty"`
-	RefusedReason  string          `json:"refused_reason,omitempty"`
-	Reply          bool            `json:"reply,omitempty"`
-	Status         *StatusRequest  `json:"status,omitempty"`
-	StatusReply    *StatusReply    `json:"status_reply,omitempty"`
-	CancelJob      *CancelJob      `json:"cancel_job,omitempty"`
-	CancelJobReply *CancelJobReply `json:"cancel_job_reply,omitempty"`
-}
-
-// CancelJob asks a shard owner to cancel a job.
-type CancelJob struct {
-	Job string `json:"job"`
-}
-
-// CancelJobReply tells whether the owner knew the job.
-type CancelJobReply struct {
-	Found bool `json:"found"`
+	Explain       *ExplainRequest `json:"explain,omitempty"`
+	ExplainReply  *ExplainReply   `json:"explain_reply,omitempty"`
+	Grant         *Grant          `json:"grant,omitempty"`
+	GrantAck      *GrantAck       `json:"grant_ack,omitempty"`
+	Heartbeat     *Heartbeat      `json:"hb,omitempty"`
+	Hello         *Hello          `json:"hello,omitempty"`
+	Handover      *Handover       `json:"handover,omitempty"`
+	ID            uint64          `json:"id,omitempty"`
+	Notes         *NotesRequest   `json:"notes,omitempty"`
+	NotesReply    *NotesReply     `json:"notes_reply,omitempty"`
+	RefusedReason string          `json:"refused_reason,omitempty"`
+	// RelayTo asks the receiver to pass the request on to another entry host.
+	RelayTo     string         `json:"relay_to,omitempty"`
+	Reply       bool           `json:"reply,omitempty"`
+	Status      *StatusRequest `json:"status,omitempty"`
+	StatusReply *StatusReply   `json:"status_reply,omitempty"`
 }
