--- /dev/null
+++ b/internal/integration/main_test.go
@@ -0,0 +1,74 @@
+package integration_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/poll"
+)
+
+// patience bounds each wait; it is long, so that a busy machine makes tests slow and not red.
+const patience = 60 * time.Second
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "laburnumridge-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "laburnumridge")
+	args := append([]string{"build", "-o", binary}, buildFlags...)
+	build := exec.Command("go", append(args, "github.com/laburnumridge/laburnumridge")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the program: %s\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// begin lets a test run beside the others, unless KNOWN-RED.txt lists it.
+func begin(t *testing.T) {
+	t.Helper()
+	knownRed(t)
+	t.Parallel()
+}
+
+// knownRed skips a test that an entry of KNOWN-RED.txt names in a line "test: NAME", and prints the entry.
+func knownRed(t *testing.T) {
+	t.Helper()
+	text, err := os.ReadFile("../../KNOWN-RED.txt")
+	if err != nil {
+		return
+	}
+	for entry := range strings.SplitSeq(string(text), "\n\n") {
+		for line := range strings.Lines(entry) {
+			name, ok := strings.CutPrefix(line, "test:")
+			if ok && strings.TrimSpace(name) == t.Name() {
+				fmt.Fprintln(os.Stderr, entry)
+				t.Skip(entry)
+			}
+		}
+	}
+}
+
+// eventually repeats f until it returns no error.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := f(); err != nil {
+			return poll.Continue("%s: %v", what, err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(patience))
+}
--- /dev/null
+++ b/internal/integration/path_test.go
@@ -0,0 +1,61 @@
+package integration_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	lr "github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// Guards against parts that work alone and not together: a note, a request, a job, explain and in-force.
+func TestWholePath(t *testing.T) {
+	begin(t)
+	c := startFleet(t, []zone{{"wattala", 2, 2}, {"kadawatha", 1, 2}})
+	for _, e := range c.entries {
+		for _, service := range []string{"orders", "readings"} {
+			assert.NilError(t, c.ask(e, service, "").failure())
+		}
+	}
+	c.submit(c.entries[0], "job", 6)
+	c.awaitDone(c.entries[1], "job", 6)
+
+	ran := map[string]string{}
+	for _, r := range c.journal.Runs() {
+		if r.Work == "plan" {
+			ran[r.Task] = r.Worker
+		}
+	}
+	assert.Equal(t, len(ran), 6)
+	client := c.entries[2].client(t)
+	job, err := client.Job(context.Background(), "job")
+	assert.NilError(t, err)
+	assert.Equal(t, job.Phase, lr.PhaseDone)
+	for _, task := range job.Tasks {
+		said, err := client.Explain(context.Background(), task.ID)
+		assert.NilError(t, err)
+		assert.Assert(t, slices.ContainsFunc(said.Decisions, func(d lr.Decision) bool {
+			return d.Worker == ran[task.ID] && d.Reason != ""
+		}), "%s ran on %s: %v", task.ID, ran[task.ID], said.Decisions)
+	}
+	for _, e := range c.entries {
+		eventually(t, "in-force at "+e.id, func() error {
+			in, err := e.client(t).InForce(context.Background(), "orders")
+			if err != nil {
+				return err
+			}
+			for _, h := range in.Hosts {
+				if !h.Reachable || h.Revision != in.Revision {
+					return eris.Errorf("%+v", h)
+				}
+			}
+			if len(in.Hosts) != len(c.entries) || in.Work.Note != "first" {
+				return eris.Errorf("%+v", in)
+			}
+			return nil
+		})
+	}
+}
--- /dev/null
+++ b/internal/integration/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package integration_test
+
+var buildFlags = []string{"-race"}
