--- /dev/null
+++ b/internal/integration/single_run_test.go
@@ -0,0 +1,124 @@
+package integration_test
+
+import (
+	"context"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fake"
+	"github.com/laburnumridge/laburnumridge/internal/worker"
+	lr "github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+const jobTasks = 8
+
+// Guards against a task that runs in two places at once, an attempt that runs twice and work that starts anew
+// instead of from its checkpoint; startFleet checks these in the journal at the end.
+func TestSingleRun(t *testing.T) {
+	begin(t)
+	for name, fail := range map[string]func(c *cluster, owner, other *entry){
+		"owner paused past its lease": func(c *cluster, owner, other *entry) {
+			c.submit(owner, "job", jobTasks)
+			c.awaitRunning(owner, "job", jobTasks)
+			owner.signal(c.t, syscall.SIGSTOP)
+			c.awaitTakeover(owner, other)
+			c.awaitFenced(other)
+			owner.signal(c.t, syscall.SIGCONT)
+			c.awaitServices(owner)
+		},
+		"owner killed": func(c *cluster, owner, other *entry) {
+			c.submit(owner, "job", jobTasks)
+			c.awaitRunning(owner, "job", jobTasks)
+			owner.kill(c.t)
+			c.awaitTakeover(owner, other)
+		},
+		"start delayed past the takeover": func(c *cluster, owner, other *entry) {
+			for _, link := range c.links {
+				link.Delay(fake.ToTarget, 25*time.Second, 0)
+			}
+			c.submit(owner, "job", jobTasks)
+			eventually(c.t, "starts under way", func() error {
+				said, err := owner.client(c.t).Explain(context.Background(), "job")
+				if err == nil && !slices.ContainsFunc(said.Decisions, isUnanswered) {
+					err = eris.Errorf("%d decisions", len(said.Decisions))
+				}
+				return err
+			})
+			owner.kill(c.t)
+			for _, link := range c.links {
+				link.Delay(fake.ToTarget, 0, 0)
+			}
+			c.awaitTakeover(owner, other)
+			refused := c.refused(worker.ReasonStaleEpoch)
+			eventually(c.t, "arrival of the delayed starts", func() error {
+				if c.refused(worker.ReasonStaleEpoch) == refused {
+					return eris.New("none refused")
+				}
+				return nil
+			})
+		},
+		"worker cut off and back": func(c *cluster, owner, _ *entry) {
+			c.submit(owner, "job", jobTasks)
+			c.awaitRunning(owner, "job", jobTasks)
+			busy := c.journal.Runs()[slices.IndexFunc(c.journal.Runs(), isBatch)].Worker
+			assert.NilError(c.t, c.links[busy].Cut(true))
+			eventually(c.t, "end of the leases of "+busy, func() error {
+				for _, task := range c.workers[busy].Tasks() {
+					if !task.Phase.IsEnd() {
+						return eris.Errorf("%s runs", task.Task)
+					}
+				}
+				return nil
+			})
+			eventually(c.t, "the link to "+busy, func() error { return c.links[busy].Cut(false) })
+		},
+		"answers of the platform lost": func(c *cluster, owner, other *entry) {
+			c.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 5})
+			c.submit(owner, "job", jobTasks)
+			c.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 10})
+			c.submit(other, "job", jobTasks) // a repeat creates no second job
+			c.awaitRunning(owner, "job", jobTasks)
+			c.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 10})
+			owner.kill(c.t)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin(t)
+			c := startFleet(t, []zone{{"wattala", 2, 3}}, withRunTime(6*time.Second))
+			owner, other := c.roles("wattala")
+			fail(c, owner, other)
+			c.awaitDone(other, "job", jobTasks)
+			c.awaitServices(c.live()...)
+			ran := map[string]bool{}
+			for _, r := range c.journal.Runs() {
+				if isBatch(r) {
+					ran[r.Task] = true
+				}
+			}
+			assert.Equal(t, len(ran), jobTasks)
+		})
+	}
+}
+
+func isUnanswered(d lr.Decision) bool { return d.Decision == "start_unanswered" }
+
+func isBatch(r fake.Run) bool { return r.Work == "plan" }
+
+// awaitFenced waits until the workers run a task that an entry host placed: it has fenced them.
+func (c *cluster) awaitFenced(e *entry) {
+	c.t.Helper()
+	c.awaitJob(e, "job", "resumed", func(n lr.PhaseCounts) bool { return n.Running+n.Done > 0 })
+}
+
+func (c *cluster) refused(reason worker.Reason) int {
+	n := 0
+	for _, w := range c.workers {
+		n += w.Refusals(reason)
+	}
+	return n
+}
