--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -20,6 +20,14 @@
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
+// reasonHandingOver is the reason of a keyed request that came to its owner while the keys were handed over.
+const reasonHandingOver = "key_handing_over"
+
+const (
+	keyOwnerPoll = 20 * time.Millisecond
+	keyOwnerWait = 2 * time.Second
+)
+
 // nonIdempotent runs a request at most once. One without a key of its caller is a request of its own: it is
 // sent again only if a worker refused it before running.
 func (h *Host) nonIdempotent(
@@ -35,11 +43,24 @@
 	}
 	home := idempotency.Home(key, h.hosts.snapshot().Zones())
 	id := fleet.ShardID{Index: idempotency.Partition(key, h.shardCount(home)), Zone: home}
+	for {
+		res, p := h.atOwner(ctx, r, item, key, id)
+		if p == nil || p.Reason != reasonHandingOver || r.Forwarded != "" || ctx.Err() != nil {
+			return res, p
+		}
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
+// atOwner runs a keyed request at the owner of its partition, here or at another entry host.
+func (h *Host) atOwner(
+	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID,
+) (*caller.Response, *laburnumridge.Problem) {
 	if table, ok := h.keys.get(id); ok {
 		return h.claimed(ctx, r, item, key, id, table)
 	}
-	owner, ok := h.shards.ownerOf(id)
-	if !ok || !owner.serving || r.Forwarded != "" {
+	owner, ok := h.awaitKeyOwner(ctx, id, r.Forwarded != "")
+	if !ok {
 		h.explainRequest(r, "key_refuse", "no entry host that serves keys of "+id.String()+" is known", "")
 		return nil, repeatable("key_owner_unknown", "no entry host serves keys of "+id.String()+" now")
 	}
@@ -52,6 +73,35 @@
 	return res, p
 }
 
+// awaitKeyOwner returns the host that serves a shard's keys; it waits a little, as a handover takes a moment.
+// A request that was forwarded waits at its first host only.
+func (h *Host) awaitKeyOwner(ctx context.Context, id fleet.ShardID, forwarded bool) (sighting, bool) {
+	if forwarded {
+		return sighting{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, keyOwnerWait)
+	defer cancel()
+	for {
+		owner, ok := h.shards.ownerOf(id)
+		if ok && owner.serving {
+			return owner, true
+		}
+		if ctx.Err() != nil {
+			return owner, false
+		}
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
+// awaitServing waits a little for a new owner to hear from its workers.
+func awaitServing(ctx context.Context, table keyTable) {
+	ctx, cancel := context.WithTimeout(ctx, keyOwnerWait)
+	defer cancel()
+	for ctx.Err() == nil && !table.MayClaim(time.Now()) && !table.IsHandedOver() {
+		pause(ctx, keyOwnerPoll)
+	}
+}
+
 // repeatable is the problem of a request whose key was not looked up: an earlier one may have run, and it may
 // be repeated with the same key without harm.
 func repeatable(reason, detail string) *laburnumridge.Problem {
@@ -66,9 +116,12 @@
 	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID, table keyTable,
 ) (*caller.Response, *laburnumridge.Problem) {
 	fingerprint := idempotency.FingerprintOf(r.Method, r.Service+r.Path+"?"+r.Query, sha256.Sum256(r.Body))
+	awaitServing(ctx, table)
 	claim := table.Claim(time.Now(), key, fingerprint)
 	h.explainRequest(r, "key_"+string(claim.Verdict), fmt.Sprintf("key of %s, epoch %d. %s", id, table.epoch, claim.Reason), "")
 	switch claim.Verdict {
+	case idempotency.VerdictHandingOver:
+		return nil, repeatable(reasonHandingOver, claim.Reason)
 	case idempotency.VerdictMismatch:
 		return nil, problem(http.StatusUnprocessableEntity, laburnumridge.OutcomeNotRun, "key_of_other_request", claim.Reason)
 	case idempotency.VerdictNotRun:
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -40,12 +40,15 @@
 	// admitted is the worker on which a task that waits has room reserved, by task.
 	admitted map[string]string
 	// draining is when a replica's backend server stopped taking requests, by job.
-	draining   map[string]time.Time
-	epoch      int64
-	failedOn   map[string][]string
-	grants     *granting
-	handing    bool
-	host       *Host
+	draining map[string]time.Time
+	epoch    int64
+	failedOn map[string][]string
+	grants   *granting
+	handing  bool
+	heard    map[string]time.Time // last report of each worker
+	host     *Host
+	// hurry asks for a tick at once, so that a takeover does not wait for the ticker at each of its steps.
+	hurry      bool
 	id         fleet.ShardID
 	ledger     *ledger.Owner
 	mitigation *mitigation
@@ -61,11 +64,14 @@
 	queue        *queue
 	reports      map[string]*workerReport
 	rollouts     map[string]time.Time
-	seenEnds     map[ledger.TaskEnd]time.Time
-	started      map[string]time.Time
-	store        *platform.Log
-	verifying    atomic.Bool
-	waitsFor     map[string]string
+	// since is when the host took the shard.
+	since     time.Time
+	seenEnds  map[ledger.TaskEnd]time.Time
+	serves    bool // keys, as peers were told last
+	started   map[string]time.Time
+	store     *platform.Log
+	verifying atomic.Bool
+	waitsFor  map[string]string
 }
 
 func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
@@ -76,6 +82,7 @@
 		draining:    map[string]time.Time{},
 		epoch:       epoch,
 		failedOn:    map[string][]string{},
+		heard:       map[string]time.Time{},
 		host:        h,
 		id:          id,
 		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
@@ -85,6 +92,7 @@
 		queue:       newQueue(),
 		reports:     map[string]*workerReport{},
 		rollouts:    map[string]time.Time{},
+		since:       time.Now(),
 		seenEnds:    map[ledger.TaskEnd]time.Time{},
 		started:     map[string]time.Time{},
 		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
@@ -107,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	o.ledger = ledger.NewOwner(state, o.host.id, o.epoch, o.host.session.renewedAt(),
+	o.ledger = ledger.NewOwner(state, o.host.id, o.epoch, o.host.trustedRenewal(o.id, o.epoch),
 		ledger.WithViolated(o.ledgerViolated), ledger.WithStartGate(o.mayStart))
 	ticker := time.NewTicker(ownerTick)
 	defer ticker.Stop()
@@ -118,7 +126,10 @@
 			return ctx.Err()
 		case f := <-o.mail:
 			f(time.Now())
-			continue
+			if !o.hurry {
+				continue
+			}
+			o.hurry = false
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -243,6 +254,10 @@
 	}
 	table.Workers(ids)
 	table.LeaseUntil(o.host.trustedRenewal(o.id, o.epoch).Add(sessionTrusted))
+	if serves := table.MayClaim(time.Now()); serves != o.serves {
+		o.serves = serves
+		o.host.mesh.BeatNow() // keyed requests wait for this news
+	}
 	if capacity.CPUMilli > 0 {
 		o.freePercent.Store(max(0, 100-100*reserved.CPUMilli/capacity.CPUMilli))
 	}
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -43,6 +43,7 @@
 		switch {
 		case err == nil:
 			o.ledger.Committed(now)
+			o.hurry = true
 		case errors.Is(err, platform.ErrBehind):
 			o.log.WithError(err).Warn("another host appended to the shard's ledger")
 			o.ledger.Conflicted()
@@ -98,6 +99,7 @@
 		switch {
 		case err == nil:
 			o.reported(now, c, report)
+			o.hurry = o.hurry || c.Fence
 		case errors.As(err, &refusal):
 			o.ledger.ContactRefused(c, refusal.Epoch)
 		default:
@@ -171,8 +173,9 @@
 		known = &workerReport{}
 		o.reports[c.Worker] = known
 	}
-	o.ledger.Reported(now, c, known.merge(c, r))
-	if table, ok := o.host.keys.get(o.id); ok && table.epoch == o.epoch && o.ledger.MayAct(now, c.Worker) {
+	o.heard[c.Worker] = now
+	trusted := o.ledger.Reported(now, c, known.merge(c, r))
+	if table, ok := o.host.keys.get(o.id); ok && trusted && table.epoch == o.epoch {
 		if known.EpochCapable {
 			table.Accepted(now, c.Worker, c.SentAt)
 		} else {
