Answer callers that send their body too slowly

Cause: after the read timeout the read deadline was cleared before the answer was written. net/http reads the rest of the body before it writes an answer, so it waited for the slow sender without end, and the caller got no answer. Ruled out: the body limit (the answer to a body that is too large arrives) and the read timeout itself (the handler saw its error). Change: the deadline stays after an error; it is cleared only when the body arrived whole. Before: TestCallerLimits/slow_sender had no answer after 60 s. After: it gets 408 with problem details and not_run.

--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -112,7 +112,11 @@
 	}
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(r.Arrived.Add(a.limits.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), in.Body, a.limits.MaxBodyBytes))
-	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	if err == nil {
+		// After an error the deadline stays: net/http reads the rest of the body before it answers, and would wait
+		// for a slow sender without end.
+		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
