Answer headers beyond the limit with problem details

Cause: net/http refuses a header beyond MaxHeaderBytes in plain text before any handler runs, so the caller got no outcome; our client takes such an answer for the service's own. Ruled out: a check in a handler, which never sees such a request, and a higher limit of net/http with a check of our own, which only moves the size at which the plain text comes. Change: the listeners' connections replace exactly this refusal by problem details with not_run. Before: TestCallerLimits/header_too_large got text/plain. After: it gets problem details with status 431 and reason header_too_large.

--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -81,6 +81,9 @@
 	if c != nil {
 		l = tls.NewListener(l, c)
 	}
+	if l, err = newHeaderLimitListener(l, h.settings.Limits.MaxHeaderBytes, h.zone); err != nil {
+		return eris.Wrap(err, "listening")
+	}
 	server := &http.Server{
 		Handler:           handler,
 		IdleTimeout:       idleTimeout,
