Add the dev command

Cause: an operator could try the commands only against a fleet of their own, since demo ends by itself.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -23,6 +23,7 @@
 type args struct {
 	Config  *configCmd  `arg:"subcommand:config" help:"check settings or print an example"`
 	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a small fleet in this process and report on it"`
+	Dev     *devCmd     `arg:"subcommand:dev" help:"run a small fleet in this process until SIGINT, to try the other commands"`
 	Explain *explainCmd `arg:"subcommand:explain" help:"show the decisions that concern an id"`
 	InForce *inForceCmd `arg:"subcommand:in-force" help:"show the revision in force on each entry host"`
 	Job     *jobCmd     `arg:"subcommand:job" help:"submit, show or cancel a job"`
--- /dev/null
+++ b/internal/demo/keep_test.go
@@ -0,0 +1,51 @@
+package demo_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/demo"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// TestKeepServesUntilItsContextEnds guards against a fleet that is announced before operators and callers
+// can use it, or that does not stop.
+func TestKeepServesUntilItsContextEnds(t *testing.T) {
+	user, err := demo.UserByName("retablo")
+	assert.NilError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	announced := make(chan []string, 1)
+	ended := make(chan error, 1)
+	go func() { ended <- demo.Keep(ctx, user, log, func(urls []string) { announced <- urls }) }()
+
+	var urls []string
+	select {
+	case urls = <-announced:
+	case err := <-ended:
+		t.Fatalf("the fleet ended before it was ready: %v", err)
+	}
+	assert.Equal(t, len(urls), 2*len(user.Zones))
+	client, err := laburnumridge.New(laburnumridge.WithURLs(urls...))
+	assert.NilError(t, err)
+	in, err := client.InForce(ctx, user.Batch)
+	assert.NilError(t, err)
+	assert.Equal(t, in.Revision, int64(1))
+	answer, err := client.Do(ctx, user.Services[0], "POST", "/seat/7", []byte("hold"))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(body), "hold"), string(body))
+
+	stop()
+	assert.NilError(t, <-ended)
+	_, err = client.Status(t.Context())
+	assert.ErrorIs(t, err, laburnumridge.ErrNotRun)
+}
