--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -81,6 +81,9 @@
 	if c != nil {
 		l = tls.NewListener(l, c)
 	}
+	if l, err = newHeaderLimitListener(l, h.settings.Limits.MaxHeaderBytes, h.zone); err != nil {
+		return eris.Wrap(err, "listening")
+	}
 	server := &http.Server{
 		Handler:           handler,
 		IdleTimeout:       idleTimeout,
@@ -108,7 +111,9 @@
 	if err := s.all[len(s.all)-1].Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
-	h.flying.Wait()
+	for h.flying.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, keyOwnerPoll)
+	}
 	h.shards.handOver(ctx)
 	for _, server := range s.all {
 		_ = server.Shutdown(ctx)
@@ -123,6 +128,8 @@
 		return c.String(http.StatusServiceUnavailable, "draining\n")
 	case !h.notes.loaded.Load():
 		return c.String(http.StatusServiceUnavailable, "release notes are not loaded yet\n")
+	case !h.backends.isReady(time.Now()):
+		return c.String(http.StatusServiceUnavailable, "no grant of the zone's shards has come yet\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
