Close a peer connection that sends no hello

Cause: a connection joined the watch for silence only after its hello. A peer that accepted a WebSocket and then went silent held the dial loop for ever, so the host was never dialled again. Ruled out: the dial timeout, which ends with the upgrade, and the silence check, which sees registered connections only. Change: the hello must arrive within 2 s, else the connection ends and the dial loop goes on. Before: TestSilenceBeforeHelloIsReplaced ran into its 30 s limit. After: it passes. Conclusion: silence before the hello now ends like silence after it.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -24,6 +24,7 @@
 	missedHeartbeats  = 3
 	dialTimeout       = 2 * time.Second
 	writeTimeout      = 2 * time.Second
+	helloTimeout      = 2 * time.Second
 	redialMinimum     = 200 * time.Millisecond
 	redialMaximum     = 3 * time.Second
 	maxMessageBytes   = 4 << 20
@@ -330,7 +331,10 @@
 	if err := c.send(Message{Hello: &m.self}); err != nil {
 		return
 	}
+	// Before its hello the connection is not among those whose silence is watched.
+	timeout := time.AfterFunc(helloTimeout, c.cancel)
 	first, err := c.read()
+	timeout.Stop()
 	if err != nil || first.Hello == nil || (want != "" && first.Hello.Host != want) {
 		m.log.WithField("peer", want).Warn("peer did not say who it is, or is another host")
 		return
