Refuse a peer without an id or with the id of this host

Cause: only a dialled connection was checked for the id in the hello; an accepted one was registered under any id, also the host's own or none, and then received heartbeats, grants and requests as a peer. Ruled out: the dialled side, where the same test passed before. Change: Mesh.accepts checks the id on both sides. Before: TestOtherIdentityIsRefused/claims_the_own_id and /has_no_id failed with 1 connected peer. After: they pass. Conclusion: an id that cannot be a peer's is refused. Which other id a peer may claim on an accepted connection is left to the peer listener's TLS.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -224,6 +224,11 @@
 	return slices.DeleteFunc(m.Connected(), func(s Status) bool { return s.Zone != zone })
 }
 
+// accepts reports whether a peer may have the id that it claims; want is the host that was dialled, if any.
+func (m *Mesh) accepts(id, want string) bool {
+	return id != "" && id != m.self.Host && (want == "" || id == want)
+}
+
 // beat sends the heartbeats that are due and closes connections that are silent.
 func (m *Mesh) beat() {
 	m.mu.Lock()
@@ -335,7 +340,7 @@
 	timeout := time.AfterFunc(helloTimeout, c.cancel)
 	first, err := c.read()
 	timeout.Stop()
-	if err != nil || first.Hello == nil || (want != "" && first.Hello.Host != want) {
+	if err != nil || first.Hello == nil || !m.accepts(first.Hello.Host, want) {
 		m.log.WithField("peer", want).Warn("peer did not say who it is, or is another host")
 		return
 	}
