Keep one connection to a peer that both hosts dial

Cause: across zones each host dials whom it wants. When both wanted each other, each new connection replaced the other host's, and the host that lost its own dialled again without asking whether there was a connection. The pair replaced connections without end. Ruled out: pairs of one zone, where one side dials only; the same test passed there.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,8 +13,10 @@
 
 // conn is one WebSocket to another entry host.
 type conn struct {
-	cancel   context.CancelFunc
-	ctx      context.Context
+	cancel context.CancelFunc
+	ctx    context.Context
+	// dialled says that this host opened the connection.
+	dialled  bool
 	done     <-chan struct{}
 	hello    Hello
 	lastBeat time.Time
