Dial a peer at its present address

Cause: the dial loop kept the address with which it started, so a host that came back under its id at another address was dialled at the old one for ever. Ruled out: the host list, whose new entry was in the mesh's peers. Change: each try reads the peer's entry again. Before: TestMovedPeerIsDialledAnew ran into its 30 s limit. After: it passes. Conclusion: a replaced host is reached at the next try.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -20,19 +20,23 @@
 			continue
 		}
 		m.dialing[id] = true
-		go m.dial(ctx, h)
+		go m.dial(ctx, id)
 	}
 }
 
-// dial keeps trying to connect to a host until there is a connection, whoever opened it.
-func (m *Mesh) dial(ctx context.Context, h fleet.Host) {
+// dial keeps trying to connect to a host at its present address until there is a connection, whoever opened it.
+func (m *Mesh) dial(ctx context.Context, id string) {
 	defer func() {
 		m.mu.Lock()
-		delete(m.dialing, h.ID)
+		delete(m.dialing, id)
 		m.mu.Unlock()
 	}()
 	wait := redialMinimum
-	for ctx.Err() == nil && m.conn(h.ID) == nil && m.wants(h.ID) {
+	for ctx.Err() == nil && m.conn(id) == nil {
+		h, ok := m.wanted(id)
+		if !ok {
+			return
+		}
 		started := time.Now()
 		ws, err := m.open(ctx, h)
 		if err == nil {
@@ -64,9 +68,9 @@
 	return ws, err
 }
 
-func (m *Mesh) wants(id string) bool {
+func (m *Mesh) wanted(id string) (fleet.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, ok := m.peers[id]
-	return ok
+	h, ok := m.peers[id]
+	return h, ok
 }
