--- /dev/null
+++ b/internal/peer/message_test.go
@@ -0,0 +1,56 @@
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+)
+
+// TestHeartbeatIsSmall guards against heartbeats that take more than a part of a host's 3 KB/s: it sends one
+// a second to each of 7 peers of its zone and one every 3 s on each of 28 links to other zones.
+func TestHeartbeatIsSmall(t *testing.T) {
+	for _, tc := range []struct{ owned, most int }{{0, 32}, {1, 64}, {2, 96}} {
+		hb := peer.Heartbeat{Revision: 123_456}
+		for i := range tc.owned {
+			hb.Owned = append(hb.Owned, peer.Owned{
+				Epoch: 70_000, FreePercent: 100, Index: 60 + i, Serving: true, Zone: "kadawatha",
+			})
+		}
+		frame, err := cbor.Marshal(peer.Message{Heartbeat: &hb})
+		assert.NilError(t, err)
+		t.Logf("%d owned shards: %d bytes", tc.owned, len(frame))
+		assert.Assert(t, len(frame) <= tc.most, "%d owned shards: %d bytes", tc.owned, len(frame))
+	}
+}
+
+// FuzzDecode guards against a panic on a malformed frame and against a frame that changes when it is sent on.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []peer.Message{
+		{Hello: &peer.Hello{Host: "a", Run: "a#1", Zone: "z"}},
+		{Heartbeat: &peer.Heartbeat{Owned: []peer.Owned{{Epoch: 1, Zone: "z"}}, Revision: 1}},
+		{ID: 7, Notes: &peer.NotesRequest{After: 3}},
+		{ID: 7, Reply: true, RefusedReason: "no"},
+		{Handover: &peer.Handover{Epoch: 2, Keys: []byte("{}"), Zone: "z"}},
+	} {
+		frame, err := cbor.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(frame)
+	}
+	f.Add([]byte{0xff})
+	f.Add([]byte{0xa1, 0x62, 'h', 'b', 0x83, 0xf4, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := peer.Decode(frame)
+		if err != nil {
+			return
+		}
+		again, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		back, err := peer.Decode(again)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back.ID, m.ID)
+		assert.Equal(t, back.Reply, m.Reply)
+	})
+}
