--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -24,6 +24,7 @@
 	missedHeartbeats  = 3
 	dialTimeout       = 2 * time.Second
 	writeTimeout      = 2 * time.Second
+	helloTimeout      = 2 * time.Second
 	redialMinimum     = 200 * time.Millisecond
 	redialMaximum     = 3 * time.Second
 	maxMessageBytes   = 4 << 20
@@ -223,6 +224,11 @@
 	return slices.DeleteFunc(m.Connected(), func(s Status) bool { return s.Zone != zone })
 }
 
+// accepts reports whether a peer may have the id that it claims; want is the host that was dialled, if any.
+func (m *Mesh) accepts(id, want string) bool {
+	return id != "" && id != m.self.Host && (want == "" || id == want)
+}
+
 // beat sends the heartbeats that are due and closes connections that are silent.
 func (m *Mesh) beat() {
 	m.mu.Lock()
@@ -268,121 +274,3 @@
 	defer m.mu.Unlock()
 	return m.conns[host]
 }
-
-// dialMissing opens connections that are wanted. Inside a zone the host with the lower id dials, so that
-// a pair does not open two; across zones the host that wants the connection dials.
-func (m *Mesh) dialMissing(ctx context.Context) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id, h := range m.peers {
-		if m.conns[id] != nil || m.dialing[id] || (h.Zone == m.self.Zone && id < m.self.Host) {
-			continue
-		}
-		m.dialing[id] = true
-		go m.dial(ctx, h)
-	}
-}
-
-func (m *Mesh) dial(ctx context.Context, h fleet.Host) {
-	defer func() {
-		m.mu.Lock()
-		delete(m.dialing, h.ID)
-		m.mu.Unlock()
-	}()
-	wait := redialMinimum
-	for ctx.Err() == nil && m.wants(h.ID) {
-		started := time.Now()
-		ws, err := m.open(ctx, h)
-		if err == nil {
-			m.serve(ctx, ws, h.ID)
-		}
-		if time.Since(started) > redialMaximum {
-			wait = redialMinimum
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		wait = min(2*wait, redialMaximum)
-	}
-}
-
-func (m *Mesh) open(ctx context.Context, h fleet.Host) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: m.tls, Proxy: nil}}
-	ws, res, err := websocket.Dial(ctx, m.scheme+h.PeerAddress+"/peer", &websocket.DialOptions{
-		CompressionMode: websocket.CompressionDisabled,
-		HTTPClient:      client,
-	})
-	if res != nil && res.Body != nil {
-		_ = res.Body.Close()
-	}
-	return ws, err
-}
-
-// serve exchanges messages until the connection ends; want is the host that was dialled, if any.
-func (m *Mesh) serve(ctx context.Context, ws *websocket.Conn, want string) {
-	c := newConn(ctx, ws)
-	defer c.close("ended")
-	go c.write()
-	if err := c.send(Message{Hello: &m.self}); err != nil {
-		return
-	}
-	first, err := c.read()
-	if err != nil || first.Hello == nil || (want != "" && first.Hello.Host != want) {
-		m.log.WithField("peer", want).Warn("peer did not say who it is, or is another host")
-		return
-	}
-	c.hello = *first.Hello
-	m.mu.Lock()
-	old := m.conns[c.hello.Host]
-	m.conns[c.hello.Host] = c
-	m.mu.Unlock()
-	if old != nil {
-		old.close("replaced")
-	}
-	defer func() {
-		m.mu.Lock()
-		if m.conns[c.hello.Host] == c {
-			delete(m.conns, c.hello.Host)
-		}
-		m.mu.Unlock()
-	}()
-	for {
-		msg, err := c.read()
-		if err != nil {
-			return
-		}
-		m.dispatch(c, msg)
-	}
-}
-
-func (m *Mesh) dispatch(c *conn, msg Message) {
-	switch {
-	case msg.Reply:
-		if !c.deliver(msg) {
-			m.log.WithFields(logrus.Fields{"peer": c.hello.Host, "id": msg.ID}).
-				Info("reply matches no request and is dropped")
-		}
-	case msg.ID != 0:
-		go func() {
-			reply, err := m.onRequest(c.ctx, c.hello, msg)
-			if err != nil {
-				reply = Message{RefusedReason: err.Error()}
-			}
-			reply.ID, reply.Reply = msg.ID, true
-			_ = c.send(reply)
-		}()
-	default:
-		m.onMessage(c.hello, msg)
-	}
-}
-
-func (m *Mesh) wants(id string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, ok := m.peers[id]
-	return ok
-}
