Let another zone run a request whose key was claimed here

Cause: an owner without a backend server in its zone passed a claimed request to another zone, whose host looked for the key's owner again and refused it; the key's outcome stayed unknown. The test of the dev command found it. Change: the claimed key travels with the request on the peer listener and is not looked up again; entry hosts of the demo choose other ports when theirs are taken meanwhile. Conclusion: the request runs once in the other zone.

--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -98,6 +98,7 @@
 		Team:    in.Header.Get(HeaderTeam),
 	}
 	if a.trusted {
+		r.ClaimedKey = in.Header.Get(HeaderClaimed)
 		r.Forwarded = in.Header.Get(HeaderForwarded)
 		if id := in.Header.Get(HeaderRequestID); id != "" {
 			r.ID = id
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -8,6 +8,9 @@
 
 // Headers of the callers' interface.
 const (
+	// HeaderClaimed carries the key that the host which passed a request on has claimed for it; like
+	// HeaderForwarded it is honoured on the peer listener only.
+	HeaderClaimed = "Laburnumridge-Claimed-Key"
 	// HeaderForwarded marks a request that another entry host passed on; it is honoured on the peer listener only.
 	HeaderForwarded = "Laburnumridge-Forwarded-By"
 	HeaderKey       = "Idempotency-Key"
@@ -25,6 +28,8 @@
 type Request struct {
 	Arrived time.Time
 	Body    []byte
+	// ClaimedKey is the key that the host which passed the request on has claimed: this host may run it.
+	ClaimedKey string
 	// Deadline is when the response must be complete.
 	Deadline time.Time
 	// Forwarded names the entry host that passed the request on; empty if it came from the caller.
@@ -45,6 +50,12 @@
 	return r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 }
 
+// WithClaimedKey returns a copy of r whose key has been claimed.
+func (r Request) WithClaimedKey(key string) Request {
+	r.ClaimedKey = key
+	return r
+}
+
 // WithForwarded returns a copy of r that the given entry host passes on.
 func (r Request) WithForwarded(host string) Request {
 	r.Forwarded = host
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +19,11 @@
 	"github.com/laburnumridge/laburnumridge/internal/worker"
 )
 
-// hostListLag is the lag of the platform's host list.
-const hostListLag = 500 * time.Millisecond
+const (
+	// hostListLag is the lag of the platform's host list.
+	hostListLag  = 500 * time.Millisecond
+	portAttempts = 10
+)
 
 // Fleet is a platform stand-in, workers and entry hosts on loopback.
 type Fleet struct {
@@ -104,8 +109,19 @@
 	f.Platform.RemoveHost(id)
 }
 
-// StartHost starts an entry host with free ports.
+// StartHost starts an entry host with free ports. A port that was free may be taken by another process before
+// the host listens, so it is tried again with others.
 func (f *Fleet) StartHost(id, zone string) error {
+	for range portAttempts {
+		err := f.startHost(id, zone)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return eris.Errorf("no free ports for entry host %s", id)
+}
+
+func (f *Fleet) startHost(id, zone string) error {
 	s := settings.Default()
 	s.Host, s.Region, s.Zone = id, f.user.Region, zone
 	s.Platform.Endpoints = []string{f.endpoint}
@@ -124,6 +140,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{cancel: cancel, done: make(chan error, 1), host: h, listen: s.Listen}
 	go func() { n.done <- h.Run(ctx) }()
+	select {
+	case <-h.Listening():
+	case err := <-n.done:
+		cancel()
+		return err
+	}
 	f.mu.Lock()
 	f.nodes[id] = n
 	f.mu.Unlock()
--- a/internal/demo/keep_test.go
+++ b/internal/demo/keep_test.go
@@ -1,6 +1,7 @@
 package demo_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"strings"
@@ -19,7 +20,13 @@
 	user, err := demo.UserByName("retablo")
 	assert.NilError(t, err)
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	var lines bytes.Buffer
+	log.SetOutput(&lines)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(lines.String())
+		}
+	})
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	announced := make(chan []string, 1)
--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -39,6 +39,10 @@
 	req.GetBody = nil // the transport must not send a request twice
 	req.Header = r.Header.Clone()
 	req.Header.Set(caller.HeaderForwarded, h.id)
+	req.Header.Del(caller.HeaderClaimed)
+	if r.ClaimedKey != "" {
+		req.Header.Set(caller.HeaderClaimed, r.ClaimedKey)
+	}
 	req.Header.Set(caller.HeaderRequestID, r.ID)
 	if !r.Deadline.IsZero() {
 		left, ok := retry.Deadline{Time: r.Deadline}.Next(time.Now())
--- a/internal/host/handle.go
+++ b/internal/host/handle.go
@@ -27,6 +27,8 @@
 		return h.feed(ctx, r)
 	case item.Work.Idempotent || r.IsSafe():
 		return h.dispatch(ctx, r, item, "")
+	case r.ClaimedKey != "":
+		return h.dispatch(ctx, r, item, r.ClaimedKey)
 	}
 	return h.nonIdempotent(ctx, r, item)
 }
@@ -36,6 +38,7 @@
 func (h *Host) dispatch(
 	ctx context.Context, r caller.Request, item note.Item, key string,
 ) (*caller.Response, *laburnumridge.Problem) {
+	r = r.WithClaimedKey(key)
 	if len(h.backends.candidates(r.Service, h.backends.slots, time.Now())) == 0 {
 		return h.elsewhere(ctx, r, false, unavailable("no_backend", "zone "+h.zone+" has no backend server of "+r.Service))
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -40,6 +40,7 @@
 	jobs           *jobs
 	keys           *keys
 	limiter        *platform.Limiter
+	listening      chan struct{} // closed once the host listens
 	log            *logrus.Entry
 	mesh           *peer.Mesh
 	notes          *notes
@@ -82,6 +83,7 @@
 		drained:        make(chan struct{}),
 		id:             s.Host,
 		keys:           newKeys(),
+		listening:      make(chan struct{}),
 		limiter:        platform.NewLimiter(s.Platform.ReadsPerSecond, s.Platform.WritesPerSecond),
 		log:            logrus.NewEntry(logrus.StandardLogger()).WithField("host", s.Host),
 		onFailure:      func(string, string) {},
@@ -148,6 +150,9 @@
 // Invariants returns how many checks were made and how many failed.
 func (h *Host) Invariants() (checked, violated int64) { return h.check.Checked(), h.check.Violations() }
 
+// Listening returns a channel that is closed once the host listens on all its addresses.
+func (h *Host) Listening() <-chan struct{} { return h.listening }
+
 // Owns returns the number of shards that the host owns.
 func (h *Host) Owns() int { return len(h.shards.all()) }
 
@@ -158,6 +163,7 @@
 	if err != nil {
 		return err
 	}
+	close(h.listening)
 	h.warnOfOpenAccess()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
