Start bound tasks in an outage although a rebinding was proposed

Cause: the placer proposes to bind a waiting task to another worker that has room. A task with a proposed binding is not started, and the proposal can't be committed while the store is down, so the task waited for the store although it could have started where it was bound. Ruled out: the number of tasks accepted before the outage (all 24 were bound or running) and the length of the outage (the two tasks still waited after 80 s). Change: when a batch is certainly not committed, its rebindings are withdrawn, unless an earlier append of it may have taken effect; after a failed commit, and without a fresh platform lease, no task that is bound is bound elsewhere.

--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -162,6 +162,10 @@
 func (o *shardOwner) bind(
 	now time.Time, view placement.View, c ledger.Candidate, d placement.Decision,
 ) placement.View {
+	if c.Worker != "" && c.Worker != d.Worker && !o.ledger.MayRebind(now) {
+		delete(o.admitted, c.Task)
+		return view
+	}
 	for _, victim := range d.Victims {
 		o.evict(now, victim, fmt.Sprintf("makes room for %s of priority %d", c.Task, c.Job.Priority))
 		o.budget.Take(now, 1)
@@ -192,7 +196,7 @@
 // bindAhead binds a task without room to the worker with the least work waiting, where it waits.
 func (o *shardOwner) bindAhead(c ledger.Candidate, workers []fleet.Host, d placement.Decision) {
 	delete(o.admitted, c.Task)
-	if c.Worker != "" && o.mayWait(c) {
+	if c.Worker != "" && (o.mayWait(c) || !o.ledger.MayRebind(time.Now())) {
 		return
 	}
 	best, least := "", 0.0
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -31,11 +31,32 @@
 // Conflicted takes the news that another writer appended first: the shard was taken over.
 func (o *Owner) Conflicted() { o.deposed = true }
 
-// NotCommitted takes the news that the batch in flight is certainly not in the log; it is proposed again.
-func (o *Owner) NotCommitted() { o.inFlight = nil }
+// MayRebind reports whether a waiting task may be bound to another worker now. It can't start until that is
+// committed, so while the store fails it stays where it is bound.
+func (o *Owner) MayRebind(now time.Time) bool {
+	return o.holdsLease(now) && now.Sub(o.commitFailed) >= o.timing.PlatformHold
+}
+
+// NotCommitted takes the news that the batch in flight is certainly not in the log; it is proposed again but for
+// rebindings, whose tasks may start where they are bound.
+func (o *Owner) NotCommitted() {
+	o.inFlight, o.commitFailed = nil, o.lastCommit
+	if o.pending == nil || o.resolve {
+		return // an earlier append of the batch may have taken effect
+	}
+	changes := o.withoutRebindings(o.pending.Changes)
+	o.queue = o.withoutRebindings(o.queue)
+	o.pending = nil
+	if len(changes) > 0 {
+		b := NewBatch(o.lastCommit, changes...)
+		o.pending = &b
+	}
+}
 
 // OutcomeUnknown takes the news that the batch in flight may be in the log; it is proposed again unchanged.
-func (o *Owner) OutcomeUnknown() { o.inFlight, o.resolve = nil, true }
+func (o *Owner) OutcomeUnknown() {
+	o.commitFailed, o.inFlight, o.resolve = o.lastCommit, nil, true
+}
 
 func (o *Owner) committed(now time.Time, c Change) {
 	switch c.Kind {
@@ -100,3 +121,17 @@
 		o.queue = append(o.queue, c)
 	}
 }
+
+// withoutRebindings withdraws the proposals to bind tasks that are bound to a worker already.
+func (o *Owner) withoutRebindings(changes []Change) []Change {
+	var out []Change
+	for _, c := range changes {
+		r := o.runs[c.Task]
+		if c.Kind != ChangeBind || r == nil || r.worker == "" {
+			out = append(out, c)
+			continue
+		}
+		r.proposed = ""
+	}
+	return out
+}
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -24,14 +24,16 @@
 //
 // Each now must be read after the event that is reported and must not go back.
 type Owner struct {
-	deposed     bool
-	draining    bool
-	ended       []AttemptEnd
-	epoch       int64
-	host        string
-	inFlight    *Commit
-	lastCommit  time.Time
-	lastRenewal time.Time
+	// commitFailed is when the last batch that was not committed, or not certainly, was sent.
+	commitFailed time.Time
+	deposed      bool
+	draining     bool
+	ended        []AttemptEnd
+	epoch        int64
+	host         string
+	inFlight     *Commit
+	lastCommit   time.Time
+	lastRenewal  time.Time
 	// marked are the workers with a task that was bound to them before they supported epochs.
 	marked    map[string]bool
 	order     int64
