Replace silent watches of the platform when a call gets no answer

Cause: a watch whose connection went silent can't be told from one without changes, so it was kept for its lifetime of up to 60 s. Jobs, hosts and notes that came meanwhile were not seen; the request that opens a watch could hang for as long on a silent idle connection. Ruled out: calls other than watches, which end on their deadline and open a fresh connection. Change: a call that gets no answer before its deadline ends all watches of the client, which read anew and watch on fresh connections.

--- a/internal/platform/etcd.go
+++ b/internal/platform/etcd.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,8 +106,11 @@
 type etcd struct {
 	client    *http.Client
 	endpoints []string
+	mu        sync.Mutex
 	next      atomic.Uint32
-	timeout   time.Duration
+	// silent is closed and replaced when a call gets no answer.
+	silent  chan struct{}
+	timeout time.Duration
 }
 
 // NewEtcd returns a store that speaks etcd's v3 JSON protocol to the endpoints in turn; each call but Watch
@@ -116,7 +120,7 @@
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 4
 	transport.IdleConnTimeout = 30 * time.Second
-	e := &etcd{client: &http.Client{Transport: transport}, endpoints: endpoints, timeout: timeout}
+	e := &etcd{client: &http.Client{Transport: transport}, endpoints: endpoints, silent: make(chan struct{}), timeout: timeout}
 	return Store{
 		Get:       e.get,
 		Grant:     e.grant,
@@ -206,6 +210,9 @@
 	in := watchRequest{Create: watchCreate{
 		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: jsonInt(since + 1),
 	}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.endIfSilent(ctx, cancel, e.silence())
 	res, err := e.post(ctx, "/v3/watch", in)
 	if err != nil {
 		return eris.Wrapf(ErrUnavailable, "watching %s*: %s", prefix, err)
@@ -227,6 +234,29 @@
 	}
 }
 
+// endIfSilent ends a watch when another call got no answer: the watch's connection may be silent too, and a watch
+// without changes can't be told from one whose connection is silent.
+func (e *etcd) endIfSilent(ctx context.Context, cancel context.CancelFunc, silent <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-silent:
+		cancel()
+	}
+}
+
+func (e *etcd) endWatches() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.silent)
+	e.silent = make(chan struct{})
+}
+
+func (e *etcd) silence() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silent
+}
+
 // read makes a call that may be repeated without harm.
 func (e *etcd) read(ctx context.Context, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
@@ -282,6 +312,9 @@
 		e.next.Add(1)
 		// Idle connections may be silent for good; the next call opens a fresh one.
 		e.client.CloseIdleConnections()
+		if errors.Is(err, context.DeadlineExceeded) {
+			e.endWatches()
+		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return res, nil
