--- a/internal/integration/at_most_once_test.go
+++ b/internal/integration/at_most_once_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fake"
@@ -33,12 +33,7 @@
 func (k *keyed) isDone() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, r := range k.replies {
-		if r.outcome == "done" {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(k.replies, func(r reply) bool { return r.outcome == "done" })
 }
 
 // sendAll sends each request to each of the entry hosts at the same time.
@@ -64,10 +59,7 @@
 					// The first one has run and its answer is stored, so each repeat finds it.
 					eventually(c.t, "replay of "+k.key+" at "+e.id, func() error {
 						r := k.send(c, e)
-						if err := r.failure(); err != nil || !r.replayed {
-							return eris.Errorf("replayed %t: %v", r.replayed, err)
-						}
-						return nil
+						return want(r.failure() == nil && r.replayed, "%+v", r)
 					})
 				}
 			}
@@ -148,9 +140,6 @@
 	c.t.Helper()
 	before := len(c.journal.Executions())
 	eventually(c.t, "executions", func() error {
-		if got := len(c.journal.Executions()) - before; got < n {
-			return eris.Errorf("%d of %d", got, n)
-		}
-		return nil
+		return want(len(c.journal.Executions()) >= before+n, "%d of %d", len(c.journal.Executions())-before, n)
 	})
 }
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -194,11 +194,10 @@
 	return slices.DeleteFunc(slices.Clone(c.entries), func(e *entry) bool { return !e.isRunning() })
 }
 
-// owner returns the entry host that owns the zone's shard, as another host or it says, and its epoch.
-func (c *cluster) owner(zone string, ask *entry) (*entry, int64) {
+// owner returns the entry host that owns the zone's shard, as ask says.
+func (c *cluster) owner(zone string, ask *entry) *entry {
 	c.t.Helper()
 	var out *entry
-	var epoch int64
 	eventually(c.t, "owner of "+zone, func() error {
 		s, err := ask.client(c.t).Status(context.Background())
 		if err != nil {
@@ -207,19 +206,19 @@
 		for _, shard := range s.Shards {
 			i := slices.IndexFunc(c.entries, func(e *entry) bool { return e.id == shard.Owner })
 			if shard.Zone == zone && i >= 0 {
-				out, epoch = c.entries[i], shard.Epoch
+				out = c.entries[i]
 				return nil
 			}
 		}
 		return eris.Errorf("none in %v", s.Shards)
 	})
-	return out, epoch
+	return out
 }
 
 // roles returns the owner of the zone's shard and another entry host of the zone.
 func (c *cluster) roles(zone string) (owner, other *entry) {
 	c.t.Helper()
-	owner, _ = c.owner(zone, c.live()[0])
+	owner = c.owner(zone, c.live()[0])
 	for _, e := range c.live() {
 		if e.zone == zone && e != owner {
 			return owner, e
@@ -233,10 +232,7 @@
 func (c *cluster) awaitTakeover(old, ask *entry) {
 	c.t.Helper()
 	eventually(c.t, "takeover from "+old.id, func() error {
-		if owner, _ := c.owner(old.zone, ask); owner == old {
-			return eris.New("it is the owner still")
-		}
-		return nil
+		return want(c.owner(old.zone, ask) != old, "it is the owner still")
 	})
 }
 
@@ -253,10 +249,7 @@
 	c.t.Helper()
 	eventually(c.t, "job "+id+" "+what, func() error {
 		job, err := e.client(c.t).Job(context.Background(), id)
-		if err == nil && !cond(job.Counts) {
-			err = eris.Errorf("%+v", job)
-		}
-		return err
+		return want(err == nil && cond(job.Counts), "%+v (%v)", job, err)
 	})
 }
 
@@ -276,10 +269,7 @@
 	for _, e := range entries {
 		eventually(c.t, fmt.Sprintf("revision %d at %s", revision, e.id), func() error {
 			have, err := c.revision(e)
-			if err == nil && have < revision {
-				err = eris.Errorf("is at %d", have)
-			}
-			return err
+			return want(err == nil && have >= revision, "is at %d (%v)", have, err)
 		})
 	}
 }
--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -5,10 +5,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"gotest.tools/v3/poll"
 )
 
@@ -28,8 +32,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binary = filepath.Join(dir, "laburnumridge")
-	args := append([]string{"build", "-o", binary}, buildFlags...)
-	build := exec.Command("go", append(args, "github.com/laburnumridge/laburnumridge")...)
+	build := exec.Command("go", "build", "-o", binary, "-race="+strconv.FormatBool(isRace()), "github.com/laburnumridge/laburnumridge")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "building the program: %s\n%s", err, out)
 		return 1
@@ -37,6 +40,12 @@
 	return m.Run()
 }
 
+// isRace reports whether the test itself runs with the race detector.
+func isRace() bool {
+	info, ok := debug.ReadBuildInfo()
+	return ok && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"})
+}
+
 // begin lets a test run beside the others, unless KNOWN-RED.txt lists it.
 func begin(t *testing.T) {
 	t.Helper()
@@ -62,6 +71,14 @@
 	}
 }
 
+// want returns an error unless ok.
+func want(ok bool, format string, args ...any) error {
+	if ok {
+		return nil
+	}
+	return eris.Errorf(format, args...)
+}
+
 // eventually repeats f until it returns no error.
 func eventually(t *testing.T, what string, f func() error) {
 	t.Helper()
--- a/internal/integration/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package integration_test
-
-var buildFlags []string
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"testing"
 
-	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
 	lr "github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
@@ -44,18 +43,9 @@
 	for _, e := range c.entries {
 		eventually(t, "in-force at "+e.id, func() error {
 			in, err := e.client(t).InForce(context.Background(), "orders")
-			if err != nil {
-				return err
-			}
-			for _, h := range in.Hosts {
-				if !h.Reachable || h.Revision != in.Revision {
-					return eris.Errorf("%+v", h)
-				}
-			}
-			if len(in.Hosts) != len(c.entries) || in.Work.Note != "first" {
-				return eris.Errorf("%+v", in)
-			}
-			return nil
+			behind := func(h lr.HostRevision) bool { return !h.Reachable || h.Revision != in.Revision }
+			return want(err == nil && len(in.Hosts) == len(c.entries) && in.Work.Note == "first" &&
+				!slices.ContainsFunc(in.Hosts, behind), "%+v (%v)", in, err)
 		})
 	}
 }
--- a/internal/integration/request_test.go
+++ b/internal/integration/request_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
@@ -34,10 +33,7 @@
 }
 
 func (r reply) failure() error {
-	if r.err != nil || r.outcome != "done" {
-		return eris.Errorf("%s, status %d, %q (%v)", r.outcome, r.status, r.body, r.err)
-	}
-	return nil
+	return want(r.err == nil && r.outcome == "done", "%s, status %d, %q (%v)", r.outcome, r.status, r.body, r.err)
 }
 
 func (c *cluster) served(string, *rand.Rand) time.Duration { return c.serviceTime }
@@ -89,32 +85,23 @@
 
 // load is a number of callers that send one request after the other.
 type load struct {
-	all    sync.WaitGroup
-	cancel chan struct{}
-	counts [3]atomic.Int64
+	all      sync.WaitGroup
+	answered atomic.Int64
+	ended    atomic.Bool
 }
 
 // startLoad starts callers of both services at the entry hosts that pick returns for each request.
 func (c *cluster) startLoad(callers int, pick func() []*entry) *load {
-	l := &load{cancel: make(chan struct{})}
+	l := &load{}
 	for i := range callers {
 		l.all.Go(func() {
-			for !l.isStopped() {
+			for !l.ended.Load() {
 				entries := pick()
-				if len(entries) == 0 {
-					time.Sleep(10 * time.Millisecond)
-					continue
-				}
 				e := entries[rand.IntN(len(entries))]
-				var r reply
 				if i%2 == 0 {
-					r = c.ask(e, "orders", newKey(e.zone))
+					l.count(c.ask(e, "orders", newKey(e.zone)))
 				} else {
-					r = c.ask(e, "readings", "")
-				}
-				l.count(r)
-				if r.outcome != "done" {
-					time.Sleep(20 * time.Millisecond) // as a caller that backs off
+					l.count(c.ask(e, "readings", ""))
 				}
 			}
 		})
@@ -123,30 +110,18 @@
 }
 
 func (l *load) count(r reply) {
-	switch r.outcome {
-	case "done":
-		l.counts[0].Add(1)
-	case "not_run":
-		l.counts[1].Add(1)
-	default:
-		l.counts[2].Add(1)
+	if r.outcome == "done" {
+		l.answered.Add(1)
+	} else {
+		time.Sleep(20 * time.Millisecond) // as a caller that backs off
 	}
 }
 
-func (l *load) isStopped() bool {
-	select {
-	case <-l.cancel:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *load) done() int64 { return l.counts[0].Load() }
+func (l *load) done() int64 { return l.answered.Load() }
 
 // stop ends the callers and waits for their last answers.
 func (l *load) stop() {
-	close(l.cancel)
+	l.ended.Store(true)
 	l.all.Wait()
 }
 
@@ -154,10 +129,5 @@
 func (l *load) awaitMore(c *cluster, n int64) {
 	c.t.Helper()
 	before := l.done()
-	eventually(c.t, "requests", func() error {
-		if got := l.done() - before; got < n {
-			return eris.Errorf("%d of %d answered", got, n)
-		}
-		return nil
-	})
+	eventually(c.t, "requests", func() error { return want(l.done()-before >= n, "%d answered", l.done()-before) })
 }
--- a/internal/integration/single_run_test.go
+++ b/internal/integration/single_run_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fake"
@@ -27,7 +26,7 @@
 			c.awaitRunning(owner, "job", jobTasks)
 			owner.signal(c.t, syscall.SIGSTOP)
 			c.awaitTakeover(owner, other)
-			c.awaitFenced(other)
+			c.awaitJob(other, "job", "resumed", func(n lr.PhaseCounts) bool { return n.Running+n.Done > 0 })
 			owner.signal(c.t, syscall.SIGCONT)
 			c.awaitServices(owner)
 		},
@@ -44,10 +43,7 @@
 			c.submit(owner, "job", jobTasks)
 			eventually(c.t, "starts under way", func() error {
 				said, err := owner.client(c.t).Explain(context.Background(), "job")
-				if err == nil && !slices.ContainsFunc(said.Decisions, isUnanswered) {
-					err = eris.Errorf("%d decisions", len(said.Decisions))
-				}
-				return err
+				return want(slices.ContainsFunc(said.Decisions, isUnanswered), "%d decisions (%v)", len(said.Decisions), err)
 			})
 			owner.kill(c.t)
 			for _, link := range c.links {
@@ -56,10 +52,7 @@
 			c.awaitTakeover(owner, other)
 			refused := c.refused(worker.ReasonStaleEpoch)
 			eventually(c.t, "arrival of the delayed starts", func() error {
-				if c.refused(worker.ReasonStaleEpoch) == refused {
-					return eris.New("none refused")
-				}
-				return nil
+				return want(c.refused(worker.ReasonStaleEpoch) > refused, "none refused")
 			})
 		},
 		"worker cut off and back": func(c *cluster, owner, _ *entry) {
@@ -68,14 +61,10 @@
 			busy := c.journal.Runs()[slices.IndexFunc(c.journal.Runs(), isBatch)].Worker
 			assert.NilError(c.t, c.links[busy].Cut(true))
 			eventually(c.t, "end of the leases of "+busy, func() error {
-				for _, task := range c.workers[busy].Tasks() {
-					if !task.Phase.IsEnd() {
-						return eris.Errorf("%s runs", task.Task)
-					}
-				}
-				return nil
+				runs := func(task worker.Task) bool { return !task.Phase.IsEnd() }
+				return want(!slices.ContainsFunc(c.workers[busy].Tasks(), runs), "a task runs")
 			})
-			eventually(c.t, "the link to "+busy, func() error { return c.links[busy].Cut(false) })
+			c.restore(c.links[busy])
 		},
 		"answers of the platform lost": func(c *cluster, owner, other *entry) {
 			c.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 5})
@@ -109,12 +98,6 @@
 
 func isBatch(r fake.Run) bool { return r.Work == "plan" }
 
-// awaitFenced waits until the workers run a task that an entry host placed: it has fenced them.
-func (c *cluster) awaitFenced(e *entry) {
-	c.t.Helper()
-	c.awaitJob(e, "job", "resumed", func(n lr.PhaseCounts) bool { return n.Running+n.Done > 0 })
-}
-
 func (c *cluster) refused(reason worker.Reason) int {
 	n := 0
 	for _, w := range c.workers {
