Give status functions that an owner runs late their own result

Cause: localStatus asks each shard's owner with a timeout and lets it write to its result. An owner whose loop is late, such as one that has just taken its shard and still reads the ledger, ran the function after the timeout and wrote while the answer was encoded. Ruled out: the caller of explain and the queue, which hand over no shared value. Change: the owner fills a part of its own, which is added only if it came in time.

--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -66,18 +66,23 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for _, o := range h.shards.all() {
-		_ = o.ask(ctx, func(time.Time) {
+		// An owner's loop that is late still runs the function, so the function has a part of its own.
+		part := hostPart{}
+		if err := o.ask(ctx, func(time.Time) {
 			if o.ledger == nil {
 				return
 			}
 			if job != "" {
 				if s, ok := o.jobStatus(job); ok {
-					out.Job = &s
+					part.Job = &s
 				}
 				return
 			}
-			o.addStatus(&out)
-		})
+			o.addStatus(&part)
+		}); err != nil {
+			continue
+		}
+		out.add(part)
 	}
 	if job != "" {
 		return out
@@ -91,6 +96,17 @@
 	return out
 }
 
+// add takes what a shard's owner said.
+func (p *hostPart) add(o hostPart) {
+	if o.Job != nil {
+		p.Job = o.Job
+	}
+	p.Shards = append(p.Shards, o.Shards...)
+	p.Teams = append(p.Teams, o.Teams...)
+	p.Workers = append(p.Workers, o.Workers...)
+	p.Works = append(p.Works, o.Works...)
+}
+
 func (o *shardOwner) addStatus(out *hostPart) {
 	out.Shards = append(out.Shards, laburnumridge.ShardStatus{
 		Epoch: o.epoch, Owner: o.host.id, Shard: o.id.String(), Zone: o.id.Zone,
