Treat a 503 of the store as an unknown outcome and make the stand-in's outage refuse connections

Cause: etcd answers 503 also when a request timed out that may have taken effect; the client took it for a certain refusal, on which the ledger withdraws rebindings. Change: only 429 and a connection that was not opened are certain; the stand-in closes its port while it is down and takes it again afterwards, and all stand-ins listen below the range of outgoing ports.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -127,7 +126,7 @@
 	s.Platform.Endpoints = []string{f.endpoint}
 	s.Log.Level = "info"
 	for _, address := range []*string{&s.Listen.Caller, &s.Listen.Debug, &s.Listen.Peer} {
-		free, err := freeAddress()
+		free, err := fake.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -212,12 +211,3 @@
 	p.CheckpointInterval = 200 * time.Millisecond
 	return p
 }
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
--- /dev/null
+++ b/internal/fake/listen.go
@@ -0,0 +1,39 @@
+package fake
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"syscall"
+)
+
+// Ports are taken below the range from which the system takes those of outgoing connections, so that a port that
+// is closed for a while can be opened again.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// Listen opens a loopback port: the given address, or a free port if it is empty.
+func Listen(address string) (net.Listener, error) {
+	if address != "" {
+		return net.Listen("tcp", address)
+	}
+	for range portCount {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portCount)))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+	}
+	return nil, syscall.EADDRINUSE
+}
+
+// FreeAddress returns a loopback address on which nothing listens now.
+func FreeAddress() (string, error) {
+	l, err := Listen("")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -117,11 +117,21 @@
 	})
 }
 
-// SetFaults replaces the faults in force.
+// SetFaults replaces the faults in force. The server of a service that is down refuses connections, and takes
+// its port again when the service is back.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	switch {
+	case p.server.address == "":
+	case f.Down:
+		p.server.stop()
+	case p.server.server == nil:
+		if err := p.listen(p.server.address); err != nil {
+			panic(err) // only another process on the port explains it
+		}
+	}
 }
 
 // SetHost puts a host on the host list, or changes it, after the lag.
--- a/internal/fake/platformhttp.go
+++ b/internal/fake/platformhttp.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,8 +12,8 @@
 
 // platformServer is the HTTP side of a Platform.
 type platformServer struct {
-	listener net.Listener
-	server   *http.Server
+	address string
+	server  *http.Server // nil while the service is down
 }
 
 type etcdRange struct {
@@ -82,20 +81,37 @@
 
 // Start serves the JSON gateway on a loopback port and returns its base URL.
 func (p *Platform) Start() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.listen(""); err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
-	p.server = platformServer{listener: l, server: server}
-	go func() { _ = server.Serve(l) }()
-	return "http://" + l.Addr().String(), nil
+	return "http://" + p.server.address, nil
 }
 
 // Stop ends Start's server and cuts its connections.
 func (p *Platform) Stop() {
-	if p.server.server != nil {
-		_ = p.server.server.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server.stop()
+}
+
+// listen starts the server; callers hold mu.
+func (p *Platform) listen(address string) error {
+	l, err := Listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
+	p.server = platformServer{address: l.Addr().String(), server: server}
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+func (s *platformServer) stop() {
+	if s.server != nil {
+		_ = s.server.Close()
+		s.server = nil
 	}
 }
 
@@ -236,7 +252,8 @@
 	case errors.Is(err, platform.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case err != nil:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		// Calls over the rate are refused; while the service is down its port is closed.
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(answer)
--- a/internal/fake/proxy.go
+++ b/internal/fake/proxy.go
@@ -54,7 +54,7 @@
 
 // NewProxy listens on a loopback port and forwards to the target, without faults; seed draws the jitter.
 func NewProxy(target string, seed uint64) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -1,13 +1,11 @@
 package fake
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"hash/fnv"
 	"maps"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -168,7 +166,7 @@
 func (w *Worker) Start() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l, err := net.Listen("tcp", cmp.Or(w.address, "127.0.0.1:0"))
+	l, err := Listen(w.address)
 	if err != nil {
 		return err
 	}
--- a/internal/integration/entry_test.go
+++ b/internal/integration/entry_test.go
@@ -3,14 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,16 +19,6 @@
 	lr "github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
-// Listening ports are taken below the range from which the system takes those of outgoing connections.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(rand.Int64N(portCount)) }
-
 // entry is an entry host, which runs as a process of its own.
 type entry struct {
 	caller, debug, peer string // addresses
@@ -48,15 +35,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			assert.NilError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	address, err := fake.FreeAddress()
+	assert.NilError(t, err)
+	return address
 }
 
 // newEntry writes the settings of an entry host that connects to the platform through a proxy.
--- a/internal/platform/etcd.go
+++ b/internal/platform/etcd.go
@@ -283,7 +283,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	switch {
-	case res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable:
+	case res.StatusCode == http.StatusTooManyRequests:
 		return eris.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
 	case res.StatusCode != http.StatusOK:
 		text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
