--- a/internal/fake/proxy.go
+++ b/internal/fake/proxy.go
@@ -26,6 +26,7 @@
 	conns    map[*link]bool
 	cut      bool
 	faults   [directions]faults
+	total    [directions]int64 // bytes forwarded
 	listener net.Listener
 	mu       sync.Mutex
 	rnd      *rand.Rand
@@ -108,6 +109,13 @@
 	p.faults[d].dropAfter = n
 }
 
+// Forwarded returns the bytes forwarded so far in both directions.
+func (p *Proxy) Forwarded() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total[ToTarget] + p.total[FromTarget]
+}
+
 // LoseAnswers forwards requests and swallows responses, or ends that.
 func (p *Proxy) LoseAnswers(lose bool) {
 	p.mu.Lock()
@@ -221,6 +229,7 @@
 		n, drop = max(f.dropAfter-l.forwarded[d], 0), true
 	}
 	l.forwarded[d] += n
+	p.total[d] += n
 	return n, drop
 }
 
