Shrink grants and send unchanged ones once a second

Cause: a pair of hosts exchanged 1.6 KB/s of grants and acknowledgements, too much for 8 hosts in a zone. Change: grants and acknowledgements are encoded as arrays with short run ids, renewals go once in 0.9 s, and a grant's acknowledgement replaces the regular one.

--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -17,6 +17,7 @@
 
 // backends is what an entry host knows of its zone's backend servers: where work runs and what it may use.
 type backends struct {
+	acked       map[fleet.ShardID]time.Time // last acknowledgement
 	connections *slots.Wallet
 	freed       chan struct{} // closed and replaced when a slot may have become free
 	host        *Host
@@ -38,6 +39,7 @@
 
 func newBackends(h *Host, run string, now time.Time) *backends {
 	return &backends{
+		acked:       map[fleet.ShardID]time.Time{},
 		connections: slots.NewWallet(run, now),
 		freed:       make(chan struct{}),
 		host:        h,
@@ -74,6 +76,7 @@
 		Connections: b.connections.Ack(id, now), ReplicasVersion: -1, Slots: b.slots.Ack(id, now),
 	}
 	b.mu.Lock()
+	b.acked[id] = now
 	if s := b.shards[id]; s != nil {
 		ack.ReplicasVersion = s.version
 	}
@@ -82,6 +85,13 @@
 	return ack
 }
 
+// isAckDue reports whether the last acknowledgement, which also follows each grant, is long enough ago.
+func (b *backends) isAckDue(id fleet.ShardID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.acked[id]) >= grantEvery-grantEvery/10
+}
+
 // run announces the host to the owners of its zone's shards until ctx ends.
 func (b *backends) run(ctx context.Context) {
 	ticker := time.NewTicker(grantEvery)
@@ -103,7 +113,7 @@
 			o.grants.acked(b.host.run, b.ack(id, now))
 			continue
 		}
-		if owner, ok := b.host.shards.ownerOf(id); ok {
+		if owner, ok := b.host.shards.ownerOf(id); ok && b.isAckDue(id, now) {
 			ack := b.ack(id, now)
 			_ = b.host.mesh.Send(owner.host, peer.Message{GrantAck: &ack}) // the next one follows soon
 		}
--- a/internal/host/granting.go
+++ b/internal/host/granting.go
@@ -14,6 +14,8 @@
 
 const (
 	grantEvery = 500 * time.Millisecond
+	// renewEvery is the time between grants that change nothing.
+	renewEvery = 900 * time.Millisecond
 	// takeoverWait covers the grants of an earlier owner: their TTL and the drift of clocks.
 	takeoverWait = slots.DefaultTTL + slots.DefaultTTL/10
 	// maxDrain bounds how long a replica is kept for requests that do not end.
@@ -31,6 +33,7 @@
 	lastRound   time.Time
 	owner       *shardOwner
 	replicas    map[string][]string
+	sent        map[string]time.Time // last grant to each host run
 	slots       *slots.Granter
 	version     int64
 }
@@ -43,6 +46,7 @@
 		connections: slots.NewGranter(o.id, o.epoch, append(common, slots.WithMaxRequest(0))...),
 		inFlight:    map[string]map[string]int{},
 		owner:       o,
+		sent:        map[string]time.Time{},
 		slots:       slots.NewGranter(o.id, o.epoch, common...),
 	}
 }
@@ -111,18 +115,26 @@
 	recipients := g.owner.host.grantRecipients(g.owner.id.Zone)
 	runs := slices.Collect(maps.Keys(recipients))
 	maps.DeleteFunc(g.acks, func(run string, _ int64) bool { return recipients[run] == nil })
+	maps.DeleteFunc(g.sent, func(run string, _ time.Time) bool { return recipients[run] == nil })
 	g.slots.SetHosts(runs)
 	g.connections.SetHosts(runs)
 	short, long := byHost(g.slots.Round(now)), byHost(g.connections.Round(now))
 	for run, send := range recipients {
 		s, ok := short[run]
-		if !ok {
+		if !ok || !g.isDue(now, run, s, long[run]) {
 			continue
 		}
+		g.sent[run] = now
 		send(g.message(run, s, long[run]))
 	}
 }
 
+// isDue reports whether a grant must be sent: it changes something, or the last one is old enough to be renewed.
+// The TTL then outlasts one renewal that is lost.
+func (g *granting) isDue(now time.Time, run string, short, long slots.Grant) bool {
+	return short.SameAs == 0 || long.SameAs == 0 || g.acks[run] != g.version || now.Sub(g.sent[run]) >= renewEvery
+}
+
 // message leaves out the replicas if the entry host has them, since grants are renewed twice a second.
 func (g *granting) message(run string, short, long slots.Grant) peer.Grant {
 	acked, ok := g.acks[run]
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/admission"
@@ -22,6 +22,10 @@
 	"github.com/laburnumridge/laburnumridge/internal/worker"
 )
 
+// runLength is the length of the part of a run's id that tells a restarted host from the former one; it travels
+// with each grant. Eight letters of base 32 leave a chance of 1 in 10^12 that two runs of a host look alike.
+const runLength = 8
+
 // maxStartDelay spreads the hosts that start together, so that they do not contend for shards at once.
 const maxStartDelay = 2 * time.Second
 
@@ -88,7 +92,7 @@
 		log:            logrus.NewEntry(logrus.StandardLogger()).WithField("host", s.Host),
 		onFailure:      func(string, string) {},
 		peerScheme:     "http://",
-		run:            s.Host + "#" + ulid.Make().String(),
+		run:            s.Host + "#" + rand.Text()[:runLength],
 		settings:       s,
 		store:          platform.NewEtcd(s.Platform.Endpoints, s.Platform.Timeout.Duration),
 		zone:           s.Zone,
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -52,6 +52,7 @@
 // fleet describes what a test starts; runTime is the true run time of batch tasks, and settings adds tables to the
 // settings of the entry hosts.
 type fleet struct {
+	checkpoints          time.Duration // of batch tasks
 	runTime, serviceTime time.Duration
 	settings             string
 	tls                  *tls.Config
@@ -79,6 +80,7 @@
 // the test ends it asserts the invariants and that all entry hosts stop gracefully.
 func startFleet(t *testing.T, f fleet) *cluster {
 	t.Helper()
+	f.checkpoints = cmp.Or(f.checkpoints, checkpointInterval)
 	f.runTime, f.serviceTime = cmp.Or(f.runTime, 500*time.Millisecond), cmp.Or(f.serviceTime, 5*time.Millisecond)
 	c := &cluster{
 		dir: t.TempDir(), fleet: f, journal: fake.NewJournal(time.Now), links: map[string]*fake.Proxy{},
@@ -148,7 +150,7 @@
 		from := time.Duration(in.Checkpoint) * time.Millisecond
 		c.starts = append(c.starts, resume{attempt: in.Attempt, from: from, task: in.Task, worker: id})
 		p := fake.DeclaredProfile(in)
-		p.CheckpointInterval, p.RunTime = checkpointInterval, c.runTime
+		p.CheckpointInterval, p.RunTime = c.checkpoints, c.runTime
 		return p
 	}
 }
--- a/internal/integration/footprint_test.go
+++ b/internal/integration/footprint_test.go
@@ -23,6 +23,12 @@
 	ticksPerSecond = 100
 )
 
+// largerQuota lets the batch tasks of the largest size run.
+const largerQuota = `
+id = "larger-quota"
+changed = [{kind = "team", name = "rooms", quota = {cpu_milli = 9000000, memory_mib = 9000000}, share = 0.9}]
+`
+
 // usage is what an entry host has used since it started.
 type usage struct {
 	cpu                     time.Duration
@@ -39,8 +45,11 @@
 	fmt.Println("workers  tasks  role    cpu_percent  memory_mib  worker_bytes_s  peer_bytes_s  platform_bytes_s  store_writes_s  store_reads_s")
 	for _, workers := range []int{8, 16, 32, 64} {
 		t.Run(strconv.Itoa(workers), func(t *testing.T) {
-			c := startFleet(t, fleet{zones: []zone{{"wattala", 2, workers}}, runTime: time.Hour})
+			c := startFleet(t, fleet{
+				checkpoints: 5 * time.Minute, runTime: time.Hour, zones: []zone{{"wattala", 2, workers}},
+			})
 			owner, other := c.roles("wattala")
+			c.publish(owner, largerQuota)
 			tasks := footprintTasks * workers
 			c.submit(owner, "job", tasks)
 			c.awaitRunning(owner, "job", tasks)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -49,22 +49,27 @@
 	Notes     [][]byte `json:"notes,omitempty"`
 }
 
-// Grant carries an entry host's slots and connections of a shard and where its work runs.
+// Grant carries an entry host's slots and connections of a shard and where its work runs. It is encoded as an
+// array, since grants are renewed all the time.
 type Grant struct {
-	Connections slots.Grant `json:"c"`
+	_ struct{} `cbor:",toarray"`
+
+	Connections slots.Grant
 	// Replicas lists the workers of each work; it is left out if the host has this version.
-	Replicas        map[string][]string `json:"w,omitempty"`
-	ReplicasVersion int64               `json:"v"`
-	Slots           slots.Grant         `json:"s"`
+	Replicas        map[string][]string
+	ReplicasVersion int64
+	Slots           slots.Grant
 }
 
 // GrantAck tells the owner which grants are in force at the host, what is in use and what it needs.
 type GrantAck struct {
-	Connections      slots.Ack `json:"c"`
-	ConnectionDemand float64   `json:"cd"`
-	ReplicasVersion  int64     `json:"v"`
-	SlotDemand       float64   `json:"sd"`
-	Slots            slots.Ack `json:"s"`
+	_ struct{} `cbor:",toarray"`
+
+	ConnectionDemand float64
+	Connections      slots.Ack
+	ReplicasVersion  int64
+	SlotDemand       float64
+	Slots            slots.Ack
 }
 
 // ExplainRequest asks for the decisions that concern an id.
@@ -99,8 +104,8 @@
 type Message struct {
 	Explain       *ExplainRequest `json:"explain,omitempty"`
 	ExplainReply  *ExplainReply   `json:"explain_reply,omitempty"`
-	Grant         *Grant          `json:"grant,omitempty"`
-	GrantAck      *GrantAck       `json:"grant_ack,omitempty"`
+	Grant         *Grant          `json:"g,omitempty"`
+	GrantAck      *GrantAck       `json:"ga,omitempty"`
 	Heartbeat     *Heartbeat      `json:"hb,omitempty"`
 	Hello         *Hello          `json:"hello,omitempty"`
 	Handover      *Handover       `json:"handover,omitempty"`
--- a/internal/slots/grant.go
+++ b/internal/slots/grant.go
@@ -19,31 +19,35 @@
 // Grant tells a host how many slots it may use on each backend server of a shard; a server that is
 // not listed has none.
 type Grant struct {
-	Counts map[string]int `cbor:"counts,omitempty"`
-	Epoch  int64          `cbor:"epoch"`
-	Host   string         `cbor:"host"`
+	_ struct{} `cbor:",toarray"` // renewals are most of the control traffic between hosts
+
+	Counts map[string]int
+	Epoch  int64
+	Host   string
 	// SameAs, if above zero, says that the counts are those since the grant with that sequence
 	// number. Most grants renew only; listing all counts twice a second would exceed the control
 	// traffic that a host may cause.
-	SameAs int64         `cbor:"same_as,omitempty"`
-	Seq    int64         `cbor:"seq"`
-	Shard  fleet.ShardID `cbor:"shard"`
+	SameAs int64
+	Seq    int64
+	Shard  fleet.ShardID
 	// Stamp is the latest stamp that the owner had from the host. The TTL counts from it, so a
 	// grant that was delayed on its way does not outlive the time for which the owner counts it.
-	Stamp Stamp         `cbor:"stamp"`
-	TTL   time.Duration `cbor:"ttl"`
+	Stamp Stamp
+	TTL   time.Duration
 }
 
 // Ack reports the last grant that a host installed and what it uses.
 type Ack struct {
-	Epoch int64 `cbor:"epoch"`
+	_ struct{} `cbor:",toarray"`
+
+	Epoch int64
 	// Expired says that the host could no longer use the grant when it sent the ack.
-	Expired bool   `cbor:"expired"`
-	Host    string `cbor:"host"`
+	Expired bool
+	Host    string
 	// InUse lists the backend servers on which more is in use than the host may use. Elsewhere the
 	// grant itself bounds the use.
-	InUse map[string]int `cbor:"in_use,omitempty"`
-	Seq   int64          `cbor:"seq"`
-	Shard fleet.ShardID  `cbor:"shard"`
-	Stamp Stamp          `cbor:"stamp"`
+	InUse map[string]int
+	Seq   int64
+	Shard fleet.ShardID
+	Stamp Stamp
 }
