Answer a request whose body does not arrive in time

Cause: the read deadline was removed before the 408 was written. The server then waited for the rest of the body, without a deadline, before it sent the answer, so a slow sender held its connection and request for ever. Ruled out: the read itself, which ended at read_timeout. Change: the deadline stays after a failed read, and the connection closes. Before: TestIncompleteBodyDidNotRun/slow hung until it was ended. After: it passes. Conclusion: a slow body costs a connection for read_timeout at most.

--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -112,7 +112,12 @@
 	}
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(r.Arrived.Add(a.limits.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), in.Body, a.limits.MaxBodyBytes))
-	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	} else {
+		// Else the server would wait for the rest of the body, without a deadline, before it answers.
+		c.Response().Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
