Pass no header of one hop on to the next

Cause: only the first Connection line was read, so headers named in a second one went on, as did Proxy-Connection and a forwarding mark that a caller forged. Ruled out: routing by the forged mark; the callers' listener does not read it. Change: all Connection lines count, and the two headers are removed. Before: TestHopByHopHeadersStay and TestForwardingHeadersNeedThePeerListener failed. After: they pass. Conclusion: backend servers see end-to-end headers only.

--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -36,7 +36,7 @@
 
 // hopHeaders concern a single connection and are not passed on.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade",
 }
 
@@ -97,6 +97,7 @@
 		Service: c.Param("service"),
 		Team:    in.Header.Get(HeaderTeam),
 	}
+	r.Header.Del(HeaderForwarded)
 	if a.trusted {
 		r.Forwarded = in.Header.Get(HeaderForwarded)
 		if id := in.Header.Get(HeaderRequestID); id != "" {
@@ -197,8 +198,10 @@
 	if out == nil {
 		return http.Header{}
 	}
-	for _, named := range strings.Split(h.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(named))
+	for _, line := range h.Values("Connection") {
+		for _, named := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(named))
+		}
 	}
 	for _, name := range hopHeaders {
 		out.Del(name)
