--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -99,6 +99,7 @@
 	}
 	r.Header.Del(HeaderForwarded)
 	if a.trusted {
+		r.ClaimedKey = in.Header.Get(HeaderClaimed)
 		r.Forwarded = in.Header.Get(HeaderForwarded)
 		if id := in.Header.Get(HeaderRequestID); id != "" {
 			r.ID = id
@@ -114,10 +115,9 @@
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(r.Arrived.Add(a.limits.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), in.Body, a.limits.MaxBodyBytes))
 	if err == nil {
+		// After an error the deadline stays: net/http reads the rest of the body before it answers, and would wait
+		// for a slow sender without end.
 		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
-	} else {
-		// Else the server would wait for the rest of the body, without a deadline, before it answers.
-		c.Response().Header().Set("Connection", "close")
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -41,6 +41,7 @@
 	svc := caller.Service{Handle: h.handle, IsFeed: h.isFeed, Zone: h.zone}
 
 	callers := newEcho()
+	callers.Use(caller.LimitHeaders(h.settings.Limits.MaxHeaderBytes))
 	callers.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	callers.GET("/readyz", h.ready)
 	operator.Register(callers, h.operatorService(), operator.WithToken(h.settings.Security.OperatorToken))
@@ -84,7 +85,7 @@
 	server := &http.Server{
 		Handler:           handler,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes,
+		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes + caller.HeaderSlack,
 		ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Duration,
 	}
 	s.all = append(s.all, server)
@@ -108,7 +109,9 @@
 	if err := s.all[len(s.all)-1].Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
-	h.flying.Wait()
+	for h.flying.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, keyOwnerPoll)
+	}
 	h.shards.handOver(ctx)
 	for _, server := range s.all {
 		_ = server.Shutdown(ctx)
@@ -123,6 +126,8 @@
 		return c.String(http.StatusServiceUnavailable, "draining\n")
 	case !h.notes.loaded.Load():
 		return c.String(http.StatusServiceUnavailable, "release notes are not loaded yet\n")
+	case !h.backends.isReady(time.Now()):
+		return c.String(http.StatusServiceUnavailable, "no grant of the zone's shards has come yet\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -23,8 +23,10 @@
 
 // Timing of a shard owner's loop.
 const (
-	ownerTick       = 100 * time.Millisecond
-	placeEvery      = 250 * time.Millisecond
+	ownerTick  = 100 * time.Millisecond
+	placeEvery = 250 * time.Millisecond
+	// ownerPause is a gap between ticks that only a pause of the process explains.
+	ownerPause      = time.Second
 	handoverTimeout = 5 * time.Second
 	// drainTime is how long a backend server gets no new requests before its replica is stopped.
 	drainTime = 3 * time.Second
@@ -45,6 +47,7 @@
 	failedOn map[string][]string
 	grants   *granting
 	handing  bool
+	heard    map[string]time.Time // last report of each worker
 	host     *Host
 	// hurry asks for a tick at once, so that a takeover does not wait for the ticker at each of its steps.
 	hurry      bool
@@ -63,12 +66,16 @@
 	queue        *queue
 	reports      map[string]*workerReport
 	rollouts     map[string]time.Time
-	seenEnds     map[ledger.TaskEnd]time.Time
-	serves       bool // keys, as peers were told last
-	started      map[string]time.Time
-	store        *platform.Log
-	verifying    atomic.Bool
-	waitsFor     map[string]string
+	lastTick     time.Time
+	// since is when the owner began to hear its workers: when it took the shard, or when it was resumed after
+	// a pause, in which no report could reach it.
+	since     time.Time
+	seenEnds  map[ledger.TaskEnd]time.Time
+	serves    bool // keys, as peers were told last
+	started   map[string]time.Time
+	store     *platform.Log
+	verifying atomic.Bool
+	waitsFor  map[string]string
 }
 
 func newShardOwner(h *Host, id fleet.ShardID, epoch int64) *shardOwner {
@@ -79,6 +86,7 @@
 		draining:    map[string]time.Time{},
 		epoch:       epoch,
 		failedOn:    map[string][]string{},
+		heard:       map[string]time.Time{},
 		host:        h,
 		id:          id,
 		log:         h.log.WithFields(logrus.Fields{"shard": id.String(), "epoch": epoch}),
@@ -88,6 +96,7 @@
 		queue:       newQueue(),
 		reports:     map[string]*workerReport{},
 		rollouts:    map[string]time.Time{},
+		since:       time.Now(),
 		seenEnds:    map[ledger.TaskEnd]time.Time{},
 		started:     map[string]time.Time{},
 		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
@@ -151,18 +160,17 @@
 	}
 }
 
-// ask runs f on the owner's loop and waits for it.
-func (o *shardOwner) ask(ctx context.Context, f func(now time.Time)) error {
-	done := make(chan struct{})
-	o.post(func(now time.Time) {
-		defer close(done)
-		f(now)
-	})
+// askOwner runs f on the owner's loop and returns what it returns. If ctx ends first, f may still run later, so
+// it must not write to anything of the caller's.
+func askOwner[T any](ctx context.Context, o *shardOwner, f func(now time.Time) T) (T, error) {
+	got := make(chan T, 1)
+	o.post(func(now time.Time) { got <- f(now) })
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
-	case <-done:
-		return nil
+		var none T
+		return none, ctx.Err()
+	case t := <-got:
+		return t, nil
 	}
 }
 
@@ -204,6 +212,10 @@
 }
 
 func (o *shardOwner) tick(ctx context.Context, now time.Time) {
+	if now.Sub(o.lastTick) > ownerPause {
+		o.since = now
+	}
+	o.lastTick = now
 	o.ledger.LeaseRenewed(o.host.trustedRenewal(o.id, o.epoch))
 	workers := o.workers()
 	o.ledger.HostList(now, workers)
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -27,6 +27,7 @@
 	o.forgetStarted(candidates)
 	view := o.view(now, workers, candidates)
 	ahead := 0
+	o.evictFromLeaving(now, workers)
 	o.probe(now, workers, candidates)
 	for _, c := range o.queue.next(now, candidates, o.hasRoom) {
 		d, err := o.placer.Place(view, o.placementTask(c))
@@ -47,6 +48,20 @@
 	}
 }
 
+// evictFromLeaving stops the batch tasks of workers that leave, so that they resume elsewhere from their
+// checkpoints. It is not charged to the eviction budget, since they would be lost otherwise.
+func (o *shardOwner) evictFromLeaving(now time.Time, workers []fleet.Host) {
+	leaving := map[string]bool{}
+	for _, w := range workers {
+		leaving[w.ID] = w.IsLeaving()
+	}
+	for _, r := range o.ledger.Running() {
+		if leaving[r.Worker] && r.Reported && !r.Stopping && !r.Job.IsLatencyCritical() {
+			o.evict(now, r.Task, "worker is leaving")
+		}
+	}
+}
+
 // hasRoom reports whether room is reserved for a task on the worker that it is bound to.
 func (o *shardOwner) hasRoom(c ledger.Candidate) bool {
 	return c.Worker != "" && o.admitted[c.Task] == c.Worker && o.mayWait(c)
@@ -147,6 +162,10 @@
 func (o *shardOwner) bind(
 	now time.Time, view placement.View, c ledger.Candidate, d placement.Decision,
 ) placement.View {
+	if c.Worker != "" && c.Worker != d.Worker && !o.ledger.MayRebind(now) {
+		delete(o.admitted, c.Task)
+		return view
+	}
 	for _, victim := range d.Victims {
 		o.evict(now, victim, fmt.Sprintf("makes room for %s of priority %d", c.Task, c.Job.Priority))
 		o.budget.Take(now, 1)
@@ -177,7 +196,7 @@
 // bindAhead binds a task without room to the worker with the least work waiting, where it waits.
 func (o *shardOwner) bindAhead(c ledger.Candidate, workers []fleet.Host, d placement.Decision) {
 	delete(o.admitted, c.Task)
-	if c.Worker != "" && o.mayWait(c) {
+	if c.Worker != "" && (o.mayWait(c) || !o.ledger.MayRebind(time.Now())) {
 		return
 	}
 	best, least := "", 0.0
