Refuse a log value whose sequence number cannot be its key's

Cause: Load took any sequence number from the store; a negative one, or one near the largest integer, made Append index its keys below zero and panic. Ruled out: values that are not JSON, which gave an error before. Conclusion: a malformed value in the store is an error.

--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -14,6 +14,8 @@
 
 // Ring sizes: a snapshot is due well before the entry that it must cover is overwritten.
 const (
+	// maxSeq is far above what a log reaches and keeps sums of sequence numbers from overflowing.
+	maxSeq          = 1 << 62
 	ringSlots       = 64
 	snapshotEvery   = 32
 	snapshotKeyName = "snapshot"
@@ -147,6 +149,9 @@
 			if err := json.Unmarshal(kv.Value, &snap); err != nil {
 				return Snapshot{}, nil, eris.Wrapf(err, "%s", kv.Key)
 			}
+			if snap.Seq < 0 || snap.Seq > maxSeq {
+				return Snapshot{}, nil, eris.Errorf("%s: sequence number %d", kv.Key, snap.Seq)
+			}
 			snapMod = kv.ModRevision
 			continue
 		}
@@ -158,6 +163,9 @@
 		if err := json.Unmarshal(kv.Value, &e); err != nil {
 			return Snapshot{}, nil, eris.Wrapf(err, "%s", kv.Key)
 		}
+		if e.Seq < 1 || e.Seq > maxSeq || e.Seq%ringSlots != int64(slot) {
+			return Snapshot{}, nil, eris.Errorf("%s: sequence number %d", kv.Key, e.Seq)
+		}
 		slots[slot] = kv.ModRevision
 		bySeq[e.Seq] = e
 	}
