--- /dev/null
+++ b/internal/host/fixture_test.go
@@ -0,0 +1,188 @@
+package host_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/fake"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/host"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+const (
+	testTimeout = 20 * time.Second
+	services    = `id = "services"
+[[added]]
+kind = "service"
+name = "orders"
+replicas_per_zone = 1
+resources = { cpu_milli = 1000, memory_mib = 1000, slots = 1 }
+[[added]]
+kind = "feed"
+name = "feed"
+replicas_per_zone = 1
+resources = { connections = 1, cpu_milli = 1000, memory_mib = 1000 }
+[[added]]
+kind = "batch"
+name = "plan"
+resources = { cpu_milli = 1000, memory_mib = 1000 }
+run_time = "1ms"
+`
+)
+
+// cluster is a platform with one worker and entry hosts in one zone.
+type cluster struct {
+	journal  *fake.Journal
+	platform *fake.Platform
+	t        *testing.T
+	url      string
+	worker   *fake.Worker
+}
+
+// entry is a running entry host.
+type entry struct {
+	cancel context.CancelFunc
+	client *laburnumridge.Client
+	done   chan struct{}
+	host   *host.Host
+	url    string
+}
+
+func newCluster(t *testing.T, options ...fake.WorkerOption) *cluster {
+	t.Helper()
+	c := &cluster{journal: fake.NewJournal(time.Now), platform: fake.NewPlatform(), t: t}
+	var err error
+	c.url, err = c.platform.Start()
+	assert.NilError(t, err)
+	t.Cleanup(c.platform.Stop)
+	c.worker = fake.NewWorker(append(options, fake.WithJournal(c.journal))...)
+	assert.NilError(t, c.worker.Start())
+	t.Cleanup(c.worker.Kill)
+	c.platform.SetHost(fleet.Host{
+		Address: c.worker.Address(), Capacity: fleet.Resources{Connections: 64, CPUMilli: 32_000, MemoryMiB: 125_000, Slots: 8},
+		ID: "worker-1", Kind: fleet.KindWorker, Rack: "r1", State: fleet.StateLive, Zone: "z",
+	})
+	t.Cleanup(func() { assert.DeepEqual(t, c.journal.Check(), []string(nil)) })
+	return c
+}
+
+// start runs an entry host that reaches the platform at the given URL.
+func (c *cluster) start(id, platformURL string) *entry {
+	c.t.Helper()
+	s := settings.Default()
+	s.Host, s.Region, s.Zone = id, "r", "z"
+	s.Platform.Endpoints = []string{platformURL}
+	s.Platform.Timeout.Duration = 500 * time.Millisecond
+	for _, address := range []*string{&s.Listen.Caller, &s.Listen.Debug, &s.Listen.Peer} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(c.t, err)
+		*address = l.Addr().String()
+		assert.NilError(c.t, l.Close())
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var once sync.Once
+	h, err := host.New(s, host.WithLog(log), host.WithQuickStart(), host.WithFailure(func(name, detail string) {
+		once.Do(func() { c.t.Errorf("%s: %s: %s", id, name, detail) })
+	}))
+	assert.NilError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{cancel: cancel, done: make(chan struct{}), host: h, url: "http://" + s.Listen.Caller}
+	go func() {
+		defer close(e.done)
+		_ = h.Run(ctx)
+	}()
+	c.t.Cleanup(e.stop)
+	e.client, err = laburnumridge.New(laburnumridge.WithURLs(e.url))
+	assert.NilError(c.t, err)
+	c.platform.SetHost(fleet.Host{
+		Address: s.Listen.Caller, ID: id, Kind: fleet.KindEntryHost, PeerAddress: s.Listen.Peer,
+		State: fleet.StateLive, Zone: "z",
+	})
+	until(c.t, id+" is ready", func() error { return e.get("/readyz") })
+	return e
+}
+
+// serving publishes the services and waits until each host answers for them.
+func (c *cluster) serving(hosts ...*entry) {
+	c.t.Helper()
+	until(c.t, "the note is published", func() error {
+		_, err := hosts[0].client.Publish(c.t.Context(), []byte(services))
+		return err
+	})
+	for _, e := range hosts {
+		until(c.t, "orders answer", func() error { return e.get("/orders/ready") })
+	}
+}
+
+func (e *entry) get(path string) error {
+	res, err := http.Get(e.url + path)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// reply is what a caller was told.
+type reply struct {
+	body, id, outcome string
+	replayed          bool
+	status            int
+}
+
+// post sends an order; a lost or broken response has the outcome "".
+func (e *entry) post(key, body string) reply {
+	req, err := http.NewRequest(http.MethodPost, e.url+"/orders/new", strings.NewReader(body))
+	if err != nil {
+		return reply{}
+	}
+	if key != "" {
+		req.Header.Set(caller.HeaderKey, key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{
+		body: string(data), id: res.Header.Get(caller.HeaderRequestID), outcome: res.Header.Get(caller.HeaderOutcome),
+		replayed: res.Header.Get(caller.HeaderReplayed) != "", status: res.StatusCode,
+	}
+}
+
+func (e *entry) stop() {
+	e.cancel()
+	<-e.done
+}
+
+func until(t *testing.T, what string, f func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := f(); err != nil {
+			return poll.Continue("%s: %v", what, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(20*time.Millisecond))
+}
