Test schedules over a change of owner and refusing workers

Cause: no test covered due runs at a takeover or a worker that refuses. Change: two in-process tests.

--- /dev/null
+++ b/internal/host/schedule_test.go
@@ -0,0 +1,72 @@
+package host_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
+)
+
+// TestScheduleOverAChangeOfOwner guards against a schedule that ends, or a due run that is submitted twice, when the
+// shard gets another owner. Runs missed in the gap may be left out: of those only the latest is submitted.
+func TestScheduleOverAChangeOfOwner(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", c.url)
+	c.serving(a)
+	b := c.start("b", c.url)
+	_, err := a.client.Publish(t.Context(), []byte(`id = "scheduled"
+[[added]]
+kind = "batch"
+name = "tick"
+every = "1s"
+resources = { cpu_milli = 10, memory_mib = 10 }
+run_time = "1ms"
+`))
+	assert.NilError(t, err)
+	due := func() map[string]int {
+		runs := map[string]int{}
+		for _, r := range c.journal.Runs() {
+			if at, ok := strings.CutPrefix(r.Task, "tick@"); ok {
+				at, _, _ = strings.Cut(at, "/")
+				runs[at]++
+			}
+		}
+		return runs
+	}
+	ran := func(n int) {
+		t.Helper()
+		until(t, "runs", func() error {
+			if got := len(due()); got < n {
+				return fmt.Errorf("%d of %d", got, n)
+			}
+			return nil
+		})
+	}
+	ran(2)
+	a.stop()
+	ran(len(due()) + 3)
+	b.stop()
+	runs := due()
+	for at, n := range runs {
+		assert.Equal(t, n, 1, "run %s", at)
+	}
+}
+
+// TestWorkerThatRefuses guards against a request that is told anything but not_run when its only worker refuses it
+// before running.
+func TestWorkerThatRefuses(t *testing.T) {
+	c := newCluster(t)
+	a := c.start("a", c.url)
+	c.serving(a)
+	before := len(c.journal.Executions())
+	c.worker.SetLeaving(true)
+	for _, k := range []string{key(), ""} {
+		r := a.post(k, "x")
+		assert.Equal(t, r.outcome, string(laburnumridge.OutcomeNotRun), "%+v", r)
+		c.journal.ToldNotRun(r.id)
+	}
+	assert.Equal(t, len(c.journal.Executions()), before)
+}
