Wait until a host has a note before looking for it in its list

A note is on another host's list only once that host has applied it, which takes up to seconds. One of six runs of TestNotes looked too early.

--- a/internal/integration/notes_test.go
+++ b/internal/integration/notes_test.go
@@ -51,6 +51,7 @@
 			assert.Check(t, errors.Is(err, lr.ErrConflict) && errors.Is(err, lr.ErrNotRun), "%v", err)
 		}
 		assert.Equal(t, accepted, 1, "%v", errs)
+		c.awaitRevision(base+1, owner)
 		assert.Equal(t, c.published(owner, "race-a")+c.published(owner, "race-b"), 1)
 		for _, err := range race(t, map[*entry]string{
 			owner:  changeNote("disjoint-a", base, "added", "a"),
@@ -68,6 +69,7 @@
 		got := c.publish(owner, changeNote("lost-answer", base, "added", "d"))
 		c.platform.SetFaults(fake.PlatformFaults{})
 		assert.Equal(t, got, had+1)
+		c.awaitRevision(got, other)
 		assert.Equal(t, c.published(other, "lost-answer"), 1)
 	})
 	t.Run("host cut off from the platform", func(t *testing.T) {
