--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -70,13 +70,7 @@
 		if err != nil {
 			continue // the owner's part is missing
 		}
-		if part.Job != nil {
-			out.Job = part.Job
-		}
-		out.Shards = append(out.Shards, part.Shards...)
-		out.Teams = append(out.Teams, part.Teams...)
-		out.Workers = append(out.Workers, part.Workers...)
-		out.Works = append(out.Works, part.Works...)
+		out.add(part)
 	}
 	if job != "" {
 		return out
@@ -90,6 +84,17 @@
 	return out
 }
 
+// add takes what a shard's owner said.
+func (p *hostPart) add(o hostPart) {
+	if o.Job != nil {
+		p.Job = o.Job
+	}
+	p.Shards = append(p.Shards, o.Shards...)
+	p.Teams = append(p.Teams, o.Teams...)
+	p.Workers = append(p.Workers, o.Workers...)
+	p.Works = append(p.Works, o.Works...)
+}
+
 // status is the shard's part of the status, or one job of it.
 func (o *shardOwner) status(job string) hostPart {
 	var out hostPart
--- a/internal/integration/notes_test.go
+++ b/internal/integration/notes_test.go
@@ -26,7 +26,7 @@
 // unlisted work that a note disturbs.
 func TestNotes(t *testing.T) {
 	begin(t)
-	c := startFleet(t, []zone{{"wattala", 2, 2}, {"kadawatha", 1, 2}}, withRunTime(time.Hour))
+	c := startFleet(t, fleet{zones: []zone{{"wattala", 2, 2}, {"kadawatha", 1, 2}}, runTime: time.Hour})
 	owner, other := c.roles("wattala")
 	remote := c.entries[2]
 	c.submit(owner, "job", 3)
@@ -62,13 +62,12 @@
 	})
 	t.Run("answer lost after the write", func(t *testing.T) {
 		knownRed(t)
-		had := base + 4 // one of the two conflicting notes and the three disjoint ones
-		c.awaitRevision(had, owner)
+		had := base + 4 // one of the conflicting notes and three disjoint ones
+		c.awaitRevision(had, c.entries...)
 		c.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 3})
 		got := c.publish(owner, changeNote("lost-answer", base, "added", "d"))
 		c.platform.SetFaults(fake.PlatformFaults{})
 		assert.Equal(t, got, had+1)
-		c.awaitRevision(got, other)
 		assert.Equal(t, c.published(other, "lost-answer"), 1)
 	})
 	t.Run("host cut off from the platform", func(t *testing.T) {
