--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -26,6 +26,7 @@
 	Explain *explainCmd `arg:"subcommand:explain" help:"show the decisions that concern an id"`
 	InForce *inForceCmd `arg:"subcommand:in-force" help:"show the revision in force on each entry host"`
 	Job     *jobCmd     `arg:"subcommand:job" help:"submit, show or cancel a job"`
+	Measure *measureCmd `arg:"subcommand:measure" help:"measure the decision code on a virtual clock"`
 	Note    *noteCmd    `arg:"subcommand:note" help:"plan, publish, amend, show or list release notes"`
 	Serve   *serveCmd   `arg:"subcommand:serve" help:"run the daemon of an entry host"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show zones, shards, work and workers"`
