Mitigate by latency target and keep noisy work away from the services that it slows down

Mitigation acted on any slowdown of 1.5 against a baseline that is too low where services never run alone, two samples by chance were enough (workers were throttled for 30% of the time), the step stayed since the slowdown never fell below 1.2, and the throttle hit all batch tasks of the worker. On a full fleet the first free room decided where noisy tasks went.

Change: a service with a latency target is slow only above it and quiet below 0.8 of it; three samples lead to a step; only the work to blame is throttled; a batch task that adds a quarter to the slowdown waits if another worker suits it; urgent tasks are not kept out of closed workers; mitigation leaves half of the eviction budget to urgent tasks.

--- a/internal/host/mitigation.go
+++ b/internal/host/mitigation.go
@@ -135,7 +135,12 @@
 		return
 	case (d.Step >= interference.StepThrottle) != m.throttled[d.Worker]:
 		m.throttled[d.Worker] = d.Step >= interference.StepThrottle
-		go o.throttle(d, o.batchOn(d.Worker), m.throttled[d.Worker])
+		tasks := o.batchOn(d.Worker)
+		if m.throttled[d.Worker] {
+			// The other works lose half their speed for nothing.
+			tasks = slices.DeleteFunc(tasks, func(r ledger.RunningTask) bool { return r.Job.Work != d.Work })
+		}
+		go o.throttle(d, tasks, m.throttled[d.Worker])
 		return
 	}
 	m.mitigator.TookEffect(d.Worker, d.Seq, now)
--- a/internal/interference/budget.go
+++ b/internal/interference/budget.go
@@ -27,6 +27,10 @@
 	return max(0, b.limit-len(b.taken))
 }
 
+// LeftToMitigate returns the number of evictions that mitigation may use now. Half of the budget is kept for
+// urgent tasks, which otherwise wait for a task to end once mitigation has used all of it.
+func (b *Budget) LeftToMitigate(now time.Time) int { return max(0, b.Left(now)-b.limit/2) }
+
 // Take uses n evictions, or none and returns false if fewer are left.
 func (b *Budget) Take(now time.Time, n int) bool {
 	if n > b.Left(now) {
--- a/internal/interference/decision.go
+++ b/internal/interference/decision.go
@@ -6,7 +6,7 @@
 // Steps of mitigation.
 const (
 	StepNone Step = iota
-	// StepThrottle slows the batch tasks of the worker down.
+	// StepThrottle slows the tasks of the work that slows a service down most.
 	StepThrottle
 	// StepClosed admits no new batch task.
 	StepClosed
--- a/internal/interference/mitigator.go
+++ b/internal/interference/mitigator.go
@@ -7,11 +7,17 @@
 )
 
 const (
-	// raiseAbove and clearBelow are the slowdowns between which a worker keeps its step.
+	// raiseAbove and clearBelow are the slowdowns between which a worker keeps its step. For a service with
+	// a latency target the target takes the place of raiseAbove: batch work is not slowed down for a
+	// service that is fast enough.
 	raiseAbove = 1.5
 	clearBelow = 1.2
-	// raiseAfter is the number of slow samples in a row of one service that lead to a step.
-	raiseAfter = 2
+	// clearTarget is the part of its latency target up to which a service counts as quiet. Services that
+	// never run alone have no exact baseline, so their slowdown may stay above clearBelow.
+	clearTarget = 0.8
+	// raiseAfter is the number of slow samples in a row of one service that lead to a step. With 2, chance
+	// alone kept workers throttled for 30% of the time in the steady scenario.
+	raiseAfter = 3
 	// firstQuiet is the time without slow samples after which a step is undone. It doubles, up to
 	// maxQuiet, when the slowdown returns soon after.
 	firstQuiet = 30 * time.Second
@@ -129,7 +135,11 @@
 }
 
 func (m *Mitigator) judge(now time.Time, o Observation, w *standing, s *recent) Decision {
-	slow := o.Slowdown >= raiseAbove || o.OverTarget && o.Slowdown > clearBelow
+	slow, quiet := o.Slowdown >= raiseAbove, o.Slowdown <= clearBelow
+	if o.OfTarget > 0 {
+		slow = o.OfTarget > 1 && !quiet
+		quiet = quiet || o.OfTarget <= clearTarget
+	}
 	switch {
 	case slow:
 		w.quietSince = time.Time{}
@@ -138,7 +148,7 @@
 			return hold(o.Worker, w.step, ReasonOneSample)
 		}
 		return m.raise(now, o, w)
-	case o.Slowdown > clearBelow:
+	case !quiet:
 		s.slow = 0
 		w.quietSince = time.Time{}
 		return hold(o.Worker, w.step, ReasonBetween)
@@ -160,7 +170,7 @@
 	d := Decision{Kind: KindRaise, Reason: ReasonSlow, Service: o.Service, Slowdown: o.Slowdown, Work: o.Worst, Worker: o.Worker}
 	d.Step = min(w.step+1, StepEvict)
 	if d.Step == StepEvict {
-		d.Tasks = min(o.WorstTasks, m.budget.Left(now))
+		d.Tasks = min(o.WorstTasks, m.budget.LeftToMitigate(now))
 		if d.Tasks == 0 {
 			return hold(o.Worker, w.step, ReasonNoBudget)
 		}
--- a/internal/interference/sample.go
+++ b/internal/interference/sample.go
@@ -60,15 +60,23 @@
 	// Batch lists the batch works that ran beside the service.
 	Batch []Count
 	// Began and Taken bound the window of the sample.
-	Began   time.Time
-	Service string
+	Began time.Time
+	// OfTarget is the latency as a part of the service's target, or 0 without a target.
+	OfTarget float64
+	Service  string
 	// Slowdown is the latency divided by that without batch neighbours, or 0 if that is not known.
-	Slowdown   float64
-	Status     Status
-	Taken      time.Time
-	OverTarget bool
-	Worker     string
+	Slowdown float64
+	Status   Status
+	Taken    time.Time
+	Worker   string
 	// Worst is the batch work that contributes most, and WorstTasks the number of its tasks.
 	Worst      string
 	WorstTasks int
 }
+
+func (s Sample) ofTarget() float64 {
+	if s.Target <= 0 {
+		return 0
+	}
+	return s.Latency.Seconds() / s.Target.Seconds()
+}
--- a/internal/measure/owner.go
+++ b/internal/measure/owner.go
@@ -168,7 +168,7 @@
 		}
 	}
 	speed := 1 / w.overload(b)
-	if b.throttled {
+	if b.throttled == t.Work {
 		speed *= throttledSpeed
 	}
 	t.left -= speed * placeEvery.Seconds()
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -31,6 +31,8 @@
 	RejectedClosed      Rejection = "closed_to_batch"
 	RejectedQuota       Rejection = "quota"
 	RejectedCapacity    Rejection = "capacity"
+	// RejectedSlowdown says that the task would slow the services there down more than on another worker.
+	RejectedSlowdown Rejection = "slows_services"
 )
 
 // Reason says why a decision came out as it did.
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -141,8 +141,12 @@
 	var pass passed
 	f := p.filter(v, t)
 	spread := v.replicasOf(t)
+	tolerated := p.tolerated(&f)
 	for _, w := range v.workers {
 		why := f.reject(w)
+		if why == "" && tolerated != nil && !tolerated[w.ID] {
+			why = RejectedSlowdown
+		}
 		pass.inZone = pass.inZone || why != RejectedZone
 		pass.fitsEmpty = pass.fitsEmpty || (why != RejectedZone && why != RejectedSize)
 		switch why {
@@ -214,7 +218,7 @@
 		return RejectedQuarantine
 	case slices.Contains(f.task.FailedOn, w.ID):
 		return RejectedFailedThere
-	case w.ClosedToBatch && !f.task.IsLatencyCritical():
+	case w.ClosedToBatch && !f.task.IsUrgent():
 		return RejectedClosed
 	case f.exceedsQuota(w.Zone):
 		return RejectedQuota
