Open a circuit after five failures in a row

A server that fails at once opens its circuit when half of the requests of the last 10 s failed; a busy server then fails hundreds of requests, which use up the retry budget.

Change: five failures without a response between them open the circuit, too.

--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -32,6 +32,10 @@
 	circuitRate     = 0.5
 	circuitPause    = time.Second
 	circuitPauseMax = 30 * time.Second
+	// circuitStreak is the number of failures without a response between them that opens the circuit. The
+	// rate alone lets a busy server that fails at once fail hundreds of requests, until they are half of
+	// all those that faded little; that is longer than the restart of a worker.
+	circuitStreak = 5
 	// circuitProbes is the number of good probes in a row that close the circuit.
 	circuitProbes = 3
 
@@ -56,6 +60,7 @@
 	good            int
 	isOpen          bool
 	pause           time.Duration
+	streak          int
 	until           time.Time
 }
 
@@ -63,10 +68,11 @@
 	c.fade(now)
 	c.failures++
 	c.total++
+	c.streak++
 	switch {
 	case c.isOpen && now.Before(c.until):
 		// Requests sent before the circuit opened do not prolong the pause.
-	case c.isOpen, c.failures >= circuitFailures && c.failures >= circuitRate*c.total:
+	case c.isOpen, c.streak >= circuitStreak, c.failures >= circuitFailures && c.failures >= circuitRate*c.total:
 		c.pause = grow(c.pause, circuitPause, circuitPauseMax)
 		c.isOpen, c.good, c.until = true, 0, now.Add(spread(c.pause, jitter))
 	}
@@ -83,6 +89,7 @@
 func (c *circuit) succeeded(now time.Time) {
 	c.fade(now)
 	c.total++
+	c.streak = 0
 	if !c.isOpen || now.Before(c.until) {
 		return
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -163,6 +163,21 @@
 	assert.Equal(t, d.Reason, routing.ReasonOnlyCandidate)
 }
 
+// Guards against a busy server that fails at once and goes on receiving requests until its failures are
+// half of all those that it has answered.
+func TestStreakOpensCircuit(t *testing.T) {
+	r := routing.NewRouter("a")
+	bs := backends(1)
+	for range 1000 {
+		assert.Equal(t, end(r, start, bs, routing.ResultOK), "w0")
+	}
+	for range 5 {
+		assert.Equal(t, end(r, start, bs, routing.ResultFailed), "w0")
+	}
+	_, err := r.Route(start, bs)
+	assert.ErrorIs(t, err, routing.ErrNoBackend)
+}
+
 // Guards against state that grows with every replaced worker, and against a late end of a request
 // that lowers the count of a worker's next life.
 func TestRetainDropsVanishedWorkers(t *testing.T) {
