--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -93,7 +93,7 @@
 	o.placer = placement.New(
 		placement.WithQuota(o.quota),
 		placement.WithViolated(h.check.Violated),
-		placement.WithEvictionsLeft(func() int { return o.budget.Left(time.Now()) }),
+		placement.WithEvictionsLeft(o.evictionsLeft),
 		placement.WithSlowdown(o.predictedSlowdown),
 	)
 	o.mitigation = newMitigation(o.budget)
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -133,10 +133,18 @@
 
 func (o *shardOwner) placementTask(c ledger.Candidate) placement.Task {
 	t := o.task(c.Task, c.Job)
+	t.BeyondRate = o.queue.taken[c.Task].BeyondRate
 	t.FailedOn = o.failedOn[c.Task]
 	return t
 }
 
+func (o *shardOwner) evictionsLeft(t *placement.Task) int {
+	if t.BeyondRate {
+		return o.budget.LeftBeyondRate(time.Now())
+	}
+	return o.budget.Left(time.Now())
+}
+
 func (o *shardOwner) task(id string, j ledger.Job) placement.Task {
 	return placement.Task{
 		ID: id, Kind: j.Kind, Priority: j.Priority, Resources: j.Resources, Team: j.Team, Work: j.Work,
--- a/internal/host/queue.go
+++ b/internal/host/queue.go
@@ -22,7 +22,7 @@
 }
 
 func newQueue() *queue {
-	return &queue{queue: job.NewQueue(job.WithLimit(queueLimit)), queued: map[string]bool{}, taken: map[string]job.Task{}}
+	return &queue{queue: job.NewQueue(job.WithKeptRate(1), job.WithLimit(queueLimit)), queued: map[string]bool{}, taken: map[string]job.Task{}}
 }
 
 // next returns the tasks to place in this pass: replicas first, then batch tasks in the order of the queue.
--- a/internal/interference/budget.go
+++ b/internal/interference/budget.go
@@ -27,6 +27,10 @@
 	return max(0, b.limit-len(b.taken))
 }
 
+// LeftBeyondRate returns the number of evictions that may be used now for urgent tasks beyond the usual rate
+// of their work. They get a quarter of the budget, so that a flood leaves the rest to other urgent work.
+func (b *Budget) LeftBeyondRate(now time.Time) int { return max(0, b.Left(now)-b.limit+b.limit/4) }
+
 // LeftToMitigate returns the number of evictions that mitigation may use now. Half of the budget is kept for
 // urgent tasks, which otherwise wait for a task to end once mitigation has used all of it.
 func (b *Budget) LeftToMitigate(now time.Time) int { return max(0, b.Left(now)-b.limit/2) }
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -98,7 +98,9 @@
 		}
 		e.state = stateTaken
 		q.charge(e, now, 1)
-		out = append(out, e.Task)
+		t := e.Task
+		t.BeyondRate = q.kept > 0 && !e.kept
+		out = append(out, t)
 	}
 	return out
 }
--- a/internal/job/queue_test.go
+++ b/internal/job/queue_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against a work that is new when a flood begins and keeps only a part of its rate.
+func TestKeptRateOfNewWork(t *testing.T) {
+	q := job.NewQueue(job.WithKeptRate(1))
+	now, low := start, 0
+	for n := range 600 {
+		now = now.Add(time.Second)
+		add(t, q, task(fmt.Sprint("low", n), of("a", "low")))
+		if n >= 240 {
+			add(t, q, task(fmt.Sprint("high", n), of("b", "high"), priority(9)))
+		}
+		started := startOne(q, now)
+		if n >= 240 && started.Work == "low" {
+			low++
+		}
+	}
+	assert.Assert(t, low >= 324, "%d of 360 starts kept", low)
+	add(t, q, task("burst1", of("b", "high"), priority(9)), task("burst2", of("b", "high"), priority(9)))
+	var beyond bool
+	for _, b := range q.Batch(now, 100) {
+		beyond = beyond || b.Work == "high" && b.BeyondRate
+	}
+	assert.Assert(t, beyond, "urgent tasks beyond the rate are not told apart")
+}
+
 // Guards against a wave of cancellations that blocks starts, starts what was cancelled, or loses a task.
 func TestCancelInSteps(t *testing.T) {
 	q := job.NewQueue()
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -15,6 +15,8 @@
 
 // Task is a task that waits for a worker.
 type Task struct {
+	// BeyondRate is set by Batch if the work starts more tasks than the rate that it keeps.
+	BeyondRate bool
 	// Deadline is when the job should end; zero means none.
 	Deadline  time.Time
 	ID        string
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -30,7 +30,7 @@
 
 // evict returns the cheapest set of victims on one worker that makes room for t within the budget.
 func (p *Placer) evict(v View, t *Task) (eviction, bool) {
-	left := p.evictionsLeft()
+	left := p.evictionsLeft(t)
 	f := p.filter(v, t)
 	var best eviction
 	for _, w := range v.workers {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -24,7 +24,7 @@
 
 // Placer chooses workers for tasks.
 type Placer struct {
-	evictionsLeft func() int
+	evictionsLeft func(t *Task) int
 	policy        Policy
 	quota         func(team string) fleet.Resources
 	slowdown      func(w *Worker, t *Task) float64
@@ -37,7 +37,7 @@
 // New returns a Placer with PolicyScore, no quotas, no predicted slowdown and no evictions.
 func New(opts ...PlacerOption) *Placer {
 	p := &Placer{
-		evictionsLeft: func() int { return 0 },
+		evictionsLeft: func(*Task) int { return 0 },
 		policy:        PolicyScore,
 		quota:         func(string) fleet.Resources { return fleet.Resources{} },
 		violated:      func(string, string) {},
@@ -48,8 +48,8 @@
 	return p
 }
 
-// WithEvictionsLeft sets the number of evictions that the budget still admits.
-func WithEvictionsLeft(left func() int) PlacerOption {
+// WithEvictionsLeft sets the number of evictions that the budget still admits for a task.
+func WithEvictionsLeft(left func(t *Task) int) PlacerOption {
 	return func(p *Placer) { p.evictionsLeft = left }
 }
 
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -112,7 +112,7 @@
 		worker(1, holding(held("c", 1, time.Minute), held("d", 0, time.Minute))),
 	)
 	budget := 1
-	p := placement.New(placement.WithEvictionsLeft(func() int { return budget }))
+	p := placement.New(placement.WithEvictionsLeft(func(*placement.Task) int { return budget }))
 	d, err := p.Place(view, batch("urgent", 9, size(16, 10)))
 	assert.NilError(t, err)
 	assert.Equal(t, d.Worker, "w001")
@@ -135,7 +135,7 @@
 // that are evicted.
 func TestServicesEvictBatchOnly(t *testing.T) {
 	service := placement.Task{ID: "s", Kind: note.KindService, Work: "dosing", Resources: size(20, 1)}
-	p := placement.New(placement.WithEvictionsLeft(func() int { return 9 }))
+	p := placement.New(placement.WithEvictionsLeft(func(*placement.Task) int { return 9 }))
 	d, err := p.Place(placement.NewView(worker(0, holding(placement.Held{Task: batch("b", 8, size(20, 1))}))), service)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, d.Victims, []string{"b"})
@@ -195,7 +195,7 @@
 			placement.PolicyScore, placement.PolicyFirstFit, placement.PolicyLeastLoaded,
 		}).Draw(t, "policy")
 		p := placement.New(
-			placement.WithEvictionsLeft(func() int { return 3 }), placement.WithPolicy(policy),
+			placement.WithEvictionsLeft(func(*placement.Task) int { return 3 }), placement.WithPolicy(policy),
 			placement.WithQuota(func(string) fleet.Resources { return quota }),
 			placement.WithViolated(func(n, d string) { t.Fatalf("%s: %s", n, d) }))
 		v := placement.NewView(worker(0), worker(1), worker(7))
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -13,6 +13,8 @@
 
 // Task is a replica or a batch task that needs a worker.
 type Task struct {
+	// BeyondRate says that the work starts more tasks than it did recently.
+	BeyondRate bool
 	// FailedOn lists the workers on which the task failed before.
 	FailedOn  []string
 	ID        string
