Do not probe quarantined workers with urgent tasks

The scenario fills the fleet at once, so that the bad workers fail tasks in the first minute; before, they stood empty until then.

--- a/internal/host/probe.go
+++ b/internal/host/probe.go
@@ -6,6 +6,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/placement"
 )
 
 // probe binds one waiting task to each quarantined worker whose pause is over, to find out whether it has
@@ -17,7 +18,8 @@
 		}
 		free := w.Capacity.Sub(o.ledger.Reserved(w.ID).Running)
 		for _, c := range candidates {
-			if c.Job.IsLatencyCritical() || o.admitted[c.Task] != "" || !c.Job.Resources.FitsIn(free) ||
+			// An urgent task would lose its time on a worker that probably fails it.
+			if c.Job.IsLatencyCritical() || c.Job.Priority >= placement.UrgentPriority || o.admitted[c.Task] != "" || !c.Job.Resources.FitsIn(free) ||
 				!o.attribution.IsGoodProbe(c.Job.ID, c.Job.Work) {
 				continue
 			}
--- a/internal/measure/badworkers.go
+++ b/internal/measure/badworkers.go
@@ -36,6 +36,11 @@
 		}
 		t.fails = fails && t.Work != recall
 	}
+	// The fleet is full from the start, so that the bad workers fail tasks in the first minute.
+	for range len(w.backends) {
+		w.owner.submit(archive, nil)
+		w.owner.submit(forecast, nil)
+	}
 	usualBatch(w)
 	w.after(time.Minute, func() {
 		w.owner.submit(archive, func(t *task) { t.Resources.CPUMilli = 2 * w.user.worker.CPUMilli })
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -34,7 +34,7 @@
 	replicas  []string
 	running   []*task
 	served    map[string]float64 // slot time by service, in seconds
-	throttled string // the throttled batch work
+	throttled string             // the throttled batch work
 }
 
 // world is one run.
