Measure a store outage and test the aims

Cause: urgent starts in an outage of the store were not measured, and nothing held the aims.

Full runs are left out with the race detector.

--- /dev/null
+++ b/internal/measure/aims_test.go
@@ -0,0 +1,30 @@
+//go:build !race
+
+package measure_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/measure"
+)
+
+// Guards against changes of the decision code that lose an aim which is met. The runs have their full
+// length, which takes too long with the race detector.
+func TestAimsHold(t *testing.T) {
+	// missed lists the aims that docs/measurements.md states as missed for this seed.
+	missed := map[string]bool{}
+	for scenario, policies := range map[string][]string{
+		"bad-workers": {measure.Ours}, "flood-high": {measure.Ours}, "flood-low": {measure.Ours},
+		"interference": {measure.Ours, "least_loaded", "evict_on_slow"}, "restart-wave": {measure.Ours},
+		"steady": {measure.Ours}, "store-outage": {measure.Ours}, "wrong-sizes": {measure.Ours},
+	} {
+		t.Run(scenario, func(t *testing.T) {
+			t.Parallel()
+			for _, a := range run(t, scenario, "kelaniya", 0, policies...).Aims {
+				assert.Check(t, a.Met || missed[scenario+": "+a.Name], "%+v", a)
+			}
+		})
+	}
+}
--- a/internal/measure/owner.go
+++ b/internal/measure/owner.go
@@ -94,7 +94,7 @@
 	w := o.world
 	k := w.kinds[work]
 	o.jobs++
-	id := fmt.Sprintf("%s-%d", work, o.jobs)
+	id := jobID(work, o.jobs)
 	for i := range jobSize(k) {
 		t := &task{
 			Task: job.Task{
@@ -129,7 +129,7 @@
 		if w.now.After(until) {
 			return
 		}
-		w.owner.submit(work, change)
+		w.submit(work, change)
 		w.after(jittered(rng, perSecond), next)
 	}
 	w.after(from.Sub(w.now)+jittered(rng, perSecond), next)
@@ -374,6 +374,8 @@
 	return time.Duration((0.9 + 0.2*rng.Float64()) / perSecond * float64(time.Second))
 }
 
+func jobID(work string, n int) string { return fmt.Sprintf("%s-%d", work, n) }
+
 func jobSize(k note.Work) int {
 	if k.Priority >= placement.UrgentPriority {
 		return 1
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Aim is one bound with what was measured.
@@ -48,6 +49,8 @@
 
 // Options select what Run measures.
 type Options struct {
+	// Length replaces the length of the runs, unless it is 0.
+	Length time.Duration
 	// Policies are the rows; none means those that matter in the scenario.
 	Policies []string
 	Seeds    []uint64
@@ -75,6 +78,9 @@
 	if len(opts.Policies) == 0 {
 		vs = slices.DeleteFunc(vs, func(v variant) bool { return !slices.Contains(s.rows, v.name) })
 	}
+	if opts.Length > 0 {
+		s.length = opts.Length
+	}
 	r := &Report{About: s.about, Deciding: s.deciding, Scenario: name, User: opts.User, more: s.better}
 	for _, v := range vs {
 		r.Rows = append(r.Rows, Row{Policy: v.name, role: v.role, Runs: make([]Figures, len(opts.Seeds))})
@@ -101,6 +107,9 @@
 }
 
 func runOnce(s scenario, u user, v variant, seed uint64) Figures {
+	if s.run != nil {
+		return s.run(u, v, seed)
+	}
 	w := newWorld(u, v, seed, s.length)
 	s.prepare(w)
 	w.run()
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -20,10 +20,11 @@
 	name     string
 	prepare  func(w *world)
 	rows     []string
+	run      func(u user, v variant, seed uint64) Figures // replaces the usual run
 }
 
 func scenarios() []scenario {
-	return []scenario{steady(), interfering(), flood(false), flood(true), badWorkers(), wrongSizes(), restartWave()}
+	return []scenario{steady(), interfering(), flood(false), flood(true), badWorkers(), wrongSizes(), restartWave(), storeOutage()}
 }
 
 // Scenarios lists the names of the scenarios.
--- a/internal/measure/variant.go
+++ b/internal/measure/variant.go
@@ -78,7 +78,7 @@
 	add("fixed_blacklist", roleBaseline, func(v *variant) { v.attribution = attribution.PolicyFixedBlacklist })
 	add(evictOnSlow, roleBaseline, func(v *variant) { v.trial = evictOnSlow })
 	add("no_kept_rate", roleTrial, func(v *variant) { v.keptRate = 0 })
-	for _, t := range []string{trialAffinity, trialAlpha, trialStatic, trialProbes} {
+	for _, t := range []string{trialAffinity, trialAlpha, trialStatic, trialProbes, trialHold} {
 		add(t, roleTrial, func(v *variant) { v.trial = t })
 	}
 	return out
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -51,6 +51,7 @@
 	pairs     map[[2]string]float64
 	rng       *rand.Rand
 	services  []note.Work
+	submit    func(work string, change func(*task))
 	truth     *rand.Rand
 	trueCPU   map[string]float64 // true usage of a batch work as a multiple of its declared size
 	trueTime  map[string]float64 // true run time as a multiple of the declared one
@@ -83,6 +84,7 @@
 	}
 	w.figures = newFigures(w)
 	w.owner = newOwner(w)
+	w.submit = w.owner.submit
 	w.placeReplicas()
 	for i := range entryHosts {
 		w.entries = append(w.entries, newEntry(w, i, seed))
