--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -23,7 +23,7 @@
 	return scenario{
 		about: about, aims: floodAims, better: true, deciding: "least kept by another kind", figure: leastKept,
 		length: 11 * time.Minute, name: name, prepare: func(w *world) { prepareFlood(w, urgent) },
-		rows: []string{Ours, "single_queue", "round_robin", "least_outstanding", "first_fit", "least_loaded", "no_kept_rate"},
+		rows: []string{Ours, "single_queue", "least_outstanding", "least_loaded", "no_kept_rate"},
 	}
 }
 
