--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -24,7 +24,7 @@
 
 // Placer chooses workers for tasks.
 type Placer struct {
-	evictionsLeft func() int
+	evictionsLeft func(t *Task) int
 	policy        Policy
 	quota         func(team string) fleet.Resources
 	slowdown      func(w *Worker, t *Task) float64
@@ -37,7 +37,7 @@
 // New returns a Placer with PolicyScore, no quotas, no predicted slowdown and no evictions.
 func New(opts ...PlacerOption) *Placer {
 	p := &Placer{
-		evictionsLeft: func() int { return 0 },
+		evictionsLeft: func(*Task) int { return 0 },
 		policy:        PolicyScore,
 		quota:         func(string) fleet.Resources { return fleet.Resources{} },
 		violated:      func(string, string) {},
@@ -48,8 +48,8 @@
 	return p
 }
 
-// WithEvictionsLeft sets the number of evictions that the budget still admits.
-func WithEvictionsLeft(left func() int) PlacerOption {
+// WithEvictionsLeft sets the number of evictions that the budget still admits for a task.
+func WithEvictionsLeft(left func(t *Task) int) PlacerOption {
 	return func(p *Placer) { p.evictionsLeft = left }
 }
 
@@ -141,8 +141,12 @@
 	var pass passed
 	f := p.filter(v, t)
 	spread := v.replicasOf(t)
+	tolerated := p.tolerated(&f)
 	for _, w := range v.workers {
 		why := f.reject(w)
+		if why == "" && tolerated != nil && !tolerated[w.ID] {
+			why = RejectedSlowdown
+		}
 		pass.inZone = pass.inZone || why != RejectedZone
 		pass.fitsEmpty = pass.fitsEmpty || (why != RejectedZone && why != RejectedSize)
 		switch why {
@@ -214,7 +218,7 @@
 		return RejectedQuarantine
 	case slices.Contains(f.task.FailedOn, w.ID):
 		return RejectedFailedThere
-	case w.ClosedToBatch && !f.task.IsLatencyCritical():
+	case w.ClosedToBatch && !f.task.IsUrgent():
 		return RejectedClosed
 	case f.exceedsQuota(w.Zone):
 		return RejectedQuota
