Let tasks outlive the crash of their shard's owner

The ledger's tests state their lease of 5 s themselves. Conclusion: services go on over an owner's crash; a lost worker's batch tasks resume later.

--- a/internal/fake/worker_test.go
+++ b/internal/fake/worker_test.go
@@ -62,7 +62,7 @@
 		// The worker's clock is an hour ahead, which must not matter.
 		ahead := func() time.Time { return time.Now().Add(time.Hour) }
 		j := fake.NewJournal(time.Now)
-		w := fake.NewWorker(fake.WithClock(ahead), fake.WithJournal(j))
+		w := fake.NewWorker(fake.WithClock(ahead), fake.WithJournal(j), fake.WithLease(5*time.Second))
 		token := fence(t, w, 1).Token
 		time.Sleep(3 * time.Second)
 		began := time.Now()
--- a/internal/fake/workeroptions.go
+++ b/internal/fake/workeroptions.go
@@ -72,7 +72,7 @@
 // WithLag sets the time from taking a sample to reporting it; the default is 5 s.
 func WithLag(d time.Duration) WorkerOption { return func(o *workerOptions) { o.lag = d } }
 
-// WithLease sets the lease of tasks and the life of tokens; the default is 5 s.
+// WithLease sets the lease of tasks and the life of tokens; the default is 15 s.
 func WithLease(d time.Duration) WorkerOption { return func(o *workerOptions) { o.lease = d } }
 
 // WithProfile sets the true behaviour of tasks; the default is DeclaredProfile.
@@ -107,7 +107,7 @@
 		id:             "worker-1",
 		interference:   func(string, []Running) float64 { return 1 },
 		lag:            5 * time.Second,
-		lease:          5 * time.Second,
+		lease:          15 * time.Second,
 		now:            time.Now,
 		profile:        DeclaredProfile,
 		sampleInterval: 5 * time.Second,
--- a/internal/host/feed.go
+++ b/internal/host/feed.go
@@ -46,10 +46,20 @@
 		}
 	}
 	release()
-	if last.Outcome == laburnumridge.OutcomeNotRun {
-		return h.elsewhere(ctx, r, true, last)
+	if last.Outcome != laburnumridge.OutcomeNotRun {
+		return nil, last
 	}
-	return nil, last
+	res, p := h.elsewhere(ctx, r, true, last)
+	if p != nil {
+		return nil, p
+	}
+	// A feed from another zone ends with this host's drain too.
+	lines, body := newDrainReader(res.Body, h.drained), res.Body
+	res.Body = &closing{Reader: lines, close: func() {
+		close(lines.closed)
+		_ = body.Close()
+	}}
+	return res, nil
 }
 
 func (h *Host) openFeed(
--- a/internal/host/handle.go
+++ b/internal/host/handle.go
@@ -33,12 +33,32 @@
 	return h.nonIdempotent(ctx, r, item)
 }
 
+// awaitGrants waits a little for slots in this zone and reports whether there are any. Without an owner there
+// are none for some seconds, in which other zones answer.
+func (h *Host) awaitGrants(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, noBackendWait)
+	defer cancel()
+	for h.backends.granted(time.Now()) == 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		pause(ctx, keyOwnerPoll)
+	}
+	return true
+}
+
 // dispatch runs a request on a backend server of this zone, or passes it to another zone if this one has
 // none. A key marks a request that must not run twice.
 func (h *Host) dispatch(
 	ctx context.Context, r caller.Request, item note.Item, key string,
 ) (*caller.Response, *laburnumridge.Problem) {
 	r = r.WithClaimedKey(key)
+	if r.Forwarded == "" && !h.awaitGrants(ctx) {
+		res, p := h.elsewhere(ctx, r, false, unavailable("no_grants", "zone "+h.zone+" has no owner that grants slots"))
+		if p == nil || p.Outcome != laburnumridge.OutcomeNotRun {
+			return res, p
+		}
+	}
 	if len(h.backends.candidates(r.Service, h.backends.slots, time.Now())) == 0 {
 		return h.elsewhere(ctx, r, false, unavailable("no_backend", "zone "+h.zone+" has no backend server of "+r.Service))
 	}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -220,7 +220,7 @@
 	workers := o.workers()
 	o.ledger.HostList(now, workers)
 	o.updateKeys(workers)
-	if now.Sub(o.lastPlace) >= placeEvery && !o.handing {
+	if now.Sub(o.lastPlace) >= placeEvery && !o.handing && o.ledger.HasTakenOver() {
 		o.lastPlace = now
 		o.forgetOld(now)
 		o.acceptServices(now)
--- a/internal/host/ownerplace.go
+++ b/internal/host/ownerplace.go
@@ -27,6 +27,7 @@
 	o.forgetStarted(candidates)
 	view := o.view(now, workers, candidates)
 	ahead := 0
+	reserved := o.ledger.Reservations()
 	o.evictFromLeaving(now, workers)
 	o.probe(now, workers, candidates)
 	for _, c := range o.queue.next(now, candidates, o.hasRoom) {
@@ -41,7 +42,7 @@
 			o.neverFits(now, c, d)
 		case errors.Is(err, placement.ErrNoRoom) && ahead < boundAhead:
 			ahead++
-			o.bindAhead(c, workers, d)
+			o.bindAhead(c, workers, reserved, d)
 		default:
 			o.waits(c, d)
 		}
@@ -202,7 +203,9 @@
 }
 
 // bindAhead binds a task without room to the worker with the least work waiting, where it waits.
-func (o *shardOwner) bindAhead(c ledger.Candidate, workers []fleet.Host, d placement.Decision) {
+func (o *shardOwner) bindAhead(
+	c ledger.Candidate, workers []fleet.Host, reserved map[string]ledger.Reservation, d placement.Decision,
+) {
 	delete(o.admitted, c.Task)
 	if c.Worker != "" && (o.mayWait(c) || !o.ledger.MayRebind(time.Now())) {
 		return
@@ -213,7 +216,7 @@
 		if !c.Job.Resources.FitsIn(h.Capacity) || !o.mayWait(c) {
 			continue
 		}
-		load := o.ledger.Reserved(h.ID).Total().Fraction(h.Capacity)
+		load := reserved[h.ID].Total().Fraction(h.Capacity)
 		if best == "" || load < least {
 			best, least = h.ID, load
 		}
@@ -221,6 +224,9 @@
 	if best == "" {
 		return
 	}
+	r := reserved[best]
+	r.Waiting = r.Waiting.Add(c.Job.Resources)
+	reserved[best] = r
 	if err := o.ledger.Bind(c.Task, best); err != nil {
 		return // it waits unbound until the next pass
 	}
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -25,8 +25,10 @@
 		go o.start(ctx, s)
 	}
 	for _, s := range a.Stops {
+		t, _ := o.ledger.State().Task(s.Task)
 		o.explain(explain.Decision{
-			Attempt: s.Attempt, Decision: "stop", Reason: s.Reason, Task: s.Task, Worker: s.Worker,
+			Attempt: s.Attempt, Decision: "stop", Job: t.Job, Reason: s.Reason, Task: s.Task, Work: o.workOf(t.Job),
+			Worker: s.Worker,
 		})
 		go o.stop(ctx, s)
 	}
--- a/internal/host/ownerwork.go
+++ b/internal/host/ownerwork.go
@@ -133,7 +133,7 @@
 func (o *shardOwner) retire(now time.Time, r ledger.JobRecord, successorPending bool) {
 	since, ok := o.draining[r.Job.ID]
 	if !ok {
-		if successorPending && now.Sub(o.retiring(r.Job.ID, now)) < rolloutWait {
+		if successorPending && (now.Sub(o.retiring(r.Job.ID, now)) < rolloutWait || o.isDraining(r.Job.Work)) {
 			return
 		}
 		o.draining[r.Job.ID] = now
@@ -150,6 +150,17 @@
 	}
 }
 
+// isDraining reports whether a replica of a work drains. While successors wait for the room that replicas take,
+// these stop one at a time, so that the others go on answering.
+func (o *shardOwner) isDraining(work string) bool {
+	for job := range o.draining {
+		if rec, ok := o.ledger.State().Job(job); ok && rec.Job.Work == work && rec.EndedAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // retiring returns since when a replica is to be retired.
 func (o *shardOwner) retiring(job string, now time.Time) time.Time {
 	if _, ok := o.rollouts[job]; !ok {
--- a/internal/integration/single_run_test.go
+++ b/internal/integration/single_run_test.go
@@ -33,8 +33,12 @@
 		"owner killed": func(c *cluster, owner, other *entry) {
 			c.submit(owner, "job", jobTasks)
 			c.awaitRunning(owner, "job", jobTasks)
+			before := len(slices.DeleteFunc(c.journal.Runs(), isBatch))
 			owner.kill(c.t)
 			c.awaitTakeover(owner, other)
+			c.awaitServices(other)
+			// Leases outlast a takeover, so a crash of the owner restarts no replica.
+			assert.Equal(c.t, len(slices.DeleteFunc(c.journal.Runs(), isBatch)), before)
 		},
 		"start delayed past the takeover": func(c *cluster, owner, other *entry) {
 			for _, link := range c.links {
--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -27,7 +27,10 @@
 
 func newBench(t *testing.T, s ledger.State, epoch int64, workers ...string) *bench {
 	b := &bench{now: t0, t: t}
-	b.Owner = ledger.NewOwner(s, "host", epoch, t0, ledger.WithViolated(func(name, detail string) {
+	// The cases name times that follow from a worker lease of 5 s.
+	timing := ledger.DefaultTiming()
+	timing.Lease = workerLease
+	b.Owner = ledger.NewOwner(s, "host", epoch, t0, ledger.WithTiming(timing), ledger.WithViolated(func(name, detail string) {
 		t.Errorf("%s: %s", name, detail)
 	}))
 	var hosts []fleet.Host
--- a/internal/ledger/running.go
+++ b/internal/ledger/running.go
@@ -28,6 +28,9 @@
 	return out
 }
 
+// HasTakenOver reports whether the takeover is committed; before that nothing can be bound.
+func (o *Owner) HasTakenOver() bool { return !o.takenAt.IsZero() && !o.deposed }
+
 // ProposedJob returns the job of a task whose binding is proposed and not committed yet.
 func (o *Owner) ProposedJob(task string) (Job, bool) {
 	r := o.runs[task]
--- a/internal/ledger/soakhost_test.go
+++ b/internal/ledger/soakhost_test.go
@@ -235,6 +235,7 @@
 				if known && h.owner == nil {
 					h.seq, h.writer = seq, ""
 					timing := ledger.DefaultTiming()
+					timing.Lease = workerLease
 					timing.Autonomy = simAutonomy
 					h.owner = ledger.NewOwner(state, h.id, epoch, h.renewedAt, ledger.WithTiming(timing),
 						ledger.WithViolated(h.s.fail))
--- a/internal/ledger/timing.go
+++ b/internal/ledger/timing.go
@@ -31,11 +31,13 @@
 		CheckpointEvery: 2 * time.Second,
 		CommitEvery:     250 * time.Millisecond,
 		HeartbeatEvery:  2 * time.Second,
-		Lease:           5 * time.Second,
-		PlatformHold:    6 * time.Second,
-		PlatformLease:   9 * time.Second,
-		ResendEvery:     time.Second,
-		RetryHold:       5 * time.Second,
+		// A takeover takes up to 12 s: the platform lease runs out, the record is written and workers are fenced.
+		// Tasks outlive the crash of their owner only if their leases are longer than that and a heartbeat.
+		Lease:         15 * time.Second,
+		PlatformHold:  6 * time.Second,
+		PlatformLease: 9 * time.Second,
+		ResendEvery:   time.Second,
+		RetryHold:     5 * time.Second,
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -133,8 +133,17 @@
 	return m, eris.Wrap(err, "malformed frame")
 }
 
+// encoding keeps fractions of seconds, which the order of decisions from several hosts depends on.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 func encode(m Message) []byte {
-	frame, err := cbor.Marshal(m)
+	frame, err := encoding.Marshal(m)
 	if err != nil {
 		panic(err) // messages hold no type that cannot be encoded
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,6 +154,20 @@
 	if err := s.checkPlatform(); err != nil {
 		return err
 	}
+	for _, c := range []struct {
+		key string
+		tls TLS
+	}{
+		{"security.caller", s.Security.Caller},
+		{"security.peer", s.Security.Peer},
+	} {
+		if c.tls.ClientCA != "" && c.tls.Certificate == "" {
+			return invalid(c.key+".client_ca", c.tls.ClientCA, "only together with certificate and key")
+		}
+		if (c.tls.Certificate == "") != (c.tls.Key == "") {
+			return invalid(c.key+".key", c.tls.Key, "certificate and key together")
+		}
+	}
 	return s.checkRanges()
 }
 
