Measure slopes of state, messages and decisions

Cause: the capacity page is to rest on measured slopes. Change: measure slopes prints each cost at four or more sizes with the line that fits best.

--- a/internal/cmd/measurecmd.go
+++ b/internal/cmd/measurecmd.go
@@ -7,19 +7,26 @@
 	"github.com/laburnumridge/laburnumridge/internal/measure"
 )
 
-// allScenarios runs every scenario.
-const allScenarios = "all"
+const (
+	// allScenarios runs every scenario.
+	allScenarios = "all"
+	// slopes prints what state, messages and decisions cost at several sizes.
+	slopes = "slopes"
+)
 
 type measureCmd struct {
 	output
 	Policy   []string `arg:"--policy,separate" help:"show only this row; may be repeated"`
-	Scenario string   `arg:"positional,required" help:"all, or the name of a scenario"`
+	Scenario string   `arg:"positional,required" help:"all, slopes, or the name of a scenario"`
 	Seed     uint64   `arg:"--seed" default:"1" help:"first seed"`
 	Seeds    int      `arg:"--seeds" help:"number of seeds; 1, or 5 for all"`
 	User     string   `arg:"--user" default:"kelaniya" help:"kelaniya or retablo"`
 }
 
 func (c *measureCmd) run(sys *system) int {
+	if c.Scenario == slopes {
+		return c.runSlopes(sys)
+	}
 	names, seeds := []string{c.Scenario}, max(1, c.Seeds)
 	if c.Scenario == allScenarios {
 		names = measure.Scenarios()
@@ -49,6 +56,15 @@
 	return exitDone
 }
 
+func (c *measureCmd) runSlopes(sys *system) int {
+	got := measure.Slopes()
+	if c.JSON {
+		return sys.printJSON(got)
+	}
+	sys.printRows(measure.SlopeTable(got))
+	return exitDone
+}
+
 func (s *system) printReport(r *measure.Report, opts measure.Options) {
 	fmt.Fprintf(s.stdout, "%s (%s), user %s, seeds %d to %d, deciding figure: %s\n\n",
 		r.Scenario, r.About, r.User, opts.Seeds[0], opts.Seeds[len(opts.Seeds)-1], r.Deciding)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -149,3 +149,6 @@
 	}
 	return frame
 }
+
+// Size returns the bytes of a message on the wire, without the headers of the connection.
+func Size(m Message) int { return len(encode(m)) }
