--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
-	"github.com/laburnumridge/laburnumridge/internal/note"
 )
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
