Let operators' commands use TLS with an authority of their own

Cause: commands could not reach entry hosts whose callers' listener has a certificate of a private authority, or asks for client certificates.

--- a/internal/cmd/remote.go
+++ b/internal/cmd/remote.go
@@ -10,11 +10,15 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
 // remote holds the options of commands that ask an entry host.
 type remote struct {
+	CA      string        `arg:"--ca,env:LABURNUMRIDGE_CA" help:"PEM file of the authority that signed the entry hosts' certificates" placeholder:"FILE"`
+	Cert    string        `arg:"--cert,env:LABURNUMRIDGE_CERT" help:"PEM file of the certificate to present" placeholder:"FILE"`
+	Key     string        `arg:"--key,env:LABURNUMRIDGE_KEY" help:"PEM file of the certificate's key" placeholder:"FILE"`
 	Timeout time.Duration `arg:"--timeout" default:"30s" help:"time after which the command gives up"`
 	Token   string        `arg:"--token,env:LABURNUMRIDGE_TOKEN" help:"bearer token of the operators' interface"`
 	URL     []string      `arg:"--url,separate" help:"base URL of an entry host; repeat it for hosts to be tried in turn [default: http://127.0.0.1:8400, env: LABURNUMRIDGE_URL, separated by commas]" placeholder:"URL"`
@@ -27,13 +31,20 @@
 
 // ask calls an entry host within the timeout.
 func ask[T any](r remote, call func(context.Context, *laburnumridge.Client) (T, error)) (T, error) {
+	var none T
+	config, err := settings.TLS{Certificate: r.Cert, ClientCA: r.CA, Key: r.Key}.Client()
+	if err != nil {
+		return none, err
+	}
 	opts := []laburnumridge.Option{laburnumridge.WithToken(r.Token)}
+	if config != nil {
+		opts = append(opts, laburnumridge.WithTLS(config))
+	}
 	if urls := r.urls(); len(urls) > 0 {
 		opts = append(opts, laburnumridge.WithURLs(urls...))
 	}
 	client, err := laburnumridge.New(opts...)
 	if err != nil {
-		var none T
 		return none, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,13 +88,6 @@
 	ZoneSets ZoneSets `toml:"zone_settings"`
 }
 
-// TLS names PEM files of one listener or client.
-type TLS struct {
-	Certificate string `toml:"certificate"`
-	ClientCA    string `toml:"client_ca"`
-	Key         string `toml:"key"`
-}
-
 // ZoneSets holds what all hosts of a zone must agree on.
 type ZoneSets struct {
 	Shards int `toml:"shards"`
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+// TLS names PEM files of one listener or client.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	ClientCA    string `toml:"client_ca"`
+	Key         string `toml:"key"`
+}
+
+// Server returns the configuration of a listener, nil for plain text; it asks clients for a certificate if an
+// authority for them is set. Errors name the file that could not be read.
+func (t TLS) Server() (*tls.Config, error) {
+	if t.Certificate == "" {
+		return nil, nil //nolint:nilnil // no certificate means plain text
+	}
+	cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate")
+	}
+	c := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	if t.ClientCA != "" {
+		if c.ClientCAs, err = loadCA(t.ClientCA); err != nil {
+			return nil, err
+		}
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return c, nil
+}
+
+// Client returns the configuration of a client, nil for plain text; it presents the certificate and checks the
+// server against the same authority. Errors name the file that could not be read.
+func (t TLS) Client() (*tls.Config, error) {
+	if t.Certificate == "" && t.ClientCA == "" {
+		return nil, nil //nolint:nilnil // no certificate means plain text
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	if t.Certificate != "" {
+		cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+		if err != nil {
+			return nil, eris.Wrap(err, "certificate")
+		}
+		c.Certificates = []tls.Certificate{cert}
+	}
+	if t.ClientCA != "" {
+		pool, err := loadCA(t.ClientCA)
+		if err != nil {
+			return nil, err
+		}
+		c.RootCAs = pool
+	}
+	return c, nil
+}
+
+func loadCA(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "client_ca")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("client_ca: %s holds no certificate", file)
+	}
+	return pool, nil
+}
