Assert more invariants in the running program

Cause: only capacity and notes were counted as checks; the others showed in tests alone. Change: starts check their binding and attempt, requests check the leaving flag, the answer's id and that a key is not sent again after it may have run, a drain checks that nothing is in flight.

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/routing"
 	"github.com/laburnumridge/laburnumridge/internal/worker"
@@ -123,6 +124,9 @@
 		candidates := h.backends.candidates(a.request.Service, h.backends.slots, now)
 		d, err := a.router.Route(now, candidates, a.excluded...)
 		if err == nil && h.backends.slots.Take(d.Backend.Worker, now) {
+			h.check.Check(invariant.LeavingNoWork, !d.Backend.Leaving, d.Backend.Worker+" is leaving")
+			h.check.Check(invariant.AtMostOnce, a.key == "" || !a.mayHaveRun && a.pending == 0,
+				"key "+a.key+" is sent again although it may have run")
 			a.tries++
 			a.pending++
 			h.explainRequest(a.request, "route", fmt.Sprintf("%s: %s %s, weighed %s", why, d.Policy, d.Reason, describe(d.Options)),
--- a/internal/host/handle.go
+++ b/internal/host/handle.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/admission"
 	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
@@ -85,6 +86,10 @@
 		result = admission.ResultFailed
 	}
 	h.admitted.done(r.ID, time.Since(started), result)
+	if p == nil && !res.Streams {
+		h.check.Check(invariant.AnswerToOwnCaller, res.Header.Get(caller.HeaderRequestID) == r.ID,
+			"request "+r.ID+" has the answer of "+res.Header.Get(caller.HeaderRequestID))
+	}
 	if p != nil && p.Reason == "no_backend" {
 		return h.elsewhere(ctx, r, false, p)
 	}
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/operator"
 )
@@ -112,6 +113,7 @@
 	for h.flying.Load() > 0 && ctx.Err() == nil {
 		pause(ctx, keyOwnerPoll)
 	}
+	h.check.Check(invariant.GracefulStop, h.flying.Load() == 0, "requests are in flight after the drain timeout")
 	h.shards.handOver(ctx)
 	for _, server := range s.all {
 		_ = server.Shutdown(ctx)
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
@@ -21,6 +22,9 @@
 		go o.contact(ctx, c)
 	}
 	for _, s := range a.Starts {
+		t, _ := o.ledger.State().Task(s.Task)
+		o.host.check.Check(invariant.SingleRun, t.Worker == s.Worker, s.Task+" is bound to "+t.Worker+", not to "+s.Worker)
+		o.host.check.Check(invariant.ResumeOnce, s.Attempt > t.Attempt, fmt.Sprintf("%s: attempt %d after %d", s.Task, s.Attempt, t.Attempt))
 		o.started[s.Task] = time.Now()
 		go o.start(ctx, s)
 	}
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -17,7 +17,6 @@
 	NoteInForce       = "note_in_force"
 	ResumeOnce        = "resume_once"
 	SingleRun         = "single_run"
-	TruthfulOutcome   = "truthful_outcome"
 )
 
 var (
