--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -1,7 +1,13 @@
 package host
 
 import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
+	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/worker"
 )
 
@@ -14,3 +20,22 @@
 	}
 	return out
 }
+
+// Notes gives tests the notes of a host without a platform.
+type Notes struct{ *notes }
+
+// NewNotes returns notes at revision 0.
+func NewNotes(log *logrus.Entry) Notes {
+	return Notes{&notes{
+		applied: func(note.Catalogue) {}, check: invariant.New(log), log: log, ring: explain.New("a", log),
+	}}
+}
+
+// Revision returns the revision applied.
+func (n Notes) Revision() int64 { return n.revision() }
+
+// Since returns what a peer at a revision lacks.
+func (n Notes) Since(revision int64) (peer.NotesReply, error) { return n.since(revision) }
+
+// Take applies what a peer sent.
+func (n Notes) Take(after int64, reply peer.NotesReply) error { return n.take(after, reply) }
