Sum a shard's reservations once a tick

Cause: on reading the whole change once more: each tick of an owner rebuilt all reservations once for each worker, work that grows with the square of the shard; a body was copied to be forwarded; notes joined a key by hand. Change: reservations are built once for a tick and once for a status; the body is read in place; strings.Join. Figures: none measured after it; the footprint in docs/CAPACITY.md is from before and should be lower now. Conclusion: behaviour is as before; vet, revive, and the note, command, demo, host (3 tests) and integration (3 tests) tests pass.

--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +32,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, r.Method, h.forwardURL(to.PeerAddress, r), strings.NewReader(string(r.Body)))
+	req, err := http.NewRequestWithContext(ctx, r.Method, h.forwardURL(to.PeerAddress, r), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, unavailable("bad_request", err.Error())
 	}
--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -66,7 +66,7 @@
 	}
 	h.explainRequest(r, "key_forward", "key of "+id.String()+", owned by "+owner.host, "")
 	res, p := h.forward(ctx, r, owner.host, false)
-	if p != nil && p.Outcome == laburnumridge.OutcomeNotRun && p.Reason != "" && strings.HasPrefix(p.Reason, "peer_") {
+	if p != nil && p.Outcome == laburnumridge.OutcomeNotRun && strings.HasPrefix(p.Reason, "peer_") {
 		// Only the owner knows whether an earlier request with this key has run.
 		return nil, repeatable(p.Reason, p.Detail)
 	}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -255,11 +255,12 @@
 		return
 	}
 	ids := make([]string, 0, len(workers))
+	reservations := o.ledger.Reservations()
 	var capacity, reserved fleet.Resources
 	for _, w := range workers {
 		ids = append(ids, w.ID)
 		capacity = capacity.Add(w.Capacity)
-		reserved = reserved.Add(o.ledger.Reserved(w.ID).Total())
+		reserved = reserved.Add(reservations[w.ID].Total())
 	}
 	table.Workers(ids)
 	table.LeaseUntil(o.host.trustedRenewal(o.id, o.epoch).Add(sessionTrusted))
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -110,10 +110,11 @@
 	out.Shards = append(out.Shards, laburnumridge.ShardStatus{
 		Epoch: o.epoch, Owner: o.host.id, Shard: o.id.String(), Zone: o.id.Zone,
 	})
+	reservations := o.ledger.Reservations()
 	for _, w := range o.workers() {
 		s := laburnumridge.WorkerStatus{
 			Capacity: w.Capacity, ID: w.ID, Leaving: w.IsLeaving(), Rack: w.Rack,
-			Quarantined: o.attribution.IsQuarantined(w.ID), Reserved: o.ledger.Reserved(w.ID).Running, Zone: w.Zone,
+			Quarantined: o.attribution.IsQuarantined(w.ID), Reserved: reservations[w.ID].Running, Zone: w.Zone,
 		}
 		switch {
 		case s.Leaving:
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
@@ -116,7 +117,7 @@
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		first := strict.Errors[0]
 		row, _ := first.Position()
-		return fmt.Sprintf("line %d: unknown key %q", row, dotted(first.Key()))
+		return fmt.Sprintf("line %d: unknown key %q", row, strings.Join(first.Key(), "."))
 	}
 	var dec *toml.DecodeError
 	if errors.As(err, &dec) {
@@ -126,17 +127,6 @@
 	return err.Error()
 }
 
-func dotted(key toml.Key) string {
-	var b bytes.Buffer
-	for i, part := range key {
-		if i > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(part)
-	}
-	return b.String()
-}
-
 func invalid(what, format string, args ...any) error {
 	return eris.Wrapf(ErrInvalid, "%s: %s", what, fmt.Sprintf(format, args...))
 }
