Name the key-value client's package kvstore

Cause: the adapter of the users' platform is the top-level folder platform/, which the former name internal/platform would be confused with.

--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // Rates and limits that the stand-in enforces by default.
@@ -25,11 +25,11 @@
 type Platform struct {
 	changed chan struct{} // closed and replaced at each change
 	counts  PlatformCounts
-	events  []platform.Event
+	events  []kvstore.Event
 	faults  PlatformFaults
 	hosts   map[string]fleet.Host
 	hostLag time.Duration
-	kvs     map[string]platform.KV
+	kvs     map[string]kvstore.KV
 	leases  map[int64]*lease
 	mu      sync.Mutex
 	nextID  int64
@@ -77,7 +77,7 @@
 	p := &Platform{
 		changed: make(chan struct{}),
 		hosts:   map[string]fleet.Host{},
-		kvs:     map[string]platform.KV{},
+		kvs:     map[string]kvstore.KV{},
 		leases:  map[int64]*lease{},
 		now:     time.Now,
 		tokens:  rates{readsPerSecond: defaultReadsPerSecond, writesPerSecond: defaultWritesPerSecond},
@@ -113,7 +113,7 @@
 func (p *Platform) RemoveHost(id string) {
 	p.afterLag(func() {
 		delete(p.hosts, id)
-		p.apply(platform.HostPrefix+id, nil, 0)
+		p.apply(kvstore.HostPrefix+id, nil, 0)
 	})
 }
 
@@ -142,13 +142,13 @@
 		if err != nil {
 			panic(err) // a Host always marshals
 		}
-		p.apply(platform.HostPrefix+h.ID, value, 0)
+		p.apply(kvstore.HostPrefix+h.ID, value, 0)
 	})
 }
 
 // Store returns direct access without HTTP, with the same rates and faults.
-func (p *Platform) Store() platform.Store {
-	return platform.Store{
+func (p *Platform) Store() kvstore.Store {
+	return kvstore.Store{
 		Get:       p.get,
 		Grant:     p.grant,
 		KeepAlive: p.keepAlive,
@@ -175,13 +175,13 @@
 // apply writes or deletes a key and tells the watches.
 func (p *Platform) apply(key string, value []byte, leaseID int64) int64 {
 	p.rev++
-	kv := platform.KV{Key: key, Lease: leaseID, ModRevision: p.rev, Value: slices.Clone(value)}
+	kv := kvstore.KV{Key: key, Lease: leaseID, ModRevision: p.rev, Value: slices.Clone(value)}
 	if len(value) == 0 {
 		delete(p.kvs, key)
 	} else {
 		p.kvs[key] = kv
 	}
-	p.events = append(p.events, platform.Event{Deleted: len(value) == 0, KV: kv})
+	p.events = append(p.events, kvstore.Event{Deleted: len(value) == 0, KV: kv})
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return p.rev
@@ -195,7 +195,7 @@
 	if delay > 0 {
 		select {
 		case <-ctx.Done():
-			return eris.Wrap(platform.ErrUnavailable, "timeout before the call was taken")
+			return eris.Wrap(kvstore.ErrUnavailable, "timeout before the call was taken")
 		case <-time.After(delay):
 		}
 	}
@@ -203,11 +203,11 @@
 	defer p.mu.Unlock()
 	p.expire()
 	if p.faults.Down {
-		return eris.Wrap(platform.ErrUnavailable, "down")
+		return eris.Wrap(kvstore.ErrUnavailable, "down")
 	}
 	if !p.tokens.take(p.now(), write) {
 		p.counts.Rejected++
-		return eris.Wrap(platform.ErrUnavailable, "over the rate")
+		return eris.Wrap(kvstore.ErrUnavailable, "over the rate")
 	}
 	if write {
 		p.counts.Writes++
@@ -223,7 +223,7 @@
 	defer p.mu.Unlock()
 	if p.faults.LoseAnswers > 0 {
 		p.faults.LoseAnswers--
-		return eris.Wrap(platform.ErrUnknownOutcome, "answer lost")
+		return eris.Wrap(kvstore.ErrUnknownOutcome, "answer lost")
 	}
 	return nil
 }
@@ -246,9 +246,9 @@
 	}
 }
 
-func (p *Platform) get(ctx context.Context, key string) (platform.KV, error) {
+func (p *Platform) get(ctx context.Context, key string) (kvstore.KV, error) {
 	if err := p.begin(ctx, false); err != nil {
-		return platform.KV{}, err
+		return kvstore.KV{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -276,25 +276,25 @@
 	defer p.mu.Unlock()
 	l, ok := p.leases[id]
 	if !ok {
-		return eris.Wrapf(platform.ErrConflict, "lease %d has run out", id)
+		return eris.Wrapf(kvstore.ErrConflict, "lease %d has run out", id)
 	}
 	l.ends = p.now().Add(l.ttl)
 	return nil
 }
 
-func (p *Platform) rangePrefix(ctx context.Context, prefix string) ([]platform.KV, int64, error) {
+func (p *Platform) rangePrefix(ctx context.Context, prefix string) ([]kvstore.KV, int64, error) {
 	if err := p.begin(ctx, false); err != nil {
 		return nil, 0, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []platform.KV
+	var out []kvstore.KV
 	for key, kv := range p.kvs {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, kv)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.KV) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b kvstore.KV) int { return cmp.Compare(a.Key, b.Key) })
 	return out, p.rev, nil
 }
 
@@ -309,8 +309,8 @@
 }
 
 func (p *Platform) swap(ctx context.Context, key string, expect int64, value []byte, leaseID int64) (int64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, eris.Wrapf(platform.ErrTooLarge, "%s: %d bytes", key, len(value))
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, eris.Wrapf(kvstore.ErrTooLarge, "%s: %d bytes", key, len(value))
 	}
 	if err := p.begin(ctx, true); err != nil {
 		return 0, err
@@ -326,15 +326,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if have := p.kvs[key].ModRevision; have != expect {
-		return 0, eris.Wrapf(platform.ErrConflict, "%s is at %d, not %d", key, have, expect)
+		return 0, eris.Wrapf(kvstore.ErrConflict, "%s is at %d, not %d", key, have, expect)
 	}
 	if _, ok := p.leases[leaseID]; leaseID != 0 && !ok {
-		return 0, eris.Wrapf(platform.ErrConflict, "lease %d has run out", leaseID)
+		return 0, eris.Wrapf(kvstore.ErrConflict, "lease %d has run out", leaseID)
 	}
 	return p.apply(key, value, leaseID), nil
 }
 
-func (p *Platform) watch(ctx context.Context, prefix string, since int64, each func([]platform.Event)) error {
+func (p *Platform) watch(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
 	if err := p.begin(ctx, false); err != nil {
 		return err
 	}
@@ -344,8 +344,8 @@
 	for {
 		p.mu.Lock()
 		p.expire()
-		var events []platform.Event
-		from, _ := slices.BinarySearchFunc(p.events, since+1, func(e platform.Event, rev int64) int {
+		var events []kvstore.Event
+		from, _ := slices.BinarySearchFunc(p.events, since+1, func(e kvstore.Event, rev int64) int {
 			return cmp.Compare(e.KV.ModRevision, rev)
 		})
 		for _, e := range p.events[from:] {
@@ -357,7 +357,7 @@
 		changed, down := p.changed, p.faults.Down
 		p.mu.Unlock()
 		if down {
-			return eris.Wrap(platform.ErrUnavailable, "down")
+			return eris.Wrap(kvstore.ErrUnavailable, "down")
 		}
 		if len(events) > 0 {
 			each(events)
--- a/internal/fake/platformhttp.go
+++ b/internal/fake/platformhttp.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // platformServer is the HTTP side of a Platform.
@@ -142,7 +142,7 @@
 	}
 	err := p.keepAlive(r.Context(), number(in.ID))
 	ttl := "1"
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		ttl, err = "0", nil // the protocol reports an ended lease as a TTL of 0
 	}
 	respond(w, etcdAnswer{Result: &etcdPartial{TTL: ttl}}, err)
@@ -194,7 +194,7 @@
 		value, leaseID = put.Value, number(put.Lease)
 	}
 	rev, err := p.swap(r.Context(), key, number(in.Compare[0].ModRevision), value, leaseID)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		respond(w, etcdAnswer{}, nil)
 		return
 	}
@@ -211,7 +211,7 @@
 	_ = enc.Encode(etcdAnswer{Result: &etcdPartial{Created: true}})
 	_ = flush()
 	since := number(in.Create.StartRevision) - 1
-	_ = p.watch(r.Context(), string(in.Create.Key), since, func(events []platform.Event) {
+	_ = p.watch(r.Context(), string(in.Create.Key), since, func(events []kvstore.Event) {
 		out := &etcdPartial{}
 		for _, e := range events {
 			kind := ""
@@ -227,7 +227,7 @@
 
 func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	var in T
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*platform.MaxValueBytes)).Decode(&in)
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*kvstore.MaxValueBytes)).Decode(&in)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
@@ -245,11 +245,11 @@
 // respond writes an answer; a lost one breaks the connection after the write took effect.
 func respond(w http.ResponseWriter, answer etcdAnswer, err error) {
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		if conn, _, hijackErr := http.NewResponseController(w).Hijack(); hijackErr == nil {
 			_ = conn.Close()
 		}
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, kvstore.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case err != nil:
 		// Calls over the rate are refused; while the service is down its port is closed.
@@ -262,6 +262,6 @@
 
 func text(n int64) string { return strconv.FormatInt(n, 10) }
 
-func toEtcd(kv platform.KV) etcdValue {
+func toEtcd(kv kvstore.KV) etcdValue {
 	return etcdValue{Key: []byte(kv.Key), Lease: text(kv.Lease), ModRevision: text(kv.ModRevision), Value: kv.Value}
 }
--- a/internal/host/adopt.go
+++ b/internal/host/adopt.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // adopt takes the shards of zones that have had no live entry host for adoptAfter.
 func (s *shards) adopt(ctx context.Context) {
-	kvs, _, err := s.host.storeFor(platform.ClassReads).Range(ctx, livePrefix)
+	kvs, _, err := s.host.storeFor(kvstore.ClassReads).Range(ctx, livePrefix)
 	if err != nil {
 		s.host.zoneEmptySince = map[string]time.Time{} // nothing is known, so nothing is adopted
 		return
@@ -47,6 +47,6 @@
 
 // isFirstLive reports whether this host has the lowest id of all live hosts; only that one adopts, so that
 // hosts of several zones do not contend.
-func (s *shards) isFirstLive(kvs []platform.KV) bool {
+func (s *shards) isFirstLive(kvs []kvstore.KV) bool {
 	return len(kvs) > 0 && kvs[0].Key == livePrefix+s.host.id
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,9 +15,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/worker"
 )
@@ -43,7 +43,7 @@
 	id             string
 	jobs           *jobs
 	keys           *keys
-	limiter        *platform.Limiter
+	limiter        *kvstore.Limiter
 	listening      chan struct{} // closed once the host listens
 	log            *logrus.Entry
 	mesh           *peer.Mesh
@@ -60,7 +60,7 @@
 	session        *session
 	settings       settings.Settings
 	shards         *shards
-	store          platform.Store
+	store          kvstore.Store
 	tls            tlsConfigs
 	workers        *worker.Client
 	zone           string
@@ -88,13 +88,13 @@
 		id:             s.Host,
 		keys:           newKeys(),
 		listening:      make(chan struct{}),
-		limiter:        platform.NewLimiter(s.Platform.ReadsPerSecond, s.Platform.WritesPerSecond),
+		limiter:        kvstore.NewLimiter(s.Platform.ReadsPerSecond, s.Platform.WritesPerSecond),
 		log:            logrus.NewEntry(logrus.StandardLogger()).WithField("host", s.Host),
 		onFailure:      func(string, string) {},
 		peerScheme:     "http://",
 		run:            s.Host + "#" + rand.Text()[:runLength],
 		settings:       s,
-		store:          platform.NewEtcd(s.Platform.Endpoints, s.Platform.Timeout.Duration),
+		store:          kvstore.NewEtcd(s.Platform.Endpoints, s.Platform.Timeout.Duration),
 		zone:           s.Zone,
 		zoneEmptySince: map[string]time.Time{},
 	}
@@ -114,13 +114,13 @@
 	h.ownerCtx, h.ownerStop = context.WithCancel(context.Background())
 	h.check = invariant.New(h.log, invariant.WithFailure(h.onFailure))
 	h.ring = explain.New(h.id, h.log)
-	h.session = &session{host: h.id, log: h.log, store: h.storeFor(platform.ClassOwnership)}
+	h.session = &session{host: h.id, log: h.log, store: h.storeFor(kvstore.ClassOwnership)}
 	h.peers = newPeerStates()
-	h.hosts = &hostList{changed: func(fleet.Snapshot) { h.refreshPeers() }, log: h.log, store: h.storeFor(platform.ClassReads)}
+	h.hosts = &hostList{changed: func(fleet.Snapshot) { h.refreshPeers() }, log: h.log, store: h.storeFor(kvstore.ClassReads)}
 	h.notes = &notes{
-		applied: h.applied, check: h.check, log: h.log, ring: h.ring, store: h.storeFor(platform.ClassNotes),
+		applied: h.applied, check: h.check, log: h.log, ring: h.ring, store: h.storeFor(kvstore.ClassNotes),
 	}
-	h.jobs = newJobs(h.storeFor(platform.ClassLedger), h.log)
+	h.jobs = newJobs(h.storeFor(kvstore.ClassLedger), h.log)
 	h.shards = newShards(h)
 	h.backends = newBackends(h, h.run, time.Now())
 	h.policies = newPolicies(h)
@@ -210,8 +210,8 @@
 	return jitter(maxStartDelay)
 }
 
-func (h *Host) storeFor(c platform.Class) platform.Store {
-	return platform.Limited(h.store, h.limiter, c)
+func (h *Host) storeFor(c kvstore.Class) kvstore.Store {
+	return kvstore.Limited(h.store, h.limiter, c)
 }
 
 func (h *Host) trustedRenewal(id fleet.ShardID, epoch int64) time.Time {
--- a/internal/host/hostlist.go
+++ b/internal/host/hostlist.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // Timing of watches. A watch may go silent for good without an error, so each is replaced after a while.
@@ -24,7 +24,7 @@
 	changed func(fleet.Snapshot)
 	current atomic.Pointer[fleet.Snapshot]
 	log     *logrus.Entry
-	store   platform.Store
+	store   kvstore.Store
 }
 
 func (l *hostList) snapshot() fleet.Snapshot {
@@ -35,7 +35,7 @@
 }
 
 func (l *hostList) run(ctx context.Context) {
-	follow(ctx, l.store, platform.HostPrefix, l.log, func(kvs map[string]platform.KV) {
+	follow(ctx, l.store, kvstore.HostPrefix, l.log, func(kvs map[string]kvstore.KV) {
 		hosts := make([]fleet.Host, 0, len(kvs))
 		for key, kv := range kvs {
 			var h fleet.Host
@@ -54,10 +54,10 @@
 // follow reads all keys with a prefix, then watches them, and calls each with the present keys after every
 // change, until ctx ends.
 func follow(
-	ctx context.Context, store platform.Store, prefix string, log *logrus.Entry, each func(map[string]platform.KV),
+	ctx context.Context, store kvstore.Store, prefix string, log *logrus.Entry, each func(map[string]kvstore.KV),
 ) {
 	var since int64
-	kvs := map[string]platform.KV{}
+	kvs := map[string]kvstore.KV{}
 	read := false
 	for ctx.Err() == nil {
 		if !read {
@@ -67,7 +67,7 @@
 				pause(ctx, jitter(watchRetry))
 				continue
 			}
-			kvs = map[string]platform.KV{}
+			kvs = map[string]kvstore.KV{}
 			for _, kv := range list {
 				kvs[kv.Key] = kv
 			}
@@ -75,7 +75,7 @@
 			each(kvs)
 		}
 		watchCtx, cancel := context.WithTimeout(ctx, watchLifetime/2+jitter(watchLifetime/2))
-		err := store.Watch(watchCtx, prefix, since, func(events []platform.Event) {
+		err := store.Watch(watchCtx, prefix, since, func(events []kvstore.Event) {
 			for _, e := range events {
 				since = max(since, e.KV.ModRevision)
 				if e.Deleted {
--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 const (
@@ -49,10 +49,10 @@
 	mods    map[string]int64
 	records map[string]jobRecord
 	removes chan string
-	store   platform.Store
+	store   kvstore.Store
 }
 
-func newJobs(store platform.Store, log *logrus.Entry) *jobs {
+func newJobs(store kvstore.Store, log *logrus.Entry) *jobs {
 	return &jobs{
 		log: log, mods: map[string]int64{}, records: map[string]jobRecord{},
 		removes: make(chan string, 1024), store: store,
@@ -69,7 +69,7 @@
 	if err == nil {
 		return rec, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, kvstore.ErrConflict) && !errors.Is(err, kvstore.ErrUnknownOutcome) {
 		return rec, err
 	}
 	have, _, readErr := j.read(ctx, rec.ID)
@@ -77,7 +77,7 @@
 	case errors.Is(readErr, errJobNotFound):
 		return rec, err
 	case readErr != nil:
-		return rec, eris.Wrapf(platform.ErrUnknownOutcome, "job %s: %s", rec.ID, readErr)
+		return rec, eris.Wrapf(kvstore.ErrUnknownOutcome, "job %s: %s", rec.ID, readErr)
 	case have.Work != rec.Work || have.Tasks != rec.Tasks:
 		return have, eris.Wrapf(errJobExists, "%s is %d tasks of %s", rec.ID, have.Tasks, have.Work)
 	}
@@ -97,12 +97,12 @@
 			return rec, eris.Wrapf(err, "job %s", id)
 		}
 		_, err = j.store.Swap(ctx, jobsPrefix+id, mod, value, 0)
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, kvstore.ErrConflict) && !errors.Is(err, kvstore.ErrUnknownOutcome) {
 			return rec, err
 		}
 		pause(ctx, jitter(50*time.Millisecond))
 		if ctx.Err() != nil {
-			return rec, eris.Wrapf(platform.ErrUnknownOutcome, "job %s", id)
+			return rec, eris.Wrapf(kvstore.ErrUnknownOutcome, "job %s", id)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 
 func (j *jobs) run(ctx context.Context) {
 	go j.deleteRemoved(ctx)
-	follow(ctx, j.store, jobsPrefix, j.log, func(kvs map[string]platform.KV) {
+	follow(ctx, j.store, jobsPrefix, j.log, func(kvs map[string]kvstore.KV) {
 		records, mods := make(map[string]jobRecord, len(kvs)), make(map[string]int64, len(kvs))
 		for key, kv := range kvs {
 			var rec jobRecord
--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -13,9 +13,9 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 )
 
 // Limits of the note log.
@@ -40,7 +40,7 @@
 	appliedAt  time.Time
 	recent     map[int64][]byte // by revision
 	ring       *explain.Ring
-	store      platform.Store
+	store      kvstore.Store
 }
 
 func (n *notes) current() (note.Catalogue, time.Time) {
@@ -56,7 +56,7 @@
 
 // run follows the note log in the platform.
 func (n *notes) run(ctx context.Context) {
-	follow(ctx, n.store, notesPrefix+"/", n.log, func(map[string]platform.KV) {
+	follow(ctx, n.store, notesPrefix+"/", n.log, func(map[string]kvstore.KV) {
 		if err := n.reload(ctx); err != nil && ctx.Err() == nil {
 			n.log.WithError(err).Warn("note log was not read")
 		}
@@ -68,8 +68,8 @@
 	return err
 }
 
-func (n *notes) load(ctx context.Context) (*platform.Log, error) {
-	l := platform.NewLog(n.store, notesPrefix)
+func (n *notes) load(ctx context.Context) (*kvstore.Log, error) {
+	l := kvstore.NewLog(n.store, notesPrefix)
 	snap, entries, err := l.Load(ctx)
 	if err != nil {
 		return nil, err
@@ -161,8 +161,8 @@
 	n.check.Check(invariant.NoteInForce, same, "note "+in.ID+" moved work that it does not list")
 }
 
-// publish appends a note to the log; errors match note.ErrConflict, note.ErrInvalid, platform.ErrUnavailable
-// or platform.ErrUnknownOutcome. A note that was accepted before under the same id and content is not
+// publish appends a note to the log; errors match note.ErrConflict, note.ErrInvalid, kvstore.ErrUnavailable
+// or kvstore.ErrUnknownOutcome. A note that was accepted before under the same id and content is not
 // accepted again.
 func (n *notes) publish(ctx context.Context, in note.Note) (note.Published, error) {
 	n.publishing.Lock()
@@ -188,8 +188,8 @@
 		if err != nil {
 			return note.Published{}, eris.Wrapf(err, "note %s", in.ID)
 		}
-		err = n.appendEntry(ctx, l, platform.NewEntry(c.Revision(), data))
-		if errors.Is(err, platform.ErrBehind) {
+		err = n.appendEntry(ctx, l, kvstore.NewEntry(c.Revision(), data))
+		if errors.Is(err, kvstore.ErrBehind) {
 			continue
 		}
 		if err != nil {
@@ -202,26 +202,26 @@
 		done, _ := now.Note(in.ID)
 		return done, nil
 	}
-	return note.Published{}, eris.Wrapf(platform.ErrUnavailable, "note %s: the log moved %d times", in.ID, publishAttempts)
+	return note.Published{}, eris.Wrapf(kvstore.ErrUnavailable, "note %s: the log moved %d times", in.ID, publishAttempts)
 }
 
 // appendEntry repeats an append whose outcome is unknown; repeating the same entry takes effect once.
-func (n *notes) appendEntry(ctx context.Context, l *platform.Log, e platform.Entry) error {
+func (n *notes) appendEntry(ctx context.Context, l *kvstore.Log, e kvstore.Entry) error {
 	for {
 		err := l.Append(ctx, e)
-		if !errors.Is(err, platform.ErrUnknownOutcome) || ctx.Err() != nil {
+		if !errors.Is(err, kvstore.ErrUnknownOutcome) || ctx.Err() != nil {
 			return err
 		}
 		pause(ctx, jitter(200*time.Millisecond))
 	}
 }
 
-func (n *notes) saveSnapshot(ctx context.Context, l *platform.Log, c note.Catalogue) error {
+func (n *notes) saveSnapshot(ctx context.Context, l *kvstore.Log, c note.Catalogue) error {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return eris.Wrap(err, "catalogue")
 	}
-	return l.SaveSnapshot(ctx, platform.Snapshot{Data: data, Seq: c.Revision()})
+	return l.SaveSnapshot(ctx, kvstore.Snapshot{Data: data, Seq: c.Revision()})
 }
 
 // since returns what a peer at a revision lacks.
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -15,10 +15,10 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/placement"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 )
 
 // Timing of a shard owner's loop.
@@ -60,7 +60,7 @@
 	lastPlace    time.Time
 	log          *logrus.Entry
 	mail         chan func(now time.Time)
-	pendingEntry *platform.Entry
+	pendingEntry *kvstore.Entry
 	placer       *placement.Placer
 	probes       map[string]string // worker that a task probes
 	quarantined  map[string]string
@@ -74,7 +74,7 @@
 	seenEnds  map[ledger.TaskEnd]time.Time
 	serves    bool // keys, as peers were told last
 	started   map[string]time.Time
-	store     *platform.Log
+	store     *kvstore.Log
 	verifying atomic.Bool
 	waitsFor  map[string]string
 }
@@ -100,7 +100,7 @@
 		since:       time.Now(),
 		seenEnds:    map[ledger.TaskEnd]time.Time{},
 		started:     map[string]time.Time{},
-		store:       platform.NewLog(h.storeFor(platform.ClassLedger), "ledger/"+id.String()),
+		store:       kvstore.NewLog(h.storeFor(kvstore.ClassLedger), "ledger/"+id.String()),
 		waitsFor:    map[string]string{},
 	}
 	o.placer = placement.New(
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -8,9 +8,9 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 	"github.com/laburnumridge/laburnumridge/internal/worker"
 )
 
@@ -50,10 +50,10 @@
 		case err == nil:
 			o.ledger.Committed(now)
 			o.hurry = true
-		case errors.Is(err, platform.ErrBehind):
+		case errors.Is(err, kvstore.ErrBehind):
 			o.log.WithError(err).Warn("another host appended to the shard's ledger")
 			o.ledger.Conflicted()
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, kvstore.ErrUnknownOutcome):
 			o.ledger.OutcomeUnknown()
 		default:
 			o.log.WithError(err).Warn("ledger entry was not committed")
@@ -74,11 +74,11 @@
 		}
 	}
 	if o.pendingEntry == nil || !c.Resolve {
-		e := platform.NewEntry(o.store.Seq(), data)
+		e := kvstore.NewEntry(o.store.Seq(), data)
 		o.pendingEntry = &e
 	}
 	err = o.store.Append(ctx, *o.pendingEntry)
-	if errors.Is(err, platform.ErrSnapshotDue) {
+	if errors.Is(err, kvstore.ErrSnapshotDue) {
 		if err := o.saveSnapshot(ctx); err != nil {
 			return err
 		}
@@ -223,5 +223,5 @@
 	if err = errors.Join(err, got.err); err != nil {
 		return err
 	}
-	return o.store.SaveSnapshot(ctx, platform.Snapshot{Data: got.data, Seq: o.store.Seq()})
+	return o.store.SaveSnapshot(ctx, kvstore.Snapshot{Data: got.data, Seq: o.store.Seq()})
 }
--- a/internal/host/schedule.go
+++ b/internal/host/schedule.go
@@ -9,8 +9,8 @@
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/job"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 )
 
 const scheduleEvery = time.Second
@@ -41,7 +41,7 @@
 
 func (h *Host) submitDue(ctx context.Context, item note.Item, last map[string]time.Time) {
 	work := item.Work.Name
-	store := h.storeFor(platform.ClassLedger)
+	store := h.storeFor(kvstore.ClassLedger)
 	now := time.Now().UTC()
 	if last[work].IsZero() {
 		kv, err := store.Get(ctx, schedulePrefix+work)
@@ -83,7 +83,7 @@
 }
 
 func (h *Host) recordDue(ctx context.Context, work string, at time.Time) error {
-	store := h.storeFor(platform.ClassLedger)
+	store := h.storeFor(kvstore.ClassLedger)
 	kv, err := store.Get(ctx, schedulePrefix+work)
 	if err != nil {
 		return err
--- a/internal/host/session.go
+++ b/internal/host/session.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // Timing of the platform lease. The host treats it as lost well before the platform does, by its own
@@ -28,7 +28,7 @@
 	mu    sync.Mutex
 	// renewed is when the last successful renewal was sent.
 	renewed time.Time
-	store   platform.Store
+	store   kvstore.Store
 }
 
 func (s *session) end(ctx context.Context) {
@@ -77,7 +77,7 @@
 			s.set(lease, sent)
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kvstore.ErrConflict) {
 			return err
 		}
 	}
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -14,7 +14,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // Timing of the contention for shards.
@@ -150,10 +150,10 @@
 	if known {
 		return nil
 	}
-	store := s.host.storeFor(platform.ClassOwnership)
+	store := s.host.storeFor(kvstore.ClassOwnership)
 	own := zonePrefix + s.host.zone
 	value := []byte(strconv.Itoa(s.host.settings.ZoneSets.Shards))
-	if _, err := store.Swap(ctx, own, 0, value, 0); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if _, err := store.Swap(ctx, own, 0, value, 0); err != nil && !errors.Is(err, kvstore.ErrConflict) {
 		return err
 	}
 	kvs, _, err := store.Range(ctx, zonePrefix)
@@ -194,7 +194,7 @@
 	if rec.Owner == "" || rec.Owner == s.host.id {
 		return false
 	}
-	kv, err := s.host.storeFor(platform.ClassOwnership).Get(ctx, livePrefix+rec.Owner)
+	kv, err := s.host.storeFor(kvstore.ClassOwnership).Get(ctx, livePrefix+rec.Owner)
 	return err != nil || kv.ModRevision != 0
 }
 
@@ -215,7 +215,7 @@
 }
 
 func (s *shards) read(ctx context.Context, id fleet.ShardID) (shardRecord, int64, error) {
-	kv, err := s.host.storeFor(platform.ClassOwnership).Get(ctx, shardPrefix+id.String())
+	kv, err := s.host.storeFor(kvstore.ClassOwnership).Get(ctx, shardPrefix+id.String())
 	if err != nil || kv.ModRevision == 0 {
 		return shardRecord{}, 0, err
 	}
@@ -236,8 +236,8 @@
 	}
 	sent := time.Now()
 	_, lease := s.host.session.current()
-	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	_, err = s.host.storeFor(kvstore.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
 		// Another process of this host id cannot have written this epoch: it would own the live key.
 		have, _, readErr := s.read(ctx, id)
 		if readErr != nil || have != next {
@@ -344,7 +344,7 @@
 	if err != nil {
 		return false
 	}
-	_, err = s.host.storeFor(platform.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
+	_, err = s.host.storeFor(kvstore.ClassOwnership).Swap(ctx, shardPrefix+id.String(), mod, value, 0)
 	s.host.ring.Add(explain.Decision{
 		Decision: "free_shard", Reason: "host drains", Task: "shard/" + id.String(), Zone: id.Zone,
 	})
--- a/internal/host/trust.go
+++ b/internal/host/trust.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // trust is a time at which the record was ours, and the platform lease held then.
@@ -61,7 +61,7 @@
 		if err != nil {
 			return
 		}
-		_, err = s.host.storeFor(platform.ClassOwnership).Swap(s.host.ownerContext(), shardPrefix+id.String(), mod, value, 0)
+		_, err = s.host.storeFor(kvstore.ClassOwnership).Swap(s.host.ownerContext(), shardPrefix+id.String(), mod, value, 0)
 		if err == nil {
 			s.setVerified(id, trust{at: asked, lease: lease})
 		}
--- a/internal/platform/fuzz_test.go
+++ b/internal/kvstore/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fake"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 // FuzzLogLoad guards against a panic on malformed values in the store, and against entries that are not
@@ -26,7 +26,7 @@
 				assert.NilError(t, err)
 			}
 		}
-		log := platform.NewLog(store, "l")
+		log := kvstore.NewLog(store, "l")
 		snap, entries, err := log.Load(t.Context())
 		if err != nil {
 			return
@@ -35,6 +35,6 @@
 			assert.Equal(t, e.Seq, snap.Seq+1+int64(i))
 		}
 		assert.Equal(t, log.Seq(), snap.Seq+int64(len(entries)))
-		_ = log.Append(t.Context(), platform.NewEntry(log.Seq(), []byte("1"))) // an error, but no panic
+		_ = log.Append(t.Context(), kvstore.NewEntry(log.Seq(), []byte("1"))) // an error, but no panic
 	})
 }
--- a/internal/platform/log_test.go
+++ b/internal/kvstore/log_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -11,34 +11,34 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fake"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
-func newEtcd(t *testing.T) (*fake.Platform, platform.Store) {
+func newEtcd(t *testing.T) (*fake.Platform, kvstore.Store) {
 	t.Helper()
 	p := fake.NewPlatform(fake.WithRates(1e6, 1e6))
 	url, err := p.Start()
 	assert.NilError(t, err)
 	t.Cleanup(p.Stop)
-	return p, platform.NewEtcd([]string{url}, 5*time.Second)
+	return p, kvstore.NewEtcd([]string{url}, 5*time.Second)
 }
 
-func appendText(t *testing.T, l *platform.Log, text string) error {
+func appendText(t *testing.T, l *kvstore.Log, text string) error {
 	t.Helper()
 	data, err := json.Marshal(text)
 	assert.NilError(t, err)
-	return l.Append(context.Background(), platform.NewEntry(l.Seq(), data))
+	return l.Append(context.Background(), kvstore.NewEntry(l.Seq(), data))
 }
 
 func TestLostAnswerAppendsOnce(t *testing.T) {
 	p, store := newEtcd(t)
-	l := platform.NewLog(store, "notes")
+	l := kvstore.NewLog(store, "notes")
 	_, _, err := l.Load(t.Context())
 	assert.NilError(t, err)
 	p.SetFaults(fake.PlatformFaults{LoseAnswers: 1})
 	assert.NilError(t, appendText(t, l, "a"))
 	assert.NilError(t, appendText(t, l, "b"))
-	_, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	_, entries, err := kvstore.NewLog(store, "notes").Load(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 2)
 }
@@ -46,41 +46,41 @@
 func TestEntryWithUnknownOutcomeIsAppendedOnceWhenRepeated(t *testing.T) {
 	p := fake.NewPlatform()
 	store := p.Store()
-	l := platform.NewLog(store, "notes")
+	l := kvstore.NewLog(store, "notes")
 	_, _, err := l.Load(t.Context())
 	assert.NilError(t, err)
-	e := platform.NewEntry(0, json.RawMessage(`"a"`))
+	e := kvstore.NewEntry(0, json.RawMessage(`"a"`))
 	p.SetFaults(fake.PlatformFaults{LoseAnswers: 1})
 	// The read-back fails too, so the outcome stays unknown to the writer.
 	get := store.Get
-	store.Get = func(context.Context, string) (platform.KV, error) {
-		return platform.KV{}, platform.ErrUnavailable
+	store.Get = func(context.Context, string) (kvstore.KV, error) {
+		return kvstore.KV{}, kvstore.ErrUnavailable
 	}
-	l2 := platform.NewLog(store, "notes")
+	l2 := kvstore.NewLog(store, "notes")
 	_, _, err = l2.Load(t.Context())
 	assert.NilError(t, err)
-	assert.ErrorIs(t, l2.Append(t.Context(), e), platform.ErrUnknownOutcome)
+	assert.ErrorIs(t, l2.Append(t.Context(), e), kvstore.ErrUnknownOutcome)
 	store.Get = get
 	assert.NilError(t, l.Append(t.Context(), e))
-	_, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	_, entries, err := kvstore.NewLog(store, "notes").Load(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 1)
 }
 
 func TestOldOwnerCannotAppendAfterTakeover(t *testing.T) {
 	store := fake.NewPlatform().Store()
-	old, successor := platform.NewLog(store, "ledger/a/0"), platform.NewLog(store, "ledger/a/0")
-	for _, l := range []*platform.Log{old, successor} {
+	old, successor := kvstore.NewLog(store, "ledger/a/0"), kvstore.NewLog(store, "ledger/a/0")
+	for _, l := range []*kvstore.Log{old, successor} {
 		_, _, err := l.Load(t.Context())
 		assert.NilError(t, err)
 	}
 	assert.NilError(t, appendText(t, successor, "takeover"))
-	assert.ErrorIs(t, appendText(t, old, "late"), platform.ErrBehind)
+	assert.ErrorIs(t, appendText(t, old, "late"), kvstore.ErrBehind)
 }
 
 func TestRingNeverOverwritesWhatNoSnapshotCovers(t *testing.T) {
 	store := fake.NewPlatform(fake.WithRates(1e6, 1e6)).Store()
-	l := platform.NewLog(store, "notes")
+	l := kvstore.NewLog(store, "notes")
 	_, _, err := l.Load(t.Context())
 	assert.NilError(t, err)
 	var all []string
@@ -92,16 +92,16 @@
 			if err == nil {
 				break
 			}
-			assert.ErrorIs(t, err, platform.ErrSnapshotDue)
+			assert.ErrorIs(t, err, kvstore.ErrSnapshotDue)
 			data, err := json.Marshal(all)
 			assert.NilError(t, err)
-			assert.NilError(t, l.SaveSnapshot(t.Context(), platform.Snapshot{Data: data, Seq: l.Seq()}))
+			assert.NilError(t, l.SaveSnapshot(t.Context(), kvstore.Snapshot{Data: data, Seq: l.Seq()}))
 			snapshots++
 		}
 		all = append(all, text)
 	}
 	assert.Assert(t, snapshots > 0)
-	snap, entries, err := platform.NewLog(store, "notes").Load(t.Context())
+	snap, entries, err := kvstore.NewLog(store, "notes").Load(t.Context())
 	assert.NilError(t, err)
 	var have []string
 	assert.NilError(t, json.Unmarshal(snap.Data, &have))
@@ -121,7 +121,7 @@
 	_, err = store.Swap(t.Context(), "live/a", 0, []byte("a"), lease)
 	assert.NilError(t, err)
 	now = now.Add(10 * time.Second)
-	assert.ErrorIs(t, store.KeepAlive(t.Context(), lease), platform.ErrConflict)
+	assert.ErrorIs(t, store.KeepAlive(t.Context(), lease), kvstore.ErrConflict)
 	kv, err := store.Get(t.Context(), "live/a")
 	assert.NilError(t, err)
 	assert.Equal(t, kv.ModRevision, int64(0))
@@ -130,9 +130,9 @@
 func TestWatchTellsChangesOverHTTP(t *testing.T) {
 	p, store := newEtcd(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	got := make(chan platform.Event, 4)
+	got := make(chan kvstore.Event, 4)
 	go func() {
-		_ = store.Watch(ctx, "notes/", 0, func(events []platform.Event) {
+		_ = store.Watch(ctx, "notes/", 0, func(events []kvstore.Event) {
 			for _, e := range events {
 				got <- e
 			}
@@ -149,7 +149,7 @@
 
 func TestValueOverAMegabyteIsRefusedBeforeSending(t *testing.T) {
 	p, store := newEtcd(t)
-	_, err := store.Swap(t.Context(), "k", 0, []byte(strings.Repeat("x", platform.MaxValueBytes+1)), 0)
-	assert.ErrorIs(t, err, platform.ErrTooLarge)
+	_, err := store.Swap(t.Context(), "k", 0, []byte(strings.Repeat("x", kvstore.MaxValueBytes+1)), 0)
+	assert.ErrorIs(t, err, kvstore.ErrTooLarge)
 	assert.Equal(t, p.Counts().Writes, int64(0))
 }
--- a/internal/platform/store.go
+++ b/internal/kvstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -10,8 +10,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -25,7 +25,7 @@
 	reason  string
 }{
 	// Unknown outcomes come first: an error that wraps several must never claim that nothing ran.
-	{platform.ErrUnknownOutcome, http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, "store_answer_lost"},
+	{kvstore.ErrUnknownOutcome, http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, "store_answer_lost"},
 	{laburnumridge.ErrUnknown, http.StatusServiceUnavailable, laburnumridge.OutcomeUnknown, "answer_lost"},
 	{note.ErrConflict, http.StatusConflict, laburnumridge.OutcomeNotRun, "note_conflict"},
 	{laburnumridge.ErrConflict, http.StatusConflict, laburnumridge.OutcomeNotRun, "conflict"},
@@ -33,9 +33,9 @@
 	{laburnumridge.ErrInvalid, http.StatusBadRequest, laburnumridge.OutcomeNotRun, "invalid_request"},
 	{laburnumridge.ErrNotFound, http.StatusNotFound, laburnumridge.OutcomeNotRun, "not_found"},
 	{laburnumridge.ErrUnauthorized, http.StatusUnauthorized, laburnumridge.OutcomeNotRun, "unauthorized"},
-	{platform.ErrTooLarge, http.StatusRequestEntityTooLarge, laburnumridge.OutcomeNotRun, "too_large"},
-	{platform.ErrUnavailable, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_unavailable"},
-	{platform.ErrConflict, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_contention"},
+	{kvstore.ErrTooLarge, http.StatusRequestEntityTooLarge, laburnumridge.OutcomeNotRun, "too_large"},
+	{kvstore.ErrUnavailable, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_unavailable"},
+	{kvstore.ErrConflict, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "store_contention"},
 	{laburnumridge.ErrUnavailable, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "unavailable"},
 	{laburnumridge.ErrNotRun, http.StatusServiceUnavailable, laburnumridge.OutcomeNotRun, "not_run"},
 	{context.DeadlineExceeded, http.StatusGatewayTimeout, laburnumridge.OutcomeUnknown, "deadline_exceeded"},
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -12,9 +12,9 @@
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/operator"
-	"github.com/laburnumridge/laburnumridge/internal/platform"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -44,10 +44,10 @@
 		"conflict":    {eris.Wrap(note.ErrConflict, "item a"), 409, laburnumridge.OutcomeNotRun, ""},
 		"deadline":    {context.DeadlineExceeded, 504, laburnumridge.OutcomeUnknown, ""},
 		"invalid":     {eris.Wrap(note.ErrInvalid, "a"), 400, laburnumridge.OutcomeNotRun, ""},
-		"lost answer": {eris.Wrap(platform.ErrUnknownOutcome, "notes/3"), 503, laburnumridge.OutcomeUnknown, "1"},
+		"lost answer": {eris.Wrap(kvstore.ErrUnknownOutcome, "notes/3"), 503, laburnumridge.OutcomeUnknown, "1"},
 		"not found":   {laburnumridge.ErrNotFound, 404, laburnumridge.OutcomeNotRun, ""},
 		"other":       {eris.New("disk on fire"), 500, laburnumridge.OutcomeUnknown, ""},
-		"store down":  {eris.Wrap(platform.ErrUnavailable, "notes/3"), 503, laburnumridge.OutcomeNotRun, "1"},
+		"store down":  {eris.Wrap(kvstore.ErrUnavailable, "notes/3"), 503, laburnumridge.OutcomeNotRun, "1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			svc := operator.Service{Publish: func(context.Context, note.Note) (laburnumridge.PublishedNote, error) {
--- a/internal/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform speaks to the platform's key-value service and reads the host list kept there.
-package platform
