--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/host"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/platform"
 )
 
 // timestamps shows milliseconds, since most decisions of a takeover fall into the same second.
@@ -21,6 +24,23 @@
 	Config string `arg:"--config,required" help:"settings file in TOML"`
 }
 
+// logReloads reads the settings again at each SIGHUP. Settings take effect at the next start, so a change that can't be
+// read is reported before that.
+func (c *serveCmd) logReloads(log *logrus.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			entry := log.WithFields(logrus.Fields{"decision": "reload", "file": c.Config})
+			if _, err := settings.Load(c.Config); err != nil {
+				entry.WithError(err).Error("settings can't be read; the ones in force stay")
+				continue
+			}
+			entry.Info("settings are valid; changes take effect at the next start")
+		}
+	}()
+}
+
 // run serves until SIGTERM or SIGINT, then drains.
 func (c *serveCmd) run(sys *system) int {
 	s, err := settings.Load(c.Config)
@@ -31,12 +51,23 @@
 	if err != nil {
 		return sys.fail(err)
 	}
+	c.logReloads(log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if s.Platform.Protocol == settings.ProtocolJSON {
+		p, err := platform.New(s)
+		if err != nil {
+			return sys.fail(err)
+		}
+		if err := entry.New(s, p, log).Run(ctx); err != nil {
+			return sys.fail(err)
+		}
+		return exitDone
+	}
 	h, err := host.New(s, host.WithLog(log))
 	if err != nil {
 		return sys.fail(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	if err := h.Run(ctx); err != nil {
 		return sys.fail(err)
 	}
@@ -45,7 +76,7 @@
 
 func newLog(s settings.Log, sys *system) (*logrus.Logger, error) {
 	log := logrus.New()
-	log.SetOutput(sys.stderr)
+	log.SetOutput(sys.stdout)
 	level, err := logrus.ParseLevel(s.Level)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/entry/layout.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// workersPerShard is how many workers one owner decides for. Larger shards pack wide steps better; an owner with a
+// sixth of a core carries about this many.
+const workersPerShard = 100
+
+// createLayout decides the number of shards once the workers have registered; the first host to write it wins.
+func (h *Host) createLayout(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	before, err := h.countWorkers(ctx)
+	if err != nil || before == 0 {
+		return // no worker yet, or the store does not answer: the next round tries again
+	}
+	sleep(ctx, electionPause)
+	count, err := h.countWorkers(ctx)
+	if err != nil || count != before {
+		return // workers are still registering
+	}
+	l := layout{Shards: (count + workersPerShard - 1) / workersPerShard}
+	_, err = h.platform.Store.Txn(ctx, kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: layoutKey}}, Puts: []kvstore.Put{{Key: layoutKey, Value: workflow.Encode(l)}},
+	})
+	h.log.WithFields(logrus.Fields{"decision": "layout", "shards": l.Shards, "workers": count}).WithError(err).Info("layout is written")
+}
+
+func (h *Host) countWorkers(ctx context.Context) (int, error) {
+	kvs, _, err := h.platform.Store.Range(ctx, h.platform.WorkerPrefix)
+	return len(kvs), err
+}
+
+// shardOf returns the shard of a worker; ok is false while the layout does not name its rack.
+func (l layout) shardOf(w shard.Worker) (int, bool) {
+	if l.Shards <= 1 {
+		return 0, l.Shards == 1
+	}
+	n, ok := l.Racks[rackKey(w)]
+	return n, ok
+}
+
+func rackKey(w shard.Worker) string {
+	if w.Rack == "" {
+		return w.Zone + "/"
+	}
+	return w.Rack
+}
+
+// addRacks writes the shards of racks that the layout does not name, each to the shard with the fewest racks.
+func (h *Host) addRacks(ctx context.Context, workers []shard.Worker) {
+	l, revision, _ := h.directory.layoutNow()
+	next := layout{Racks: map[string]int{}, Shards: l.Shards}
+	load := make([]int, l.Shards)
+	for rack, n := range l.Racks {
+		next.Racks[rack] = n
+		load[n]++
+	}
+	for _, w := range workers {
+		if _, ok := next.Racks[rackKey(w)]; ok {
+			continue
+		}
+		least := 0
+		for n := range load {
+			if load[n] < load[least] {
+				least = n
+			}
+		}
+		next.Racks[rackKey(w)] = least
+		load[least]++
+	}
+	if len(next.Racks) == len(l.Racks) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	_, err := h.platform.Store.Txn(ctx, kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: layoutKey, Revision: revision}},
+		Puts:   []kvstore.Put{{Key: layoutKey, Value: workflow.Encode(next)}},
+	})
+	h.log.WithFields(logrus.Fields{"decision": "layout", "shards": l.Shards, "racks": len(next.Racks)}).WithError(err).
+		Info("racks are added to the layout")
+}
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -12,8 +12,12 @@
 
 // Errors of the calls of a Store.
 var (
+	// ErrCompacted says that the changes asked for are no longer kept: the keys have to be read anew.
+	ErrCompacted = eris.New("history is no longer kept")
 	// ErrConflict says that the key was not at the expected revision and nothing was written.
 	ErrConflict = eris.New("key is at another revision")
+	// ErrRejected says that the service does not accept the call as it is, and did nothing.
+	ErrRejected = eris.New("call is rejected")
 	// ErrTooLarge says that a value exceeds MaxValueBytes and nothing was sent.
 	ErrTooLarge = eris.New("value is too large")
 	// ErrUnavailable says that the service did not act, or that a read got no answer.
@@ -36,6 +40,37 @@
 	KV      KV
 }
 
+// Guard requires a key to be at a revision; 0 requires it to be absent.
+type Guard struct {
+	Key      string
+	Revision int64
+}
+
+// Put writes a key; Lease 0 keeps it until it is deleted.
+type Put struct {
+	Key   string
+	Lease int64
+	Value []byte
+}
+
+// Txn is a group of writes that is carried out if all guards hold, or not at all.
+type Txn struct {
+	Deletes []string
+	Guards  []Guard
+	Puts    []Put
+}
+
+// Size returns the number of entries of the transaction.
+func (t Txn) Size() int { return len(t.Deletes) + len(t.Guards) + len(t.Puts) }
+
+// TxnResult is the answer to a transaction.
+type TxnResult struct {
+	// Current holds the guarded keys as they are if a guard did not hold; absent keys have ModRevision 0.
+	Current []KV
+	// Revision is the store's revision of the writes.
+	Revision int64
+}
+
 // Store is the small part of the key-value service that the scheduler uses.
 type Store struct {
 	// Get returns a key, or ModRevision 0 if it is absent; errors match ErrUnavailable.
@@ -51,7 +86,10 @@
 	// Swap writes a key if its ModRevision is expect (0: the key is absent) and returns the new one.
 	// An empty value deletes the key. Errors match ErrConflict, ErrTooLarge, ErrUnavailable or ErrUnknownOutcome.
 	Swap func(ctx context.Context, key string, expect int64, value []byte, lease int64) (int64, error)
+	// Txn carries out a transaction. Errors match ErrConflict, ErrTooLarge, ErrUnavailable or ErrUnknownOutcome. It is nil
+	// for services that offer compare-and-swap of single keys only.
+	Txn func(ctx context.Context, t Txn) (TxnResult, error)
 	// Watch calls each for every change of keys with a prefix since a store revision, until ctx ends or
-	// the stream breaks.
+	// the stream breaks. Errors match ErrCompacted or ErrUnavailable.
 	Watch func(ctx context.Context, prefix string, since int64, each func([]Event)) error
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -100,8 +100,60 @@
 	Zone  string `json:"zone"`
 }
 
+// JobSubmit hands a job over. Accepted says that it is on record and the receiver, its shard's owner, only has to know;
+// else the receiver records it on behalf of a host that can't reach the store.
+type JobSubmit struct {
+	Accepted bool   `json:"accepted,omitempty"`
+	Job      []byte `json:"job"`
+	Shard    int    `json:"shard"`
+}
+
+// JobCancel does the same for the cancellation of a job.
+type JobCancel struct {
+	ID       string `json:"id"`
+	Recorded bool   `json:"recorded,omitempty"`
+	Shard    int    `json:"shard"`
+}
+
+// JobQuery asks the owner of a shard for the state of a job, or where it lives if Shard is below 0.
+type JobQuery struct {
+	ID    string `json:"id"`
+	Shard int    `json:"shard"`
+}
+
+// JobReply answers what concerns a job. Outcome is a word of the entry hosts' own.
+type JobReply struct {
+	Outcome string `json:"outcome"`
+	Shard   int    `json:"shard"`
+	State   string `json:"state,omitempty"`
+}
+
+// PendingQuery asks the owner of a shard how many jobs of a queue have not started.
+type PendingQuery struct {
+	Queue string `json:"queue"`
+	Shard int    `json:"shard"`
+}
+
+// PendingReply is the answer; Known is false if the receiver does not own the shard.
+type PendingReply struct {
+	Count int  `json:"count"`
+	Known bool `json:"known"`
+}
+
+// ConfigQuery asks for a config newer than Version.
+type ConfigQuery struct {
+	Version int64 `json:"version"`
+}
+
+// ConfigReply carries the config as the operator wrote it; Data is empty if the receiver has none that is newer.
+type ConfigReply struct {
+	Data []byte `json:"data,omitempty"`
+}
+
 // Message is one frame; one of its pointers is set. ID matches a reply to its request.
 type Message struct {
+	ConfigQuery   *ConfigQuery    `json:"cq,omitempty"`
+	ConfigReply   *ConfigReply    `json:"cr,omitempty"`
 	Explain       *ExplainRequest `json:"explain,omitempty"`
 	ExplainReply  *ExplainReply   `json:"explain_reply,omitempty"`
 	Grant         *Grant          `json:"g,omitempty"`
@@ -110,8 +162,14 @@
 	Hello         *Hello          `json:"hello,omitempty"`
 	Handover      *Handover       `json:"handover,omitempty"`
 	ID            uint64          `json:"id,omitempty"`
+	JobCancel     *JobCancel      `json:"jc,omitempty"`
+	JobQuery      *JobQuery       `json:"jq,omitempty"`
+	JobReply      *JobReply       `json:"jr,omitempty"`
+	JobSubmit     *JobSubmit      `json:"js,omitempty"`
 	Notes         *NotesRequest   `json:"notes,omitempty"`
 	NotesReply    *NotesReply     `json:"notes_reply,omitempty"`
+	PendingQuery  *PendingQuery   `json:"pq,omitempty"`
+	PendingReply  *PendingReply   `json:"pr,omitempty"`
 	RefusedReason string          `json:"refused_reason,omitempty"`
 	// RelayTo asks the receiver to pass the request on to another entry host.
 	RelayTo     string         `json:"relay_to,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,12 @@
 // ErrInvalid says that a settings file is malformed or a value is out of its range.
 var ErrInvalid = eris.New("invalid settings")
 
+// Protocols of a platform.
+const (
+	ProtocolEtcd = "etcd"
+	ProtocolJSON = "json"
+)
+
 var hostPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // Duration is a time.Duration written as text such as "1.5s".
@@ -51,6 +57,10 @@
 	Caller string `toml:"caller"`
 	Debug  string `toml:"debug"`
 	Peer   string `toml:"peer"`
+	// Ready is where the balancer checks readiness on platforms that ask for an address of its own.
+	Ready string `toml:"ready"`
+	// ReadyPath is the path of that check.
+	ReadyPath string `toml:"ready_path"`
 }
 
 // Log chooses the format and level of the log.
@@ -61,12 +71,30 @@
 
 // Platform says how to reach the key-value service and how much of it to use.
 type Platform struct {
-	Endpoints       []string `toml:"endpoints"`
-	ReadsPerSecond  float64  `toml:"reads_per_second"`
+	// Advice is the host:port of the placement advice service; empty if there is none.
+	Advice string `toml:"advice"`
+	// Bootstrap says that the whole system starts for the first time.
+	Bootstrap bool     `toml:"bootstrap"`
+	Endpoints []string `toml:"endpoints"`
+	// Machines is the host:port of the service that moves and maintains machines; empty if there is none.
+	Machines string `toml:"machines"`
+	// Protocol is what the platform speaks: etcd or json.
+	Protocol       string  `toml:"protocol"`
+	ReadsPerSecond float64 `toml:"reads_per_second"`
+	// Strength is this host's share of processors, by which owners are chosen.
+	Strength        float64  `toml:"strength"`
 	Timeout         Duration `toml:"timeout"`
 	WritesPerSecond float64  `toml:"writes_per_second"`
 }
 
+// Worker holds the bounds that the platform's workers keep.
+type Worker struct {
+	// LeaseReserve is how much shorter than MaxLease the leases are that the scheduler asks for.
+	LeaseReserve Duration `toml:"lease_reserve"`
+	MaxLease     Duration `toml:"max_lease"`
+	StopTimeout  Duration `toml:"stop_timeout"`
+}
+
 // Security holds credentials; empty values leave a connection open to all.
 type Security struct {
 	Caller        TLS    `toml:"caller"`
@@ -84,6 +112,7 @@
 	Platform Platform `toml:"platform"`
 	Region   string   `toml:"region"`
 	Security Security `toml:"security"`
+	Worker   Worker   `toml:"worker"`
 	Zone     string   `toml:"zone"`
 	ZoneSets ZoneSets `toml:"zone_settings"`
 }
@@ -100,7 +129,7 @@
 		panic(err) // the example is part of the program and tested
 	}
 	s.Host, s.Region, s.Zone = "", "", ""
-	s.Listen = Listen{}
+	s.Listen = Listen{ReadyPath: s.Listen.ReadyPath}
 	s.Platform.Endpoints = nil
 	return s
 }
@@ -185,8 +214,12 @@
 	}{
 		{"platform.reads_per_second", s.Platform.ReadsPerSecond, 1, 1500},
 		{"platform.writes_per_second", s.Platform.WritesPerSecond, 1, 300},
+		{"platform.strength", s.Platform.Strength, 0.001, 1024},
 		{"platform.timeout (seconds)", s.Platform.Timeout.Seconds(), 0.01, 60},
 		{"zone_settings.shards", float64(s.ZoneSets.Shards), 1, 64},
+		{"worker.lease_reserve (seconds)", s.Worker.LeaseReserve.Seconds(), 0, 60},
+		{"worker.max_lease (seconds)", s.Worker.MaxLease.Seconds(), 1, 600},
+		{"worker.stop_timeout (seconds)", s.Worker.StopTimeout.Seconds(), 0.01, 60},
 		{"limits.max_body_bytes", float64(s.Limits.MaxBodyBytes), 1, 1 << 30},
 		{"limits.max_connections", float64(s.Limits.MaxConnections), 1, 1 << 20},
 		{"limits.max_header_bytes", float64(s.Limits.MaxHeaderBytes), 1024, 1 << 20},
@@ -197,6 +230,14 @@
 			return invalid(c.key, fmt.Sprint(c.value), fmt.Sprintf("%g to %g", c.low, c.high))
 		}
 	}
+	if s.Platform.Protocol != ProtocolEtcd && s.Platform.Protocol != ProtocolJSON {
+		return invalid("platform.protocol", s.Platform.Protocol, "etcd or json")
+	}
+	if s.Platform.Protocol == ProtocolJSON {
+		if _, _, err := net.SplitHostPort(s.Listen.Ready); err != nil {
+			return invalid("listen.ready", s.Listen.Ready, "host:port")
+		}
+	}
 	if s.Log.Format != "text" && s.Log.Format != "json" {
 		return invalid("log.format", s.Log.Format, "text or json")
 	}
--- /dev/null
+++ b/internal/shard/jobs.go
@@ -0,0 +1,303 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// Load adds a job with its recorded progress; runs on record count as running until their workers tell.
+func (o *Owner) Load(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
+	if o.jobs[j.ID] != nil {
+		return
+	}
+	n := o.newJob(now, j)
+	n.doneThrough = p.DoneThrough
+	n.recorded = true
+	o.jobs[j.ID] = n
+	o.backlog, o.resort = append(o.backlog, n), true
+	for _, rec := range p.Tasks {
+		o.restore(now, n, rec)
+	}
+	for _, occ := range n.occurrences {
+		o.settle(n, occ)
+	}
+	if cancelled {
+		o.Cancel(now, j.ID)
+	}
+	o.finish(n)
+}
+
+func (o *Owner) restore(now time.Time, n *job, rec workflow.TaskRecord) {
+	k := rec.Key
+	if k.Step < 0 || k.Step >= len(n.Steps) || k.Index < 0 || k.Index >= n.Steps[k.Step].Count ||
+		k.Occurrence < n.doneThrough || k.Occurrence >= n.Runs() {
+		o.log.WithFields(logrus.Fields{"job": n.ID, "task": k.String()}).Warn("record of an unknown task is skipped")
+		return
+	}
+	occ := o.occurrence(n, k.Occurrence)
+	t := occ.tasks[k.Step][k.Index]
+	t.checkpoint, t.failures, t.run = rec.Checkpoint, rec.Failures, rec.Run
+	if rec.Done {
+		t.done = true
+		occ.open--
+		occ.undone[k.Step]--
+	}
+	for _, ra := range rec.Attempts {
+		w := o.workerOf(ra.Worker)
+		if w.born == 0 {
+			w.born = ra.Born
+		}
+		at := &attempt{phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, paced: -1}
+		t.attempts = append(t.attempts, at)
+		t.started, n.started = true, true
+		w.add(at)
+	}
+}
+
+// Add takes a job that callers were told is accepted; it may come more than once.
+func (o *Owner) Add(now time.Time, j workflow.Job) {
+	if o.jobs[j.ID] != nil || o.ended.state(j.ID) != "" {
+		return
+	}
+	n := o.newJob(now, j)
+	o.jobs[j.ID] = n
+	o.backlog, o.resort = append(o.backlog, n), true
+	tasks := 0
+	for _, s := range j.Steps {
+		tasks += s.Count
+	}
+	o.log.WithFields(logrus.Fields{
+		"decision": "accept", "job": j.ID, "queue": j.Queue, "steps": len(j.Steps), "tasks": tasks,
+		"config": o.config.Version,
+	}).Info("job is in the shard")
+}
+
+func (o *Owner) newJob(now time.Time, j workflow.Job) *job {
+	n := &job{Job: j, occurrences: map[int]*occurrence{}}
+	o.applyQueue(n)
+	age := max(o.wall().UnixMilli()-j.AcceptedAt, 0)
+	chain := time.Duration(float64(j.Chain()) * max(n.queue.Stretch, 1))
+	n.objective = now.Add(chain + n.queue.TargetLatency - time.Duration(age)*time.Millisecond)
+	if j.Occurrences == 0 {
+		o.occurrence(n, 0)
+	}
+	return n
+}
+
+// applyQueue takes the queue's settings over; a job keeps the last ones if its queue is removed.
+func (o *Owner) applyQueue(j *job) {
+	if q, ok := o.config.Queue(j.Queue); ok {
+		j.queue, j.priority = q, q.Priority
+	}
+}
+
+// Cancel stops a job whose cancellation is recorded.
+func (o *Owner) Cancel(_ time.Time, id string) {
+	j := o.jobs[id]
+	if j == nil || j.cancelled || j.final != "" {
+		return
+	}
+	j.cancelled = true
+	o.log.WithFields(logrus.Fields{"decision": "cancel", "job": id}).Info("job is cancelled")
+	o.end(j, workflow.StateCancelled, "job is cancelled")
+}
+
+// end sets the final state of a job and stops its runs.
+func (o *Owner) end(j *job, s workflow.State, reason string) {
+	j.final = s
+	o.mark(j)
+	for _, occ := range j.occurrences {
+		for _, tasks := range occ.tasks {
+			for _, t := range tasks {
+				for _, at := range slices.Clone(t.attempts) {
+					o.stop(at, reason)
+				}
+			}
+		}
+	}
+}
+
+// State returns what callers are told of a job; ok is false if the shard does not hold it.
+func (o *Owner) State(id string) (s workflow.State, ok bool) {
+	j := o.jobs[id]
+	switch {
+	case j == nil:
+		s = o.ended.state(id)
+		return s, s != ""
+	case j.cancelled:
+		return workflow.StateCancelled, true
+	case j.final != "" && j.finalSent:
+		return j.final, true
+	case j.started:
+		return workflow.StateRunning, true
+	}
+	return workflow.StateQueued, true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (o *Owner) Pending(queue string) int {
+	n := 0
+	for _, j := range o.jobs {
+		if j.Queue == queue && !j.started && j.final == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Counts returns the number of jobs and of runs.
+func (o *Owner) Counts() (jobs, runs int) {
+	for _, w := range o.workers {
+		runs += len(w.attempts)
+	}
+	return len(o.jobs), runs
+}
+
+func (o *Owner) occurrence(j *job, index int) *occurrence {
+	if occ := j.occurrences[index]; occ != nil {
+		return occ
+	}
+	occ := &occurrence{
+		index: index, ready: make([]bool, len(j.Steps)), tasks: make([][]*task, len(j.Steps)),
+		undone: make([]int, len(j.Steps)),
+	}
+	for s := range j.Steps {
+		step := &j.Steps[s]
+		occ.tasks[s] = make([]*task, step.Count)
+		occ.undone[s] = step.Count
+		occ.open += step.Count
+		for i := range occ.tasks[s] {
+			occ.tasks[s][i] = &task{
+				job: j, key: workflow.TaskKey{Occurrence: index, Step: s, Index: i}, step: step,
+			}
+		}
+	}
+	j.occurrences[index] = occ
+	o.settle(j, occ)
+	return occ
+}
+
+// settle opens the steps whose earlier steps are done.
+func (o *Owner) settle(j *job, occ *occurrence) {
+	for s := range j.Steps {
+		ready := true
+		for _, before := range j.Steps[s].After {
+			ready = ready && occ.undone[before] == 0
+		}
+		occ.ready[s] = ready
+	}
+}
+
+// openOccurrences creates the occurrences that are due; a job has few open ones, so later ones cost nothing.
+func (o *Owner) openOccurrences(now time.Time, a *Actions) {
+	wall := o.wall().UnixMilli()
+	for _, j := range o.jobs {
+		if j.Occurrences == 0 || j.final != "" {
+			continue
+		}
+		for k := j.doneThrough; k < j.Runs(); k++ {
+			if due := j.DueAt(k); due > wall {
+				a.wakeAt(now.Add(time.Duration(due-wall) * time.Millisecond))
+				break
+			}
+			if j.occurrences[k] == nil {
+				o.occurrence(j, k)
+			}
+		}
+	}
+}
+
+// taskDone records that a task is done and opens what waited for it.
+func (o *Owner) taskDone(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	j := t.job
+	occ := j.occurrences[t.key.Occurrence]
+	occ.open--
+	occ.undone[t.key.Step]--
+	if occ.undone[t.key.Step] == 0 {
+		o.settle(j, occ)
+	}
+	o.mark(j)
+	o.finish(j)
+}
+
+// finish moves past occurrences that are done, and completes the job after the last.
+func (o *Owner) finish(j *job) {
+	for {
+		occ := j.occurrences[j.doneThrough]
+		if occ == nil || occ.open > 0 || o.hasAttempts(occ) {
+			break
+		}
+		delete(j.occurrences, j.doneThrough)
+		j.doneThrough++
+	}
+	if j.doneThrough >= j.Runs() && j.final == "" {
+		j.final = workflow.StateCompleted
+		o.mark(j)
+	}
+}
+
+func (o *Owner) hasAttempts(occ *occurrence) bool {
+	for _, tasks := range occ.tasks {
+		for _, t := range tasks {
+			if len(t.attempts) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mark says that the job's record has to be written.
+func (o *Owner) mark(j *job) {
+	j.version++
+	if !j.dirty && !j.finalSent {
+		j.dirty = true
+		o.dirty = append(o.dirty, j)
+	}
+}
+
+// forget drops a job whose end is recorded and whose runs have ended.
+func (o *Owner) forget(j *job) {
+	if !j.finalSent {
+		return
+	}
+	for _, occ := range j.occurrences {
+		if o.hasAttempts(occ) {
+			return
+		}
+	}
+	delete(o.jobs, j.ID)
+	o.resort = true
+}
+
+// maxEnded bounds the memory of jobs whose end is recorded. News of a job may come late, and must not start it again.
+const maxEnded = 4096
+
+// endedJobs remembers the final states of the latest jobs.
+type endedJobs struct {
+	next   int
+	order  [maxEnded]string
+	states map[string]workflow.State
+}
+
+func (e *endedJobs) put(id string, s workflow.State) {
+	if e.states == nil {
+		e.states = map[string]workflow.State{}
+	}
+	if e.states[id] != "" {
+		return
+	}
+	delete(e.states, e.order[e.next])
+	e.order[e.next], e.states[id] = id, s
+	e.next = (e.next + 1) % maxEnded
+}
+
+func (e *endedJobs) state(id string) workflow.State { return e.states[id] }
--- /dev/null
+++ b/internal/shard/orders.go
@@ -0,0 +1,135 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// resendAfter is the pause before an order whose answer was lost, or that was refused, is sent again.
+const resendAfter = 300 * time.Millisecond
+
+// orders returns the starts and stops that are due.
+func (o *Owner) orders(now time.Time, a *Actions) {
+	a.Stops, o.strays = append(a.Stops, o.strays...), nil
+	for _, w := range o.workers {
+		for at := range w.attempts {
+			if at.inFlight {
+				continue
+			}
+			if now.Before(at.retryAt) {
+				a.wakeAt(at.retryAt)
+				continue
+			}
+			switch at.phase {
+			case phaseReady:
+				if !w.present || w.Draining || !w.fenced || at.task.job.final != "" {
+					o.drop(at, "worker can no longer take it")
+					o.mark(at.task.job)
+					continue
+				}
+				a.Starts = append(a.Starts, o.start(now, at))
+			case phaseSent:
+				a.Starts = append(a.Starts, o.start(now, at))
+			case phaseStopping:
+				at.inFlight = true
+				a.Stops = append(a.Stops, Stop{
+					Order: o.order(w), Job: at.task.job.ID, Key: at.task.key, Run: at.run, Reason: at.stopCause,
+				})
+			case phasePlanned, phaseInherited, phaseRunning, phaseStopped:
+			}
+		}
+	}
+}
+
+func (o *Owner) start(now time.Time, at *attempt) Start {
+	at.inFlight = true
+	at.sentAt, at.phase = now, phaseSent
+	t := at.task
+	t.started, t.job.started = true, true
+	return Start{
+		Order: o.order(at.worker), Checkpoint: t.checkpoint, Job: t.job.ID, Key: t.key, Run: at.run,
+		Spec: t.job.Spec, Ticket: at.ticket, Until: at.worker.leaseUntil(now, o.timing),
+	}
+}
+
+// Started takes the answer to a start.
+func (o *Owner) Started(now time.Time, s Start, r Reply) {
+	at := o.attempt(s.Worker, s.Job, s.Key, s.Run)
+	if at == nil {
+		return
+	}
+	at.inFlight = false
+	at.worker.observeClock(r.Clock, now)
+	if at.phase != phaseSent && r.Outcome != OutcomeDone {
+		return // it is being stopped; the stop tells how it ended
+	}
+	at.retryAt = now.Add(resendAfter)
+	switch r.Outcome {
+	case OutcomeDone:
+		if at.phase == phaseSent {
+			at.phase = phaseRunning
+		}
+		at.confirmedAt, at.retryAt = now, time.Time{}
+		if at.task.step.Fills && at.worker.pace < fullPace {
+			o.pace(at, at.worker.pace)
+		}
+		at.worker.lookDue = minTime(at.worker.lookDue, now.Add(o.timing.LookGap))
+	case OutcomeNotSent, OutcomeUnknown, OutcomeOld, OutcomeFenced:
+		// The same run is sent again: it is harmless if the first one was carried out.
+		if r.Outcome == OutcomeOld {
+			o.logStart(s, "old")
+			o.stop(at, "worker refused the run as old")
+		}
+	case OutcomeLate:
+		// Only this call was refused; the run number stays usable with a new lease.
+		o.logStart(s, "late")
+	case OutcomeRefused, OutcomeNoRoom, OutcomeNoTicket, OutcomeGone:
+		o.logStart(s, "refused")
+		if r.Outcome == OutcomeRefused {
+			at.worker.health.failed(now)
+		}
+		// An earlier call of the same run may be without an answer: a stop makes it harmless.
+		o.stop(at, "worker refused the run")
+	}
+}
+
+func (o *Owner) logStart(s Start, outcome string) {
+	o.log.WithFields(logrus.Fields{
+		"decision": "start_refused", "job": s.Job, "task": s.Key.String(), "run": s.Run, "worker": s.Worker,
+		"outcome": outcome,
+	}).Warn("start was refused")
+}
+
+// Stopped takes the answer to a stop.
+func (o *Owner) Stopped(now time.Time, s Stop, r Reply) {
+	at := o.attempt(s.Worker, s.Job, s.Key, s.Run)
+	if at == nil {
+		return
+	}
+	at.inFlight = false
+	at.worker.observeClock(r.Clock, now)
+	if r.Outcome != OutcomeDone {
+		at.retryAt = now.Add(resendAfter)
+		return
+	}
+	at.phase, at.confirmedAt = phaseStopped, now
+	at.worker.lookDue = minTime(at.worker.lookDue, now.Add(o.timing.LookGap))
+}
+
+func (o *Owner) attempt(worker, job string, k workflow.TaskKey, run int) *attempt {
+	w := o.workers[worker]
+	if w == nil {
+		return nil
+	}
+	return w.attemptOf(o.task(job, k), run)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/shard/place.go
@@ -0,0 +1,242 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+)
+
+// failurePause delays the restart of a task that failed, so that a task that fails at once does not take over its
+// worker's time.
+const failurePause = 50 * time.Millisecond
+
+// place chooses workers for the tasks that wait.
+func (o *Owner) place(now time.Time) {
+	o.sortJobs(now)
+	// full holds the requests that found no worker in this pass; the same request can't find one either.
+	full := map[request]bool{}
+	for _, j := range o.backlog {
+		if j.final != "" {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for s, tasks := range occ.tasks {
+				if !occ.ready[s] || occ.undone[s] == 0 {
+					continue
+				}
+				if j.Steps[s].Gang {
+					o.placeGang(now, tasks)
+					continue
+				}
+				for _, t := range tasks {
+					if t.isWaiting() && !now.Before(t.notBefore) {
+						o.placeTask(now, t, full)
+					}
+				}
+			}
+		}
+	}
+}
+
+// request is what two tasks must share to be refused by the same workers.
+type request struct {
+	fills     bool
+	label     string
+	resources fleet.Resources
+	service   string
+}
+
+func (o *Owner) placeTask(now time.Time, t *task, full map[request]bool) {
+	r := request{t.step.Fills, t.step.Label, t.step.Resources, t.job.queue.Service}
+	if full[r] {
+		return
+	}
+	w := o.choose(now, t, "")
+	if w == nil {
+		if t.step.PerWorker == 0 {
+			full[r] = true
+		}
+		return
+	}
+	o.plan(t, w, t.run+1)
+}
+
+// plan gives a task to a worker; the start is sent once that is recorded.
+func (o *Owner) plan(t *task, w *worker, run int) {
+	at := &attempt{phase: phasePlanned, run: run, task: t, worker: w, paced: fullPace}
+	t.run = run
+	t.attempts = append(t.attempts, at)
+	w.add(at)
+	o.mark(t.job)
+	if o.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		o.log.WithFields(logrus.Fields{
+			"decision": "place", "job": t.job.ID, "task": t.key.String(), "run": run, "worker": w.ID,
+			"reserved": w.reserved.String(), "config": o.config.Version,
+		}).Debug("task is placed")
+	}
+}
+
+// placeGang places all tasks of a step together, in one rack if they are slower apart.
+func (o *Owner) placeGang(now time.Time, tasks []*task) {
+	run := 0
+	for _, t := range tasks {
+		if !t.isWaiting() || now.Before(t.notBefore) {
+			return
+		}
+		run = max(run, t.run)
+	}
+	racks := []string{""}
+	if tasks[0].step.SameRack {
+		racks = append(o.racks(), "")
+	}
+	for _, rack := range racks {
+		if o.tryGang(now, tasks, rack, run+1) {
+			return
+		}
+	}
+}
+
+func (o *Owner) tryGang(now time.Time, tasks []*task, rack string, run int) bool {
+	checkpoint := ""
+	for i, t := range tasks {
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+		w := o.choose(now, t, rack)
+		if w == nil {
+			for _, placed := range tasks[:i] {
+				for _, at := range slices.Clone(placed.attempts) {
+					o.drop(at, "gang does not fit")
+				}
+			}
+			return false
+		}
+		o.plan(t, w, run)
+	}
+	for _, t := range tasks {
+		t.checkpoint = checkpoint
+	}
+	return true
+}
+
+func (o *Owner) racks() []string {
+	var racks []string
+	for _, w := range o.workers {
+		if w.present && !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
+
+// choose returns the best worker for a task, nil if none can take it.
+func (o *Owner) choose(now time.Time, t *task, rack string) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range o.workers {
+		if rack != "" && w.Rack != rack || !o.canTake(now, w, t) {
+			continue
+		}
+		score := o.score(w, t)
+		if best == nil || score > bestScore || score == bestScore && w.ID < best.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (o *Owner) canTake(now time.Time, w *worker, t *task) bool {
+	s := t.step
+	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
+		!w.HasLabel(s.Label) || !w.health.accepts(now, len(w.attempts)) {
+		return false
+	}
+	if !w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
+		return false
+	}
+	if s.PerWorker > 0 {
+		same := 0
+		for at := range w.attempts {
+			if at.task.job == t.job && at.task.key.Step == t.key.Step && at.task.key.Occurrence == t.key.Occurrence {
+				same++
+			}
+		}
+		return same < s.PerWorker
+	}
+	return true
+}
+
+// Weights of a worker's score beside its free part, which is at most 1.
+const (
+	// rackBonus prefers the rack of the data: a task elsewhere takes up to three times as long.
+	rackBonus = 2
+	// avoidMalus keeps a task off the worker on which it failed last while there is another one.
+	avoidMalus = 3
+)
+
+func (o *Owner) score(w *worker, t *task) float64 {
+	score := 0.0
+	if t.step.Fills {
+		score = w.fillShare(t.step.Resources.CPUMilli)
+	} else {
+		score = 1 - w.reserved.Add(t.step.Resources).Fraction(w.Capacity)
+	}
+	if t.step.Rack != "" && w.Rack == t.step.Rack {
+		score += rackBonus
+	}
+	if t.avoid == w.ID {
+		score -= avoidMalus
+	}
+	return score
+}
+
+// fillShare returns the part of its demand that one more task that fills would get.
+func (w *worker) fillShare(cpu int64) float64 {
+	left := float64(w.Capacity.CPUMilli)
+	demand := float64(cpu)
+	for at := range w.attempts {
+		switch {
+		case at.task.step.Fills:
+			demand += float64(at.task.step.Resources.CPUMilli)
+		case at.task.step.LongRunning && at.figure > 0:
+			left -= servingLoad * float64(at.task.step.Resources.CPUMilli)
+		default:
+			left -= float64(at.task.step.Resources.CPUMilli)
+		}
+	}
+	if demand <= 0 {
+		return 1
+	}
+	return max(left, 0) / demand * float64(w.pace) / fullPace
+}
+
+// servingLoad is the part of its reservation that a serving task is taken to use on average.
+const servingLoad = 0.5
+
+func (o *Owner) sortJobs(now time.Time) {
+	if !o.resort {
+		return
+	}
+	o.resort = false
+	o.backlog = slices.DeleteFunc(o.backlog, func(j *job) bool { return o.jobs[j.ID] != j })
+	slices.SortStableFunc(o.backlog, func(a, b *job) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		if late := boolInt(a.objective.Before(now)) - boolInt(b.objective.Before(now)); late != 0 {
+			return late
+		}
+		return a.objective.Compare(b.objective)
+	})
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/shard/state.go
@@ -0,0 +1,180 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// phase is what is known of an attempt.
+type phase int
+
+const (
+	// phasePlanned: chosen, but not recorded; nothing was sent.
+	phasePlanned phase = iota
+	// phaseReady: recorded, and the start may be sent.
+	phaseReady
+	// phaseSent: the start is on its way, or its answer was lost.
+	phaseSent
+	// phaseInherited: an earlier owner recorded the attempt; its worker has not been asked yet.
+	phaseInherited
+	// phaseRunning: the worker confirmed the run.
+	phaseRunning
+	// phaseStopping: a stop is to be sent or on its way.
+	phaseStopping
+	// phaseStopped: the worker confirmed the stop; the end is not listed yet.
+	phaseStopped
+)
+
+// attempt is a run of a task on a worker that is not proven to have ended.
+type attempt struct {
+	// confirmedAt is when the worker's answer to the start or the stop came.
+	confirmedAt time.Time
+	figure      float64
+	// inFlight says that an order for the attempt has no answer yet.
+	inFlight bool
+	// paced is the percentage that was last asked for; 100 after a start.
+	paced     int
+	phase     phase
+	retryAt   time.Time
+	run       int
+	sentAt    time.Time
+	stopCause string
+	task      *task
+	ticket    string
+	worker    *worker
+}
+
+// isSent reports whether the worker may know of the attempt.
+func (a *attempt) isSent() bool { return a.phase != phasePlanned && a.phase != phaseReady }
+
+// task is one task of an occurrence of a job.
+type task struct {
+	attempts   []*attempt
+	avoid      string
+	checkpoint string
+	done       bool
+	failures   int
+	job        *job
+	key        workflow.TaskKey
+	// notBefore delays the next start after a failure.
+	notBefore time.Time
+	run       int
+	started   bool
+	step      *workflow.Step
+}
+
+func (t *task) isWaiting() bool { return !t.done && len(t.attempts) == 0 }
+
+// occurrence is one run of all steps of a job.
+type occurrence struct {
+	index int
+	open  int
+	// ready says for each step that all steps before it are done.
+	ready []bool
+	tasks [][]*task
+	// undone counts the tasks of each step that are not done.
+	undone []int
+}
+
+// job is an accepted job that has no final state on record, or whose runs have not all ended.
+type job struct {
+	workflow.Job
+	cancelled   bool
+	dirty       bool
+	doneThrough int
+	// final is the state that is to be recorded, or is.
+	final     workflow.State
+	finalSent bool
+	// objective is when the job is late.
+	objective   time.Time
+	occurrences map[int]*occurrence
+	priority    int
+	queue       workflow.Queue
+	recorded    bool
+	// started says that a task of the job has been started.
+	started bool
+	version int
+}
+
+// worker is a worker with what the owner knows of it.
+type worker struct {
+	Worker
+	attempts map[*attempt]bool
+	born     int64
+	// bump is how often the token was raised for this worker alone.
+	bump int64
+	// clock is the worker's clock in milliseconds at the time clockAt or earlier.
+	clock     int64
+	clockAt   time.Time
+	drainedAt time.Time
+	// fenced says that the worker has accepted the owner's token.
+	fenced bool
+	health health
+	// inheritedUntil bounds the leases that earlier owners may have given.
+	inheritedUntil time.Time
+	lookDue        time.Time
+	lookFailures   int
+	lookInFlight   bool
+	lookSeq        int64
+	// noted is the newest end whose record is written; told is what the worker has been told of it.
+	noted, told int64
+	// pace is the percentage at which tasks that fill may work here.
+	pace     int
+	pacedAt  time.Time
+	present  bool
+	reserved fleet.Resources
+	seen     int64
+	until    int64
+}
+
+// leaseOver returns when everything that runs on the worker has certainly ended if nothing more is sent.
+func (w *worker) leaseOver(t Timing) time.Time {
+	over := w.inheritedUntil
+	if w.until > 0 {
+		left := min(time.Duration(w.until-w.clock)*time.Millisecond, t.MaxWorkerLease)
+		if own := w.clockAt.Add(t.slowest(left) + t.LeaseMargin); own.After(over) {
+			over = own
+		}
+	}
+	return over
+}
+
+// leaseUntil returns the end of a lease that is renewed now, on the worker's clock.
+func (w *worker) leaseUntil(now time.Time, t Timing) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	until := w.clock + now.Sub(w.clockAt).Milliseconds() + t.WorkerLease.Milliseconds()
+	w.until = max(w.until, until)
+	return w.until
+}
+
+func (w *worker) observeClock(clock int64, received time.Time) {
+	if clock <= 0 || received.Before(w.clockAt) {
+		return
+	}
+	w.clock, w.clockAt = clock, received
+}
+
+func (w *worker) add(a *attempt) {
+	w.attempts[a] = true
+	w.reserved = w.reserved.Add(reservation(a.task.step))
+}
+
+func (w *worker) remove(a *attempt) {
+	if w.attempts[a] {
+		delete(w.attempts, a)
+		w.reserved = w.reserved.Sub(reservation(a.task.step))
+	}
+}
+
+// reservation returns what a task of the step takes from a worker's capacity.
+func reservation(s *workflow.Step) fleet.Resources {
+	r := s.Resources
+	if s.Fills {
+		r.CPUMilli = 0
+	}
+	return r
+}
--- /dev/null
+++ b/internal/shard/timing.go
@@ -0,0 +1,45 @@
+package shard
+
+import "time"
+
+// Timing holds the durations that an owner's rules depend on.
+type Timing struct {
+	// ClockDrift is how much slower than ours a worker's clock may run, as a part of 1.
+	ClockDrift float64
+	// CommitGap is the least time between two writes of records, which lets changes share a write.
+	CommitGap time.Duration
+	// LeaseMargin is added to the end of a worker's lease before its tasks count as ended: scheduling and rounding.
+	LeaseMargin time.Duration
+	// LookGap is the least time between two looks at a worker, which lets several ends share a look.
+	LookGap time.Duration
+	// LookRetry is the pause after a look that failed.
+	LookRetry time.Duration
+	// LookWait is how long a worker may hold a look until a task ends.
+	LookWait time.Duration
+	// MaxWorkerLease is the longest lease that a worker grants, whoever asks for it.
+	MaxWorkerLease time.Duration
+	// StopTimeout is how long a worker takes to stop a task at most.
+	StopTimeout time.Duration
+	// WorkerLease is how far ahead of a worker's clock its lease is renewed.
+	WorkerLease time.Duration
+}
+
+// DefaultTiming returns timing for workers that grant leases of 10 s.
+func DefaultTiming() Timing {
+	return Timing{
+		ClockDrift:     0.02,
+		CommitGap:      15 * time.Millisecond,
+		LeaseMargin:    300 * time.Millisecond,
+		LookGap:        150 * time.Millisecond,
+		LookRetry:      200 * time.Millisecond,
+		LookWait:       1500 * time.Millisecond,
+		MaxWorkerLease: 10 * time.Second,
+		StopTimeout:    400 * time.Millisecond,
+		WorkerLease:    9500 * time.Millisecond,
+	}
+}
+
+// slowest returns how long a span on the slowest allowed worker clock lasts on ours.
+func (t Timing) slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - t.ClockDrift))
+}
