Learn which filling images harm which serving images

Cause: every worker slowed all its filling tasks down together, so release-plan took 25 s at the median (the objective is about 11 s). A trial without pacing showed that only some pairs of images harm each other, by ten times and more. Change: the excess of a tail is learned per pair by normalized least mean squares; placement avoids harmful pairs, gathers serving tasks of one image, and only what causes a hot tail is slowed down or moved.

--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -51,6 +51,7 @@
 		return // a later look was sent
 	}
 	w.lookInFlight = false
+	o.now = now
 	if l.Token != o.tokenFor(w) {
 		return
 	}
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -73,9 +73,6 @@
 			at.phase = phaseRunning
 		}
 		at.confirmedAt, at.retryAt = now, time.Time{}
-		if at.task.step.Fills && at.worker.pace < fullPace {
-			o.pace(at, at.worker.pace)
-		}
 		at.worker.lookDue = minTime(at.worker.lookDue, now.Add(o.timing.LookGap))
 	case OutcomeNotSent, OutcomeUnknown, OutcomeOld, OutcomeFenced:
 		// The same run is sent again: it is harmless if the first one was carried out.
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -19,15 +20,19 @@
 	log        *logrus.Entry
 	// backlog holds the jobs that may have tasks to place, most urgent first.
 	backlog []*job
-	paces   []Pace
-	resort  bool
-	seq     int64
-	strays  []Stop
-	takenAt time.Time
-	timing  Timing
-	token   int64
-	wall    func() time.Time
-	workers map[string]*worker
+	// now is the time of the call in progress.
+	now   time.Time
+	paces []Pace
+	// pressure is what is known of how filling images slow serving ones down.
+	pressure *interference.Pressure
+	resort   bool
+	seq      int64
+	strays   []Stop
+	takenAt  time.Time
+	timing   Timing
+	token    int64
+	wall     func() time.Time
+	workers  map[string]*worker
 }
 
 // Option sets a property of an Owner.
@@ -45,13 +50,14 @@
 // NewOwner returns an owner that took the shard over at now with a token above that of all earlier owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
-		jobs:    map[string]*job{},
-		log:     logrus.NewEntry(logrus.StandardLogger()),
-		takenAt: now,
-		timing:  DefaultTiming(),
-		token:   token,
-		wall:    time.Now,
-		workers: map[string]*worker{},
+		jobs:     map[string]*job{},
+		pressure: interference.NewPressure(),
+		log:      logrus.NewEntry(logrus.StandardLogger()),
+		takenAt:  now,
+		timing:   DefaultTiming(),
+		token:    token,
+		wall:     time.Now,
+		workers:  map[string]*worker{},
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -133,7 +139,7 @@
 	if w == nil {
 		// A lease that an earlier owner renewed just before its end lasts no longer than this.
 		inherited := o.takenAt.Add(o.timing.slowest(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
-		w = &worker{Worker: Worker{ID: id}, attempts: map[*attempt]bool{}, inheritedUntil: inherited, pace: fullPace}
+		w = &worker{Worker: Worker{ID: id}, attempts: map[*attempt]bool{}, inheritedUntil: inherited}
 		o.workers[id] = w
 	}
 	return w
@@ -142,6 +148,7 @@
 // Step makes the decisions that are due and returns what is to be done.
 func (o *Owner) Step(now time.Time) Actions {
 	var a Actions
+	o.now = now
 	a.Wake = now.Add(time.Second)
 	o.openOccurrences(now, &a)
 	o.expire(now, &a)
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -1,67 +1,180 @@
 package shard
 
-import "time"
+import (
+	"time"
 
-// Pacing of tasks that fill, in percent of their speed.
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/interference"
+)
+
+// Pacing of tasks that fill, in percent of their speed. Tails are parts of their targets.
 const (
 	fullPace = 100
-	// minPace lets tasks that fill go on a little, so that their work is not lost.
-	minPace = 0
-	// paceRaise is added at each look without a slow task.
-	paceRaise = 12
-	// paceStep is the least change that is worth an order.
-	paceStep = 8
-	// paceGap is the least time between two changes: a worker's figures cover the last half second, and a change
-	// takes 100 ms to show.
-	paceGap = 600 * time.Millisecond
-	// slowPart and quietPart are the parts of a latency target above which tasks that fill are slowed down, and
-	// below which they may speed up.
-	slowPart  = 0.85
-	quietPart = 0.65
+	// hotTail is the tail above which the tasks that cause it are slowed down; overTail breaks the target.
+	hotTail  = 0.85
+	overTail = 1.0
+	// calmTail is the tail below which tasks that were slowed down may speed up again.
+	calmTail = 0.7
+	// allowedExcess is the excess that tasks that fill may cause: a tail of about 0.8 of the target.
+	allowedExcess = 0.45
+	// raiseStep is how much a pace rises at a time.
+	raiseStep = 20
+	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
+	// change takes 100 ms to show.
+	paceGap = 500 * time.Millisecond
+	// blameShare is the part of an excess above which a task is slowed down for it.
+	blameShare = 0.12
+	// movePace is the pace below which a task that fills is better off on another worker.
+	movePace = 35
+	// moveAfter leaves a task time to recover its former pace before it is moved.
+	moveAfter = 900 * time.Millisecond
 )
 
-// control sets the pace of the tasks that fill on a worker by the tail latencies of its long-running tasks.
-func (o *Owner) control(now time.Time, w *worker) {
-	worst, fills := 0.0, false
+// usesOf returns what tasks that fill use of a worker by image. Figures of the last half second are used where they
+// exist, else what the tasks ask for.
+func usesOf(w *worker) interference.Uses {
+	uses := interference.Uses{}
 	for at := range w.attempts {
 		if at.task.step.Fills {
-			fills = true
+			uses[at.task.step.Image] += useOf(w, at)
 		}
-		if target := at.task.step.TailTarget; target > 0 && at.phase == phaseRunning && at.figure > 0 {
-			worst = max(worst, at.figure/float64(target.Milliseconds()))
+	}
+	return uses
+}
+
+func useOf(w *worker, at *attempt) float64 {
+	cpu := at.figure
+	if cpu <= 0 {
+		cpu = float64(at.task.step.Resources.CPUMilli) * float64(max(at.paced, 0)) / fullPace
+	}
+	return cpu / float64(max(w.Capacity.CPUMilli, 1))
+}
+
+func tailOf(at *attempt) float64 {
+	return at.figure / float64(max(at.task.step.TailTarget.Milliseconds(), 1))
+}
+
+func (at *attempt) serves() bool { return at.task.step.TailTarget > 0 && at.phase == phaseRunning }
+
+// control learns from a worker's figures, and slows tasks that fill down where they lengthen a tail beyond its target.
+func (o *Owner) control(now time.Time, w *worker) {
+	measured := interference.Uses{}
+	fills, settled := false, true
+	for at := range w.attempts {
+		if !at.task.step.Fills {
+			continue
 		}
+		fills = true
+		measured[at.task.step.Image] += at.figure / float64(max(w.Capacity.CPUMilli, 1))
+		settled = settled && at.phase == phaseRunning && now.Sub(at.confirmedAt) > paceGap
 	}
-	if now.Sub(w.pacedAt) < paceGap {
+	worst := 0.0
+	var hot []*attempt
+	for at := range w.attempts {
+		if !at.serves() || at.figure <= 0 || now.Sub(at.confirmedAt) < paceGap {
+			continue
+		}
+		tail := tailOf(at)
+		if settled && now.Sub(w.pacedAt) > paceGap {
+			o.pressure.Observe(at.task.step.Image, tail, measured)
+		}
+		worst = max(worst, tail)
+		if tail > hotTail {
+			hot = append(hot, at)
+		}
+	}
+	if !fills || now.Sub(w.pacedAt) < paceGap {
 		return
 	}
-	pace := w.pace
 	switch {
-	case worst > 1:
-		pace /= 4
-	case worst > slowPart:
-		pace = pace * 2 / 3
-	case worst < quietPart:
-		pace += paceRaise
-	}
-	pace = min(max(pace, minPace), fullPace)
-	if pace == w.pace {
-		return
+	case len(hot) > 0:
+		o.slowDown(now, w, hot)
+	case worst < calmTail:
+		o.speedUp(now, w)
 	}
-	w.pace, w.pacedAt = pace, now
-	if !fills {
-		return
+	o.moveSlowed(now, w)
+}
+
+// slowDown lowers the pace of the tasks that cause most of the excess of the hot ones.
+func (o *Owner) slowDown(now time.Time, w *worker, hot []*attempt) {
+	factor := map[*attempt]float64{}
+	for _, serving := range hot {
+		total := 0.0
+		causes := map[*attempt]float64{}
+		for at := range w.attempts {
+			if at.task.step.Fills && at.phase == phaseRunning {
+				c := o.pressure.Weight(at.task.step.Image, serving.task.step.Image) * useOf(w, at)
+				causes[at] = c
+				total += c
+			}
+		}
+		keep := min(allowedExcess/max(total, allowedExcess), 0.8)
+		if tailOf(serving) > overTail {
+			keep = min(keep, 0.4)
+		}
+		for at, c := range causes {
+			// A model that knows no cause blames all alike.
+			if total < allowedExcess/4 || c >= blameShare*total {
+				if f, ok := factor[at]; !ok || keep < f {
+					factor[at] = keep
+				}
+			}
+		}
+	}
+	for at, f := range factor {
+		o.pace(at, int(float64(max(at.paced, 0))*f))
+	}
+	if len(factor) > 0 {
+		w.pacedAt = now
+		o.log.WithFields(logrus.Fields{
+			"decision": "slow_down", "worker": w.ID, "hot": len(hot), "tail": tailOf(hot[0]), "slowed": len(factor),
+		}).Debug("tasks that fill are slowed down")
 	}
+}
+
+func (o *Owner) speedUp(now time.Time, w *worker) {
+	changed := false
 	for at := range w.attempts {
-		if at.task.step.Fills && at.phase == phaseRunning {
-			o.pace(at, pace)
+		if at.task.step.Fills && at.phase == phaseRunning && at.paced < fullPace {
+			o.pace(at, min(max(at.paced, 0)+raiseStep, fullPace))
+			changed = true
 		}
 	}
+	if changed {
+		w.pacedAt = now
+	}
+}
+
+// moveSlowed stops one task that fills and has been slow for a while, if another worker suits it.
+func (o *Owner) moveSlowed(now time.Time, w *worker) {
+	for at := range w.attempts {
+		t := at.task
+		if !t.step.Fills || at.phase != phaseRunning || at.paced > movePace || now.Sub(at.slowSince) < moveAfter ||
+			at.slowSince.IsZero() {
+			continue
+		}
+		if !t.step.SavesProgress && now.Sub(at.confirmedAt) > 2*moveAfter {
+			continue // its work would be lost
+		}
+		if other := o.choose(now, t, ""); other == nil || other == w {
+			continue
+		}
+		t.avoid = w.ID
+		o.stop(at, "slowed down; another worker suits it")
+		return
+	}
 }
 
 func (o *Owner) pace(at *attempt, percent int) {
-	if diff := percent - at.paced; diff > -paceStep && diff < paceStep && percent != minPace && percent != fullPace || diff == 0 {
+	if percent == at.paced {
 		return
 	}
+	if percent <= movePace && at.slowSince.IsZero() {
+		at.slowSince = o.now
+	} else if percent > movePace {
+		at.slowSince = time.Time{}
+	}
 	at.paced = percent
 	o.paces = append(o.paces, Pace{
 		Order: o.order(at.worker), Job: at.task.job.ID, Key: at.task.key, Percent: percent, Run: at.run,
@@ -71,6 +184,23 @@
 // Paced takes the answer to a pace.
 func (o *Owner) Paced(_ time.Time, p Pace, r Reply) {
 	if at := o.attempt(p.Worker, p.Job, p.Key, p.Run); at != nil && r.Outcome != OutcomeDone && at.paced == p.Percent {
-		at.paced = -1 // unknown: the next change is sent whatever it is
+		at.paced = -1 // unknown: the next listing tells
+	}
+}
+
+// suits returns how well a worker suits a task that fills, from 0 to 1, and whether its serving tasks would stay below
+// their targets.
+func (o *Owner) suits(w *worker, t *task, share float64) (float64, bool) {
+	uses := usesOf(w)
+	use := share * float64(t.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
+	worst := 0.0
+	for at := range w.attempts {
+		if at.task.step.TailTarget <= 0 {
+			continue
+		}
+		weight := o.pressure.Weight(t.step.Image, at.task.step.Image)
+		excess := o.pressure.Excess(at.task.step.Image, uses) + weight*use
+		worst = max(worst, excess)
 	}
+	return 1 - min(worst, 1), worst <= allowedExcess
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -55,6 +55,9 @@
 		return
 	}
 	w := o.choose(now, t, "")
+	if w != nil && t.step.Fills && o.mayWait(now, t, w) {
+		w = nil
+	}
 	if w == nil {
 		if t.step.PerWorker == 0 {
 			full[r] = true
@@ -64,10 +67,25 @@
 	o.plan(t, w, t.run+1)
 }
 
+// fillPatience is how long a task that fills waits for a worker that suits it before it takes another one, where it is
+// slowed down.
+const fillPatience = 1200 * time.Millisecond
+
+// mayWait reports whether a task that fills should wait, since the best worker does not suit it.
+func (o *Owner) mayWait(now time.Time, t *task, w *worker) bool {
+	if _, ok := o.suits(w, t, w.fillShare(t.step.Resources.CPUMilli)); ok {
+		return false
+	}
+	if t.waitsSince.IsZero() {
+		t.waitsSince = now
+	}
+	return now.Sub(t.waitsSince) < fillPatience
+}
+
 // plan gives a task to a worker; the start is sent once that is recorded.
 func (o *Owner) plan(t *task, w *worker, run int) {
 	at := &attempt{phase: phasePlanned, run: run, task: t, worker: w, paced: fullPace}
-	t.run = run
+	t.run, t.waitsSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	w.add(at)
 	o.mark(t.job)
@@ -174,6 +192,11 @@
 const (
 	// rackBonus prefers the rack of the data: a task elsewhere takes up to three times as long.
 	rackBonus = 2
+	// harmMalus ranks workers whose serving tasks would miss their targets behind all others.
+	harmMalus = 2
+	// imageBonus gathers serving tasks of one image: tasks that fill harm some images and not others, so each finds
+	// workers that suit it.
+	imageBonus = 0.5
 	// avoidMalus keeps a task off the worker on which it failed last while there is another one.
 	avoidMalus = 3
 )
@@ -181,9 +204,17 @@
 func (o *Owner) score(w *worker, t *task) float64 {
 	score := 0.0
 	if t.step.Fills {
-		score = w.fillShare(t.step.Resources.CPUMilli)
+		share := w.fillShare(t.step.Resources.CPUMilli)
+		quiet, ok := o.suits(w, t, share)
+		score = share * quiet
+		if !ok {
+			score -= harmMalus
+		}
 	} else {
 		score = 1 - w.reserved.Add(t.step.Resources).Fraction(w.Capacity)
+		if t.step.TailTarget > 0 {
+			score += imageBonus * w.imageShare(t.step.Image)
+		}
 	}
 	if t.step.Rack != "" && w.Rack == t.step.Rack {
 		score += rackBonus
@@ -211,7 +242,25 @@
 	if demand <= 0 {
 		return 1
 	}
-	return max(left, 0) / demand * float64(w.pace) / fullPace
+	return min(max(left, 0)/demand, 1)
+}
+
+// imageShare returns which part of the serving tasks on the worker are of the image; a worker without any counts
+// as half.
+func (w *worker) imageShare(image string) float64 {
+	same, all := 0, 0
+	for at := range w.attempts {
+		if at.task.step.TailTarget > 0 {
+			all++
+			if at.task.step.Image == image {
+				same++
+			}
+		}
+	}
+	if all == 0 {
+		return 0.5
+	}
+	return float64(same) / float64(all)
 }
 
 // servingLoad is the part of its reservation that a serving task is taken to use on average.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -35,11 +35,13 @@
 	// inFlight says that an order for the attempt has no answer yet.
 	inFlight bool
 	// paced is the percentage that was last asked for; 100 after a start.
-	paced     int
-	phase     phase
-	retryAt   time.Time
-	run       int
-	sentAt    time.Time
+	paced   int
+	phase   phase
+	retryAt time.Time
+	run     int
+	sentAt  time.Time
+	// slowSince is since when the run has been slowed down much.
+	slowSince time.Time
 	stopCause string
 	task      *task
 	ticket    string
@@ -63,6 +65,8 @@
 	run       int
 	started   bool
 	step      *workflow.Step
+	// waitsSince is since when a task that fills has found no worker that suits it.
+	waitsSince time.Time
 }
 
 func (t *task) isWaiting() bool { return !t.done && len(t.attempts) == 0 }
@@ -120,8 +124,7 @@
 	lookSeq        int64
 	// noted is the newest end whose record is written; told is what the worker has been told of it.
 	noted, told int64
-	// pace is the percentage at which tasks that fill may work here.
-	pace     int
+	// pacedAt is when the pace of a task was changed last.
 	pacedAt  time.Time
 	present  bool
 	reserved fleet.Resources
