Halt what fills when a serving task stays over its target

Change: after 1.5 s over its target all tasks that fill beside it stand still; shared workers are looked at each 0.7 s.

--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -24,11 +24,24 @@
 		l := Look{Order: o.order(w), LastSeen: w.noted, Seq: o.seq, Until: w.leaseUntil(now, o.timing)}
 		if w.fenced && len(w.attempts) > 0 && w.noted == w.seen {
 			l.Wait = o.timing.LookWait
+			if w.isShared() {
+				l.Wait = o.timing.SharedLookWait
+			}
 		}
 		a.Looks = append(a.Looks, l)
 	}
 }
 
+// isShared reports whether tasks that fill run beside serving ones, whose tails have to be followed.
+func (w *worker) isShared() bool {
+	fills, serves := false, false
+	for at := range w.attempts {
+		fills = fills || at.task.step.Fills
+		serves = serves || at.task.step.TailTarget > 0
+	}
+	return fills && serves
+}
+
 func (o *Owner) needsLook(w *worker) bool {
 	if !w.fenced {
 		return w.present || len(w.attempts) > 0
@@ -78,7 +91,7 @@
 	o.readEnds(now, w, list)
 	o.readRunning(now, w, sent, list)
 	o.control(now, w)
-	if w.seen == w.noted && len(list.Ended) == 0 && len(w.attempts) > 0 && w.lookDue.After(now) && l.Wait >= o.timing.LookWait {
+	if w.seen == w.noted && len(list.Ended) == 0 && len(w.attempts) > 0 && w.lookDue.After(now) && l.Wait > 0 {
 		w.lookDue = now // the look waited in vain; nothing is gained by a pause
 	}
 }
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -23,6 +23,9 @@
 	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
 	// change takes 100 ms to show.
 	paceGap = 500 * time.Millisecond
+	// patience is how long a serving task may stay over its target before all tasks that fill beside it stand still:
+	// half of the shortest time that is held against the scheduler, so that the order still takes effect in time.
+	patience = 1500 * time.Millisecond
 	// blameShare is the part of an excess above which a task is slowed down for it.
 	blameShare = 0.12
 	// movePace is the pace below which a task that fills is better off on another worker.
@@ -83,11 +86,19 @@
 		if tail > hotTail {
 			hot = append(hot, at)
 		}
+		switch {
+		case tail <= overTail:
+			at.overSince = time.Time{}
+		case at.overSince.IsZero():
+			at.overSince = now
+		}
 	}
 	if !fills || now.Sub(w.pacedAt) < paceGap {
 		return
 	}
 	switch {
+	case o.isOverTooLong(now, hot):
+		o.halt(now, w)
 	case len(hot) > 0:
 		o.slowDown(now, w, hot)
 	case worst < calmTail:
@@ -96,6 +107,31 @@
 	o.moveSlowed(now, w)
 }
 
+func (o *Owner) isOverTooLong(now time.Time, hot []*attempt) bool {
+	for _, at := range hot {
+		if !at.overSince.IsZero() && now.Sub(at.overSince) > patience {
+			return true
+		}
+	}
+	return false
+}
+
+// halt makes all tasks that fill on a worker stand still.
+func (o *Owner) halt(now time.Time, w *worker) {
+	halted := 0
+	for at := range w.attempts {
+		if at.task.step.Fills && at.phase == phaseRunning && at.paced != 0 {
+			o.pace(at, 0)
+			halted++
+		}
+	}
+	if halted > 0 {
+		w.pacedAt = now
+		o.log.WithFields(logrus.Fields{"decision": "halt", "worker": w.ID, "halted": halted}).
+			Info("tasks that fill stand still until the serving tasks are below their targets")
+	}
+}
+
 // slowDown lowers the pace of the tasks that cause most of the excess of the hot ones.
 func (o *Owner) slowDown(now time.Time, w *worker, hot []*attempt) {
 	factor := map[*attempt]float64{}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -34,6 +34,8 @@
 	figure      float64
 	// inFlight says that an order for the attempt has no answer yet.
 	inFlight bool
+	// overSince is since when every listing showed the run over its latency target.
+	overSince time.Time
 	// paced is the percentage that was last asked for; 100 after a start.
 	paced   int
 	phase   phase
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -18,6 +18,9 @@
 	LookWait time.Duration
 	// MaxWorkerLease is the longest lease that a worker grants, whoever asks for it.
 	MaxWorkerLease time.Duration
+	// SharedLookWait is the same for a worker on which serving tasks are disturbed by others: a tail over its target
+	// has to be answered within seconds.
+	SharedLookWait time.Duration
 	// StopTimeout is how long a worker takes to stop a task at most.
 	StopTimeout time.Duration
 	// WorkerLease is how far ahead of a worker's clock its lease is renewed.
@@ -34,6 +37,7 @@
 		LookRetry:      200 * time.Millisecond,
 		LookWait:       1500 * time.Millisecond,
 		MaxWorkerLease: 10 * time.Second,
+		SharedLookWait: 700 * time.Millisecond,
 		StopTimeout:    400 * time.Millisecond,
 		WorkerLease:    9500 * time.Millisecond,
 	}
