Bound the CPU of placement and end leases by their absolute time

Change: a worker's load is kept as a view until it changes, placement runs each 15 ms and remembers what found no worker; leases end at the absolute time sent last, and a silent worker's lease is not renewed. A summary is logged each second.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -16,6 +16,9 @@
 // stepGap is the least time between two rounds of decisions, so that answers that come together share one.
 const stepGap = 4 * time.Millisecond
 
+// summaryGap is the least time between two summaries in the log.
+const summaryGap = time.Second
+
 // runner carries out what the owner of a shard decides.
 type runner struct {
 	ctx    context.Context
@@ -37,7 +40,9 @@
 	revision  int64
 	shard     int
 	slots     map[string]chan struct{}
-	wake      chan struct{}
+	// summarized is when the last summary was logged.
+	summarized time.Time
+	wake       chan struct{}
 }
 
 func newRunner(h *Host, n int, revision, lease int64) *runner {
@@ -143,6 +148,7 @@
 		now := r.host.now()
 		pause := electionPause
 		if r.mayAct(now) {
+			r.summarize(now)
 			a := r.owner.Step(now)
 			pause = max(a.Wake.Sub(now), stepGap)
 			r.send(a)
@@ -153,6 +159,20 @@
 	}
 }
 
+// summarize logs once in a while what the shard holds.
+func (r *runner) summarize(now time.Time) {
+	if now.Sub(r.summarized) < summaryGap {
+		return
+	}
+	r.summarized = now
+	s := r.owner.Summary()
+	r.log.WithFields(logrus.Fields{
+		"decision": "summary", "fill_pace": s.FillPace, "fills": s.Fills, "jobs": s.Jobs, "over": s.Over, "runs": s.Runs,
+		"serving": s.Serving, "stopping": s.Stopped, "waiting": s.Waiting, "waiting_fills": s.WaitingFills,
+		"workers": s.Workers,
+	}).Info("shard's state")
+}
+
 func (r *runner) setConfig(c workflow.Config) {
 	r.do(func(time.Time) { r.owner.SetConfig(c) })
 }
--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -72,6 +72,7 @@
 		o.log.WithFields(logrus.Fields{"decision": "worker_regained", "worker": w.ID, "failures": w.lookFailures}).
 			Info("worker answers again")
 	}
+	regained := w.lookFailures > 0
 	w.lookFailures = 0
 	w.lookDue = now.Add(o.timing.LookGap)
 	if list.Born != 0 && w.born != list.Born {
@@ -87,9 +88,13 @@
 			w.lookDue = now // renew the lease at once, now that the clock is known
 		}
 	}
+	if regained && len(w.attempts) > 0 {
+		w.lookDue = now // the lease was not renewed meanwhile
+	}
 	w.told = max(w.told, l.LastSeen)
 	o.readEnds(now, w, list)
 	o.readRunning(now, w, sent, list)
+	w.view = nil
 	o.control(now, w)
 	if w.seen == w.noted && len(list.Ended) == 0 && len(w.attempts) > 0 && w.lookDue.After(now) && l.Wait > 0 {
 		w.lookDue = now // the look waited in vain; nothing is gained by a pause
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -17,6 +17,7 @@
 	ended      endedJobs
 	jobs       map[string]*job
 	lastCommit time.Time
+	lastPlace  time.Time
 	log        *logrus.Entry
 	// backlog holds the jobs that may have tasks to place, most urgent first.
 	backlog []*job
@@ -153,7 +154,7 @@
 	o.openOccurrences(now, &a)
 	o.expire(now, &a)
 	o.leaveDraining(now, &a)
-	o.place(now)
+	o.place(now, &a)
 	a.Commit = o.nextCommit(now, &a)
 	o.orders(now, &a)
 	o.looks(now, &a)
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -18,6 +18,9 @@
 	calmTail = 0.7
 	// allowedExcess is the excess that tasks that fill may cause: a tail of about 0.8 of the target.
 	allowedExcess = 0.45
+	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
+	// time, and slow others down as well.
+	leastShare = 0.55
 	// raiseStep is how much a pace rises at a time.
 	raiseStep = 20
 	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
@@ -34,18 +37,8 @@
 	moveAfter = 900 * time.Millisecond
 )
 
-// usesOf returns what tasks that fill use of a worker by image. Figures of the last half second are used where they
-// exist, else what the tasks ask for.
-func usesOf(w *worker) interference.Uses {
-	uses := interference.Uses{}
-	for at := range w.attempts {
-		if at.task.step.Fills {
-			uses[at.task.step.Image] += useOf(w, at)
-		}
-	}
-	return uses
-}
-
+// useOf returns which part of a worker's processors a task that fills uses: by the figure of the last half second, or
+// by what it asks for until there is one.
 func useOf(w *worker, at *attempt) float64 {
 	cpu := at.figure
 	if cpu <= 0 {
@@ -193,7 +186,11 @@
 		if !t.step.SavesProgress && now.Sub(at.confirmedAt) > 2*moveAfter {
 			continue // its work would be lost
 		}
-		if other := o.choose(now, t, ""); other == nil || other == w {
+		other := o.choose(now, t, "")
+		if other == nil || other == w {
+			continue
+		}
+		if _, ok := o.suits(other, t, other.fillShare(o, t.step.Resources.CPUMilli)); !ok {
 			continue
 		}
 		t.avoid = w.ID
@@ -212,6 +209,7 @@
 		at.slowSince = time.Time{}
 	}
 	at.paced = percent
+	at.worker.view = nil
 	o.paces = append(o.paces, Pace{
 		Order: o.order(at.worker), Job: at.task.job.ID, Key: at.task.key, Percent: percent, Run: at.run,
 	})
@@ -227,16 +225,11 @@
 // suits returns how well a worker suits a task that fills, from 0 to 1, and whether its serving tasks would stay below
 // their targets.
 func (o *Owner) suits(w *worker, t *task, share float64) (float64, bool) {
-	uses := usesOf(w)
+	v := o.viewOf(w)
 	use := share * float64(t.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
 	worst := 0.0
-	for at := range w.attempts {
-		if at.task.step.TailTarget <= 0 {
-			continue
-		}
-		weight := o.pressure.Weight(t.step.Image, at.task.step.Image)
-		excess := o.pressure.Excess(at.task.step.Image, uses) + weight*use
-		worst = max(worst, excess)
+	for image, excess := range v.excess {
+		worst = max(worst, excess+o.pressure.Weight(t.step.Image, image)*use)
 	}
-	return 1 - min(worst, 1), worst <= allowedExcess
+	return 1 - min(worst, 1), worst <= allowedExcess && share >= leastShare
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -9,12 +9,20 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 )
 
+// placeGap is the least time between two rounds of placement, each of which looks at all tasks that wait.
+const placeGap = 15 * time.Millisecond
+
 // failurePause delays the restart of a task that failed, so that a task that fails at once does not take over its
 // worker's time.
 const failurePause = 50 * time.Millisecond
 
 // place chooses workers for the tasks that wait.
-func (o *Owner) place(now time.Time) {
+func (o *Owner) place(now time.Time, a *Actions) {
+	if due := o.lastPlace.Add(placeGap); now.Before(due) {
+		a.wakeAt(due)
+		return
+	}
+	o.lastPlace = now
 	o.sortJobs(now)
 	// full holds the requests that found no worker in this pass; the same request can't find one either.
 	full := map[request]bool{}
@@ -43,14 +51,19 @@
 
 // request is what two tasks must share to be refused by the same workers.
 type request struct {
-	fills     bool
+	fills bool
+	// image is that of a task that fills; such tasks wait together for a worker that suits their image.
+	image     string
 	label     string
 	resources fleet.Resources
 	service   string
 }
 
 func (o *Owner) placeTask(now time.Time, t *task, full map[request]bool) {
-	r := request{t.step.Fills, t.step.Label, t.step.Resources, t.job.queue.Service}
+	r := request{fills: t.step.Fills, label: t.step.Label, resources: t.step.Resources, service: t.job.queue.Service}
+	if t.step.Fills {
+		r.image, r.resources.CPUMilli = t.step.Image, 0
+	}
 	if full[r] {
 		return
 	}
@@ -59,7 +72,7 @@
 		w = nil
 	}
 	if w == nil {
-		if t.step.PerWorker == 0 {
+		if t.step.PerWorker == 0 && t.avoid == "" {
 			full[r] = true
 		}
 		return
@@ -69,11 +82,11 @@
 
 // fillPatience is how long a task that fills waits for a worker that suits it before it takes another one, where it is
 // slowed down.
-const fillPatience = 1200 * time.Millisecond
+const fillPatience = 6 * time.Second
 
 // mayWait reports whether a task that fills should wait, since the best worker does not suit it.
 func (o *Owner) mayWait(now time.Time, t *task, w *worker) bool {
-	if _, ok := o.suits(w, t, w.fillShare(t.step.Resources.CPUMilli)); ok {
+	if _, ok := o.suits(w, t, w.fillShare(o, t.step.Resources.CPUMilli)); ok {
 		return false
 	}
 	if t.waitsSince.IsZero() {
@@ -204,7 +217,7 @@
 func (o *Owner) score(w *worker, t *task) float64 {
 	score := 0.0
 	if t.step.Fills {
-		share := w.fillShare(t.step.Resources.CPUMilli)
+		share := w.fillShare(o, t.step.Resources.CPUMilli)
 		quiet, ok := o.suits(w, t, share)
 		score = share * quiet
 		if !ok {
@@ -213,7 +226,7 @@
 	} else {
 		score = 1 - w.reserved.Add(t.step.Resources).Fraction(w.Capacity)
 		if t.step.TailTarget > 0 {
-			score += imageBonus * w.imageShare(t.step.Image)
+			score += imageBonus * w.imageShare(o, t.step.Image)
 		}
 	}
 	if t.step.Rack != "" && w.Rack == t.step.Rack {
@@ -225,47 +238,6 @@
 	return score
 }
 
-// fillShare returns the part of its demand that one more task that fills would get.
-func (w *worker) fillShare(cpu int64) float64 {
-	left := float64(w.Capacity.CPUMilli)
-	demand := float64(cpu)
-	for at := range w.attempts {
-		switch {
-		case at.task.step.Fills:
-			demand += float64(at.task.step.Resources.CPUMilli)
-		case at.task.step.LongRunning && at.figure > 0:
-			left -= servingLoad * float64(at.task.step.Resources.CPUMilli)
-		default:
-			left -= float64(at.task.step.Resources.CPUMilli)
-		}
-	}
-	if demand <= 0 {
-		return 1
-	}
-	return min(max(left, 0)/demand, 1)
-}
-
-// imageShare returns which part of the serving tasks on the worker are of the image; a worker without any counts
-// as half.
-func (w *worker) imageShare(image string) float64 {
-	same, all := 0, 0
-	for at := range w.attempts {
-		if at.task.step.TailTarget > 0 {
-			all++
-			if at.task.step.Image == image {
-				same++
-			}
-		}
-	}
-	if all == 0 {
-		return 0.5
-	}
-	return float64(same) / float64(all)
-}
-
-// servingLoad is the part of its reservation that a serving task is taken to use on average.
-const servingLoad = 0.5
-
 func (o *Owner) sortJobs(now time.Time) {
 	if !o.resort {
 		return
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -132,13 +132,16 @@
 	reserved fleet.Resources
 	seen     int64
 	until    int64
+	// view is nil after the load has changed.
+	view *view
 }
 
-// leaseOver returns when everything that runs on the worker has certainly ended if nothing more is sent.
+// leaseOver returns when everything that runs on the worker has certainly ended if nothing more is sent. A call that is
+// carried out late sets the lease to the same absolute time.
 func (w *worker) leaseOver(t Timing) time.Time {
 	over := w.inheritedUntil
 	if w.until > 0 {
-		left := min(time.Duration(w.until-w.clock)*time.Millisecond, t.MaxWorkerLease)
+		left := time.Duration(w.until-w.clock) * time.Millisecond
 		if own := w.clockAt.Add(t.slowest(left) + t.LeaseMargin); own.After(over) {
 			over = own
 		}
@@ -146,13 +149,16 @@
 	return over
 }
 
-// leaseUntil returns the end of a lease that is renewed now, on the worker's clock.
+// leaseUntil returns the end of a lease that is renewed now, on the worker's clock. The lease of a worker that does not
+// answer is not renewed, so that it ends and its tasks can be started elsewhere.
 func (w *worker) leaseUntil(now time.Time, t Timing) int64 {
 	if w.clockAt.IsZero() {
 		return 0
 	}
-	until := w.clock + now.Sub(w.clockAt).Milliseconds() + t.WorkerLease.Milliseconds()
-	w.until = max(w.until, until)
+	if w.lookFailures == 0 {
+		until := w.clock + now.Sub(w.clockAt).Milliseconds() + t.WorkerLease.Milliseconds()
+		w.until = max(w.until, until)
+	}
 	return w.until
 }
 
@@ -165,12 +171,14 @@
 
 func (w *worker) add(a *attempt) {
 	w.attempts[a] = true
+	w.view = nil
 	w.reserved = w.reserved.Add(reservation(a.task.step))
 }
 
 func (w *worker) remove(a *attempt) {
 	if w.attempts[a] {
 		delete(w.attempts, a)
+		w.view = nil
 		w.reserved = w.reserved.Sub(reservation(a.task.step))
 	}
 }
--- /dev/null
+++ b/internal/shard/summary.go
@@ -0,0 +1,61 @@
+package shard
+
+// Summary counts what a shard holds at a moment.
+type Summary struct {
+	// FillPace is the mean pace of the tasks that fill, in percent.
+	FillPace int
+	Fills    int
+	Jobs     int
+	// Over is the number of serving tasks that were over their target when their worker was looked at last.
+	Over    int
+	Runs    int
+	Serving int
+	Stopped int
+	// Waiting is the number of tasks that could run and have no worker; WaitingFills of them fill.
+	Waiting      int
+	WaitingFills int
+	Workers      int
+}
+
+// Summary returns the counts of now.
+func (o *Owner) Summary() Summary {
+	s := Summary{Jobs: len(o.jobs)}
+	paces := 0
+	for _, w := range o.workers {
+		if w.present {
+			s.Workers++
+		}
+		for at := range w.attempts {
+			s.Runs++
+			switch {
+			case at.phase == phaseStopping || at.phase == phaseStopped:
+				s.Stopped++
+			case at.task.step.Fills:
+				s.Fills++
+				paces += max(at.paced, 0)
+			case at.serves():
+				s.Serving++
+				if tailOf(at) > overTail {
+					s.Over++
+				}
+			}
+		}
+	}
+	s.FillPace = paces / max(s.Fills, 1)
+	for _, j := range o.jobs {
+		if j.final != "" {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for i, tasks := range occ.tasks {
+				for _, t := range tasks {
+					if occ.ready[i] && t.isWaiting() {
+						s.Waiting++
+						s.WaitingFills += boolInt(t.step.Fills)
+					}
+				}
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/shard/view.go
@@ -0,0 +1,79 @@
+package shard
+
+import "github.com/laburnumridge/laburnumridge/internal/interference"
+
+// servingLoad is the part of its reservation that a serving task is taken to use on average.
+const servingLoad = 0.5
+
+// view is what placement needs to know of a worker's load. It is kept until the load changes.
+type view struct {
+	// demand is what the tasks that fill ask for, in thousandths of a core; left is what the others leave them.
+	demand, left float64
+	// excess holds, for each serving image, the part of its tails that tasks that fill are expected to cause.
+	excess map[string]float64
+	// images counts the serving tasks by image.
+	images  map[string]int
+	serving int
+}
+
+func (o *Owner) viewOf(w *worker) *view {
+	if w.view != nil {
+		return w.view
+	}
+	v := &view{excess: map[string]float64{}, images: map[string]int{}, left: float64(w.Capacity.CPUMilli)}
+	for at := range w.attempts {
+		s := at.task.step
+		switch cpu := float64(s.Resources.CPUMilli); {
+		case s.Fills:
+			v.demand += cpu
+		case s.LongRunning:
+			v.left -= servingLoad * cpu
+		default:
+			v.left -= cpu
+		}
+		if s.TailTarget > 0 {
+			v.images[s.Image]++
+			v.serving++
+		}
+	}
+	if v.serving > 0 {
+		uses := w.potentialUses(v)
+		for image := range v.images {
+			v.excess[image] = o.pressure.Excess(image, uses)
+		}
+	}
+	w.view = v
+	return v
+}
+
+// potentialUses returns what the tasks that fill would use at full pace. What they use when they are slowed down says
+// nothing about the room for more of them.
+func (w *worker) potentialUses(v *view) interference.Uses {
+	uses := interference.Uses{}
+	share := min(max(v.left, 0)/max(v.demand, 1), 1)
+	for at := range w.attempts {
+		if at.task.step.Fills {
+			uses[at.task.step.Image] += share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
+		}
+	}
+	return uses
+}
+
+// fillShare returns the part of its demand that one more task that fills would get.
+func (w *worker) fillShare(o *Owner, cpu int64) float64 {
+	v := o.viewOf(w)
+	if demand := v.demand + float64(cpu); demand > 0 {
+		return min(max(v.left, 0)/demand, 1)
+	}
+	return 1
+}
+
+// imageShare returns which part of the serving tasks on the worker are of the image; a worker without any counts
+// as half.
+func (w *worker) imageShare(o *Owner, image string) float64 {
+	v := o.viewOf(w)
+	if v.serving == 0 {
+		return 0.5
+	}
+	return float64(v.images[image]) / float64(v.serving)
+}
