Count pending jobs from their records when no owner can be asked

Change: the records are counted then; if they can't be read either, the caller is told to come back.

--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -160,33 +161,77 @@
 func (h *Host) Pending(ctx context.Context, q workflow.Queue) Answer {
 	total := 0
 	for shard := range h.directory.shards() {
-		total += h.pendingOf(ctx, pendingKey{q.Name, shard})
+		n, err := h.pendingOf(ctx, pendingKey{q.Name, shard})
+		if err != nil {
+			return h.decided("pending", "", q.Name, Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter})
+		}
+		total += n
 	}
 	return Answer{Outcome: OutcomeAccepted, Pending: total}
 }
 
-func (h *Host) pendingOf(ctx context.Context, k pendingKey) int {
+func (h *Host) pendingOf(ctx context.Context, k pendingKey) (int, error) {
 	if n, ok := h.owners.pending(k.shard, k.queue); ok {
-		return n
+		return n, nil
 	}
 	h.pending.mu.Lock()
 	last, ok := h.pending.counts[k]
 	h.pending.mu.Unlock()
 	if ok && time.Since(last.at) < pendingAge {
-		return last.count
+		return last.count, nil
+	}
+	n, ok := h.askPending(ctx, k)
+	if !ok {
+		var err error
+		if n, err = h.countPending(ctx, k); err != nil {
+			return 0, err
+		}
 	}
+	h.pending.mu.Lock()
+	defer h.pending.mu.Unlock()
+	h.pending.counts[k] = pendingCount{at: time.Now(), count: n}
+	return n, nil
+}
+
+func (h *Host) askPending(ctx context.Context, k pendingKey) (int, bool) {
 	o, found := h.directory.owner(k.shard)
 	if !found || o.Run == h.self.Run {
-		return last.count
+		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	m, err := h.pool.Request(ctx, o.Peer, peer.Message{PendingQuery: &peer.PendingQuery{Queue: k.queue, Shard: k.shard}})
 	if err != nil || m.PendingReply == nil || !m.PendingReply.Known {
-		return last.count
+		return 0, false
 	}
-	h.pending.mu.Lock()
-	defer h.pending.mu.Unlock()
-	h.pending.counts[k] = pendingCount{at: time.Now(), count: m.PendingReply.Count}
-	return m.PendingReply.Count
+	return m.PendingReply.Count, true
+}
+
+// countPending counts the records of jobs without progress, while no owner can be asked.
+func (h *Host) countPending(ctx context.Context, k pendingKey) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	jobs, _, err := h.platform.Store.Range(ctx, jobsOf(k.shard))
+	if err != nil {
+		return 0, err
+	}
+	records, _, err := h.platform.Store.Range(ctx, progressOf(k.shard))
+	if err != nil {
+		return 0, err
+	}
+	started := make(map[string]bool, len(records))
+	for _, kv := range records {
+		started[strings.TrimPrefix(kv.Key, progressOf(k.shard))] = true
+	}
+	count := 0
+	for _, kv := range jobs {
+		id, cancelled := cancelledID(kv.Key, k.shard)
+		if cancelled || started[id] {
+			continue
+		}
+		if j, err := workflow.Decode[workflow.Job](kv.Value); err == nil && j.Queue == k.queue {
+			count++
+		}
+	}
+	return count, nil
 }
