Trust a worker again whose runs last, and shorten worker leases to 7 s

Change: probation lets one run a second through and ends by time; leases last 7 s, beyond the longest usual cut. Tests: TestWorkerIsTrustedAgainWithoutADoneRun.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -61,7 +61,7 @@
 	t := shard.DefaultTiming()
 	if most := h.settings.Worker.MaxLease.Duration; most > 0 {
 		t.MaxWorkerLease = most
-		t.WorkerLease = most - h.settings.Worker.LeaseReserve.Duration
+		t.WorkerLease = min(t.WorkerLease, most-h.settings.Worker.LeaseReserve.Duration)
 	}
 	if stop := h.settings.Worker.StopTimeout.Duration; stop > 0 {
 		t.StopTimeout = stop
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -10,29 +10,47 @@
 	maxQuarantine   = 16 * time.Second
 )
 
+// probeGap separates the runs that a worker gets after its quarantine, until one of them is done.
+const probeGap = time.Second
+
 // health is what the ends of runs say of a worker.
 type health struct {
 	failures int
-	pause    time.Duration
-	// probing says that the quarantine is over and one run is let through.
-	probing bool
-	until   time.Time
+	// nextProbe is when the next run may be given to a worker on probation.
+	nextProbe time.Time
+	pause     time.Duration
+	// probation says that the quarantine is over and no run was done since.
+	probation bool
+	until     time.Time
 }
 
 // failed counts a failed run and reports whether the worker is put into quarantine.
 func (h *health) failed(now time.Time) bool {
 	h.failures++
-	if h.failures < quarantineAfter && !h.probing {
+	if h.failures < quarantineAfter && !h.probation || now.Before(h.until) {
 		return false
 	}
 	h.pause = min(max(2*h.pause, firstQuarantine), maxQuarantine)
-	h.until, h.probing, h.failures = now.Add(h.pause), true, 0
+	h.until, h.probation, h.failures = now.Add(h.pause), true, 0
 	return true
 }
 
 func (h *health) succeeded() { *h = health{} }
 
-// accepts reports whether a worker with the given number of runs may get one more.
-func (h *health) accepts(now time.Time, runs int) bool {
-	return !now.Before(h.until) && (!h.probing || runs == 0)
+// accepts reports whether the worker may get a run now.
+func (h *health) accepts(now time.Time) bool {
+	return !now.Before(h.until) && (!h.probation || !now.Before(h.nextProbe))
+}
+
+// given takes note of a run that is given to the worker. Runs that last are never done, so a worker that fails none of
+// its runs for as long as it was in quarantine counts as healthy, too.
+func (h *health) given(now time.Time) {
+	if !h.probation {
+		return
+	}
+	if now.Sub(h.until) > h.pause {
+		h.succeeded()
+		return
+	}
+	h.nextProbe = now.Add(probeGap)
 }
--- /dev/null
+++ b/internal/shard/health_test.go
@@ -0,0 +1,39 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a worker whose runs all last and which is never trusted again after its quarantine.
+func TestWorkerIsTrustedAgainWithoutADoneRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h health
+	for range quarantineAfter {
+		h.failed(now)
+	}
+	assert.Assert(t, !h.accepts(now))
+	now = now.Add(firstQuarantine)
+	assert.Assert(t, h.accepts(now))
+	h.given(now)
+	assert.Assert(t, !h.accepts(now), "one run at a time on probation")
+	now = now.Add(probeGap)
+	assert.Assert(t, h.accepts(now))
+	now = now.Add(firstQuarantine)
+	h.given(now)
+	assert.Assert(t, h.accepts(now), "as long as its quarantine without a failure")
+}
+
+func TestFailureOnProbationLengthensTheQuarantine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h health
+	for range quarantineAfter {
+		h.failed(now)
+	}
+	now = now.Add(firstQuarantine)
+	assert.Assert(t, h.failed(now))
+	assert.Assert(t, !h.accepts(now.Add(firstQuarantine)))
+	assert.Assert(t, h.accepts(now.Add(2*firstQuarantine)))
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -101,6 +101,7 @@
 	t.run, t.waitsSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	w.add(at)
+	w.health.given(o.now)
 	o.mark(t.job)
 	if o.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		o.log.WithFields(logrus.Fields{
@@ -183,7 +184,7 @@
 func (o *Owner) canTake(now time.Time, w *worker, t *task) bool {
 	s := t.step
 	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
-		!w.HasLabel(s.Label) || !w.health.accepts(now, len(w.attempts)) {
+		!w.HasLabel(s.Label) || !w.health.accepts(now) {
 		return false
 	}
 	if !w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -23,7 +23,8 @@
 	SharedLookWait time.Duration
 	// StopTimeout is how long a worker takes to stop a task at most.
 	StopTimeout time.Duration
-	// WorkerLease is how far ahead of a worker's clock its lease is renewed.
+	// WorkerLease is how far ahead of a worker's clock its lease is renewed. Longer leases let tasks outlive longer cuts
+	// and outages; shorter ones let the tasks of a lost worker start elsewhere sooner.
 	WorkerLease time.Duration
 }
 
@@ -39,7 +40,7 @@
 		MaxWorkerLease: 10 * time.Second,
 		SharedLookWait: 700 * time.Millisecond,
 		StopTimeout:    400 * time.Millisecond,
-		WorkerLease:    9500 * time.Millisecond,
+		WorkerLease:    7 * time.Second,
 	}
 }
 
