Model the pressure on serving tasks as added utilization

Change: a tail is idle / (1 - utilization); own load and pair weights are told apart by a Kalman filter over smoothed uses. Paces follow from what each serving task bears, the least harmful tasks first.

--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -1,17 +1,25 @@
 package interference
 
-import "math"
-
 const (
-	// pressureRate is the part of an error that one sample corrects; figures of half a second are noisy.
-	pressureRate = 0.25
-	// startBase is the part of its target that a serving task's tail is taken to have by itself, until it is known.
-	startBase = 0.42
-	baseRate  = 0.02
-	// maxExcess bounds the part of a tail that is caused by others, which keeps saturated tails comparable.
-	maxExcess = 0.93
-	// quietExcess is the predicted excess below which a sample shows the tail of the task by itself.
-	quietExcess = 0.04
+	// idleTail is the tail of a serving task without any load, as a part of its target. Targets are set at four to
+	// five times the idle tail.
+	idleTail = 0.222
+	// maxUtilization bounds what a saturated tail says.
+	maxUtilization = 0.98
+	// StartLoad is the load that a serving task is taken to have by itself until it is known.
+	StartLoad = 0.42
+	minLoad   = 0.1
+	maxLoad   = 0.75
+	// loadVariance is that of a task's own load, which swings by half of its mean within some ten seconds.
+	loadVariance = 0.02
+	// tailVariance is that of a measured utilization: tails are rough figures of half a second.
+	tailVariance = 0.015
+	// startWeight and startVariance describe a pair that is not known. Most pairs measured between 0.1 and 0.7, the
+	// harmful ones between 2 and 3.
+	startWeight   = 0.4
+	startVariance = 1.5
+	// weightDrift is added to a pair's variance with each sample, so that the weight follows changes of the work.
+	weightDrift = 2e-4
 	minUse      = 1e-3
 )
 
@@ -20,65 +28,74 @@
 
 type imagePair struct{ filling, serving string }
 
-// Pressure learns how much the tasks of each filling image lengthen the tails of each serving image. A tail is
-// base / (1 - excess), as in a queue, and the excess is the sum of a weight times the use of each image. The weights
-// follow the samples by normalized least mean squares.
+// pairWeight is the estimate of a pair with its variance.
+type pairWeight struct{ mean, variance float64 }
+
+// Pressure learns how much the tasks of each filling image disturb the tasks of each serving image. A tail is
+// idle / (1 - utilization), as in a queue; the utilization is the serving task's own load plus, for each filling image, a
+// weight times its use of the worker. A Kalman filter with a diagonal covariance splits each error between the load,
+// which belongs to a single task and swings, and the weights.
 type Pressure struct {
-	base    map[string]float64
-	weights map[imagePair]float64
+	weights map[imagePair]pairWeight
 }
 
-// NewPressure returns a model that knows nothing: unknown pairs do no harm.
-func NewPressure() *Pressure {
-	return &Pressure{base: map[string]float64{}, weights: map[imagePair]float64{}}
+// NewPressure returns a model that knows nothing and takes all pairs for mild.
+func NewPressure() *Pressure { return &Pressure{weights: map[imagePair]pairWeight{}} }
+
+// Utilization returns what a tail, as a part of its target, says of the utilization behind it.
+func Utilization(tail float64) float64 {
+	if tail <= idleTail {
+		return 0
+	}
+	return min(1-idleTail/tail, maxUtilization)
 }
 
-// Excess returns the part of the serving image's tail that the uses are expected to cause, 0 to below 1.
-func (p *Pressure) Excess(serving string, uses Uses) float64 {
+// Of returns the pressure that the uses are expected to put on a serving image, as a utilization.
+func (p *Pressure) Of(serving string, uses Uses) float64 {
 	x := 0.0
 	for filling, use := range uses {
-		x += p.weights[imagePair{filling, serving}] * use
+		x += p.Weight(filling, serving) * use
 	}
-	return min(x, maxExcess)
+	return x
 }
 
-// Weight returns the excess that a use of the whole worker by the filling image would cause.
+// Weight returns the pressure of a use of the whole worker by the filling image.
 func (p *Pressure) Weight(filling, serving string) float64 {
-	return p.weights[imagePair{filling, serving}]
+	return p.pair(filling, serving).mean
 }
 
-// Tail returns the expected tail as a part of the target.
-func (p *Pressure) Tail(serving string, uses Uses) float64 {
-	return p.baseOf(serving) / (1 - p.Excess(serving, uses))
+func (p *Pressure) pair(filling, serving string) pairWeight {
+	if w, ok := p.weights[imagePair{filling, serving}]; ok {
+		return w
+	}
+	return pairWeight{startWeight, startVariance}
 }
 
-// Observe takes a measured tail, as a part of its target, together with the uses at that time.
-func (p *Pressure) Observe(serving string, tail float64, uses Uses) {
+// Observe takes the measured tail of a task, as a part of its target, together with the uses of the time that it
+// covers, and returns the task's own load, which was load so far.
+func (p *Pressure) Observe(serving string, load, tail float64, uses Uses) float64 {
 	if tail <= 0 {
-		return
+		return load
 	}
-	base := p.baseOf(serving)
-	predicted, power := p.Excess(serving, uses), 0.0
-	for _, use := range uses {
-		power += use * use
+	expected := load + p.Of(serving, uses)
+	measured := Utilization(tail)
+	if measured >= maxUtilization && expected >= maxUtilization {
+		return load // a saturated tail does not tell by how much
 	}
-	if predicted < quietExcess && tail < 1 {
-		p.base[serving] = base + baseRate*(tail-base)
-	}
-	if power < minUse*minUse {
-		return
-	}
-	excess := min(max(1-base/tail, 0), maxExcess)
-	step := pressureRate * (excess - predicted) / (power + minUse)
+	surprise := measured - min(expected, maxUtilization)
+	total := loadVariance + tailVariance
 	for filling, use := range uses {
-		k := imagePair{filling, serving}
-		p.weights[k] = math.Max(p.weights[k]+step*use, 0)
+		total += p.pair(filling, serving).variance * use * use
 	}
-}
-
-func (p *Pressure) baseOf(serving string) float64 {
-	if b, ok := p.base[serving]; ok {
-		return b
+	for filling, use := range uses {
+		if use < minUse {
+			continue
+		}
+		w := p.pair(filling, serving)
+		gain := w.variance * use / total
+		w.mean = max(w.mean+gain*surprise, 0)
+		w.variance = min(w.variance*(1-gain*use)+weightDrift, startVariance)
+		p.weights[imagePair{filling, serving}] = w
 	}
-	return startBase
+	return min(max(load+loadVariance/total*surprise/2, minLoad), maxLoad)
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -140,7 +140,7 @@
 	if w == nil {
 		// A lease that an earlier owner renewed just before its end lasts no longer than this.
 		inherited := o.takenAt.Add(o.timing.slowest(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
-		w = &worker{Worker: Worker{ID: id}, attempts: map[*attempt]bool{}, inheritedUntil: inherited}
+		w = &worker{Worker: Worker{ID: id}, attempts: map[*attempt]bool{}, inheritedUntil: inherited, uses: interference.Uses{}}
 		o.workers[id] = w
 	}
 	return w
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,26 +14,30 @@
 // Pacing of tasks that fill, in percent of their speed. Tails are parts of their targets.
 const (
 	fullPace = 100
-	// hotTail is the tail above which the tasks that cause it are slowed down; overTail breaks the target.
+	// hotTail is the tail above which no task is sped up; overTail breaks the target.
 	hotTail  = 0.85
 	overTail = 1.0
-	// calmTail is the tail below which tasks that were slowed down may speed up again.
-	calmTail = 0.7
-	// allowedExcess is the excess that tasks that fill may cause: a tail of about 0.8 of the target.
-	allowedExcess = 0.45
+	// goalTail is the tail up to which tasks that fill may lengthen that of a serving task.
+	goalTail = 0.85
+	// leastAllowed lets tasks that do little harm go on beside a serving task that is busy by itself.
+	leastAllowed = 0.04
 	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
 	// time, and slow others down as well.
 	leastShare = 0.55
-	// raiseStep is how much a pace rises at a time.
-	raiseStep = 20
+	// paceStep is the least change of a pace that is worth an order.
+	paceStep = 12
+	// useMemory is the time over which the use that a measured tail answers to fades: tails cover half a second, and
+	// the queue behind a long tail empties slowly.
+	useMemory = 700 * time.Millisecond
+	leastUse  = 1e-3
+	// settleTime is how long a serving task runs before its figures count.
+	settleTime = 600 * time.Millisecond
 	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
 	// change takes 100 ms to show.
 	paceGap = 500 * time.Millisecond
 	// patience is how long a serving task may stay over its target before all tasks that fill beside it stand still:
 	// half of the shortest time that is held against the scheduler, so that the order still takes effect in time.
 	patience = 1500 * time.Millisecond
-	// blameShare is the part of an excess above which a task is slowed down for it.
-	blameShare = 0.12
 	// movePace is the pace below which a task that fills is better off on another worker.
 	movePace = 35
 	// moveAfter leaves a task time to recover its former pace before it is moved.
@@ -51,127 +58,124 @@
 	return at.figure / float64(max(at.task.step.TailTarget.Milliseconds(), 1))
 }
 
+// ownLoad returns the load that a serving task has by itself.
+func (at *attempt) ownLoad() float64 {
+	if at.load == 0 {
+		return interference.StartLoad
+	}
+	return at.load
+}
+
+// allowed returns the pressure that others may put on a serving task.
+func (at *attempt) allowed() float64 {
+	return max(interference.Utilization(goalTail)-at.ownLoad(), leastAllowed)
+}
+
 func (at *attempt) serves() bool { return at.task.step.TailTarget > 0 && at.phase == phaseRunning }
 
-// control learns from a worker's figures, and slows tasks that fill down where they lengthen a tail beyond its target.
+// control learns from a worker's figures, and lets tasks that fill work as far as the serving tasks bear it.
 func (o *Owner) control(now time.Time, w *worker) {
-	measured := interference.Uses{}
-	fills, settled := false, true
+	w.smoothUses(now)
+	worst, over, fills := 0.0, false, false
 	for at := range w.attempts {
-		if !at.task.step.Fills {
-			continue
-		}
-		fills = true
-		measured[at.task.step.Image] += at.figure / float64(max(w.Capacity.CPUMilli, 1))
-		settled = settled && at.phase == phaseRunning && now.Sub(at.confirmedAt) > paceGap
-	}
-	worst := 0.0
-	var hot []*attempt
-	for at := range w.attempts {
-		if !at.serves() || at.figure <= 0 || now.Sub(at.confirmedAt) < paceGap {
+		fills = fills || at.task.step.Fills
+		if !at.serves() || at.figure <= 0 || now.Sub(at.confirmedAt) < settleTime {
 			continue
 		}
 		tail := tailOf(at)
-		if settled && now.Sub(w.pacedAt) > paceGap {
-			o.pressure.Observe(at.task.step.Image, tail, measured)
-		}
+		at.load = o.pressure.Observe(at.task.step.Image, at.ownLoad(), tail, w.uses)
 		worst = max(worst, tail)
-		if tail > hotTail {
-			hot = append(hot, at)
-		}
 		switch {
 		case tail <= overTail:
 			at.overSince = time.Time{}
 		case at.overSince.IsZero():
 			at.overSince = now
+		default:
+			over = over || now.Sub(at.overSince) > patience
 		}
 	}
 	if !fills || now.Sub(w.pacedAt) < paceGap {
 		return
 	}
-	switch {
-	case o.isOverTooLong(now, hot):
-		o.halt(now, w)
-	case len(hot) > 0:
-		o.slowDown(now, w, hot)
-	case worst < calmTail:
-		o.speedUp(now, w)
-	}
+	o.setPaces(now, w, worst, over)
 	o.moveSlowed(now, w)
 }
 
-func (o *Owner) isOverTooLong(now time.Time, hot []*attempt) bool {
-	for _, at := range hot {
-		if !at.overSince.IsZero() && now.Sub(at.overSince) > patience {
-			return true
+// smoothUses follows what filling images use of the worker as slowly as measured tails do.
+func (w *worker) smoothUses(now time.Time) {
+	part := 1 - math.Exp(-now.Sub(w.usesAt).Seconds()/useMemory.Seconds())
+	w.usesAt = now
+	measured := interference.Uses{}
+	for at := range w.attempts {
+		if at.task.step.Fills {
+			measured[at.task.step.Image] += at.figure / float64(max(w.Capacity.CPUMilli, 1))
 		}
 	}
-	return false
-}
-
-// halt makes all tasks that fill on a worker stand still.
-func (o *Owner) halt(now time.Time, w *worker) {
-	halted := 0
-	for at := range w.attempts {
-		if at.task.step.Fills && at.phase == phaseRunning && at.paced != 0 {
-			o.pace(at, 0)
-			halted++
+	for image := range w.uses {
+		if _, ok := measured[image]; !ok {
+			measured[image] = 0
 		}
 	}
-	if halted > 0 {
-		w.pacedAt = now
-		o.log.WithFields(logrus.Fields{"decision": "halt", "worker": w.ID, "halted": halted}).
-			Info("tasks that fill stand still until the serving tasks are below their targets")
+	for image, use := range measured {
+		if w.uses[image] += part * (use - w.uses[image]); w.uses[image] < leastUse {
+			delete(w.uses, image)
+		}
 	}
 }
 
-// slowDown lowers the pace of the tasks that cause most of the excess of the hot ones.
-func (o *Owner) slowDown(now time.Time, w *worker, hot []*attempt) {
-	factor := map[*attempt]float64{}
-	for _, serving := range hot {
-		total := 0.0
-		causes := map[*attempt]float64{}
-		for at := range w.attempts {
-			if at.task.step.Fills && at.phase == phaseRunning {
-				c := o.pressure.Weight(at.task.step.Image, serving.task.step.Image) * useOf(w, at)
-				causes[at] = c
-				total += c
-			}
+// setPaces lets the tasks that fill work as far as the serving tasks bear it, the least harmful first. If a serving task
+// stays over its target nevertheless, the model does not know the cause and all stand still.
+func (o *Owner) setPaces(now time.Time, w *worker, worst float64, halt bool) {
+	v := o.viewOf(w)
+	share := min(max(v.left, 0)/max(v.demand, 1), 1)
+	var fills []*attempt
+	harm := map[string]float64{}
+	for at := range w.attempts {
+		if !at.task.step.Fills || at.phase != phaseRunning {
+			continue
 		}
-		keep := min(allowedExcess/max(total, allowedExcess), 0.8)
-		if tailOf(serving) > overTail {
-			keep = min(keep, 0.4)
+		fills = append(fills, at)
+		image := at.task.step.Image
+		for serving, s := range v.serving {
+			harm[image] = max(harm[image], o.pressure.Weight(image, serving)/s.allowed)
 		}
-		for at, c := range causes {
-			// A model that knows no cause blames all alike.
-			if total < allowedExcess/4 || c >= blameShare*total {
-				if f, ok := factor[at]; !ok || keep < f {
-					factor[at] = keep
-				}
+	}
+	slices.SortFunc(fills, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(harm[a.task.step.Image], harm[b.task.step.Image]), a.confirmedAt.Compare(b.confirmedAt),
+			cmp.Compare(a.task.key.Index, b.task.key.Index))
+	})
+	pressure := map[string]float64{}
+	for _, at := range fills {
+		use := share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
+		part := 1.0
+		for serving, s := range v.serving {
+			if cost := o.pressure.Weight(at.task.step.Image, serving) * use; cost > 0 {
+				part = min(part, max(s.allowed-pressure[serving], 0)/cost)
 			}
 		}
+		if halt {
+			part = 0
+		}
+		for serving := range v.serving {
+			pressure[serving] += part * o.pressure.Weight(at.task.step.Image, serving) * use
+		}
+		o.adjust(now, at, int(part*fullPace), worst)
 	}
-	for at, f := range factor {
-		o.pace(at, int(float64(max(at.paced, 0))*f))
-	}
-	if len(factor) > 0 {
-		w.pacedAt = now
-		o.log.WithFields(logrus.Fields{
-			"decision": "slow_down", "worker": w.ID, "hot": len(hot), "tail": tailOf(hot[0]), "slowed": len(factor),
-		}).Debug("tasks that fill are slowed down")
+	if halt {
+		o.log.WithFields(logrus.Fields{"decision": "halt", "worker": w.ID, "fills": len(fills), "tail": worst}).
+			Info("tasks that fill stand still until the serving tasks are below their targets")
 	}
 }
 
-func (o *Owner) speedUp(now time.Time, w *worker) {
-	changed := false
-	for at := range w.attempts {
-		if at.task.step.Fills && at.phase == phaseRunning && at.paced < fullPace {
-			o.pace(at, min(max(at.paced, 0)+raiseStep, fullPace))
-			changed = true
-		}
+// adjust changes the pace of a task if that is worth an order.
+func (o *Owner) adjust(now time.Time, at *attempt, percent int, worst float64) {
+	diff := percent - at.paced
+	if diff > 0 && worst > hotTail || diff > -paceStep && diff < paceStep && percent != 0 && percent != fullPace {
+		return
 	}
-	if changed {
-		w.pacedAt = now
+	if diff != 0 {
+		o.pace(at, percent)
+		at.worker.pacedAt = now
 	}
 }
 
@@ -222,14 +226,15 @@
 	}
 }
 
-// suits returns how well a worker suits a task that fills, from 0 to 1, and whether its serving tasks would stay below
-// their targets.
+// suits returns which part of what a worker's serving tasks bear would be taken with one more task that fills, and
+// whether they would stay below their targets.
 func (o *Owner) suits(w *worker, t *task, share float64) (float64, bool) {
 	v := o.viewOf(w)
 	use := share * float64(t.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
 	worst := 0.0
-	for image, excess := range v.excess {
-		worst = max(worst, excess+o.pressure.Weight(t.step.Image, image)*use)
+	for image, s := range v.serving {
+		cost := o.pressure.Weight(t.step.Image, image) * use
+		worst = max(worst, (s.pressure+cost)/s.allowed)
 	}
-	return 1 - min(worst, 1), worst <= allowedExcess && share >= leastShare
+	return min(worst, 1), worst <= 1 && share >= leastShare
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -206,6 +206,7 @@
 const (
 	// rackBonus prefers the rack of the data: a task elsewhere takes up to three times as long.
 	rackBonus = 2
+	// shareWeight ranks the part of its demand that a task that fills gets behind the harm it does.
 	// harmMalus ranks workers whose serving tasks would miss their targets behind all others.
 	harmMalus = 2
 	// imageBonus gathers serving tasks of one image: tasks that fill harm some images and not others, so each finds
@@ -219,8 +220,8 @@
 	score := 0.0
 	if t.step.Fills {
 		share := w.fillShare(o, t.step.Resources.CPUMilli)
-		quiet, ok := o.suits(w, t, share)
-		score = share * quiet
+		cost, ok := o.suits(w, t, share)
+		score = share * (1 - cost)
 		if !ok {
 			score -= harmMalus
 		}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -29,6 +30,8 @@
 
 // attempt is a run of a task on a worker that is not proven to have ended.
 type attempt struct {
+	// load is what a serving run has by itself; 0 until it is known.
+	load float64
 	// confirmedAt is when the worker's answer to the start or the stop came.
 	confirmedAt time.Time
 	figure      float64
@@ -132,6 +135,9 @@
 	reserved fleet.Resources
 	seen     int64
 	until    int64
+	// uses is what filling images used lately, as far as measured tails still show it.
+	uses   interference.Uses
+	usesAt time.Time
 	// view is nil after the load has changed.
 	view *view
 }
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -9,18 +9,22 @@
 type view struct {
 	// demand is what the tasks that fill ask for, in thousandths of a core; left is what the others leave them.
 	demand, left float64
-	// excess holds, for each serving image, the part of its tails that tasks that fill are expected to cause.
-	excess map[string]float64
-	// images counts the serving tasks by image.
-	images  map[string]int
-	serving int
+	serving      map[string]*servingImage
+	servingTasks int
+}
+
+// servingImage is what a view holds of the serving tasks of an image.
+type servingImage struct {
+	// allowed is the least pressure that one of the tasks bears, pressure what tasks that fill are expected to cause.
+	allowed, pressure float64
+	tasks             int
 }
 
 func (o *Owner) viewOf(w *worker) *view {
 	if w.view != nil {
 		return w.view
 	}
-	v := &view{excess: map[string]float64{}, images: map[string]int{}, left: float64(w.Capacity.CPUMilli)}
+	v := &view{serving: map[string]*servingImage{}, left: float64(w.Capacity.CPUMilli)}
 	for at := range w.attempts {
 		s := at.task.step
 		switch cpu := float64(s.Resources.CPUMilli); {
@@ -32,14 +36,20 @@
 			v.left -= cpu
 		}
 		if s.TailTarget > 0 {
-			v.images[s.Image]++
-			v.serving++
+			image := v.serving[s.Image]
+			if image == nil {
+				image = &servingImage{allowed: 1}
+				v.serving[s.Image] = image
+			}
+			image.allowed = min(image.allowed, at.allowed())
+			image.tasks++
+			v.servingTasks++
 		}
 	}
-	if v.serving > 0 {
+	if v.servingTasks > 0 {
 		uses := w.potentialUses(v)
-		for image := range v.images {
-			v.excess[image] = o.pressure.Excess(image, uses)
+		for name, image := range v.serving {
+			image.pressure = o.pressure.Of(name, uses)
 		}
 	}
 	w.view = v
@@ -72,8 +82,11 @@
 // as half.
 func (w *worker) imageShare(o *Owner, image string) float64 {
 	v := o.viewOf(w)
-	if v.serving == 0 {
+	if v.servingTasks == 0 {
 		return 0.5
 	}
-	return float64(v.images[image]) / float64(v.serving)
+	if s := v.serving[image]; s != nil {
+		return float64(s.tasks) / float64(v.servingTasks)
+	}
+	return 0
 }
