--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -30,7 +30,8 @@
 	}
 	o.dirty = append([]*job(nil), o.dirty[n:]...)
 	if len(o.dirty) == 0 {
-		for id, w := range o.workers {
+		for _, w := range o.sortedWorkers() {
+			id := w.ID
 			if w.seen > w.noted {
 				c.noted[id] = w.seen
 			}
@@ -45,7 +46,7 @@
 }
 
 func (o *Owner) unnoted() bool {
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if w.seen > w.noted {
 			return true
 		}
@@ -63,7 +64,7 @@
 
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
-	for _, occ := range j.occurrences {
+	for _, occ := range j.open() {
 		for _, tasks := range occ.tasks {
 			for _, t := range tasks {
 				if t.run == 0 && !t.done {
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -110,7 +110,7 @@
 func (o *Owner) end(j *job, s workflow.State, reason string) {
 	j.final = s
 	o.mark(j)
-	for _, occ := range j.occurrences {
+	for _, occ := range j.open() {
 		for _, tasks := range occ.tasks {
 			for _, t := range tasks {
 				for _, at := range slices.Clone(t.attempts) {
@@ -151,7 +151,7 @@
 
 // Counts returns the number of jobs and of runs.
 func (o *Owner) Counts() (jobs, runs int) {
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		runs += len(w.attempts)
 	}
 	return len(o.jobs), runs
@@ -269,7 +269,7 @@
 	if !j.finalSent {
 		return
 	}
-	for _, occ := range j.occurrences {
+	for _, occ := range j.open() {
 		if o.hasAttempts(occ) {
 			return
 		}
--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -8,10 +8,14 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
+// contactGap is the longest pause since a worker's last answer after which it is told what it may forget. A worker that
+// started anew meanwhile counts its ends from 1, and would forget ends that are not on record.
+const contactGap = 600 * time.Millisecond
+
 // looks returns the looks that are due: at workers that run something, have ends to be told of, or whose state is not
 // known to this owner yet.
 func (o *Owner) looks(now time.Time, a *Actions) {
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if w.lookInFlight || w.Address == "" || !o.needsLook(w) {
 			continue
 		}
@@ -21,7 +25,10 @@
 		}
 		o.seq++
 		w.lookInFlight, w.lookSeq = true, o.seq
-		l := Look{Order: o.order(w), LastSeen: w.noted, Seq: o.seq, Until: w.leaseUntil(now, o.timing)}
+		l := Look{Order: o.order(w), Seq: o.seq, Until: w.leaseUntil(now, o.timing)}
+		if now.Sub(w.answeredAt) < contactGap {
+			l.LastSeen = w.noted
+		}
 		if w.fenced && len(w.attempts) > 0 && w.noted == w.seen {
 			l.Wait = o.timing.LookWait
 			if w.isShared() {
@@ -35,7 +42,7 @@
 // isShared reports whether tasks that fill run beside serving ones, whose tails have to be followed.
 func (w *worker) isShared() bool {
 	fills, serves := false, false
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		fills = fills || at.task.step.Fills
 		serves = serves || at.task.step.TailTarget > 0
 	}
@@ -49,7 +56,7 @@
 	if w.told < w.noted {
 		return true
 	}
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		if at.isSent() {
 			return true
 		}
@@ -74,6 +81,7 @@
 	}
 	regained := w.lookFailures > 0
 	w.lookFailures = 0
+	w.answeredAt = now
 	w.lookDue = now.Add(o.timing.LookGap)
 	if list.Born != 0 && w.born != list.Born {
 		if w.born != 0 {
@@ -91,7 +99,9 @@
 	if regained && len(w.attempts) > 0 {
 		w.lookDue = now // the lease was not renewed meanwhile
 	}
-	w.told = max(w.told, l.LastSeen)
+	if w.seen > 0 {
+		w.told = max(w.told, l.LastSeen)
+	}
 	o.readEnds(now, w, list)
 	o.readRunning(now, w, sent, list)
 	w.view = nil
@@ -118,20 +128,20 @@
 	}
 }
 
-// reborn ends what an earlier lifetime of the worker ran and starts its counts anew.
+// reborn starts the counts of a worker anew; what its earlier lifetime ran has ended.
 func (o *Owner) reborn(now time.Time, w *worker, born int64) {
 	o.log.WithFields(logrus.Fields{
 		"decision": "worker_reborn", "worker": w.ID, "runs": len(w.attempts), "born": born, "before": w.born,
-	}).Warn("worker started anew; its former runs have ended")
+	}).Warn("worker started anew; what it ran before has ended")
 	w.born, w.seen, w.noted, w.told = born, 0, 0, 0
 	w.until, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.lookDue = time.Time{}
 	w.health = health{}
 	w.inheritedUntil = now.Add(o.timing.slowest(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
-	for at := range w.attempts {
-		// A start whose answer is outstanding may reach the new lifetime.
+	for _, at := range w.attempts {
+		// A start may have reached the new lifetime before this owner knew of it, so the next listing decides.
 		if at.isSent() && at.phase != phaseSent {
-			o.drop(at, "worker started anew")
+			at.phase = phaseInherited
 		}
 	}
 }
@@ -249,7 +259,7 @@
 	if list.Truncated || w.noted < w.seen && len(list.Ended) == 0 {
 		return
 	}
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		switch {
 		case listed[at], at.inFlight, !at.confirmedAt.Before(sent):
 		case at.phase == phaseInherited:
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -14,8 +14,8 @@
 // orders returns the starts and stops that are due.
 func (o *Owner) orders(now time.Time, a *Actions) {
 	a.Stops, o.strays = append(a.Stops, o.strays...), nil
-	for _, w := range o.workers {
-		for at := range w.attempts {
+	for _, w := range o.sortedWorkers() {
+		for _, at := range w.attempts {
 			if at.inFlight {
 				continue
 			}
@@ -32,6 +32,9 @@
 				}
 				a.Starts = append(a.Starts, o.start(now, at))
 			case phaseSent:
+				if w.lookFailures > 0 {
+					continue // the next listing tells whether the run exists
+				}
 				a.Starts = append(a.Starts, o.start(now, at))
 			case phaseStopping:
 				at.inFlight = true
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,12 +30,15 @@
 	pressure *interference.Pressure
 	resort   bool
 	seq      int64
-	strays   []Stop
-	takenAt  time.Time
-	timing   Timing
-	token    int64
-	wall     func() time.Time
-	workers  map[string]*worker
+	// sorted holds the workers by id; nil after a change. Decisions go through them in this order, so that the same
+	// events lead to the same decisions.
+	sorted  []*worker
+	strays  []Stop
+	takenAt time.Time
+	timing  Timing
+	token   int64
+	wall    func() time.Time
+	workers map[string]*worker
 }
 
 // Option sets a property of an Owner.
@@ -85,7 +90,7 @@
 // SetToken replaces the token after the shard was lost and won again with no other owner in between.
 func (o *Owner) SetToken(token int64) {
 	o.token = token
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		w.fenced, w.bump, w.lookDue = false, 0, time.Time{}
 	}
 }
@@ -120,7 +125,8 @@
 			o.reborn(now, w, entry.Born)
 		}
 	}
-	for id, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
+		id := w.ID
 		if listed[id] {
 			continue
 		}
@@ -131,17 +137,29 @@
 		}
 		if len(w.attempts) == 0 && !now.Before(w.leaseOver(o.timing)) {
 			delete(o.workers, id)
+			o.sorted = nil
 		}
 	}
 }
 
+func (o *Owner) sortedWorkers() []*worker {
+	if o.sorted == nil {
+		for _, w := range o.workers {
+			o.sorted = append(o.sorted, w)
+		}
+		slices.SortFunc(o.sorted, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return o.sorted
+}
+
 func (o *Owner) workerOf(id string) *worker {
 	w := o.workers[id]
 	if w == nil {
 		// A lease that an earlier owner renewed just before its end lasts no longer than this.
 		inherited := o.takenAt.Add(o.timing.slowest(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
-		w = &worker{Worker: Worker{ID: id}, attempts: map[*attempt]bool{}, inheritedUntil: inherited, uses: interference.Uses{}}
+		w = &worker{Worker: Worker{ID: id}, inheritedUntil: inherited, uses: interference.Uses{}}
 		o.workers[id] = w
+		o.sorted = nil
 	}
 	return w
 }
@@ -170,7 +188,7 @@
 
 // expire ends the attempts on workers whose leases are over without an answer.
 func (o *Owner) expire(now time.Time, a *Actions) {
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if len(w.attempts) == 0 {
 			continue
 		}
@@ -183,7 +201,7 @@
 			"decision": "lease_over", "worker": w.ID, "runs": len(w.attempts), "clock_age": now.Sub(w.clockAt).String(),
 			"registered": w.present,
 		}).Warn("worker's lease is over without an answer; its runs have ended")
-		for at := range w.attempts {
+		for _, at := range w.attempts {
 			if at.isSent() {
 				o.drop(at, "lease over")
 			}
@@ -218,12 +236,12 @@
 
 // leaveDraining stops what a draining worker would otherwise take with it.
 func (o *Owner) leaveDraining(now time.Time, a *Actions) {
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if !w.present || !w.Draining || len(w.attempts) == 0 {
 			continue
 		}
 		leave := w.drainedAt.Add(w.Remaining - leaveBefore)
-		for at := range w.attempts {
+		for _, at := range w.attempts {
 			if at.phase != phaseRunning {
 				continue
 			}
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -77,7 +77,7 @@
 func (o *Owner) control(now time.Time, w *worker) {
 	w.smoothUses(now)
 	worst, over, fills := 0.0, false, false
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		fills = fills || at.task.step.Fills
 		if !at.serves() || at.figure <= 0 || now.Sub(at.confirmedAt) < settleTime {
 			continue
@@ -106,7 +106,7 @@
 	part := 1 - math.Exp(-now.Sub(w.usesAt).Seconds()/useMemory.Seconds())
 	w.usesAt = now
 	measured := interference.Uses{}
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		if at.task.step.Fills {
 			measured[at.task.step.Image] += at.figure / float64(max(w.Capacity.CPUMilli, 1))
 		}
@@ -130,7 +130,7 @@
 	share := min(max(v.left, 0)/max(v.demand, 1), 1)
 	var fills []*attempt
 	harm := map[string]float64{}
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		if !at.task.step.Fills || at.phase != phaseRunning {
 			continue
 		}
@@ -181,7 +181,7 @@
 
 // moveSlowed stops one task that fills and has been slow for a while, if another worker suits it.
 func (o *Owner) moveSlowed(now time.Time, w *worker) {
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		t := at.task
 		if !t.step.Fills || at.phase != phaseRunning || at.paced > movePace || now.Sub(at.slowSince) < moveAfter ||
 			at.slowSince.IsZero() {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -30,7 +30,7 @@
 		if j.final != "" {
 			continue
 		}
-		for _, occ := range j.occurrences {
+		for _, occ := range j.open() {
 			for s, tasks := range occ.tasks {
 				if !occ.ready[s] || occ.undone[s] == 0 {
 					continue
@@ -156,7 +156,7 @@
 
 func (o *Owner) racks() []string {
 	var racks []string
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if w.present && !slices.Contains(racks, w.Rack) {
 			racks = append(racks, w.Rack)
 		}
@@ -169,7 +169,7 @@
 func (o *Owner) choose(now time.Time, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if rack != "" && w.Rack != rack || !o.canTake(now, w, t) {
 			continue
 		}
@@ -192,7 +192,7 @@
 	}
 	if s.PerWorker > 0 {
 		same := 0
-		for at := range w.attempts {
+		for _, at := range w.attempts {
 			if at.task.job == t.job && at.task.key.Step == t.key.Step && at.task.key.Occurrence == t.key.Occurrence {
 				same++
 			}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
@@ -107,11 +108,23 @@
 	version int
 }
 
+// open returns the job's occurrences that are not done, the earliest first.
+func (j *job) open() []*occurrence {
+	out := make([]*occurrence, 0, len(j.occurrences))
+	for _, occ := range j.occurrences {
+		out = append(out, occ)
+	}
+	slices.SortFunc(out, func(a, b *occurrence) int { return a.index - b.index })
+	return out
+}
+
 // worker is a worker with what the owner knows of it.
 type worker struct {
 	Worker
-	attempts map[*attempt]bool
-	born     int64
+	// answeredAt is when the worker answered a look last.
+	answeredAt time.Time
+	attempts   []*attempt
+	born       int64
 	// bump is how often the token was raised for this worker alone.
 	bump int64
 	// clock is the worker's clock in milliseconds at the time clockAt or earlier.
@@ -176,14 +189,15 @@
 }
 
 func (w *worker) add(a *attempt) {
-	w.attempts[a] = true
+	w.attempts = append(w.attempts, a)
 	w.view = nil
 	w.reserved = w.reserved.Add(reservation(a.task.step))
 }
 
 func (w *worker) remove(a *attempt) {
-	if w.attempts[a] {
-		delete(w.attempts, a)
+	if i := slices.Index(w.attempts, a); i >= 0 {
+		// A copy, since callers remove attempts while they go through them.
+		w.attempts = slices.Concat(w.attempts[:i], w.attempts[i+1:])
 		w.view = nil
 		w.reserved = w.reserved.Sub(reservation(a.task.step))
 	}
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -21,11 +21,11 @@
 func (o *Owner) Summary() Summary {
 	s := Summary{Jobs: len(o.jobs)}
 	paces := 0
-	for _, w := range o.workers {
+	for _, w := range o.sortedWorkers() {
 		if w.present {
 			s.Workers++
 		}
-		for at := range w.attempts {
+		for _, at := range w.attempts {
 			s.Runs++
 			switch {
 			case at.phase == phaseStopping || at.phase == phaseStopped:
@@ -46,7 +46,7 @@
 		if j.final != "" {
 			continue
 		}
-		for _, occ := range j.occurrences {
+		for _, occ := range j.open() {
 			for i, tasks := range occ.tasks {
 				for _, t := range tasks {
 					if occ.ready[i] && t.isWaiting() {
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -25,7 +25,7 @@
 		return w.view
 	}
 	v := &view{serving: map[string]*servingImage{}, left: float64(w.Capacity.CPUMilli)}
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		s := at.task.step
 		switch cpu := float64(s.Resources.CPUMilli); {
 		case s.Fills:
@@ -61,7 +61,7 @@
 func (w *worker) potentialUses(v *view) interference.Uses {
 	uses := interference.Uses{}
 	share := min(max(v.left, 0)/max(v.demand, 1), 1)
-	for at := range w.attempts {
+	for _, at := range w.attempts {
 		if at.task.step.Fills {
 			uses[at.task.step.Image] += share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
 		}
--- /dev/null
+++ b/internal/shard/worker_test.go
@@ -0,0 +1,211 @@
+package shard_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+)
+
+func (f *fakeWorker) reserved() fleet.Resources {
+	var sum fleet.Resources
+	for _, r := range f.runs {
+		sum = sum.Add(r.demand)
+	}
+	return sum
+}
+
+// tick ends the runs that are over, and all of them when the lease is.
+func (w *world) tick(f *fakeWorker) {
+	lapsed := w.clock(f) > f.until
+	if lapsed {
+		f.lapsed = f.number // a lapse voids the ends that were not taken note of
+	}
+	f.runs = slices.DeleteFunc(f.runs, func(r *fakeRun) bool {
+		switch {
+		case lapsed:
+			w.end(f, r, shard.EndLapsed)
+		case !r.ends.After(w.now):
+			w.end(f, r, r.cause)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+func (w *world) end(f *fakeWorker, r *fakeRun, cause shard.EndCause) {
+	f.number++
+	w.record(r.job+r.key.String(), "run %d ends as number %d on %s: %s", r.run, f.number, f.ID, cause)
+	f.refused[r.job+r.key.String()] = max(f.refused[r.job+r.key.String()], r.run)
+	f.ends = append(f.ends, shard.EndRow{Cause: cause, Job: r.job, Key: r.key, Number: f.number, Run: r.run})
+}
+
+func (w *world) fenced(f *fakeWorker, token int64) bool {
+	if token < f.token {
+		return true
+	}
+	f.token = token
+	return false
+}
+
+func (w *world) renew(f *fakeWorker, until int64) {
+	f.until = max(f.until, min(until, w.clock(f)+maxLease.Milliseconds()))
+}
+
+func (w *world) start(s shard.Start) {
+	owner := w.owner
+	reply := func(o shard.Outcome, clock int64) {
+		if owner == w.owner {
+			owner.Started(w.now, s, shard.Reply{Outcome: o, Clock: clock})
+		}
+	}
+	w.send(s.Worker, func(f *fakeWorker) func() {
+		o := w.startOn(f, s)
+		clock := w.clock(f)
+		return func() { reply(o, clock) }
+	}, func(bool) { reply(shard.OutcomeUnknown, 0) })
+}
+
+// startOn is the worker's side of a start, where the promises are checked.
+func (w *world) startOn(f *fakeWorker, s shard.Start) shard.Outcome {
+	w.tick(f)
+	if w.fenced(f, s.Token) {
+		return shard.OutcomeFenced
+	}
+	w.renew(f, s.Until)
+	name := s.Job + s.Key.String()
+	for _, r := range f.runs {
+		if r.job == s.Job && r.key == s.Key && r.run == s.Run {
+			return shard.OutcomeDone
+		}
+	}
+	if s.Run <= f.refused[name] {
+		return shard.OutcomeOld
+	}
+	if w.clock(f) > f.until {
+		return shard.OutcomeLate
+	}
+	w.checkStart(f, s)
+	step := w.jobs[s.Job].Steps[s.Key.Step]
+	demand := step.Resources
+	if step.Fills {
+		demand.CPUMilli = 0
+	}
+	r := &fakeRun{runKey: runKey{s.Job, s.Key, s.Run}, demand: demand, cause: shard.EndDone}
+	r.ends = w.now.Add(time.Duration(100+w.random.IntN(3000)) * time.Millisecond)
+	if w.random.IntN(25) == 0 {
+		r.cause = shard.EndFailed
+	}
+	f.runs = append(f.runs, r)
+	w.record(name, "run %d starts on %s, token %d", s.Run, f.ID, s.Token)
+	w.starts++
+	return shard.OutcomeDone
+}
+
+func (w *world) checkStart(f *fakeWorker, s shard.Start) {
+	j := w.jobs[s.Job]
+	step := j.Steps[s.Key.Step]
+	name := s.Job + s.Key.String()
+	demand := step.Resources
+	if step.Fills {
+		demand.CPUMilli = 0
+	}
+	if !f.reserved().Add(demand).FitsIn(f.Capacity) {
+		w.fail(name, "run %d exceeds worker %s: %s reserved", s.Run, f.ID, f.reserved())
+	}
+	if w.done[name] {
+		w.fail(name, "run %d starts after its end was taken note of", s.Run)
+	}
+	if w.failures[name] >= 3 {
+		w.fail(name, "run %d starts after three failed runs", s.Run)
+	}
+	same := 1
+	for _, other := range w.workers {
+		w.tick(other)
+		for _, r := range other.runs {
+			if r.job == s.Job && r.key == s.Key {
+				w.fail(name, "run %d on %s starts while run %d is on %s", s.Run, f.ID, r.run, other.ID)
+			}
+			if other == f && r.job == s.Job && r.key.Step == s.Key.Step {
+				same++
+			}
+		}
+	}
+	if step.PerWorker > 0 && same > step.PerWorker {
+		w.fail(name, "%d tasks of the step on worker %s, at most %d are allowed", same, f.ID, step.PerWorker)
+	}
+}
+
+func (w *world) stop(s shard.Stop) {
+	owner := w.owner
+	reply := func(o shard.Outcome) {
+		if owner == w.owner {
+			owner.Stopped(w.now, s, shard.Reply{Outcome: o})
+		}
+	}
+	w.send(s.Worker, func(f *fakeWorker) func() {
+		w.tick(f)
+		if w.fenced(f, s.Token) {
+			return func() { reply(shard.OutcomeFenced) }
+		}
+		f.refused[s.Job+s.Key.String()] = max(f.refused[s.Job+s.Key.String()], s.Run)
+		f.runs = slices.DeleteFunc(f.runs, func(r *fakeRun) bool {
+			if r.job != s.Job || r.key != s.Key || r.run != s.Run {
+				return false
+			}
+			w.end(f, r, shard.EndStopped)
+			return true
+		})
+		return func() { reply(shard.OutcomeDone) }
+	}, func(bool) { reply(shard.OutcomeUnknown) })
+}
+
+func (w *world) look(l shard.Look) {
+	owner, sent := w.owner, w.now
+	failed := func(o shard.Outcome) {
+		if owner == w.owner {
+			owner.LookFailed(w.now, l, o)
+		}
+	}
+	w.send(l.Worker, func(f *fakeWorker) func() {
+		w.tick(f)
+		if w.fenced(f, l.Token) {
+			return func() { failed(shard.OutcomeFenced) }
+		}
+		w.renew(f, l.Until)
+		w.note(f, l.LastSeen)
+		list := shard.Listing{Born: f.born, Clock: w.clock(f), Ended: slices.Clone(f.ends)}
+		for _, r := range f.runs {
+			list.Running = append(list.Running, shard.RunningRow{Job: r.job, Key: r.key, Run: r.run, Percent: 100})
+		}
+		return func() {
+			if owner == w.owner {
+				owner.Looked(w.now, l, sent, list)
+			}
+		}
+	}, func(bool) { failed(shard.OutcomeUnknown) })
+}
+
+// note forgets ends up to a number; they count from then on.
+func (w *world) note(f *fakeWorker, through int64) {
+	f.ends = slices.DeleteFunc(f.ends, func(e shard.EndRow) bool {
+		if e.Number > through {
+			return false
+		}
+		if e.Number <= f.lapsed {
+			return true
+		}
+		name := e.Job + e.Key.String()
+		w.record(name, "end number %d of %s is noted", e.Number, f.ID)
+		switch e.Cause {
+		case shard.EndDone:
+			w.done[name] = true
+		case shard.EndFailed:
+			w.failures[name]++
+		case shard.EndAlone, shard.EndBroken, shard.EndLapsed, shard.EndStopped:
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/shard/world_test.go
@@ -0,0 +1,246 @@
+package shard_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// maxLease is the longest lease that the workers of the world grant.
+const maxLease = 10 * time.Second
+
+// worldStep is the resolution of the virtual time.
+const worldStep = 10 * time.Millisecond
+
+type runKey struct {
+	job string
+	key workflow.TaskKey
+	run int
+}
+
+// fakeRun is a run on a worker.
+type fakeRun struct {
+	runKey
+	ends   time.Time
+	cause  shard.EndCause
+	demand fleet.Resources
+}
+
+// fakeWorker keeps the workers' side of the protocol: leases on its own clock, tokens, run numbers and a list of ends.
+type fakeWorker struct {
+	shard.Worker
+	born int64
+	cut  bool
+	down bool
+	ends []shard.EndRow
+	// lapsed is the newest end at the last lapse of the lease.
+	lapsed  int64
+	number  int64
+	refused map[string]int // the highest run of a task that was stopped or has ended
+	runs    []*fakeRun
+	started time.Time
+	token   int64
+	until   int64
+}
+
+// call is a message under way to a worker; late ones are carried out although their sender has given up.
+type call struct {
+	at     time.Time
+	lost   bool
+	answer func(bool)
+	sent   time.Time
+	worker string
+	do     func(w *fakeWorker) func()
+}
+
+// world runs owners against fake workers in virtual time and checks what callers were promised.
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Time
+	owner   *shard.Owner
+	epoch   int64
+	workers []*fakeWorker
+	calls   []*call
+	config  workflow.Config
+	jobs    map[string]workflow.Job
+	// ids holds the jobs in the order of their submission.
+	ids []string
+	// recorded is what the store holds.
+	recorded  map[string]workflow.Progress
+	final     map[string]workflow.State
+	cancelled map[string]bool
+	// done holds the tasks whose end was taken note of.
+	done     map[string]bool
+	failures map[string]int
+	faults   bool
+	storeUp  bool
+	starts   int
+	// history holds what happened to each task, for the report of a broken promise.
+	history map[string][]string
+}
+
+func (w *world) record(task, format string, args ...any) {
+	at := w.now.Sub(time.Unix(1_000_000, 0))
+	w.history[task] = append(w.history[task], fmt.Sprintf("%8s ", at)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) fail(task, format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("%s: %s\n%s", task, fmt.Sprintf(format, args...), strings.Join(w.history[task], "\n"))
+}
+
+func newWorld(t *testing.T, seed uint64, workers int) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), epoch: 1, storeUp: true, faults: true,
+		jobs: map[string]workflow.Job{}, recorded: map[string]workflow.Progress{}, final: map[string]workflow.State{},
+		cancelled: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{},
+		history: map[string][]string{},
+	}
+	w.config = workflow.NewConfig(1, []workflow.Queue{{
+		Name: "q", Service: "s", Host: "h", Prefix: "/", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second,
+	}}, nil, workflow.Limits{})
+	for i := range workers {
+		f := &fakeWorker{Worker: shard.Worker{
+			ID: string(rune('a' + i)), Address: "x", Service: "s", Zone: "z", Rack: "r", Labels: []string{"a", "r"},
+			Capacity: fleet.Resources{CPUMilli: 8000, MemoryMiB: 8000},
+		}}
+		w.restart(f)
+		w.workers = append(w.workers, f)
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) restart(f *fakeWorker) {
+	f.born = w.now.UnixMilli()
+	f.Born, f.down, f.ends, f.lapsed, f.number, f.runs = f.born, false, nil, 0, 0, nil
+	f.refused, f.started, f.token, f.until = map[string]int{}, w.now, 0, 0
+}
+
+func (w *world) takeOver() {
+	w.epoch++
+	for task := range w.history {
+		w.record(task, "another owner takes over")
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	timing := shard.DefaultTiming()
+	timing.MaxWorkerLease = maxLease
+	w.owner = shard.NewOwner(w.epoch, w.now, shard.WithTiming(timing), shard.WithLog(logrus.NewEntry(log)),
+		shard.WithWall(func() time.Time { return w.now }))
+	w.owner.SetConfig(w.config)
+	for _, id := range w.ids {
+		if w.final[id] == "" {
+			w.owner.Load(w.now, w.jobs[id], w.recorded[id], w.cancelled[id])
+		}
+	}
+	w.register()
+}
+
+func (w *world) register() {
+	var list []shard.Worker
+	for _, f := range w.workers {
+		if !f.down {
+			list = append(list, f.Worker)
+		}
+	}
+	w.owner.SetWorkers(w.now, list)
+}
+
+func (w *world) worker(id string) *fakeWorker {
+	for _, f := range w.workers {
+		if f.ID == id {
+			return f
+		}
+	}
+	return nil
+}
+
+// clock is the worker's own time in milliseconds; half of the workers are 2% slow.
+func (w *world) clock(f *fakeWorker) int64 {
+	ms := w.now.Sub(f.started).Milliseconds()
+	if f.ID[0]%2 == 0 {
+		ms = ms * 98 / 100
+	}
+	return ms
+}
+
+// submit accepts a random job.
+func (w *world) submit() {
+	id := []byte("0000000000000000")
+	for i := range id {
+		id[i] = "0123456789abcdef"[w.random.IntN(16)]
+	}
+	j := workflow.Job{ID: string(id), Queue: "q", AcceptedAt: w.now.UnixMilli()}
+	for s := range 1 + w.random.IntN(3) {
+		step := workflow.Step{
+			Count: 1 + w.random.IntN(6), Estimate: time.Second,
+			Resources: fleet.Resources{CPUMilli: int64(500 + w.random.IntN(3000)), MemoryMiB: int64(100 + w.random.IntN(2000))},
+			PerWorker: w.random.IntN(3), Fills: w.random.IntN(4) == 0, Image: "i",
+		}
+		if s > 0 && w.random.IntN(3) > 0 {
+			step.After = []int{w.random.IntN(s)}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	w.jobs[j.ID] = j
+	w.ids = append(w.ids, j.ID)
+	w.owner.Add(w.now, j)
+}
+
+// send puts a call under way; with faults it may be lost, or carried out late without an answer.
+func (w *world) send(worker string, do func(*fakeWorker) func(), answer func(bool)) {
+	c := &call{sent: w.now, at: w.now.Add(time.Duration(1+w.random.IntN(40)) * time.Millisecond), worker: worker, do: do, answer: answer}
+	if w.faults {
+		switch p := w.random.Float64(); {
+		case p < 0.03: // carried out late
+			c.lost = true
+			c.at = w.now.Add(time.Duration(2000+w.random.IntN(10000)) * time.Millisecond)
+			w.calls = append(w.calls, &call{at: w.now.Add(time.Second), answer: answer})
+		case p < 0.05: // the answer is lost
+			c.lost = true
+			w.calls = append(w.calls, &call{at: w.now.Add(time.Second), answer: answer})
+		}
+	}
+	w.calls = append(w.calls, c)
+}
+
+func (w *world) deliver() {
+	var due []*call
+	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
+		if c.at.After(w.now) {
+			return false
+		}
+		due = append(due, c)
+		return true
+	})
+	for _, c := range due {
+		if c.do == nil {
+			c.answer(false)
+			continue
+		}
+		f := w.worker(c.worker)
+		// A crash breaks the connections, and what the worker had not carried out yet goes with it.
+		if f.down || f.cut || c.sent.Before(f.started) {
+			if !c.lost {
+				w.calls = append(w.calls, &call{at: w.now.Add(time.Second), answer: c.answer})
+			}
+			continue
+		}
+		reply := c.do(f)
+		if !c.lost {
+			reply()
+		}
+	}
+}
