--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -35,9 +35,11 @@
 	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
 	// change takes 100 ms to show.
 	paceGap = 500 * time.Millisecond
-	// patience is how long a serving task may stay over its target before all tasks that fill beside it stand still:
-	// half of the shortest time that is held against the scheduler, so that the order still takes effect in time.
-	patience = 1500 * time.Millisecond
+	// patience is how long a serving task may stay over its target before all tasks that fill beside it stand still.
+	// Its figure and the queue behind it take about two more seconds, and four count as harm.
+	patience = 900 * time.Millisecond
+	// haltPause keeps new tasks that fill off a worker whose tasks had to stand still.
+	haltPause = 1500 * time.Millisecond
 	// movePace is the pace below which a task that fills is better off on another worker.
 	movePace = 35
 	// moveAfter leaves a task time to recover its former pace before it is moved.
@@ -90,6 +92,8 @@
 			at.overSince = time.Time{}
 		case at.overSince.IsZero():
 			at.overSince = now
+			// An earlier owner may have seen the task over its target for a while.
+			over = over || now.Sub(o.takenAt) < patience
 		default:
 			over = over || now.Sub(at.overSince) > patience
 		}
@@ -162,6 +166,7 @@
 		o.adjust(now, at, int(part*fullPace), worst)
 	}
 	if halt {
+		w.haltedAt = now
 		o.log.WithFields(logrus.Fields{"decision": "halt", "worker": w.ID, "fills": len(fills), "tail": worst}).
 			Info("tasks that fill stand still until the serving tasks are below their targets")
 	}
@@ -236,5 +241,5 @@
 		cost := o.pressure.Weight(t.step.Image, image) * use
 		worst = max(worst, (s.pressure+cost)/s.allowed)
 	}
-	return min(worst, 1), worst <= 1 && share >= leastShare
+	return min(worst, 1), worst <= 1 && share >= leastShare && o.now.Sub(w.haltedAt) > haltPause
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -132,8 +132,9 @@
 	clockAt   time.Time
 	drainedAt time.Time
 	// fenced says that the worker has accepted the owner's token.
-	fenced bool
-	health health
+	fenced   bool
+	haltedAt time.Time
+	health   health
 	// inheritedUntil bounds the leases that earlier owners may have given.
 	inheritedUntil time.Time
 	lookDue        time.Time
