Write logs without blocking, and publish counters and histograms

Cause: log lines went to a synchronous writer, and nothing but the expvar defaults was served at the metrics address. Tests: TestStoppedReaderBlocksTheProgram, TestHistogramPublishesQuantiles.

--- /dev/null
+++ b/internal/asynclog/writer_test.go
@@ -0,0 +1,67 @@
+package asynclog_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/asynclog"
+)
+
+// stuck is a reader that stops reading until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func (s *stuck) lines() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Count(s.text.Bytes(), []byte("\n"))
+}
+
+// Guards against decisions that wait for whoever reads the log.
+func TestStoppedReaderBlocksTheProgram(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := asynclog.New(out, asynclog.WithLines(10))
+	before := asynclog.Dropped()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 1000 {
+			_, err := fmt.Fprintln(w, "line", i)
+			assert.Check(t, err)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing a log line blocks")
+	}
+	close(out.release)
+	w.Close(10 * time.Second)
+	lost := int(asynclog.Dropped() - before)
+	assert.Assert(t, lost >= 980, "%d lines were dropped", lost)
+	assert.Equal(t, out.lines()+lost, 1000, "each line is written or counted")
+}
+
+func TestLineAfterCloseIsCounted(t *testing.T) {
+	w := asynclog.New(&bytes.Buffer{})
+	w.Close(time.Second)
+	before := asynclog.Dropped()
+	_, err := w.Write([]byte("late\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, asynclog.Dropped()-before, int64(1))
+}
--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -29,7 +29,7 @@
 	if c.Verbose {
 		level = "info"
 	}
-	log, err := newLog(settings.Log{Format: "text", Level: level}, sys)
+	log, err := newLog(settings.Log{Format: "text", Level: level}, sys.stderr)
 	if err != nil {
 		return sys.fail(err)
 	}
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/asynclog"
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/host"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
@@ -18,6 +21,9 @@
 // timestamps shows milliseconds, since most decisions of a takeover fall into the same second.
 const timestamps = "2006-01-02T15:04:05.000Z07:00"
 
+// logFlush bounds the wait for whoever reads the log when the process ends.
+const logFlush = 200 * time.Millisecond
+
 var errShortDemo = errors.New("--duration must be at least 1s")
 
 type serveCmd struct {
@@ -47,7 +53,9 @@
 	if err != nil {
 		return sys.fail(err)
 	}
-	log, err := newLog(s.Log, sys)
+	out := asynclog.New(sys.stdout)
+	defer out.Close(logFlush)
+	log, err := newLog(s.Log, out)
 	if err != nil {
 		return sys.fail(err)
 	}
@@ -74,9 +82,9 @@
 	return exitDone
 }
 
-func newLog(s settings.Log, sys *system) (*logrus.Logger, error) {
+func newLog(s settings.Log, out io.Writer) (*logrus.Logger, error) {
 	log := logrus.New()
-	log.SetOutput(sys.stdout)
+	log.SetOutput(out)
 	level, err := logrus.ParseLevel(s.Level)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"expvar"
+
+	"github.com/laburnumridge/laburnumridge/internal/metrics"
+)
+
+// Metrics of an entry host, served at the debug address. Histograms are in milliseconds.
+var (
+	answers        = expvar.NewMap("entry_answers")
+	commitTime     = metrics.NewHistogram("entry_commit_ms")
+	leaseLosses    = expvar.NewInt("entry_lease_losses")
+	lookTime       = metrics.NewHistogram("entry_look_beyond_wait_ms")
+	looksFailed    = expvar.NewInt("entry_looks_failed")
+	looksSent      = expvar.NewInt("entry_looks")
+	orderOutcomes  = expvar.NewMap("entry_orders")
+	orderTime      = metrics.NewHistogram("entry_order_ms")
+	ownerChanges   = expvar.NewMap("entry_owner_changes")
+	ownersFenced   = expvar.NewInt("entry_owners_fenced")
+	recordTime     = metrics.NewHistogram("entry_submit_record_ms")
+	runsOnBooks    = expvar.NewMap("entry_shard")
+	storeConflicts = expvar.NewInt("entry_store_conflicts")
+	storeFailures  = expvar.NewInt("entry_store_failures")
+	storeWrites    = expvar.NewInt("entry_store_writes")
+)
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -185,6 +185,7 @@
 	switch {
 	case err == nil && r != nil:
 		h.log.WithFields(f).WithField("revision", res.Revision).Info("shard is owned again")
+		ownerChanges.Add("taken_again", 1)
 		r.reacquired(res.Revision, lease)
 	case err == nil:
 		h.log.WithFields(f).WithField("revision", res.Revision).Info("shard is owned")
@@ -208,6 +209,7 @@
 	o.mu.Lock()
 	o.runners[shard] = r
 	o.mu.Unlock()
+	ownerChanges.Add("taken", 1)
 	r.start()
 }
 
@@ -219,6 +221,7 @@
 		delete(o.runners, r.shard)
 	}
 	o.mu.Unlock()
+	ownerChanges.Add("given_up", 1)
 	r.close()
 }
 
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -166,6 +168,11 @@
 	}
 	r.summarized = now
 	s := r.owner.Summary()
+	for name, n := range map[string]int{"fills": s.Fills, "jobs": s.Jobs, "over": s.Over, "runs": s.Runs, "waiting": s.Waiting} {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		runsOnBooks.Set(strconv.Itoa(r.shard)+"_"+name, v)
+	}
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "fill_pace": s.FillPace, "fills": s.Fills, "jobs": s.Jobs, "over": s.Over, "runs": s.Runs,
 		"serving": s.Serving, "stopping": s.Stopped, "waiting": s.Waiting, "waiting_fills": s.WaitingFills,
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -69,9 +69,12 @@
 	r.mu.Unlock()
 	if allowed {
 		ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+		sent := time.Now()
 		reply = call(ctx)
 		cancel()
+		orderTime.Observe(time.Since(sent))
 	}
+	orderOutcomes.Add(reply.Outcome.String(), 1)
 	<-slot
 	r.do(func(now time.Time) { result(now, reply) })
 	if reply.Outcome == shard.OutcomeFenced {
@@ -83,7 +86,11 @@
 	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+lookSlack)
 	defer cancel()
 	sent := r.host.now()
+	looksSent.Add(1)
 	list, outcome := r.host.platform.Look(ctx, l)
+	if took := r.host.now().Sub(sent); outcome == shard.OutcomeDone && took > l.Wait {
+		lookTime.Observe(took - l.Wait)
+	}
 	if r.ctx.Err() != nil {
 		return
 	}
@@ -91,6 +98,7 @@
 		if outcome == shard.OutcomeDone {
 			r.owner.Looked(now, l, sent, list)
 		} else {
+			looksFailed.Add(1)
 			r.owner.LookFailed(now, l, outcome)
 		}
 	})
@@ -107,6 +115,7 @@
 		return
 	}
 	r.deposed = true
+	ownersFenced.Add(1)
 	r.log.WithFields(logrus.Fields{"decision": "fenced", "worker": o.Worker, "token": o.Token}).
 		Warn("a worker knows a later owner; this host stops acting for the shard")
 }
@@ -160,8 +169,11 @@
 		t.Guards[0].Revision = r.revision
 		r.mu.Unlock()
 		ctx, cancel := context.WithTimeout(r.ctx, storeCall)
+		sent := time.Now()
 		res, err := r.host.platform.Store.Txn(ctx, t)
 		cancel()
+		countWrite(err)
+		commitTime.Observe(time.Since(sent))
 		switch {
 		case err == nil:
 			r.written(writes, res.Revision)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -85,6 +85,7 @@
 		if !errors.Is(err, kvstore.ErrConflict) {
 			return err
 		}
+		leaseLosses.Add(1)
 		s.log.WithFields(logrus.Fields{"decision": "lease_ended", "lease": lease}).Warn("the host's lease has ended")
 		s.extend(0, sent)
 	}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -42,8 +42,10 @@
 	if !ok {
 		return h.decided("submit", j.ID, j.Queue, Answer{Outcome: OutcomeRefused, Reason: "no shard exists yet", RetryAfter: retryAfter})
 	}
-	j.AcceptedAt = time.Now().UnixMilli()
+	started := time.Now()
+	j.AcceptedAt = started.UnixMilli()
 	a, at := h.record(ctx, j, shard)
+	recordTime.Observe(time.Since(started))
 	if a.Outcome == OutcomeRefused {
 		a, at = h.relaySubmit(ctx, j, shard, a)
 	}
@@ -108,6 +110,7 @@
 		call, cancel := context.WithTimeout(ctx, storeCall)
 		res, err := h.platform.Store.Txn(call, t)
 		cancel()
+		countWrite(err)
 		unknown = unknown || errors.Is(err, kvstore.ErrUnknownOutcome)
 		limit := acceptTimeout
 		if unknown {
@@ -127,6 +130,16 @@
 	}
 }
 
+func countWrite(err error) {
+	storeWrites.Add(1)
+	switch {
+	case errors.Is(err, kvstore.ErrConflict):
+		storeConflicts.Add(1)
+	case err != nil:
+		storeFailures.Add(1)
+	}
+}
+
 // relaySubmit lets another host record a job that this one can't, since the store turns it away or is out of reach.
 func (h *Host) relaySubmit(ctx context.Context, j workflow.Job, shard int, refusal Answer) (Answer, workflow.Placed) {
 	placed := workflow.Placed{Shard: shard}
@@ -189,6 +202,7 @@
 
 // decided logs the answer to a caller.
 func (h *Host) decided(decision, id, queue string, a Answer) Answer {
+	answers.Add(decision+"_"+string(a.Outcome), 1)
 	f := logrus.Fields{
 		"decision": decision, "job": id, "queue": queue, "outcome": string(a.Outcome), "reason": a.Reason,
 		"config": h.config.config().Version,
--- /dev/null
+++ b/internal/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics publishes counters and latency histograms through expvar.
+package metrics
--- /dev/null
+++ b/internal/metrics/histogram_test.go
@@ -0,0 +1,27 @@
+package metrics_test
+
+import (
+	"encoding/json"
+	"expvar"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/metrics"
+)
+
+// Guards against a histogram whose figures an operator can't read, or that loses values beyond its range.
+func TestHistogramPublishesQuantiles(t *testing.T) {
+	h := metrics.NewHistogram("test_latency_ms")
+	for i := range 100 {
+		h.Observe(time.Duration(i+1) * time.Millisecond)
+	}
+	h.Observe(time.Hour)
+	h.Observe(-time.Second)
+	var got map[string]float64
+	assert.NilError(t, json.Unmarshal([]byte(expvar.Get("test_latency_ms").String()), &got))
+	assert.Equal(t, got["count"], 102.0)
+	assert.Assert(t, got["p50"] > 48 && got["p50"] < 53, "p50 is %f", got["p50"])
+	assert.Assert(t, got["max"] > 590_000, "max is %f", got["max"])
+}
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -166,6 +166,19 @@
 	OutcomeRefused
 )
 
+// String returns the outcome as logs and metrics show it.
+func (o Outcome) String() string {
+	names := [...]string{
+		OutcomeUnknown: "unknown", OutcomeDone: "done", OutcomeFenced: "fenced", OutcomeGone: "gone", OutcomeLate: "late",
+		OutcomeNoRoom: "no_room", OutcomeNoTicket: "no_ticket", OutcomeNotSent: "not_sent", OutcomeOld: "old",
+		OutcomeRefused: "refused",
+	}
+	if o < 0 || int(o) >= len(names) {
+		return "invalid"
+	}
+	return names[o]
+}
+
 // Reply is the answer to an order; Clock is 0 if the worker did not tell it.
 type Reply struct {
 	Clock int64
--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -122,7 +122,7 @@
 	w.lookDue = now.Add(o.timing.LookRetry * time.Duration(min(w.lookFailures, 4)))
 	if w.lookFailures == 1 {
 		o.log.WithFields(logrus.Fields{
-			"decision": "worker_lost", "worker": w.ID, "outcome": int(outcome), "runs": len(w.attempts),
+			"decision": "worker_lost", "worker": w.ID, "outcome": outcome.String(), "runs": len(w.attempts),
 			"lease_over_in": w.leaseOver(o.timing).Sub(now).String(),
 		}).Warn("worker does not answer")
 	}
