Let a peer record a job when the store does not answer this host

Change: a host whose lease is not renewed asks a peer at once, and one whose write has an unknown outcome asks a peer to write under the same guard before it goes on by itself.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,7 +43,10 @@
 		h.owners.add(s.Shard, j)
 		return replyJob(OutcomeAccepted, s.Shard, ""), nil
 	}
-	a, at := h.record(ctx, j, s.Shard)
+	if !h.session.isHealthy() {
+		return replyJob(OutcomeRefused, s.Shard, ""), nil
+	}
+	a, at := h.record(ctx, j, s.Shard, acceptTimeout)
 	if a.Outcome == OutcomeAccepted && at.State == "" {
 		h.owners.add(at.Shard, j)
 	}
@@ -53,6 +56,9 @@
 
 func (h *Host) answerCancel(ctx context.Context, c peer.JobCancel) peer.Message {
 	if !c.Recorded {
+		if !h.session.isHealthy() {
+			return replyJob(OutcomeRefused, c.Shard, "")
+		}
 		if a := h.recordCancel(ctx, c.Shard, c.ID); a.Outcome != OutcomeAccepted {
 			return replyJob(a.Outcome, c.Shard, "")
 		}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -112,10 +112,13 @@
 	case at.State.IsFinal():
 		return h.decided("cancel", id, q.Name, Answer{Outcome: OutcomeAccepted, Reason: "has ended", State: at.State})
 	}
-	a := h.recordCancel(ctx, at.Shard, id)
-	if a.Outcome == OutcomeRefused {
+	a := Answer{Outcome: OutcomeRefused, Reason: "the store does not answer", RetryAfter: retryAfter}
+	if h.session.isHealthy() {
+		a = h.recordCancel(ctx, at.Shard, id)
+	}
+	if a.Outcome != OutcomeAccepted {
 		reply, err := h.relay(ctx, at.Shard, peer.Message{JobCancel: &peer.JobCancel{ID: id, Shard: at.Shard}})
-		if err == nil {
+		if err == nil && (a.Outcome == OutcomeRefused || Outcome(reply.Outcome) == OutcomeAccepted) {
 			a = Answer{Outcome: Outcome(reply.Outcome), Reason: "relayed", RetryAfter: retryAfter}
 		}
 	}
@@ -128,7 +131,7 @@
 }
 
 func (h *Host) recordCancel(ctx context.Context, shard int, id string) Answer {
-	_, err := h.write(ctx, kvstore.Txn{Puts: []kvstore.Put{{Key: cancelKey(shard, id), Value: []byte{1}}}})
+	_, err := h.write(ctx, kvstore.Txn{Puts: []kvstore.Put{{Key: cancelKey(shard, id), Value: []byte{1}}}}, acceptTimeout)
 	switch {
 	case err == nil:
 		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,7 @@
 // session keeps the host's lease and record in the store.
 type session struct {
 	expires time.Time
+	healthy atomic.Bool
 	lease   int64
 	log     *logrus.Entry
 	mu      sync.Mutex
@@ -43,12 +45,13 @@
 	return s.lease, s.expires
 }
 
+// isHealthy reports whether the store answered the last renewal.
+func (s *session) isHealthy() bool { return s.healthy.Load() }
+
 func (s *session) run(ctx context.Context) {
-	healthy := false
 	for ctx.Err() == nil {
 		err := s.renew(ctx)
-		if ok := err == nil; ok != healthy {
-			healthy = ok
+		if ok := err == nil; s.healthy.Swap(ok) != ok {
 			entry := s.log.WithFields(logrus.Fields{"decision": "store_health", "lease": s.lease, "healthy": ok})
 			if ok {
 				entry.Info("the store answers")
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// acceptTimeout bounds the attempts to record a job. A caller that is refused gets to know before a quarter of
-	// the shortest objectives has passed.
-	acceptTimeout = 700 * time.Millisecond
+	// acceptTimeout bounds the attempts to record a job at one host. A caller that is refused after a second host was
+	// asked gets to know before a quarter of most objectives has passed.
+	acceptTimeout = 450 * time.Millisecond
 	// resolveTimeout is how much longer a write whose answer was lost is resolved: until then neither an acceptance
 	// nor a refusal is true.
 	resolveTimeout = 1500 * time.Millisecond
 	// storeCall bounds one call to the store: fifty times its usual 4 ms, and a lost packet.
-	storeCall = 500 * time.Millisecond
+	storeCall = 400 * time.Millisecond
 	// retryAfter is when refused callers may come back.
 	retryAfter      = time.Second
 	noticeTimeout   = 400 * time.Millisecond
@@ -44,11 +44,8 @@
 	}
 	started := time.Now()
 	j.AcceptedAt = started.UnixMilli()
-	a, at := h.record(ctx, j, shard)
+	a, at := h.accept(ctx, j, shard)
 	recordTime.Observe(time.Since(started))
-	if a.Outcome == OutcomeRefused {
-		a, at = h.relaySubmit(ctx, j, shard, a)
-	}
 	if a.Outcome == OutcomeAccepted {
 		h.known.put(j.ID, at)
 		if at.State == "" {
@@ -60,6 +57,39 @@
 	return h.decided("submit", j.ID, j.Queue, a)
 }
 
+// accept records a job, by a peer if the store does not answer this host. Hosts write under the same guard, so a write
+// of this host that takes effect late finds the job on record. After a write with an unknown outcome the job is accepted
+// or its fate is unknown, but it is not refused.
+func (h *Host) accept(ctx context.Context, j workflow.Job, shard int) (Answer, workflow.Placed) {
+	unknown := false
+	a, at := Answer{Outcome: OutcomeRefused, Reason: "the store does not answer", RetryAfter: retryAfter}, workflow.Placed{Shard: shard}
+	for _, try := range []func() (Answer, workflow.Placed){
+		func() (Answer, workflow.Placed) {
+			if !h.session.isHealthy() {
+				return a, at
+			}
+			return h.record(ctx, j, shard, acceptTimeout)
+		},
+		func() (Answer, workflow.Placed) { return h.relaySubmit(ctx, j, shard, a) },
+		func() (Answer, workflow.Placed) {
+			if !unknown {
+				return a, at
+			}
+			return h.record(ctx, j, shard, resolveTimeout)
+		},
+	} {
+		a, at = try()
+		if a.Outcome == OutcomeAccepted {
+			return a, at
+		}
+		unknown = unknown || a.Outcome == OutcomeUnknown
+	}
+	if unknown {
+		a.Outcome = OutcomeUnknown
+	}
+	return a, at
+}
+
 // chooseShard picks the shard of a new job: that of its rack, or any.
 func (h *Host) chooseShard(j workflow.Job) (int, bool) {
 	l, _, _ := h.directory.layoutNow()
@@ -75,7 +105,7 @@
 }
 
 // record writes a job that is not on record yet. A refusal is certain: the write never takes effect.
-func (h *Host) record(ctx context.Context, j workflow.Job, shard int) (Answer, workflow.Placed) {
+func (h *Host) record(ctx context.Context, j workflow.Job, shard int, limit time.Duration) (Answer, workflow.Placed) {
 	placed := workflow.Placed{Shard: shard}
 	t := kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: placedKey(j.ID)}},
@@ -84,7 +114,7 @@
 			{Key: jobKey(shard, j.ID), Value: workflow.Encode(j)},
 		},
 	}
-	res, err := h.write(ctx, t)
+	res, err := h.write(ctx, t, limit)
 	switch {
 	case err == nil:
 		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}, placed
@@ -101,9 +131,10 @@
 	return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}, placed
 }
 
-// write carries out a transaction whose guards make a repetition harmless, again and again until its outcome is known.
+// write carries out a transaction whose guards make a repetition harmless, again and again until its outcome is known
+// or the limit has passed.
 // An error that matches kvstore.ErrUnavailable says that no attempt took effect or will.
-func (h *Host) write(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+func (h *Host) write(ctx context.Context, t kvstore.Txn, limit time.Duration) (kvstore.TxnResult, error) {
 	backoff := retry.NewBackoff(firstWritePause, maxWritePause, uint64(h.random(1<<30)))
 	started, unknown := time.Now(), false
 	for try := 1; ; try++ {
@@ -112,10 +143,6 @@
 		cancel()
 		countWrite(err)
 		unknown = unknown || errors.Is(err, kvstore.ErrUnknownOutcome)
-		limit := acceptTimeout
-		if unknown {
-			limit += resolveTimeout
-		}
 		switch {
 		case err == nil, errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrTooLarge),
 			errors.Is(err, kvstore.ErrRejected):
@@ -170,7 +197,7 @@
 	}
 	err := error(peer.ErrNotConnected)
 	for _, address := range candidates {
-		call, cancel := context.WithTimeout(ctx, relayTimeout+acceptTimeout)
+		call, cancel := context.WithTimeout(ctx, relayTimeout+storeCall)
 		var m peer.Message
 		m, err = h.pool.Request(call, address, msg)
 		cancel()
