Ask the placement advice service for queues that need it

Cause: a start on a queue with advice needs a ticket; without one its jobs never ran. Change: the owner asks about the 30 best workers that it does not know of, one call at a time, keeps tickets by worker and lifetime, and forgets those that are refused.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -12,6 +12,8 @@
 
 // Platform is what the platform's adapter provides.
 type Platform struct {
+	// Advise asks the placement advice service; it is nil where there is none.
+	Advise func(ctx context.Context, a shard.Advise) shard.Advised
 	// ConfigKey is the key of the config that the operator writes.
 	ConfigKey    string
 	DecodeConfig func(value []byte) (workflow.Config, error)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -18,10 +18,14 @@
 	// orderTimeout and lookSlack bound calls to workers beyond the time that these may wait.
 	orderTimeout = 1200 * time.Millisecond
 	lookSlack    = 900 * time.Millisecond
+	// adviceTimeout covers a call on 30 workers that waits behind others of this host.
+	adviceTimeout = 3 * time.Second
 	// txnEntries is the most entries that the store takes in a transaction.
 	txnEntries = 32
 )
 
+var errNoAdvice = errors.New("no placement advice service is set")
+
 // send carries actions out; the owner is locked by the caller and told of the results later.
 func (r *runner) send(a shard.Actions) {
 	for _, l := range a.Looks {
@@ -39,6 +43,9 @@
 		go r.order(p.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Pace(ctx, p) },
 			func(now time.Time, reply shard.Reply) { r.owner.Paced(now, p, reply) })
 	}
+	for _, advise := range a.Advises {
+		go r.advise(advise)
+	}
 	if a.Commit != nil {
 		go r.commit(a.Commit)
 	}
@@ -107,6 +114,18 @@
 	}
 }
 
+// advise asks which workers may run a step.
+func (r *runner) advise(a shard.Advise) {
+	sent := r.host.now()
+	answer := shard.Advised{Error: errNoAdvice}
+	if r.host.platform.Advise != nil {
+		ctx, cancel := context.WithTimeout(r.ctx, adviceTimeout)
+		defer cancel()
+		answer = r.host.platform.Advise(ctx, a)
+	}
+	r.do(func(now time.Time) { r.owner.Advised(now, a, sent, answer) })
+}
+
 // fenced takes the news that a worker knows a higher token than an order's.
 func (r *runner) fenced(o shard.Order) {
 	r.mu.Lock()
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -206,6 +206,7 @@
 
 // Actions is what an owner wants done.
 type Actions struct {
+	Advises []Advise
 	// Commit is nil if there is nothing to write or a write is not answered yet.
 	Commit *Commit
 	Looks  []Look
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -87,7 +87,10 @@
 		// Only this call was refused; the run number stays usable with a new lease.
 		o.logStart(s, "late")
 	case OutcomeRefused, OutcomeNoRoom, OutcomeNoTicket, OutcomeGone:
-		o.logStart(s, "refused")
+		o.logStart(s, r.Outcome.String())
+		if r.Outcome == OutcomeNoTicket {
+			o.forgetTicket(at)
+		}
 		if r.Outcome == OutcomeRefused {
 			at.worker.health.failed(now)
 		}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -13,6 +13,10 @@
 
 // Owner decides for the jobs of one shard. It is not safe for concurrent use.
 type Owner struct {
+	// advising says that a request for advice is under way; after a failure the next waits for adviceDue.
+	advising   bool
+	adviceDue  time.Time
+	advises    []Advise
 	committing bool
 	config     workflow.Config
 	dirty      []*job
@@ -177,6 +181,7 @@
 	o.orders(now, &a)
 	o.looks(now, &a)
 	a.Paces, o.paces = o.paces, nil
+	a.Advises, o.advises = o.advises, nil
 	return a
 }
 
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -71,6 +71,10 @@
 	if w != nil && t.step.Fills && o.mayWait(now, t, w) {
 		w = nil
 	}
+	if w == nil && t.job.queue.Advice != nil {
+		o.wantAdvice(now, t)
+		return
+	}
 	if w == nil {
 		if t.step.PerWorker == 0 && t.avoid == "" {
 			full[r] = true
@@ -98,6 +102,9 @@
 // plan gives a task to a worker; the start is sent once that is recorded.
 func (o *Owner) plan(t *task, w *worker, run int) {
 	at := &attempt{phase: phasePlanned, run: run, task: t, worker: w, paced: fullPace}
+	if t.job.queue.Advice != nil {
+		at.ticket = o.ticket(o.now, w, t)
+	}
 	t.run, t.waitsSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	w.add(at)
@@ -139,6 +146,9 @@
 		}
 		w := o.choose(now, t, rack)
 		if w == nil {
+			if t.job.queue.Advice != nil {
+				o.wantAdvice(now, t)
+			}
 			for _, placed := range tasks[:i] {
 				for _, at := range slices.Clone(placed.attempts) {
 					o.drop(at, "gang does not fit")
@@ -181,7 +191,13 @@
 	return best
 }
 
+// canTake reports whether a worker may be given a task now.
 func (o *Owner) canTake(now time.Time, w *worker, t *task) bool {
+	return o.hasRoom(now, w, t) && (t.job.queue.Advice == nil || o.ticket(now, w, t) != "")
+}
+
+// hasRoom reports whether a worker could take a task but for the advice on it.
+func (o *Owner) hasRoom(now time.Time, w *worker, t *task) bool {
 	s := t.step
 	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
 		!w.HasLabel(s.Label) || !w.health.accepts(now) {
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -25,6 +25,9 @@
 	}
 	w.deliver()
 	a := w.owner.Step(w.now)
+	for _, advise := range a.Advises {
+		w.advise(advise)
+	}
 	for _, l := range a.Looks {
 		w.look(l)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -81,6 +81,8 @@
 type occurrence struct {
 	index int
 	open  int
+	// permits holds the advice on workers for each step.
+	permits []map[string]permit
 	// ready says for each step that all steps before it are done.
 	ready []bool
 	tasks [][]*task
--- a/internal/shard/worker_test.go
+++ b/internal/shard/worker_test.go
@@ -1,6 +1,8 @@
 package shard_test
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -87,6 +89,9 @@
 	if w.clock(f) > f.until {
 		return shard.OutcomeLate
 	}
+	if w.jobs[s.Job].Queue == "advised" && !w.hasTicket(f, s) {
+		return shard.OutcomeNoTicket
+	}
 	w.checkStart(f, s)
 	step := w.jobs[s.Job].Steps[s.Key.Step]
 	demand := step.Resources
@@ -104,6 +109,45 @@
 	return shard.OutcomeDone
 }
 
+// ticketFor is the ticket of a worker for a step at a time; half of the workers may not run it.
+func (w *world) ticketFor(f *fakeWorker, step string, at time.Time) (string, bool) {
+	if (f.ID[0]+step[0])%2 == 0 {
+		return "", false
+	}
+	return fmt.Sprint(step, " ", f.ID, " ", f.born, " ", at.UnixMilli()), true
+}
+
+func (w *world) hasTicket(f *fakeWorker, s shard.Start) bool {
+	step := shard.Advise{Job: s.Job, Occurrence: s.Key.Occurrence, Step: s.Key.Step}.Name()
+	for age := time.Duration(0); age <= ticketValid; age += worldStep {
+		if ticket, ok := w.ticketFor(f, step, w.now.Add(-age)); ok && ticket == s.Ticket {
+			return true
+		}
+	}
+	return false
+}
+
+// advise answers some time later, or not at all.
+func (w *world) advise(a shard.Advise) {
+	owner, sent := w.owner, w.now
+	w.calls = append(w.calls, &call{at: w.now.Add(time.Duration(5+w.random.IntN(100)) * time.Millisecond), answer: func(bool) {
+		if owner != w.owner {
+			return
+		}
+		r := shard.Advised{Valid: ticketValid}
+		if w.faults && w.random.IntN(10) == 0 {
+			r = shard.Advised{Error: errors.New("busy")}
+		}
+		for _, id := range a.Workers {
+			f := w.worker(id)
+			if ticket, ok := w.ticketFor(f, a.Name(), sent); ok && r.Error == nil {
+				r.Tickets = append(r.Tickets, shard.Ticket{Worker: id, Text: ticket})
+			}
+		}
+		owner.Advised(w.now, a, sent, r)
+	}})
+}
+
 func (w *world) checkStart(f *fakeWorker, s shard.Start) {
 	j := w.jobs[s.Job]
 	step := j.Steps[s.Key.Step]
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -19,6 +19,9 @@
 // maxLease is the longest lease that the workers of the world grant.
 const maxLease = 10 * time.Second
 
+// ticketValid is how long a ticket of the placement advice service may be used.
+const ticketValid = 2 * time.Second
+
 // worldStep is the resolution of the virtual time.
 const worldStep = 10 * time.Millisecond
 
@@ -109,6 +112,8 @@
 	}
 	w.config = workflow.NewConfig(1, []workflow.Queue{{
 		Name: "q", Service: "s", Host: "h", Prefix: "/", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second,
+	}, {
+		Name: "advised", Service: "s", Host: "h", Prefix: "/a", MaxAttempts: 3, Advice: &workflow.Advice{Valid: ticketValid},
 	}}, nil, workflow.Limits{})
 	for i := range workers {
 		f := &fakeWorker{Worker: shard.Worker{
@@ -194,6 +199,9 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
+	if w.random.IntN(5) == 0 {
+		j.Queue = "advised"
+	}
 	w.jobs[j.ID] = j
 	w.ids = append(w.ids, j.ID)
 	w.owner.Add(w.now, j)
