--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -19,6 +19,9 @@
 	overTail = 1.0
 	// goalTail is the tail up to which tasks that fill may lengthen that of a serving task.
 	goalTail = 0.85
+	// swingLoad is the load of its own that a serving task is taken to reach while a task that fills beside it runs:
+	// loads swing by half within some ten seconds.
+	swingLoad = 0.5
 	// leastAllowed lets tasks that do little harm go on beside a serving task that is busy by itself.
 	leastAllowed = 0.04
 	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
@@ -70,7 +73,12 @@
 
 // allowed returns the pressure that others may put on a serving task.
 func (at *attempt) allowed() float64 {
-	return max(interference.Utilization(goalTail)-at.ownLoad(), leastAllowed)
+	return pressureAllowed(at.ownLoad())
+}
+
+// pressureAllowed returns the pressure that others may put on a serving task with the given load of its own.
+func pressureAllowed(load float64) float64 {
+	return max(interference.Utilization(goalTail)-load, leastAllowed)
 }
 
 func (at *attempt) serves() bool { return at.task.step.TailTarget > 0 && at.phase == phaseRunning }
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -41,7 +41,7 @@
 				image = &servingImage{allowed: 1}
 				v.serving[s.Image] = image
 			}
-			image.allowed = min(image.allowed, at.allowed())
+			image.allowed = min(image.allowed, at.allowed(), pressureAllowed(swingLoad))
 			image.tasks++
 			v.servingTasks++
 		}
