--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -24,7 +24,9 @@
 	jobs       map[string]*job
 	lastCommit time.Time
 	lastPlace  time.Time
-	log        *logrus.Entry
+	// sortedAt is when the backlog was sorted last.
+	sortedAt time.Time
+	log      *logrus.Entry
 	// backlog holds the jobs that may have tasks to place, most urgent first.
 	backlog []*job
 	// now is the time of the call in progress.
