Let tasks that fill wait for a worker that suits them

Cause: after 6 s such tasks went to workers that they harm, where they and their neighbours were slowed down: at full traffic the mean pace fell to a quarter and the backlog never shrank. Change: they wait 20 s; a job of which nothing runs waits 1.5 s while most of the service's room is free. Slowed tasks are moved below 60% of their pace, and serving tasks are taken to use 0.42 of their reservation.

--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -44,7 +44,7 @@
 	// haltPause keeps new tasks that fill off a worker whose tasks had to stand still.
 	haltPause = 1500 * time.Millisecond
 	// movePace is the pace below which a task that fills is better off on another worker.
-	movePace = 35
+	movePace = 60
 	// moveAfter leaves a task time to recover its former pace before it is moved.
 	moveAfter = 900 * time.Millisecond
 )
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -87,9 +87,13 @@
 	o.plan(t, w, t.run+1)
 }
 
-// fillPatience is how long a task that fills waits for a worker that suits it before it takes another one, where it is
-// slowed down.
-const fillPatience = 6 * time.Second
+const (
+	// fillPatience is how long a task that fills waits for a worker that suits it before it takes another one. There it
+	// is slowed down and slows others down, so under load all work is done later.
+	fillPatience = 20 * time.Second
+	// idlePatience takes its place for a job of which nothing runs while most of the service's room is free.
+	idlePatience = 1500 * time.Millisecond
+)
 
 // mayWait reports whether a task that fills should wait, since the best worker does not suit it.
 func (o *Owner) mayWait(now time.Time, t *task, w *worker) bool {
@@ -99,7 +103,37 @@
 	if t.waitsSince.IsZero() {
 		t.waitsSince = now
 	}
-	return now.Sub(t.waitsSince) < fillPatience
+	waited := now.Sub(t.waitsSince)
+	if waited > idlePatience && !t.job.isActive() && 2*o.reservedPart(w.Service) < 1 {
+		return false
+	}
+	return waited < fillPatience
+}
+
+// isActive reports whether a run of the job is on the books.
+func (j *job) isActive() bool {
+	for _, occ := range j.occurrences {
+		for _, tasks := range occ.tasks {
+			for _, t := range tasks {
+				if len(t.attempts) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// reservedPart returns which part of a service's processors is reserved.
+func (o *Owner) reservedPart(service string) float64 {
+	var reserved, capacity int64
+	for _, w := range o.workers {
+		if w.present && w.Service == service {
+			reserved += w.reserved.CPUMilli
+			capacity += w.Capacity.CPUMilli
+		}
+	}
+	return float64(reserved) / float64(max(capacity, 1))
 }
 
 // plan gives a task to a worker; the start is sent once that is recorded.
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -3,7 +3,7 @@
 import "github.com/laburnumridge/laburnumridge/internal/interference"
 
 // servingLoad is the part of its reservation that a serving task is taken to use on average.
-const servingLoad = 0.5
+const servingLoad = 0.42
 
 // view is what placement needs to know of a worker's load. It is kept until the load changes.
 type view struct {
