Halt by harm, and look more often at a worker over its target

Change: after 1.1 s tasks of more than mild weight stand still, after 1.7 s all; new tasks stay away by the same limit; a worker with a serving task over its target is looked at each 0.3 s.

--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -34,6 +34,9 @@
 			if w.isShared() {
 				l.Wait = o.timing.SharedLookWait
 			}
+			if w.isOver() {
+				l.Wait = o.timing.OverLookWait
+			}
 		}
 		a.Looks = append(a.Looks, l)
 	}
@@ -49,6 +52,16 @@
 	return fills && serves
 }
 
+// isOver reports whether a serving task was over its target at the last look.
+func (w *worker) isOver() bool {
+	for _, at := range w.attempts {
+		if !at.overSince.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *Owner) needsLook(w *worker) bool {
 	if !w.fenced {
 		return w.present || len(w.attempts) > 0
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -38,9 +38,12 @@
 	// paceGap is the least time between two changes on a worker: its figures cover the last half second, and a
 	// change takes 100 ms to show.
 	paceGap = 500 * time.Millisecond
-	// patience is how long a serving task may stay over its target before all tasks that fill beside it stand still.
-	// Its figure and the queue behind it take about two more seconds, and four count as harm.
-	patience = 900 * time.Millisecond
+	// A serving task that stays over its target for firstPatience, though the paces follow the model, makes the tasks
+	// stand still that do more than mild harm; after lastPatience all of them. Figures, looks and the queue behind a long
+	// tail take about a second and a half more, and four seconds count as harm.
+	firstPatience = 1100 * time.Millisecond
+	lastPatience  = 1700 * time.Millisecond
+	mildWeight    = 0.7
 	// haltPause keeps new tasks that fill off a worker whose tasks had to stand still.
 	haltPause = 1500 * time.Millisecond
 	// movePace is the pace below which a task that fills is better off on another worker.
@@ -86,7 +89,8 @@
 // control learns from a worker's figures, and lets tasks that fill work as far as the serving tasks bear it.
 func (o *Owner) control(now time.Time, w *worker) {
 	w.smoothUses(now)
-	worst, over, fills := 0.0, false, false
+	worst, fills := 0.0, false
+	limit := math.Inf(1)
 	for _, at := range w.attempts {
 		fills = fills || at.task.step.Fills
 		if !at.serves() || at.figure <= 0 || now.Sub(at.confirmedAt) < settleTime {
@@ -100,16 +104,23 @@
 			at.overSince = time.Time{}
 		case at.overSince.IsZero():
 			at.overSince = now
-			// An earlier owner may have seen the task over its target for a while.
-			over = over || now.Sub(o.takenAt) < patience
-		default:
-			over = over || now.Sub(at.overSince) > patience
+			if now.Sub(o.takenAt) < lastPatience {
+				at.overSince = o.takenAt // an earlier owner may have seen the task over its target for a while
+			}
+		}
+		if !at.overSince.IsZero() {
+			switch over := now.Sub(at.overSince); {
+			case over > lastPatience:
+				limit = 0
+			case over > firstPatience:
+				limit = min(limit, mildWeight)
+			}
 		}
 	}
 	if !fills || now.Sub(w.pacedAt) < paceGap {
 		return
 	}
-	o.setPaces(now, w, worst, over)
+	o.setPaces(now, w, worst, limit)
 	o.moveSlowed(now, w)
 }
 
@@ -135,13 +146,14 @@
 	}
 }
 
-// setPaces lets the tasks that fill work as far as the serving tasks bear it, the least harmful first. If a serving task
-// stays over its target nevertheless, the model does not know the cause and all stand still.
-func (o *Owner) setPaces(now time.Time, w *worker, worst float64, halt bool) {
+// setPaces lets the tasks that fill work as far as the serving tasks bear it, the least harmful first. Tasks whose weight
+// is above the limit stand still.
+func (o *Owner) setPaces(now time.Time, w *worker, worst, limit float64) {
 	v := o.viewOf(w)
 	share := min(max(v.left, 0)/max(v.demand, 1), 1)
 	var fills []*attempt
-	harm := map[string]float64{}
+	halted := 0
+	weight, harm := map[string]float64{}, map[string]float64{}
 	for _, at := range w.attempts {
 		if !at.task.step.Fills || at.phase != phaseRunning {
 			continue
@@ -149,6 +161,7 @@
 		fills = append(fills, at)
 		image := at.task.step.Image
 		for serving, s := range v.serving {
+			weight[image] = max(weight[image], o.pressure.Weight(image, serving))
 			harm[image] = max(harm[image], o.pressure.Weight(image, serving)/s.allowed)
 		}
 	}
@@ -165,17 +178,20 @@
 				part = min(part, max(s.allowed-pressure[serving], 0)/cost)
 			}
 		}
-		if halt {
+		if weight[at.task.step.Image] >= limit {
 			part = 0
+			halted++
 		}
 		for serving := range v.serving {
 			pressure[serving] += part * o.pressure.Weight(at.task.step.Image, serving) * use
 		}
 		o.adjust(now, at, int(part*fullPace), worst)
 	}
-	if halt {
-		w.haltedAt = now
-		o.log.WithFields(logrus.Fields{"decision": "halt", "worker": w.ID, "fills": len(fills), "tail": worst}).
+	if halted > 0 {
+		w.haltedAt, w.haltLimit = now, limit
+		o.log.WithFields(logrus.Fields{
+			"decision": "halt", "worker": w.ID, "fills": len(fills), "halted": halted, "limit": limit, "tail": worst,
+		}).
 			Info("tasks that fill stand still until the serving tasks are below their targets")
 	}
 }
@@ -244,10 +260,12 @@
 func (o *Owner) suits(w *worker, t *task, share float64) (float64, bool) {
 	v := o.viewOf(w)
 	use := share * float64(t.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
-	worst := 0.0
+	worst, weight := 0.0, 0.0
 	for image, s := range v.serving {
+		weight = max(weight, o.pressure.Weight(t.step.Image, image))
 		cost := o.pressure.Weight(t.step.Image, image) * use
 		worst = max(worst, (s.pressure+cost)/s.allowed)
 	}
-	return min(worst, 1), worst <= 1 && share >= leastShare && o.now.Sub(w.haltedAt) > haltPause
+	halted := o.now.Sub(w.haltedAt) < haltPause && weight >= w.haltLimit
+	return min(worst, 1), worst <= 1 && share >= leastShare && !halted
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -134,9 +134,11 @@
 	clockAt   time.Time
 	drainedAt time.Time
 	// fenced says that the worker has accepted the owner's token.
-	fenced   bool
-	haltedAt time.Time
-	health   health
+	fenced bool
+	// haltedAt is when tasks of a weight from haltLimit on had to stand still last.
+	haltedAt  time.Time
+	haltLimit float64
+	health    health
 	// inheritedUntil bounds the leases that earlier owners may have given.
 	inheritedUntil time.Time
 	lookDue        time.Time
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -18,6 +18,8 @@
 	LookWait time.Duration
 	// MaxWorkerLease is the longest lease that a worker grants, whoever asks for it.
 	MaxWorkerLease time.Duration
+	// OverLookWait is the same for a worker with a serving task over its target.
+	OverLookWait time.Duration
 	// SharedLookWait is the same for a worker on which serving tasks are disturbed by others: a tail over its target
 	// has to be answered within seconds.
 	SharedLookWait time.Duration
@@ -38,6 +40,7 @@
 		LookRetry:      200 * time.Millisecond,
 		LookWait:       1500 * time.Millisecond,
 		MaxWorkerLease: 10 * time.Second,
+		OverLookWait:   300 * time.Millisecond,
 		SharedLookWait: 700 * time.Millisecond,
 		StopTimeout:    400 * time.Millisecond,
 		WorkerLease:    7 * time.Second,
