Choose the better of two shards, and remember refusals of bounded steps

Change: a host asks the owners of two shards for their load; a round of placement remembers such steps as well. Test: TestLoadCountsWhatWaits.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -21,6 +21,7 @@
 	directory *directory
 	draining  atomic.Bool
 	known     *placements
+	loads     *loadCache
 	log       *logrus.Entry
 	now       func() time.Time
 	owners    *owners
@@ -44,6 +45,7 @@
 	h := &Host{
 		directory: newDirectory(entry),
 		known:     newPlacements(),
+		loads:     &loadCache{loads: map[loadKey]agedLoad{}},
 		log:       entry,
 		now:       BootTime,
 		pending:   newPendingCache(),
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -42,10 +43,10 @@
 	}
 }
 
-func (o *owners) runner(shard int) *runner {
+func (o *owners) runner(n int) *runner {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.runners[shard]
+	return o.runners[n]
 }
 
 func (o *owners) all() []*runner {
@@ -65,33 +66,41 @@
 }
 
 // add hands a recorded job to the owner if it is this host.
-func (o *owners) add(shard int, j workflow.Job) bool {
-	r := o.runner(shard)
+func (o *owners) add(n int, j workflow.Job) bool {
+	r := o.runner(n)
 	return r != nil && r.add(j)
 }
 
-func (o *owners) cancel(shard int, id string) bool {
-	r := o.runner(shard)
+func (o *owners) cancel(n int, id string) bool {
+	r := o.runner(n)
 	return r != nil && r.cancelJob(id)
 }
 
 // state returns a job's state; owner says that this host owns the shard, ok that the job is in it.
-func (o *owners) state(shard int, id string) (s workflow.State, owner, ok bool) {
-	r := o.runner(shard)
+func (o *owners) state(n int, id string) (s workflow.State, owner, ok bool) {
+	r := o.runner(n)
 	if r == nil {
 		return "", false, false
 	}
 	return r.state(id)
 }
 
-func (o *owners) pending(shard int, queue string) (int, bool) {
-	r := o.runner(shard)
+func (o *owners) pending(n int, queue string) (int, bool) {
+	r := o.runner(n)
 	if r == nil {
 		return 0, false
 	}
 	return r.pending(queue)
 }
 
+func (o *owners) load(n int, service string) (shard.Load, bool) {
+	r := o.runner(n)
+	if r == nil {
+		return shard.Load{}, false
+	}
+	return r.load(service)
+}
+
 // elect keeps each shard owned until ctx ends.
 func (o *owners) elect(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -123,8 +132,8 @@
 		return electionPause
 	}
 	pause := electionPause
-	for shard := range l.Shards {
-		if wait := o.consider(ctx, shard); wait > 0 {
+	for n := range l.Shards {
+		if wait := o.consider(ctx, n); wait > 0 {
 			pause = min(pause, wait)
 		}
 	}
@@ -132,18 +141,18 @@
 }
 
 // consider takes a shard that has no owner, and gives one up that another host owns.
-func (o *owners) consider(ctx context.Context, shard int) time.Duration {
+func (o *owners) consider(ctx context.Context, n int) time.Duration {
 	h := o.host
-	present, owned := h.directory.owner(shard)
-	r := o.runner(shard)
+	present, owned := h.directory.owner(n)
+	r := o.runner(n)
 	if owned {
-		delete(o.vacant, shard)
+		delete(o.vacant, n)
 		switch {
 		case present.Run != h.self.Run && r != nil && present.revision > r.revisionNow():
 			o.close(r, "another host owns the shard")
 		case present.Run == h.self.Run && r == nil && !h.draining.Load():
 			// The answer to the write that made this host the owner was lost.
-			o.open(shard, present.revision)
+			o.open(n, present.revision)
 		}
 		return 0
 	}
@@ -153,24 +162,24 @@
 		return 0
 	}
 	if r == nil {
-		since, ok := o.vacant[shard]
+		since, ok := o.vacant[n]
 		if !ok {
-			o.vacant[shard], since = now, now
+			o.vacant[n], since = now, now
 		}
-		if wait := since.Add(time.Duration(h.directory.rank(h.self, shard)) * rankPause).Sub(now); wait > 0 {
+		if wait := since.Add(time.Duration(h.directory.rank(h.self, n)) * rankPause).Sub(now); wait > 0 {
 			return wait
 		}
 	} else if !r.mayReacquire(lease) {
 		return 0
 	}
-	o.acquire(ctx, shard, lease, r)
+	o.acquire(ctx, n, lease, r)
 	return 0
 }
 
 // acquire makes this host the owner. A former owner that nobody followed goes on with what it knows.
-func (o *owners) acquire(ctx context.Context, shard int, lease int64, r *runner) {
+func (o *owners) acquire(ctx context.Context, n int, lease int64, r *runner) {
 	h := o.host
-	epoch := h.directory.epoch(shard)
+	epoch := h.directory.epoch(n)
 	if r != nil {
 		epoch = r.epochNow()
 	}
@@ -178,10 +187,10 @@
 	defer cancel()
 	record := workflow.Encode(h.self)
 	res, err := h.platform.Store.Txn(ctx, kvstore.Txn{
-		Guards: []kvstore.Guard{{Key: ownerKey(shard)}, {Key: epochKey(shard), Revision: epoch}},
-		Puts:   []kvstore.Put{{Key: ownerKey(shard), Lease: lease, Value: record}, {Key: epochKey(shard), Value: record}},
+		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
+		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
 	})
-	f := logrus.Fields{"decision": "own", "shard": shard, "epoch": epoch, "lease": lease}
+	f := logrus.Fields{"decision": "own", "shard": n, "epoch": epoch, "lease": lease}
 	switch {
 	case err == nil && r != nil:
 		h.log.WithFields(f).WithField("revision", res.Revision).Info("shard is owned again")
@@ -189,25 +198,25 @@
 		r.reacquired(res.Revision, lease)
 	case err == nil:
 		h.log.WithFields(f).WithField("revision", res.Revision).Info("shard is owned")
-		o.open(shard, res.Revision)
+		o.open(n, res.Revision)
 	case errors.Is(err, kvstore.ErrConflict) && r != nil:
 		for _, kv := range res.Current {
-			if kv.Key == epochKey(shard) && kv.ModRevision != epoch {
+			if kv.Key == epochKey(n) && kv.ModRevision != epoch {
 				o.close(r, "another host owned the shard meanwhile")
 			}
 		}
 	case errors.Is(err, kvstore.ErrConflict):
-		delete(o.vacant, shard)
+		delete(o.vacant, n)
 	default:
 		h.log.WithError(err).WithFields(f).Warn("shard could not be taken")
 	}
 }
 
-func (o *owners) open(shard int, revision int64) {
+func (o *owners) open(n int, revision int64) {
 	lease, _ := o.host.session.lasting()
-	r := newRunner(o.host, shard, revision, lease)
+	r := newRunner(o.host, n, revision, lease)
 	o.mu.Lock()
-	o.runners[shard] = r
+	o.runners[n] = r
 	o.mu.Unlock()
 	ownerChanges.Add("taken", 1)
 	r.start()
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -226,6 +226,15 @@
 	return r.owner.Pending(queue), true
 }
 
+func (r *runner) load(service string) (shard.Load, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.loaded || r.deposed {
+		return shard.Load{}, false
+	}
+	return r.owner.Load(service), true
+}
+
 // settle waits until all changes are on record.
 func (r *runner) settle(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -289,7 +298,7 @@
 			if r.loaded {
 				r.owner.Add(now, j)
 			} else {
-				r.owner.Load(now, j, recorded[j.ID], r.cancelled[j.ID])
+				r.owner.Restore(now, j, recorded[j.ID], r.cancelled[j.ID])
 			}
 		}
 		for id := range r.cancelled {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -38,7 +38,7 @@
 	if at, ok := h.known.get(j.ID); ok {
 		return h.decided("submit", j.ID, j.Queue, Answer{Outcome: OutcomeAccepted, Reason: "accepted before", State: at.State})
 	}
-	shard, ok := h.chooseShard(j)
+	shard, ok := h.chooseShard(ctx, j)
 	if !ok {
 		return h.decided("submit", j.ID, j.Queue, Answer{Outcome: OutcomeRefused, Reason: "no shard exists yet", RetryAfter: retryAfter})
 	}
@@ -90,20 +90,6 @@
 	return a, at
 }
 
-// chooseShard picks the shard of a new job: that of its rack, or any.
-func (h *Host) chooseShard(j workflow.Job) (int, bool) {
-	l, _, _ := h.directory.layoutNow()
-	if l.Shards == 0 {
-		return 0, false
-	}
-	for _, s := range j.Steps {
-		if n, ok := l.Racks[s.Rack]; ok && s.Rack != "" {
-			return n, true
-		}
-	}
-	return h.random(l.Shards), true
-}
-
 // record writes a job that is not on record yet. A refusal is certain: the write never takes effect.
 func (h *Host) record(ctx context.Context, j workflow.Job, shard int, limit time.Duration) (Answer, workflow.Placed) {
 	placed := workflow.Placed{Shard: shard}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -140,6 +140,20 @@
 	Known bool `json:"known"`
 }
 
+// LoadQuery asks the owner of a shard for what it has room for.
+type LoadQuery struct {
+	Service string `json:"service"`
+	Shard   int    `json:"shard"`
+}
+
+// LoadReply is the answer, in thousandths of a core; Known is false if the receiver does not own the shard.
+type LoadReply struct {
+	Fill  int64 `json:"fill"`
+	Free  int64 `json:"free"`
+	Known bool  `json:"known"`
+	Room  int64 `json:"room"`
+}
+
 // ConfigQuery asks for a config newer than Version.
 type ConfigQuery struct {
 	Version int64 `json:"version"`
@@ -166,6 +180,8 @@
 	JobQuery      *JobQuery       `json:"jq,omitempty"`
 	JobReply      *JobReply       `json:"jr,omitempty"`
 	JobSubmit     *JobSubmit      `json:"js,omitempty"`
+	LoadQuery     *LoadQuery      `json:"lq,omitempty"`
+	LoadReply     *LoadReply      `json:"lr,omitempty"`
 	Notes         *NotesRequest   `json:"notes,omitempty"`
 	NotesReply    *NotesReply     `json:"notes_reply,omitempty"`
 	PendingQuery  *PendingQuery   `json:"pq,omitempty"`
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -19,16 +19,23 @@
 // Mesh it keeps no connection that is not used, so its cost does not grow with the number of hosts.
 type Pool struct {
 	conns     map[string]*conn
-	dialing   map[string]chan struct{}
+	dialing   map[string]*dialed
 	log       *logrus.Entry
 	mu        sync.Mutex
 	nextID    atomic.Uint64
 	onRequest func(ctx context.Context, m Message) (Message, error)
 }
 
+// dialed is an attempt to connect; its other fields are set when done is closed.
+type dialed struct {
+	conn *conn
+	done chan struct{}
+	err  error
+}
+
 // NewPool returns a pool that answers requests with onRequest.
 func NewPool(log *logrus.Entry, onRequest func(ctx context.Context, m Message) (Message, error)) *Pool {
-	return &Pool{conns: map[string]*conn{}, dialing: map[string]chan struct{}{}, log: log, onRequest: onRequest}
+	return &Pool{conns: map[string]*conn{}, dialing: map[string]*dialed{}, log: log, onRequest: onRequest}
 }
 
 // Request sends a message to a host:port and waits for the reply; errors match ErrNotConnected if nothing was sent,
@@ -112,30 +119,27 @@
 
 // conn returns the open connection to an address or dials one; callers that come meanwhile share the attempt.
 func (p *Pool) conn(ctx context.Context, address string) (*conn, error) {
-	for {
-		p.mu.Lock()
-		if c := p.conns[address]; c != nil && c.ctx.Err() == nil {
-			p.mu.Unlock()
-			return c, nil
-		}
-		wait, busy := p.dialing[address]
-		if !busy {
-			wait = make(chan struct{})
-			p.dialing[address] = wait
-		}
+	p.mu.Lock()
+	if c := p.conns[address]; c != nil && c.ctx.Err() == nil {
 		p.mu.Unlock()
-		if !busy {
-			return p.dial(address, wait)
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return nil, eris.Wrapf(ErrNotConnected, "%s: %s", address, ctx.Err())
-		}
+		return c, nil
+	}
+	d := p.dialing[address]
+	if d == nil {
+		d = &dialed{done: make(chan struct{})}
+		p.dialing[address] = d
+		go p.dial(address, d)
+	}
+	p.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ErrNotConnected, "%s: %s", address, ctx.Err())
 	}
 }
 
-func (p *Pool) dial(address string, wait chan struct{}) (*conn, error) {
+func (p *Pool) dial(address string, d *dialed) {
 	ctx, cancel := context.WithTimeout(context.Background(), poolDialTimeout)
 	defer cancel()
 	ws, res, err := websocket.Dial(ctx, "ws://"+address+"/peer", &websocket.DialOptions{
@@ -144,21 +148,18 @@
 	if res != nil && res.Body != nil {
 		_ = res.Body.Close()
 	}
-	var c *conn
-	if err == nil {
-		c = newConn(context.Background(), ws)
-		c.hello.Host = address
-		go p.read(c)
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.dialing, address)
-	close(wait)
 	if err != nil {
-		return nil, eris.Wrapf(ErrNotConnected, "%s: %s", address, err)
+		d.err = eris.Wrapf(ErrNotConnected, "%s: %s", address, err)
+	} else {
+		d.conn = newConn(context.Background(), ws)
+		d.conn.hello.Host = address
+		p.conns[address] = d.conn
+		go p.read(d.conn)
 	}
-	p.conns[address] = c
-	return c, nil
+	close(d.done)
 }
 
 func (p *Pool) drop(address string, c *conn) {
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -9,8 +9,8 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Load adds a job with its recorded progress; runs on record count as running until their workers tell.
-func (o *Owner) Load(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
+// Restore adds a job with its recorded progress; runs on record count as running until their workers tell.
+func (o *Owner) Restore(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
 	if o.jobs[j.ID] != nil {
 		return
 	}
--- /dev/null
+++ b/internal/shard/load_test.go
@@ -0,0 +1,33 @@
+package shard_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// Guards against jobs that pile up in one shard while another one has room.
+func TestLoadCountsWhatWaits(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	empty := w.owner.Load("s")
+	assert.Equal(t, empty.Room, int64(16000))
+	job := func(id string, fills bool) workflow.Job {
+		return workflow.Job{ID: id, Queue: "q", Steps: []workflow.Step{{
+			Count: 3, Fills: fills, Image: "i", Resources: fleet.Resources{CPUMilli: 4000},
+		}}}
+	}
+	counted, filling := job("0000000000000001", false), job("0000000000000002", true)
+	w.owner.Add(w.now, counted)
+	w.owner.Add(w.now, filling)
+	loaded := w.owner.Load("s")
+	assert.Equal(t, loaded.Free, empty.Free-12000)
+	assert.Equal(t, loaded.Fill, int64(12000))
+	assert.Assert(t, empty.Suits(counted) > loaded.Suits(counted))
+	assert.Assert(t, empty.Suits(filling) > loaded.Suits(filling))
+	assert.Assert(t, shard.Load{}.Suits(counted) < loaded.Suits(counted), "a shard without workers suits nothing")
+	assert.Equal(t, w.owner.Load("other").Room, int64(0))
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
 // sortGap is the least time after which the order of jobs is renewed though none came or went.
@@ -60,6 +61,9 @@
 	label     string
 	resources fleet.Resources
 	service   string
+	// step and occurrence are set for steps that bound their tasks on a worker.
+	occurrence int
+	step       *workflow.Step
 }
 
 func (o *Owner) placeTask(now time.Time, t *task, full map[request]bool) {
@@ -67,6 +71,9 @@
 	if t.step.Fills {
 		r.image, r.resources.CPUMilli = t.step.Image, 0
 	}
+	if t.step.PerWorker > 0 {
+		r.step, r.occurrence = t.step, t.key.Occurrence
+	}
 	if full[r] {
 		return
 	}
@@ -79,9 +86,7 @@
 		return
 	}
 	if w == nil {
-		if t.step.PerWorker == 0 && t.avoid == "" {
-			full[r] = true
-		}
+		full[r] = true
 		return
 	}
 	o.plan(t, w, t.run+1)
@@ -236,11 +241,11 @@
 // hasRoom reports whether a worker could take a task but for the advice on it.
 func (o *Owner) hasRoom(now time.Time, w *worker, t *task) bool {
 	s := t.step
-	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
-		!w.HasLabel(s.Label) || !w.health.accepts(now) {
+	if !w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
 		return false
 	}
-	if !w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
+	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
+		!w.HasLabel(s.Label) || !w.health.accepts(now) {
 		return false
 	}
 	if s.PerWorker > 0 {
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -147,7 +147,7 @@
 	w.owner.SetConfig(w.config)
 	for _, id := range w.ids {
 		if w.final[id] == "" {
-			w.owner.Load(w.now, w.jobs[id], w.recorded[id], w.cancelled[id])
+			w.owner.Restore(w.now, w.jobs[id], w.recorded[id], w.cancelled[id])
 		}
 	}
 	w.register()
