--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -117,7 +117,7 @@
 	}}, nil, workflow.Limits{})
 	for i := range workers {
 		f := &fakeWorker{Worker: shard.Worker{
-			ID: string(rune('a' + i)), Address: "x", Service: "s", Zone: "z", Rack: "r", Labels: []string{"a", "r"},
+			ID: fmt.Sprintf("%c%d", 'a'+i%6, i), Address: "x", Service: "s", Zone: "z", Rack: "r", Labels: []string{"a", "r"},
 			Capacity: fleet.Resources{CPUMilli: 8000, MemoryMiB: 8000},
 		}}
 		w.restart(f)
