Log placements, finished steps and ends of jobs

Cause: at level info nothing told on which worker a task ran or when a step was done, so a late job could not be explained. Change: one line for each job and round of placement, one for each step done, each end that is not done, and each final state; single ends that are done have no line of their own.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -103,6 +105,8 @@
 		j.recorded = true
 		if w.Final != "" {
 			j.finalSent = true
+			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
+				Info("job's end is on record")
 			o.ended.put(j.ID, w.Final)
 			o.forget(j)
 		}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -222,6 +222,10 @@
 	occ.open--
 	occ.undone[t.key.Step]--
 	if occ.undone[t.key.Step] == 0 {
+		o.log.WithFields(logrus.Fields{
+			"decision": "step_done", "job": j.ID, "occurrence": t.key.Occurrence, "step": t.key.Step, "open_tasks": occ.open,
+			"objective_in": j.objective.Sub(o.now).String(),
+		}).Info("step is done")
 		o.settle(j, occ)
 	}
 	o.mark(j)
--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -190,10 +190,6 @@
 	if at != nil {
 		o.drop(at, string(e.Cause))
 	}
-	o.log.WithFields(logrus.Fields{
-		"decision": "end", "job": e.Job, "task": e.Key.String(), "run": e.Run, "worker": w.ID, "cause": string(e.Cause),
-		"number": e.Number,
-	}).Debug("end is taken")
 	switch e.Cause {
 	case EndDone:
 		w.health.succeeded()
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -32,6 +32,8 @@
 	// now is the time of the call in progress.
 	now   time.Time
 	paces []Pace
+	// placed collects the tasks that a round of placement placed, for the log.
+	placed map[*job][]string
 	// pressure is what is known of how filling images slow serving ones down.
 	pressure *interference.Pressure
 	resort   bool
@@ -63,6 +65,7 @@
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
 		jobs:     map[string]*job{},
+		placed:   map[*job][]string{},
 		pressure: interference.NewPressure(),
 		log:      logrus.NewEntry(logrus.StandardLogger()),
 		takenAt:  now,
@@ -228,10 +231,12 @@
 		}
 	}
 	if at.isSent() {
-		o.log.WithFields(logrus.Fields{
-			"decision": "run_ended", "job": t.job.ID, "task": t.key.String(), "run": at.run, "worker": at.worker.ID,
-			"reason": reason,
-		}).Debug("run has ended")
+		if reason != string(EndDone) {
+			o.log.WithFields(logrus.Fields{
+				"decision": "run_ended", "job": t.job.ID, "task": t.key.String(), "run": at.run, "worker": at.worker.ID,
+				"reason": reason,
+			}).Info("run has ended without being done")
+		}
 		o.mark(t.job)
 	}
 	if t.job.final == "" {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +52,7 @@
 			}
 		}
 	}
+	o.logPlaced(now)
 }
 
 // request is what two tasks must share to be refused by the same workers.
@@ -152,12 +154,20 @@
 	w.add(at)
 	w.health.given(o.now)
 	o.mark(t.job)
-	if o.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-		o.log.WithFields(logrus.Fields{
-			"decision": "place", "job": t.job.ID, "task": t.key.String(), "run": run, "worker": w.ID,
-			"reserved": w.reserved.String(), "config": o.config.Version,
-		}).Debug("task is placed")
+	o.placed[t.job] = append(o.placed[t.job], t.key.String()+"#"+strconv.Itoa(run)+"@"+w.ID)
+}
+
+// logPlaced writes a line for each job of which tasks were placed in a round.
+func (o *Owner) logPlaced(now time.Time) {
+	for _, j := range o.backlog {
+		if tasks := o.placed[j]; len(tasks) > 0 {
+			o.log.WithFields(logrus.Fields{
+				"decision": "place", "job": j.ID, "tasks": tasks, "objective_in": j.objective.Sub(now).String(),
+				"config": o.config.Version,
+			}).Info("tasks are placed")
+		}
 	}
+	clear(o.placed)
 }
 
 // placeGang places all tasks of a step together, in one rack if they are slower apart.
