Start a waiting task of an idle job by what is really used

Change: the use of serving tasks counts by their load, that of tasks that fill by their figures. Test: TestJobWaitsThoughTheFleetIsIdle fails without the rule.

--- /dev/null
+++ b/internal/shard/idle_test.go
@@ -0,0 +1,93 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// hand drives an owner and one worker whose figures the test sets.
+type hand struct {
+	*world
+	t *testing.T
+	// figure returns the figure of a run.
+	figure  func(s shard.Start) float64
+	running []shard.Start
+	ended   []shard.EndRow
+}
+
+func (h *hand) step() {
+	h.now = h.now.Add(worldStep)
+	a := h.owner.Step(h.now)
+	if a.Commit != nil {
+		h.owner.Committed(h.now, a.Commit)
+	}
+	for _, s := range a.Starts {
+		h.running = append(h.running, s)
+		h.owner.Started(h.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: h.clock(h.workers[0])})
+	}
+	for _, p := range a.Paces {
+		h.owner.Paced(h.now, p, shard.Reply{Outcome: shard.OutcomeDone})
+	}
+	for _, l := range a.Looks {
+		list := shard.Listing{Born: h.workers[0].born, Clock: h.clock(h.workers[0]), Ended: h.ended}
+		for _, s := range h.running {
+			list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Figure: h.figure(s)})
+		}
+		h.owner.Looked(h.now, l, h.now, list)
+	}
+}
+
+func (h *hand) starts(job string) int {
+	n := 0
+	for _, s := range h.running {
+		if s.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a job that waits for a worker that it does not harm while most processors are unused.
+func TestJobWaitsThoughTheFleetIsIdle(t *testing.T) {
+	h := &hand{world: newWorld(t, 1, 1), t: t}
+	const serving, harmful, waiting = "0000000000000001", "0000000000000002", "0000000000000003"
+	over := true
+	h.figure = func(s shard.Start) float64 {
+		if s.Job != serving {
+			return 1000
+		}
+		if over {
+			return 200
+		}
+		return 7
+	}
+	step := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}}
+	lasting, fills := step, step
+	lasting.LongRunning, lasting.TailTarget, lasting.Image = true, 18*time.Millisecond, "s"
+	fills.Fills, fills.Image = true, "f"
+	h.owner.Add(h.now, workflow.Job{ID: serving, Queue: "q", Steps: []workflow.Step{lasting}})
+	for range 100 {
+		h.step()
+	}
+	h.owner.Add(h.now, workflow.Job{ID: harmful, Queue: "q", Steps: []workflow.Step{fills}})
+	for range 600 {
+		h.step() // the owner learns that the pair does harm
+	}
+	assert.Equal(t, h.starts(harmful), 1)
+	over = false
+	h.owner.Add(h.now, workflow.Job{ID: waiting, Queue: "q", Steps: []workflow.Step{fills}})
+	for range 50 {
+		h.step()
+	}
+	assert.Equal(t, h.starts(waiting), 0, "the task waits at first")
+	for range 200 {
+		h.step()
+	}
+	assert.Equal(t, h.starts(waiting), 1, "the task starts within 2.5 s")
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -98,8 +98,10 @@
 	// fillPatience is how long a task that fills waits for a worker that suits it before it takes another one. There it
 	// is slowed down and slows others down, so under load all work is done later.
 	fillPatience = 20 * time.Second
-	// idlePatience takes its place for a job of which nothing runs while most of the service's room is free.
+	// idlePatience takes its place for a job of which nothing runs while less than idlePart of the service's processors
+	// are used.
 	idlePatience = 1500 * time.Millisecond
+	idlePart     = 0.55
 )
 
 // mayWait reports whether a task that fills should wait, since the best worker does not suit it.
@@ -111,7 +113,7 @@
 		t.waitsSince = now
 	}
 	waited := now.Sub(t.waitsSince)
-	if waited > idlePatience && !t.job.isActive() && 2*o.reservedPart(w.Service) < 1 {
+	if waited > idlePatience && !t.job.isActive() && o.usedPart(w.Service) < idlePart {
 		return false
 	}
 	return waited < fillPatience
@@ -131,16 +133,26 @@
 	return false
 }
 
-// reservedPart returns which part of a service's processors is reserved.
-func (o *Owner) reservedPart(service string) float64 {
-	var reserved, capacity int64
-	for _, w := range o.workers {
-		if w.present && w.Service == service {
-			reserved += w.reserved.CPUMilli
-			capacity += w.Capacity.CPUMilli
+// usedPart returns which part of a service's processors is used, as far as the last figures tell.
+func (o *Owner) usedPart(service string) float64 {
+	used, capacity := 0.0, 0.0
+	for _, w := range o.sortedWorkers() {
+		if !w.present || w.Service != service {
+			continue
+		}
+		capacity += float64(w.Capacity.CPUMilli)
+		for _, at := range w.attempts {
+			switch cpu := float64(at.task.step.Resources.CPUMilli); {
+			case at.task.step.Fills:
+				used += useOf(w, at) * float64(w.Capacity.CPUMilli)
+			case at.task.step.LongRunning:
+				used += servingLoad * cpu
+			default:
+				used += cpu
+			}
 		}
 	}
-	return float64(reserved) / float64(max(capacity, 1))
+	return used / max(capacity, 1)
 }
 
 // plan gives a task to a worker; the start is sent once that is recorded.
