Bound the time that placement takes

Change: a step ends with its first task that finds no worker, steps larger than the most room left are passed over, and the pause after a round grows with the pairs of task and worker that it looked at.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -21,6 +21,8 @@
 	config     workflow.Config
 	dirty      []*job
 	ended      endedJobs
+	// evaluated counts the pairs of task and worker that the last round of placement looked at.
+	evaluated  int
 	jobs       map[string]*job
 	lastCommit time.Time
 	lastPlace  time.Time
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -17,13 +17,17 @@
 // placeGap is the least time between two rounds of placement, each of which looks at all tasks that wait.
 const placeGap = 15 * time.Millisecond
 
+// evaluationGap lengthens the pause after a round by the pairs of task and worker that it looked at, about a
+// microsecond each on a sixth of a core, so that placement takes a tenth of the processor at most.
+const evaluationGap = 10 * time.Microsecond
+
 // failurePause delays the restart of a task that failed, so that a task that fails at once does not take over its
 // worker's time.
 const failurePause = 50 * time.Millisecond
 
 // place chooses workers for the tasks that wait.
 func (o *Owner) place(now time.Time, a *Actions) {
-	if due := o.lastPlace.Add(placeGap); now.Before(due) {
+	if due := o.lastPlace.Add(placeGap + time.Duration(o.evaluated)*evaluationGap); now.Before(due) {
 		a.wakeAt(due)
 		return
 	}
@@ -31,6 +35,8 @@
 	o.sortJobs(now)
 	// full holds the requests that found no worker in this pass; the same request can't find one either.
 	full := map[request]bool{}
+	free := o.mostFree(now)
+	o.evaluated = 0
 	for _, j := range o.backlog {
 		if j.final != "" {
 			continue
@@ -44,9 +50,13 @@
 					o.placeGang(now, tasks)
 					continue
 				}
+				if !j.Steps[s].Fills && j.Steps[s].Resources.CPUMilli > free[j.queue.Service] {
+					continue
+				}
 				for _, t := range tasks {
-					if t.isWaiting() && !now.Before(t.notBefore) {
-						o.placeTask(now, t, full)
+					// Tasks of a step are alike: where one finds no worker, the others do not either.
+					if t.isWaiting() && !now.Before(t.notBefore) && !o.placeTask(now, t, full) {
+						break
 					}
 				}
 			}
@@ -68,7 +78,24 @@
 	step       *workflow.Step
 }
 
-func (o *Owner) placeTask(now time.Time, t *task, full map[request]bool) {
+// mostFree returns the most processor time that a worker of each service has left.
+func (o *Owner) mostFree(now time.Time) map[string]int64 {
+	free := map[string]int64{}
+	for _, w := range o.sortedWorkers() {
+		if w.takesTasks(now) {
+			free[w.Service] = max(free[w.Service], w.Capacity.CPUMilli-w.reserved.CPUMilli)
+		}
+	}
+	return free
+}
+
+// takesTasks reports whether new tasks may be given to the worker at all.
+func (w *worker) takesTasks(now time.Time) bool {
+	return w.present && !w.Draining && w.fenced && w.lookFailures == 0 && w.health.accepts(now)
+}
+
+// placeTask gives a task to the best worker; false says that there is none now.
+func (o *Owner) placeTask(now time.Time, t *task, full map[request]bool) bool {
 	r := request{fills: t.step.Fills, label: t.step.Label, resources: t.step.Resources, service: t.job.queue.Service}
 	if t.step.Fills {
 		r.image, r.resources.CPUMilli = t.step.Image, 0
@@ -77,7 +104,7 @@
 		r.step, r.occurrence = t.step, t.key.Occurrence
 	}
 	if full[r] {
-		return
+		return false
 	}
 	w := o.choose(now, t, "")
 	if w != nil && t.step.Fills && o.mayWait(now, t, w) {
@@ -85,13 +112,14 @@
 	}
 	if w == nil && t.job.queue.Advice != nil {
 		o.wantAdvice(now, t)
-		return
+		return false
 	}
 	if w == nil {
 		full[r] = true
-		return
+		return false
 	}
 	o.plan(t, w, t.run+1)
+	return true
 }
 
 const (
@@ -263,11 +291,10 @@
 // hasRoom reports whether a worker could take a task but for the advice on it.
 func (o *Owner) hasRoom(now time.Time, w *worker, t *task) bool {
 	s := t.step
-	if !w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
-		return false
-	}
-	if !w.present || w.Draining || !w.fenced || w.lookFailures > 0 || w.Service != t.job.queue.Service ||
-		!w.HasLabel(s.Label) || !w.health.accepts(now) {
+	o.evaluated++
+	if !s.Fills && s.Resources.CPUMilli > w.Capacity.CPUMilli-w.reserved.CPUMilli ||
+		w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) ||
+		!w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
 		return false
 	}
 	if s.PerWorker > 0 {
