--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -92,7 +92,7 @@
 		running.Go(func() { f(work) })
 	}
 	select {
-	case err = <-servers.failed:
+	case err = <-servers.Failed():
 		return err
 	case <-ctx.Done():
 	}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/listener"
 )
 
 const (
@@ -21,13 +20,7 @@
 	drainTimeout = 5 * time.Second
 )
 
-type servers struct {
-	all    []*http.Server
-	failed chan error
-}
-
-func (h *Host) listen() (*servers, error) {
-	s := &servers{failed: make(chan error, 4)}
+func (h *Host) listen() (*listener.Group, error) {
 	ready := echo.New()
 	ready.HideBanner, ready.HidePort = true, true
 	ready.GET(h.settings.Listen.ReadyPath, h.ready)
@@ -35,6 +28,10 @@
 	peers.Handle("/peer", h.pool)
 	debug := http.NewServeMux()
 	debug.Handle("/debug/vars", expvar.Handler())
+	g := listener.NewGroup(listener.Limits{
+		Connections: h.settings.Limits.MaxConnections, HeaderBytes: h.settings.Limits.MaxHeaderBytes,
+		HeaderTimeout: h.settings.Limits.ReadTimeout.Duration, IdleTimeout: idleTimeout,
+	})
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -44,34 +41,11 @@
 		{h.settings.Listen.Ready, ready},
 		{h.settings.Listen.Caller, h.platform.Handler(h.service())},
 	} {
-		if err := h.serve(s, l.address, l.handler); err != nil {
-			for _, server := range s.all {
-				_ = server.Close()
-			}
+		if err := g.Open(l.address, l.handler, nil); err != nil {
 			return nil, err
 		}
 	}
-	return s, nil
-}
-
-func (h *Host) serve(s *servers, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, "listening")
-	}
-	server := &http.Server{
-		Handler:           handler,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Duration,
-	}
-	s.all = append(s.all, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failed <- eris.Wrapf(err, "serving %s", address)
-		}
-	}()
-	return nil
+	return g, nil
 }
 
 func (h *Host) ready(c echo.Context) error {
@@ -85,7 +59,7 @@
 }
 
 // drain hands the shards over, lets the balancer see that the host leaves, and ends what is in flight.
-func (h *Host) drain(work context.Context, s *servers) {
+func (h *Host) drain(work context.Context, g *listener.Group) {
 	h.log.WithField("decision", "drain").Info("entry host drains")
 	h.draining.Store(true)
 	ctx, cancel := context.WithTimeout(work, drainTimeout)
@@ -93,12 +67,10 @@
 	h.session.drain(ctx)
 	h.owners.handOver(ctx)
 	sleep(ctx, drainLinger)
-	if err := s.all[len(s.all)-1].Shutdown(ctx); err != nil {
+	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
 	h.session.end(ctx)
-	for _, server := range s.all {
-		_ = server.Close()
-	}
+	g.Close()
 	h.pool.Close()
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -65,9 +65,6 @@
 		t.MaxWorkerLease = most
 		t.WorkerLease = min(t.WorkerLease, most-h.settings.Worker.LeaseReserve.Duration)
 	}
-	if stop := h.settings.Worker.StopTimeout.Duration; stop > 0 {
-		t.StopTimeout = stop
-	}
 	return t
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -180,7 +180,7 @@
 	h.log.WithFields(logrus.Fields{"zone": h.zone, "caller": h.settings.Listen.Caller}).Info("entry host serves")
 	select {
 	case <-ctx.Done():
-	case err = <-servers.failed:
+	case err = <-servers.Failed():
 	}
 	h.drain(servers)
 	stop()
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
 	"github.com/laburnumridge/laburnumridge/internal/caller"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/listener"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/operator"
 )
@@ -26,14 +23,7 @@
 	drainTimeout = 30 * time.Second
 )
 
-// servers are the listening sockets of a host.
-type servers struct {
-	all    []*http.Server
-	failed chan error
-}
-
-func (h *Host) listen() (*servers, error) {
-	s := &servers{failed: make(chan error, 3)}
+func (h *Host) listen() (*listener.Group, error) {
 	limits := caller.Limits{
 		MaxBodyBytes:   h.settings.Limits.MaxBodyBytes,
 		ReadTimeout:    h.settings.Limits.ReadTimeout.Duration,
@@ -55,6 +45,10 @@
 	debug := http.NewServeMux()
 	debug.Handle("/debug/vars", expvar.Handler())
 
+	g := listener.NewGroup(listener.Limits{
+		Connections: h.settings.Limits.MaxConnections, HeaderBytes: h.settings.Limits.MaxHeaderBytes + caller.HeaderSlack,
+		HeaderTimeout: h.settings.Limits.ReadTimeout.Duration, IdleTimeout: idleTimeout,
+	})
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -64,42 +58,15 @@
 		{h.settings.Listen.Debug, debug, nil},
 		{h.settings.Listen.Caller, callers, h.tls.caller},
 	} {
-		if err := h.serve(s, l.address, l.handler, l.tls); err != nil {
-			for _, server := range s.all {
-				_ = server.Close()
-			}
+		if err := g.Open(l.address, l.handler, l.tls); err != nil {
 			return nil, err
 		}
 	}
-	return s, nil
-}
-
-func (h *Host) serve(s *servers, address string, handler http.Handler, c *tls.Config) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, "listening")
-	}
-	l = netutil.LimitListener(l, h.settings.Limits.MaxConnections)
-	if c != nil {
-		l = tls.NewListener(l, c)
-	}
-	server := &http.Server{
-		Handler:           handler,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes + caller.HeaderSlack,
-		ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Duration,
-	}
-	s.all = append(s.all, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failed <- eris.Wrapf(err, "serving %s", address)
-		}
-	}()
-	return nil
+	return g, nil
 }
 
 // drain stops gracefully: no new work, shards and keys to others, then what is in flight ends.
-func (h *Host) drain(s *servers) {
+func (h *Host) drain(g *listener.Group) {
 	h.draining.Store(true)
 	close(h.drained)
 	h.log.Info("entry host drains")
@@ -107,7 +74,7 @@
 	defer cancel()
 	pause(ctx, readyDrain)
 	// Callers first: their requests may need the peers and the shards.
-	if err := s.all[len(s.all)-1].Shutdown(ctx); err != nil {
+	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
 	for h.flying.Load() > 0 && ctx.Err() == nil {
@@ -115,9 +82,7 @@
 	}
 	h.check.Check(invariant.GracefulStop, h.flying.Load() == 0, "requests are in flight after the drain timeout")
 	h.shards.handOver(ctx)
-	for _, server := range s.all {
-		_ = server.Shutdown(ctx)
-	}
+	g.Shutdown(ctx)
 	h.session.end(ctx)
 	h.log.Info("entry host has drained")
 }
--- /dev/null
+++ b/internal/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener runs the HTTP servers of a process.
+package listener
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,12 +72,8 @@
 // Platform says how to reach the key-value service and how much of it to use.
 type Platform struct {
 	// Advice is the host:port of the placement advice service; empty if there is none.
-	Advice string `toml:"advice"`
-	// Bootstrap says that the whole system starts for the first time.
-	Bootstrap bool     `toml:"bootstrap"`
+	Advice    string   `toml:"advice"`
 	Endpoints []string `toml:"endpoints"`
-	// Machines is the host:port of the service that moves and maintains machines; empty if there is none.
-	Machines string `toml:"machines"`
 	// Protocol is what the platform speaks: etcd or json.
 	Protocol       string  `toml:"protocol"`
 	ReadsPerSecond float64 `toml:"reads_per_second"`
@@ -92,7 +88,6 @@
 	// LeaseReserve is how much shorter than MaxLease the leases are that the scheduler asks for.
 	LeaseReserve Duration `toml:"lease_reserve"`
 	MaxLease     Duration `toml:"max_lease"`
-	StopTimeout  Duration `toml:"stop_timeout"`
 }
 
 // Security holds credentials; empty values leave a connection open to all.
@@ -219,7 +214,6 @@
 		{"zone_settings.shards", float64(s.ZoneSets.Shards), 1, 64},
 		{"worker.lease_reserve (seconds)", s.Worker.LeaseReserve.Seconds(), 0, 60},
 		{"worker.max_lease (seconds)", s.Worker.MaxLease.Seconds(), 1, 600},
-		{"worker.stop_timeout (seconds)", s.Worker.StopTimeout.Seconds(), 0.01, 60},
 		{"limits.max_body_bytes", float64(s.Limits.MaxBodyBytes), 1, 1 << 30},
 		{"limits.max_connections", float64(s.Limits.MaxConnections), 1, 1 << 20},
 		{"limits.max_header_bytes", float64(s.Limits.MaxHeaderBytes), 1024, 1 << 20},
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -102,7 +102,6 @@
 		if j == nil {
 			continue
 		}
-		j.recorded = true
 		if w.Final != "" {
 			j.finalSent = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -16,7 +16,6 @@
 	}
 	n := o.newJob(now, j)
 	n.doneThrough = p.DoneThrough
-	n.recorded = true
 	o.jobs[j.ID] = n
 	o.backlog, o.resort = append(o.backlog, n), true
 	for _, rec := range p.Tasks {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -104,7 +104,6 @@
 	occurrences map[int]*occurrence
 	priority    int
 	queue       workflow.Queue
-	recorded    bool
 	// started says that a task of the job has been started.
 	started bool
 	version int
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -23,8 +23,6 @@
 	// SharedLookWait is the same for a worker on which serving tasks are disturbed by others: a tail over its target
 	// has to be answered within seconds.
 	SharedLookWait time.Duration
-	// StopTimeout is how long a worker takes to stop a task at most.
-	StopTimeout time.Duration
 	// WorkerLease is how far ahead of a worker's clock its lease is renewed. Longer leases let tasks outlive longer cuts
 	// and outages; shorter ones let the tasks of a lost worker start elsewhere sooner.
 	WorkerLease time.Duration
@@ -42,7 +40,6 @@
 		MaxWorkerLease: 10 * time.Second,
 		OverLookWait:   300 * time.Millisecond,
 		SharedLookWait: 700 * time.Millisecond,
-		StopTimeout:    400 * time.Millisecond,
 		WorkerLease:    7 * time.Second,
 	}
 }
