Delete the states of jobs that ended long ago

Cause: the key that holds a job's final state stayed in the store for good. After a takeover the states that an earlier owner recorded stay (docs/design-notes/platform.md). Test: TestStateOfEndedJobIsDeleted.

--- a/internal/entry/placements.go
+++ b/internal/entry/placements.go
@@ -28,6 +28,13 @@
 	return at, ok
 }
 
+// remove forgets a job; its place in the order is taken by a later one in turn.
+func (p *placements) remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.byID, id)
+}
+
 func (p *placements) put(id string, at workflow.Placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -27,13 +27,15 @@
 	cancel context.CancelFunc
 	// deposed says that a worker or the store knows a later owner.
 	deposed bool
-	epoch   int64
-	host    *Host
-	lease   int64
-	loaded  bool
-	log     *logrus.Entry
-	mu      sync.Mutex
-	owner   *shard.Owner
+	// ended holds the jobs whose end was recorded by this owner and whose state is still kept, the oldest first.
+	ended  []endedJob
+	epoch  int64
+	host   *Host
+	lease  int64
+	loaded bool
+	log    *logrus.Entry
+	mu     sync.Mutex
+	owner  *shard.Owner
 	// progress holds the revisions of the jobs' progress records.
 	progress map[string]int64
 	// cancelled holds the jobs with a recorded cancellation.
@@ -71,6 +73,7 @@
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
 	go r.loop()
+	go r.forgetEnded()
 	go follow(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.registrySnapshot, r.registryEvents)
 	go func() {
 		recorded := r.readProgress()
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -246,6 +246,7 @@
 		if w.Final != "" {
 			delete(r.progress, w.Job)
 			delete(r.cancelled, w.Job)
+			r.ended = append(r.ended, endedJob{at: time.Now(), id: w.Job})
 			r.host.known.put(w.Job, workflow.Placed{Shard: r.shard, State: w.Final})
 		} else {
 			r.progress[w.Job] = revision
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,8 @@
 	// Protocol is what the platform speaks: etcd or json.
 	Protocol       string  `toml:"protocol"`
 	ReadsPerSecond float64 `toml:"reads_per_second"`
+	// StatusRetention is how long the state of a job is kept after its end.
+	StatusRetention Duration `toml:"status_retention"`
 	// Strength is this host's share of processors, by which owners are chosen.
 	Strength        float64  `toml:"strength"`
 	Timeout         Duration `toml:"timeout"`
@@ -209,6 +211,7 @@
 	}{
 		{"platform.reads_per_second", s.Platform.ReadsPerSecond, 1, 1500},
 		{"platform.writes_per_second", s.Platform.WritesPerSecond, 1, 300},
+		{"platform.status_retention (seconds)", s.Platform.StatusRetention.Seconds(), 1, 86_400},
 		{"platform.strength", s.Platform.Strength, 0.001, 1024},
 		{"platform.timeout (seconds)", s.Platform.Timeout.Seconds(), 0.01, 60},
 		{"zone_settings.shards", float64(s.ZoneSets.Shards), 1, 64},
