Start idle jobs although others of their image wait

Change: an idle job's task is looked at by itself. Test: TestJobWaitsThoughTheFleetIsIdle, extended; it fails without the change.

--- a/internal/shard/idle_test.go
+++ b/internal/shard/idle_test.go
@@ -56,7 +56,12 @@
 // Guards against a job that waits for a worker that it does not harm while most processors are unused.
 func TestJobWaitsThoughTheFleetIsIdle(t *testing.T) {
 	h := &hand{world: newWorld(t, 1, 1), t: t}
-	const serving, harmful, waiting = "0000000000000001", "0000000000000002", "0000000000000003"
+	const (
+		serving = "0000000000000001"
+		harmful = "0000000000000002"
+		ahead   = "0000000000000003"
+		waiting = "0000000000000004"
+	)
 	over := true
 	h.figure = func(s shard.Start) float64 {
 		if s.Job != serving {
@@ -81,6 +86,10 @@
 	}
 	assert.Equal(t, h.starts(harmful), 1)
 	over = false
+	two := fills
+	two.Count = 2
+	// The second task of the job ahead goes on waiting, since the job is under way.
+	h.owner.Add(h.now, workflow.Job{ID: ahead, Queue: "q", Steps: []workflow.Step{two}})
 	h.owner.Add(h.now, workflow.Job{ID: waiting, Queue: "q", Steps: []workflow.Step{fills}})
 	for range 50 {
 		h.step()
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -31,6 +31,8 @@
 	log      *logrus.Entry
 	// backlog holds the jobs that may have tasks to place, most urgent first.
 	backlog []*job
+	// mostlyIdle holds for a round of placement which services use few of their processors.
+	mostlyIdle map[string]bool
 	// now is the time of the call in progress.
 	now   time.Time
 	paces []Pace
@@ -66,15 +68,16 @@
 // NewOwner returns an owner that took the shard over at now with a token above that of all earlier owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
-		jobs:     map[string]*job{},
-		placed:   map[*job][]string{},
-		pressure: interference.NewPressure(),
-		log:      logrus.NewEntry(logrus.StandardLogger()),
-		takenAt:  now,
-		timing:   DefaultTiming(),
-		token:    token,
-		wall:     time.Now,
-		workers:  map[string]*worker{},
+		jobs:       map[string]*job{},
+		mostlyIdle: map[string]bool{},
+		placed:     map[*job][]string{},
+		pressure:   interference.NewPressure(),
+		log:        logrus.NewEntry(logrus.StandardLogger()),
+		takenAt:    now,
+		timing:     DefaultTiming(),
+		token:      token,
+		wall:       time.Now,
+		workers:    map[string]*worker{},
 	}
 	for _, opt := range opts {
 		opt(o)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -34,6 +34,7 @@
 	full := map[request]bool{}
 	free := o.mostFree(now)
 	o.evaluated = 0
+	clear(o.mostlyIdle)
 	for _, j := range o.backlog {
 		if j.final != "" {
 			continue
@@ -65,6 +66,8 @@
 // request is what two tasks must share to be refused by the same workers.
 type request struct {
 	fills bool
+	// idle says that nothing of the task's job runs though there is room.
+	idle bool
 	// image is that of a task that fills; such tasks wait together for a worker that suits their image.
 	image     string
 	label     string
@@ -96,6 +99,11 @@
 	r := request{fills: t.step.Fills, label: t.step.Label, resources: t.step.Resources, service: t.job.queue.Service}
 	if t.step.Fills {
 		r.image, r.resources.CPUMilli = t.step.Image, 0
+		if t.waitsSince.IsZero() {
+			t.waitsSince = now
+		}
+		// Such a task does not wait with the others of its image.
+		r.idle = now.Sub(t.waitsSince) > idlePatience && !t.job.isActive() && o.isMostlyIdle(r.service)
 	}
 	if t.step.PerWorker > 0 {
 		r.step, r.occurrence = t.step, t.key.Occurrence
@@ -104,7 +112,7 @@
 		return false
 	}
 	w := o.choose(now, t, "")
-	if w != nil && t.step.Fills && o.mayWait(now, t, w) {
+	if w != nil && t.step.Fills && !r.idle && o.mayWait(now, t, w) {
 		w = nil
 	}
 	if w == nil && t.job.queue.Advice != nil {
@@ -134,14 +142,7 @@
 	if _, ok := o.suits(w, t, w.fillShare(o, t.step.Resources.CPUMilli)); ok {
 		return false
 	}
-	if t.waitsSince.IsZero() {
-		t.waitsSince = now
-	}
-	waited := now.Sub(t.waitsSince)
-	if waited > idlePatience && !t.job.isActive() && o.usedPart(w.Service) < idlePart {
-		return false
-	}
-	return waited < fillPatience
+	return now.Sub(t.waitsSince) < fillPatience
 }
 
 // isActive reports whether a run of the job is on the books.
@@ -158,6 +159,16 @@
 	return false
 }
 
+// isMostlyIdle reports whether less than idlePart of a service's processors are used; it is reckoned once a round.
+func (o *Owner) isMostlyIdle(service string) bool {
+	idle, ok := o.mostlyIdle[service]
+	if !ok {
+		idle = o.usedPart(service) < idlePart
+		o.mostlyIdle[service] = idle
+	}
+	return idle
+}
+
 // usedPart returns which part of a service's processors is used, as far as the last figures tell.
 func (o *Owner) usedPart(service string) float64 {
 	used, capacity := 0.0, 0.0
