--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -85,7 +86,7 @@
 // askPeers asks other hosts for a newer config while the store does not answer this one.
 func (h *Host) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, configPoll)
+		retry.Sleep(ctx, configPoll)
 		if _, expires := h.session.lasting(); h.now().Before(expires) {
 			continue
 		}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -31,7 +31,7 @@
 			if failures == 1 {
 				log.WithError(err).WithField("prefix", prefix).Warn("keys can't be read")
 			}
-			sleep(ctx, backoff.Pause(failures, 0))
+			retry.Sleep(ctx, backoff.Pause(failures, 0))
 			continue
 		}
 		if failures > 0 {
@@ -49,17 +49,8 @@
 				break
 			}
 			failures++
-			sleep(ctx, backoff.Pause(failures, 0))
+			retry.Sleep(ctx, backoff.Pause(failures, 0))
 		}
 		failures = 0
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -33,14 +33,8 @@
 	settings  settings.Settings
 }
 
-// Option sets a property of a Host.
-type Option func(*Host)
-
-// WithClock replaces the clock by which leases are judged.
-func WithClock(now func() time.Time) Option { return func(h *Host) { h.now = now } }
-
 // New returns a host that runs on the platform.
-func New(s settings.Settings, p Platform, log *logrus.Logger, opts ...Option) *Host {
+func New(s settings.Settings, p Platform, log *logrus.Logger) *Host {
 	entry := log.WithField("host", s.Host)
 	h := &Host{
 		directory: newDirectory(entry),
@@ -56,9 +50,6 @@
 		},
 		settings: s,
 	}
-	for _, o := range opts {
-		o(h)
-	}
 	h.pool = peer.NewPool(entry, h.answerPeer)
 	h.owners = newOwners(h)
 	h.config = &configSource{decode: p.DecodeConfig, key: p.ConfigKey, log: entry, onChange: h.owners.configChanged}
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -22,7 +23,7 @@
 	if err != nil || before == 0 {
 		return // no worker yet, or the store does not answer: the next round tries again
 	}
-	sleep(ctx, electionPause)
+	retry.Sleep(ctx, electionPause)
 	count, err := h.countWorkers(ctx)
 	if err != nil || count != before {
 		return // workers are still registering
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/laburnumridge/laburnumridge/internal/listener"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 const (
@@ -66,7 +67,7 @@
 	defer cancel()
 	h.session.drain(ctx)
 	h.owners.handOver(ctx)
-	sleep(ctx, drainLinger)
+	retry.Sleep(ctx, drainLinger)
 	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
--- a/internal/entry/retention.go
+++ b/internal/entry/retention.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 const (
@@ -27,7 +28,7 @@
 func (r *runner) forgetEnded() {
 	keep := r.host.settings.Platform.StatusRetention.Duration + retentionSlack
 	for r.ctx.Err() == nil {
-		sleep(r.ctx, retentionPause)
+		retry.Sleep(r.ctx, retentionPause)
 		for r.forgetSome(keep) {
 			continue
 		}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -156,7 +157,7 @@
 			r.send(a)
 		}
 		r.mu.Unlock()
-		sleep(r.ctx, stepGap)
+		retry.Sleep(r.ctx, stepGap)
 		timer.Reset(pause)
 	}
 }
@@ -244,7 +245,7 @@
 		if settled {
 			return
 		}
-		sleep(ctx, stepGap)
+		retry.Sleep(ctx, stepGap)
 	}
 }
 
@@ -256,7 +257,7 @@
 		cancel()
 		if err != nil {
 			r.log.WithError(err).Warn("progress can't be read")
-			sleep(r.ctx, followPause)
+			retry.Sleep(r.ctx, followPause)
 			continue
 		}
 		out := make(map[string]workflow.Progress, len(kvs))
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -204,7 +205,7 @@
 		default:
 			r.log.WithError(err).WithFields(logrus.Fields{"decision": "commit_retry", "jobs": len(writes)}).Warn("records are not written yet")
 		}
-		sleep(r.ctx, pause)
+		retry.Sleep(r.ctx, pause)
 		pause = min(2*pause, maxWritePause)
 	}
 	return false
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -139,7 +139,7 @@
 			}
 			return res, err
 		}
-		sleep(ctx, backoff.Pause(try, firstWritePause))
+		retry.Sleep(ctx, backoff.Pause(try, firstWritePause))
 	}
 }
 
--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -109,7 +109,7 @@
 	if !(retry.Deadline{Time: a.request.Deadline}).Allows(time.Now(), delay, t.took) {
 		return p
 	}
-	pause(ctx, delay)
+	retry.Sleep(ctx, delay)
 	a.fresh = errors.Is(t.err, errNoAnswer)
 	return a.send(ctx, "retry after "+p.Reason, true)
 }
--- a/internal/host/handle.go
+++ b/internal/host/handle.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/caller"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -43,7 +44,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 	return true
 }
--- a/internal/host/hostlist.go
+++ b/internal/host/hostlist.go
@@ -11,6 +11,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Timing of watches. A watch may go silent for good without an error, so each is replaced after a while.
@@ -64,7 +65,7 @@
 			list, rev, err := store.Range(ctx, prefix)
 			if err != nil {
 				log.WithError(err).WithField("prefix", prefix).Warn("platform store was not read")
-				pause(ctx, jitter(watchRetry))
+				retry.Sleep(ctx, jitter(watchRetry))
 				continue
 			}
 			kvs = map[string]kvstore.KV{}
@@ -93,7 +94,7 @@
 			// was: reading all keys again each time would cost more than the watch.
 			read = false
 			log.WithError(err).WithField("prefix", prefix).Warn("watch ended")
-			pause(ctx, jitter(watchRetry))
+			retry.Sleep(ctx, jitter(watchRetry))
 		}
 	}
 }
--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -14,6 +14,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 const (
@@ -100,7 +101,7 @@
 		if !errors.Is(err, kvstore.ErrConflict) && !errors.Is(err, kvstore.ErrUnknownOutcome) {
 			return rec, err
 		}
-		pause(ctx, jitter(50*time.Millisecond))
+		retry.Sleep(ctx, jitter(50*time.Millisecond))
 		if ctx.Err() != nil {
 			return rec, eris.Wrapf(kvstore.ErrUnknownOutcome, "job %s", id)
 		}
--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/idempotency"
 	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
@@ -48,7 +49,7 @@
 		if p == nil || p.Reason != reasonHandingOver || r.Forwarded != "" || ctx.Err() != nil {
 			return res, p
 		}
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 }
 
@@ -89,7 +90,7 @@
 		if ctx.Err() != nil {
 			return owner, false
 		}
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 }
 
@@ -98,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, keyOwnerWait)
 	defer cancel()
 	for ctx.Err() == nil && !table.MayClaim(time.Now()) && !table.IsHandedOver() {
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 }
 
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -14,6 +14,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/listener"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/operator"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 const (
@@ -72,13 +73,13 @@
 	h.log.Info("entry host drains")
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	pause(ctx, readyDrain)
+	retry.Sleep(ctx, readyDrain)
 	// Callers first: their requests may need the peers and the shards.
 	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were cut off by the drain timeout")
 	}
 	for h.flying.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 	h.check.Check(invariant.GracefulStop, h.flying.Load() == 0, "requests are in flight after the drain timeout")
 	h.shards.handOver(ctx)
--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Limits of the note log.
@@ -212,7 +213,7 @@
 		if !errors.Is(err, kvstore.ErrUnknownOutcome) || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, jitter(200*time.Millisecond))
+		retry.Sleep(ctx, jitter(200*time.Millisecond))
 	}
 }
 
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/placement"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Timing of a shard owner's loop.
@@ -182,7 +183,7 @@
 			return state, nil
 		}
 		o.log.WithError(err).Warn("shard's ledger was not read")
-		pause(ctx, jitter(time.Second))
+		retry.Sleep(ctx, jitter(time.Second))
 		if ctx.Err() != nil {
 			return ledger.State{}, ctx.Err()
 		}
--- a/internal/host/schedule.go
+++ b/internal/host/schedule.go
@@ -11,6 +11,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/job"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/note"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 const scheduleEvery = time.Second
@@ -25,7 +26,7 @@
 				h.submitDue(ctx, item, last)
 			}
 		}
-		pause(ctx, scheduleEvery)
+		retry.Sleep(ctx, scheduleEvery)
 	}
 }
 
--- a/internal/host/session.go
+++ b/internal/host/session.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Timing of the platform lease. The host treats it as lost well before the platform does, by its own
@@ -59,10 +60,10 @@
 	for ctx.Err() == nil {
 		if err := s.renew(ctx); err != nil && ctx.Err() == nil {
 			s.log.WithError(err).Warn("platform lease was not renewed")
-			pause(ctx, sessionRenewal/3)
+			retry.Sleep(ctx, sessionRenewal/3)
 			continue
 		}
-		pause(ctx, sessionRenewal)
+		retry.Sleep(ctx, sessionRenewal)
 	}
 }
 
@@ -107,13 +108,3 @@
 	defer s.mu.Unlock()
 	s.lease, s.renewed = lease, sent
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Timing of the contention for shards.
@@ -126,7 +127,7 @@
 
 // run contends for the zone's shards until ctx ends.
 func (s *shards) run(ctx context.Context) {
-	pause(ctx, s.host.startDelay())
+	retry.Sleep(ctx, s.host.startDelay())
 	var zoneSeen time.Time
 	for ctx.Err() == nil {
 		if err := s.learnCounts(ctx); err == nil && !s.host.isDraining() {
@@ -138,7 +139,7 @@
 				s.adopt(ctx)
 			}
 		}
-		pause(ctx, jitter(2*contendEvery))
+		retry.Sleep(ctx, jitter(2*contendEvery))
 	}
 }
 
@@ -185,7 +186,7 @@
 	if err != nil || s.isHeld(ctx, rec) {
 		return
 	}
-	pause(ctx, time.Duration(s.rank(id))*contendEvery/2+time.Duration(len(s.all()))*contendEvery)
+	retry.Sleep(ctx, time.Duration(s.rank(id))*contendEvery/2+time.Duration(len(s.all()))*contendEvery)
 	s.take(ctx, id, rec, mod)
 }
 
@@ -323,7 +324,7 @@
 	}
 	defer s.host.keys.lost(id, epoch)
 	for table.Close() > 0 && ctx.Err() == nil {
-		pause(ctx, keyOwnerPoll)
+		retry.Sleep(ctx, keyOwnerPoll)
 	}
 	var keys handedKeys
 	keys.Handed, keys.Since = table.HandOver(handedResponses)
--- a/internal/host/trust.go
+++ b/internal/host/trust.go
@@ -6,6 +6,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // trust is a time at which the record was ours, and the platform lease held then.
@@ -46,7 +47,7 @@
 	}
 	go func() {
 		defer o.verifying.Store(false)
-		defer pause(s.host.ownerContext(), contendEvery)
+		defer retry.Sleep(s.host.ownerContext(), contendEvery)
 		asked := time.Now()
 		_, lease := s.host.session.current()
 		rec, mod, err := s.read(s.host.ownerContext(), id)
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -111,13 +111,3 @@
 		}
 	}
 }
-
-// NotCommitted takes the news that a commit may be missing in the store; its jobs are written again.
-func (o *Owner) NotCommitted(_ time.Time, c *Commit) {
-	o.committing = false
-	for _, w := range c.Writes {
-		if j := o.jobs[w.Job]; j != nil {
-			o.mark(j)
-		}
-	}
-}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -148,14 +148,6 @@
 	return n
 }
 
-// Counts returns the number of jobs and of runs.
-func (o *Owner) Counts() (jobs, runs int) {
-	for _, w := range o.sortedWorkers() {
-		runs += len(w.attempts)
-	}
-	return len(o.jobs), runs
-}
-
 func (o *Owner) occurrence(j *job, index int) *occurrence {
 	if occ := j.occurrences[index]; occ != nil {
 		return occ
@@ -235,7 +227,7 @@
 func (o *Owner) finish(j *job) {
 	for {
 		occ := j.occurrences[j.doneThrough]
-		if occ == nil || occ.open > 0 || o.hasAttempts(occ) {
+		if occ == nil || occ.open > 0 || occ.isActive() {
 			break
 		}
 		delete(j.occurrences, j.doneThrough)
@@ -247,7 +239,8 @@
 	}
 }
 
-func (o *Owner) hasAttempts(occ *occurrence) bool {
+// isActive reports whether a run of the occurrence is on the books.
+func (occ *occurrence) isActive() bool {
 	for _, tasks := range occ.tasks {
 		for _, t := range tasks {
 			if len(t.attempts) > 0 {
@@ -258,6 +251,16 @@
 	return false
 }
 
+// isActive reports whether a run of the job is on the books.
+func (j *job) isActive() bool {
+	for _, occ := range j.occurrences {
+		if occ.isActive() {
+			return true
+		}
+	}
+	return false
+}
+
 // mark says that the job's record has to be written.
 func (o *Owner) mark(j *job) {
 	j.version++
@@ -269,14 +272,9 @@
 
 // forget drops a job whose end is recorded and whose runs have ended.
 func (o *Owner) forget(j *job) {
-	if !j.finalSent {
+	if !j.finalSent || j.isActive() {
 		return
 	}
-	for _, occ := range j.open() {
-		if o.hasAttempts(occ) {
-			return
-		}
-	}
 	delete(o.jobs, j.ID)
 	o.resort = true
 }
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -25,7 +25,6 @@
 		if rank[a] != rank[b] {
 			return rank[a] - rank[b]
 		}
-
 		return a.objective.Compare(b.objective)
 	})
 }
@@ -62,10 +61,3 @@
 	}
 	return longest
 }
-
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -145,20 +145,6 @@
 	return now.Sub(t.waitsSince) < fillPatience
 }
 
-// isActive reports whether a run of the job is on the books.
-func (j *job) isActive() bool {
-	for _, occ := range j.occurrences {
-		for _, tasks := range occ.tasks {
-			for _, t := range tasks {
-				if len(t.attempts) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // isMostlyIdle reports whether less than idlePart of a service's processors are used; it is reckoned once a round.
 func (o *Owner) isMostlyIdle(service string) bool {
 	idle, ok := o.mostlyIdle[service]
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -4,7 +4,6 @@
 const (
 	// rackBonus prefers the rack of the data: a task elsewhere takes up to three times as long.
 	rackBonus = 2
-	// shareWeight ranks the part of its demand that a task that fills gets behind the harm it does.
 	// harmMalus ranks workers whose serving tasks would miss their targets behind all others.
 	harmMalus = 2
 	// imageBonus gathers serving tasks of one image: tasks that fill harm some images and not others, so each finds
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -51,7 +51,9 @@
 				for _, t := range tasks {
 					if occ.ready[i] && t.isWaiting() {
 						s.Waiting++
-						s.WaitingFills += boolInt(t.step.Fills)
+						if t.step.Fills {
+							s.WaitingFills++
+						}
 					}
 				}
 			}
