Spread the shards over strong hosts

Change: internal/election ranks hosts by xxhash, strength and the shards that they own already. Test: TestOneHostOwnsAllShards. Ruled out: strength squared, under which a weak host sometimes came first.

--- /dev/null
+++ b/internal/election/candidate_test.go
@@ -0,0 +1,36 @@
+package election_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/election"
+)
+
+// TestOneHostOwnsAllShards guards against a hash under which the same host comes first for every shard, and against weak
+// hosts that own a shard while strong ones own none.
+func TestOneHostOwnsAllShards(t *testing.T) {
+	for _, shards := range []int{4, 5, 8} {
+		hosts := make([]election.Candidate, 42)
+		for i := range hosts {
+			hosts[i] = election.Candidate{Host: fmt.Sprintf("front-%d", i), Strength: 0.11}
+			if i < 8 {
+				hosts[i].Strength = 0.8
+			}
+		}
+		owners := map[string]bool{}
+		for n := range shards {
+			for i, h := range hosts {
+				if election.Rank(h, hosts, n) == 0 {
+					owners[h.Host] = true
+					hosts[i].Shards++
+					assert.Equal(t, h.Strength, 0.8, "shards %d: weak host %s owns one", shards, h.Host)
+					break
+				}
+			}
+		}
+		assert.Assert(t, len(owners) >= shards-1, "%d shards are owned by %d hosts", shards, len(owners))
+	}
+}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"math"
 	"slices"
 	"strings"
 	"sync"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/election"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -183,25 +182,21 @@
 	return out
 }
 
-// rank returns how many live hosts come before self as the owner of a shard.
-func (d *directory) rank(self hostRecord, shard int) int {
+// rank returns how many live hosts come before self, which owns some shards, as the owner of another one.
+func (d *directory) rank(self hostRecord, shard, owned int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	mine, before := preference(self, shard), 0
+	shards := map[string]int{}
+	for _, o := range d.owners {
+		shards[o.Run]++
+	}
+	var others []election.Candidate
 	for _, h := range d.hosts {
-		if h.Host != self.Host && !h.Draining && preference(h, shard) > mine {
-			before++
+		if h.Host != self.Host && !h.Draining {
+			others = append(others, election.Candidate{Host: h.Host, Shards: shards[h.Run], Strength: h.Strength})
 		}
 	}
-	return before
-}
-
-// preference orders hosts as owners of a shard: weighted rendezvous hashing gives strong hosts more shards.
-func preference(h hostRecord, shard int) float64 {
-	f := fnv.New64a()
-	_, _ = f.Write([]byte(h.Host + "/" + ownerKey(shard)))
-	u := (float64(f.Sum64()>>11) + 1) / (1 << 53)
-	return max(h.Strength, 0.01) / -math.Log(u)
+	return election.Rank(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard)
 }
 
 func boolInt(b bool) int {
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -166,7 +166,7 @@
 		if !ok {
 			o.vacant[n], since = now, now
 		}
-		if wait := since.Add(time.Duration(h.directory.rank(h.self, n)) * rankPause).Sub(now); wait > 0 {
+		if wait := since.Add(time.Duration(h.directory.rank(h.self, n, len(o.all()))) * rankPause).Sub(now); wait > 0 {
 			return wait
 		}
 	} else if !r.mayReacquire(lease) {
