Order owners by steps of load in place of a weight

Cause: under the fourth power of the strength two hosts of eight owned two shards each while two owned none (TestOneHostOwnsAllShards, which failed in the commit before). Change: hosts are ordered by the doublings of shards for their strength, and by hash within a step.

--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -19,13 +19,13 @@
 	Strength float64
 }
 
-// Preference orders candidates as owners of a shard by weighted rendezvous hashing; higher comes first. The weight is
-// the fourth power of the strength that a host has for each shard, so that weak hosts own one only when the strong ones are
-// gone: an owner without processor time to spare delays all its workers.
+// Preference orders candidates as owners of a shard; higher comes first. It steps down by one each time the shards for a
+// host's strength double, since an owner without processor time to spare delays all its workers; rendezvous hashing orders
+// hosts of the same step.
 func (c Candidate) Preference(shard int) float64 {
-	u := (float64(xxhash.Sum64String(strconv.Itoa(shard)+"/"+c.Host)>>11) + 1) / (1 << 53)
-	weight := max(c.Strength, minStrength) / float64(1+c.Shards)
-	return math.Pow(weight, 4) / -math.Log(u)
+	load := float64(1+c.Shards) / max(c.Strength, minStrength)
+	u := float64(xxhash.Sum64String(strconv.Itoa(shard)+"/"+c.Host)>>11) / (1 << 53)
+	return u - math.Floor(math.Log2(load))
 }
 
 // Rank returns how many of the others come before self as the owner of a shard.
