Follow the load of serving tasks by job, with its slope

The filter held one load for each task and took swings for harm. Change: interference.Load follows level and slope for a step; tails above 3.2 times the target count as that, one sample moves the model by 2.5 deviations at most, weights drift by time and not by sample.

--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -1,25 +1,30 @@
 package interference
 
+import (
+	"math"
+	"time"
+)
+
 const (
 	// idleTail is the tail of a serving task without any load, as a part of its target. Targets are set at four to
 	// five times the idle tail.
 	idleTail = 0.222
-	// maxUtilization bounds what a saturated tail says.
-	maxUtilization = 0.98
-	// StartLoad is the load that a serving task is taken to have by itself until it is known.
-	StartLoad = 0.42
-	minLoad   = 0.1
-	maxLoad   = 0.75
-	// loadVariance is that of a task's own load, which swings by half of its mean within some ten seconds.
-	loadVariance = 0.02
-	// tailVariance is that of a measured utilization: tails are rough figures of half a second.
-	tailVariance = 0.015
-	// startWeight and startVariance describe a pair that is not known. Most pairs measured between 0.1 and 0.7, the
-	// harmful ones between 2 and 3.
-	startWeight   = 0.4
-	startVariance = 1.5
-	// weightDrift is added to a pair's variance with each sample, so that the weight follows changes of the work.
-	weightDrift = 2e-4
+	// maxUtilization bounds what a tail says: above it the queue has not settled within half a second.
+	maxUtilization = 0.93
+	// tailNoise is the deviation of a measured tail as a part of it: tails are rough figures of half a second.
+	tailNoise = 0.11
+	// minNoise and modelVariance cover what the model leaves out: uses are rough figures as well, and queues need time.
+	minNoise      = 0.05
+	modelVariance = 0.001
+	// maxDeviations bounds what a single sample changes, in standard deviations: workers that turn slow have long tails for
+	// other reasons.
+	maxDeviations = 2.5
+	// startWeight and startVariance describe a pair that is not known. Most pairs measured between 0.05 and 0.3, the
+	// harmful ones between 2.4 and 3.5.
+	startWeight   = 0.25
+	startVariance = 1
+	// weightDrift is added to a pair's variance each second, so that the weight follows changes of the work.
+	weightDrift = 1e-3
 	minUse      = 1e-3
 )
 
@@ -28,13 +33,25 @@
 
 type imagePair struct{ filling, serving string }
 
-// pairWeight is the estimate of a pair with its variance.
-type pairWeight struct{ mean, variance float64 }
+// pairWeight is the estimate of a pair with its variance at a time.
+type pairWeight struct {
+	at             time.Time
+	mean, variance float64
+}
+
+// drifted returns the estimate at a later time.
+func (w pairWeight) drifted(now time.Time) pairWeight {
+	if now.After(w.at) {
+		w.variance = min(w.variance+weightDrift*now.Sub(w.at).Seconds(), startVariance)
+		w.at = now
+	}
+	return w
+}
 
 // Pressure learns how much the tasks of each filling image disturb the tasks of each serving image. A tail is
-// idle / (1 - utilization), as in a queue; the utilization is the serving task's own load plus, for each filling image, a
-// weight times its use of the worker. A Kalman filter with a diagonal covariance splits each error between the load,
-// which belongs to a single task and swings, and the weights.
+// idle / (1 - utilization), as in a queue; the utilization is the serving tasks' own load plus, for each filling image, a
+// weight times its use of the worker. A Kalman filter with a diagonal covariance splits each error between the load and
+// the weights.
 type Pressure struct {
 	weights map[imagePair]pairWeight
 }
@@ -47,7 +64,7 @@
 	if tail <= idleTail {
 		return 0
 	}
-	return min(1-idleTail/tail, maxUtilization)
+	return 1 - idleTail/tail
 }
 
 // Of returns the pressure that the uses are expected to put on a serving image, as a utilization.
@@ -68,34 +85,38 @@
 	if w, ok := p.weights[imagePair{filling, serving}]; ok {
 		return w
 	}
-	return pairWeight{startWeight, startVariance}
+	return pairWeight{mean: startWeight, variance: startVariance}
 }
 
-// Observe takes the measured tail of a task, as a part of its target, together with the uses of the time that it
-// covers, and returns the task's own load, which was load so far.
-func (p *Pressure) Observe(serving string, load, tail float64, uses Uses) float64 {
+// Observe takes the tail of a serving task that was measured up to now, as a part of its target, together with the uses of
+// the time that it covers, and corrects the tasks' load and the weights.
+func (p *Pressure) Observe(now time.Time, serving string, load *Load, tail float64, uses Uses) {
 	if tail <= 0 {
-		return load
+		return
 	}
-	expected := load + p.Of(serving, uses)
-	measured := Utilization(tail)
+	load.advance(now)
+	expected := load.At(now) + p.Of(serving, uses)
+	measured := min(Utilization(tail), maxUtilization)
 	if measured >= maxUtilization && expected >= maxUtilization {
-		return load // a saturated tail does not tell by how much
+		return // a saturated tail does not tell by how much
 	}
 	surprise := measured - min(expected, maxUtilization)
-	total := loadVariance + tailVariance
+	noise := max(tailNoise*(1-measured), minNoise)
+	total := load.covariance[0][0] + noise*noise + modelVariance
 	for filling, use := range uses {
-		total += p.pair(filling, serving).variance * use * use
+		total += p.pair(filling, serving).drifted(now).variance * use * use
 	}
+	most := maxDeviations * math.Sqrt(total)
+	surprise = min(max(surprise, -most), most)
 	for filling, use := range uses {
 		if use < minUse {
 			continue
 		}
-		w := p.pair(filling, serving)
+		w := p.pair(filling, serving).drifted(now)
 		gain := w.variance * use / total
 		w.mean = max(w.mean+gain*surprise, 0)
-		w.variance = min(w.variance*(1-gain*use)+weightDrift, startVariance)
+		w.variance = w.variance * (1 - gain*use)
 		p.weights[imagePair{filling, serving}] = w
 	}
-	return min(max(load+loadVariance/total*surprise/2, minLoad), maxLoad)
+	load.correct(surprise, total)
 }
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -154,7 +155,7 @@
 	}
 	occ := &occurrence{
 		index: index, ready: make([]bool, len(j.Steps)), tasks: make([][]*task, len(j.Steps)),
-		undone: make([]int, len(j.Steps)), permits: make([]map[string]permit, len(j.Steps)),
+		loads: make([]*interference.Load, len(j.Steps)), undone: make([]int, len(j.Steps)), permits: make([]map[string]permit, len(j.Steps)),
 	}
 	for s := range j.Steps {
 		step := &j.Steps[s]
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -18,10 +18,10 @@
 	hotTail  = 0.85
 	overTail = 1.0
 	// goalTail is the tail up to which tasks that fill may lengthen that of a serving task.
-	goalTail = 0.85
+	goalTail = 0.95
 	// swingLoad is the load of its own that a serving task is taken to reach while a task that fills beside it runs:
 	// loads swing by half within some ten seconds.
-	swingLoad = 0.5
+	swingLoad = 0.6
 	// leastAllowed lets tasks that do little harm go on beside a serving task that is busy by itself.
 	leastAllowed = 0.04
 	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
@@ -31,7 +31,7 @@
 	paceStep = 12
 	// useMemory is the time over which the use that a measured tail answers to fades: tails cover half a second, and
 	// the queue behind a long tail empties slowly.
-	useMemory = 700 * time.Millisecond
+	useMemory = 500 * time.Millisecond
 	leastUse  = 1e-3
 	// settleTime is how long a serving task runs before its figures count.
 	settleTime = 600 * time.Millisecond
@@ -66,17 +66,17 @@
 	return at.figure / float64(max(at.task.step.TailTarget.Milliseconds(), 1))
 }
 
-// ownLoad returns the load that a serving task has by itself.
-func (at *attempt) ownLoad() float64 {
-	if at.load == 0 {
-		return interference.StartLoad
-	}
-	return at.load
+// load returns what is known of the load that a serving task has by itself; nil if nothing is known.
+func (at *attempt) load() *interference.Load {
+	return at.task.job.occurrences[at.task.key.Occurrence].loads[at.task.key.Step]
 }
 
-// allowed returns the pressure that others may put on a serving task.
-func (at *attempt) allowed() float64 {
-	return pressureAllowed(at.ownLoad())
+// ownLoad returns the load that a serving task is expected to have by itself when a pace that is set now shows.
+func (at *attempt) ownLoad(now time.Time) float64 {
+	if l := at.load(); l != nil {
+		return l.At(now.Add(paceGap))
+	}
+	return interference.StartLoad
 }
 
 // pressureAllowed returns the pressure that others may put on a serving task with the given load of its own.
@@ -97,7 +97,12 @@
 			continue
 		}
 		tail := tailOf(at)
-		at.load = o.pressure.Observe(at.task.step.Image, at.ownLoad(), tail, w.uses)
+		load := at.load()
+		if load == nil {
+			load = interference.NewLoad(now)
+			at.task.job.occurrences[at.task.key.Occurrence].loads[at.task.key.Step] = load
+		}
+		o.pressure.Observe(now, at.task.step.Image, load, tail, w.uses)
 		worst = max(worst, tail)
 		switch {
 		case tail <= overTail:
@@ -264,7 +269,7 @@
 	for image, s := range v.serving {
 		weight = max(weight, o.pressure.Weight(t.step.Image, image))
 		cost := o.pressure.Weight(t.step.Image, image) * use
-		worst = max(worst, (s.pressure+cost)/s.allowed)
+		worst = max(worst, (s.pressure+cost)/s.allowedPeak)
 	}
 	halted := o.now.Sub(w.haltedAt) < haltPause && weight >= w.haltLimit
 	return min(worst, 1), worst <= 1 && share >= leastShare && !halted
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -31,8 +31,6 @@
 
 // attempt is a run of a task on a worker that is not proven to have ended.
 type attempt struct {
-	// load is what a serving run has by itself; 0 until it is known.
-	load float64
 	// confirmedAt is when the worker's answer to the start or the stop came.
 	confirmedAt time.Time
 	figure      float64
@@ -80,6 +78,8 @@
 // occurrence is one run of all steps of a job.
 type occurrence struct {
 	index int
+	// loads follows the load of the serving tasks of each step; nil until a tail is known.
+	loads []*interference.Load
 	open  int
 	// permits holds the advice on workers for each step.
 	permits []map[string]permit
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -15,9 +15,11 @@
 
 // servingImage is what a view holds of the serving tasks of an image.
 type servingImage struct {
-	// allowed is the least pressure that one of the tasks bears, pressure what tasks that fill are expected to cause.
-	allowed, pressure float64
-	tasks             int
+	// allowed is the least pressure that one of the tasks bears now, allowedPeak the same while its load is high.
+	allowed, allowedPeak float64
+	// pressure is what tasks that fill are expected to cause.
+	pressure float64
+	tasks    int
 }
 
 func (o *Owner) viewOf(w *worker) *view {
@@ -38,10 +40,12 @@
 		if s.TailTarget > 0 {
 			image := v.serving[s.Image]
 			if image == nil {
-				image = &servingImage{allowed: 1}
+				image = &servingImage{allowed: 1, allowedPeak: 1}
 				v.serving[s.Image] = image
 			}
-			image.allowed = min(image.allowed, at.allowed(), pressureAllowed(swingLoad))
+			load := at.ownLoad(o.now)
+			image.allowed = min(image.allowed, pressureAllowed(load))
+			image.allowedPeak = min(image.allowedPeak, pressureAllowed(max(load, swingLoad)))
 			image.tasks++
 			v.servingTasks++
 		}
