Pack serving tasks by image, and keep free workers for what fits nowhere else

Cause: serving tasks were spread, so nearly every worker held images that some filling image harms; those had to wait or were slowed down. Change: a worker with serving tasks of the same image comes first, the fullest of them; tasks that fill leave workers without serving tasks to those that suit no other.

--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -7,8 +7,16 @@
 	// harmMalus ranks workers whose serving tasks would miss their targets behind all others.
 	harmMalus = 2
 	// imageBonus gathers serving tasks of one image: tasks that fill harm some images and not others, so each finds
-	// workers that suit it.
-	imageBonus = 0.5
+	// workers that suit it. A worker without serving tasks counts as emptyShare of them.
+	imageBonus = 2
+	emptyShare = 0.5
+	// packBonus fills up workers that have serving tasks already, so that others stay free of them and suit every task
+	// that fills.
+	packBonus = 0.5
+	// freeMalus keeps workers without serving tasks for those that fill and suit no other.
+	freeMalus = 0.3
+	// costMalus spreads tasks that fill over the workers that suit them.
+	costMalus = 0.25
 	// avoidMalus keeps a task off the worker on which it failed last while there is another one.
 	avoidMalus = 3
 )
@@ -18,15 +26,17 @@
 	if t.step.Fills {
 		share := w.fillShare(o, t.step.Resources.CPUMilli)
 		cost, ok := o.suits(w, t, share)
-		score = share * (1 - cost)
+		score = share - costMalus*cost
 		if !ok {
 			score -= harmMalus
 		}
-	} else {
-		score = 1 - w.reserved.Add(t.step.Resources).Fraction(w.Capacity)
-		if t.step.TailTarget > 0 {
-			score += imageBonus * w.imageShare(o, t.step.Image)
+		if o.viewOf(w).servingTasks == 0 {
+			score -= freeMalus
 		}
+	} else if used := w.reserved.Add(t.step.Resources).Fraction(w.Capacity); t.step.TailTarget > 0 {
+		score = o.servingScore(w, t.step.Image) + packBonus*used
+	} else {
+		score = 1 - used
 	}
 	if t.step.Rack != "" && w.Rack == t.step.Rack {
 		score += rackBonus
@@ -36,3 +46,18 @@
 	}
 	return score
 }
+
+// servingScore ranks a worker for a serving task by the images of the serving tasks that it has, and by what the tasks that
+// fill do to this one.
+func (o *Owner) servingScore(w *worker, image string) float64 {
+	v := o.viewOf(w)
+	score := imageBonus * emptyShare
+	if v.servingTasks > 0 {
+		share := 0.0
+		if s := v.serving[image]; s != nil {
+			share = float64(s.tasks) / float64(v.servingTasks)
+		}
+		score = imageBonus * share * share
+	}
+	return score - min(o.pressure.Of(image, w.potentialUses(v))/pressureAllowed(swingLoad), harmMalus)
+}
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -81,16 +81,3 @@
 	}
 	return 1
 }
-
-// imageShare returns which part of the serving tasks on the worker are of the image; a worker without any counts
-// as half.
-func (w *worker) imageShare(o *Owner, image string) float64 {
-	v := o.viewOf(w)
-	if v.servingTasks == 0 {
-		return 0.5
-	}
-	if s := v.serving[image]; s != nil {
-		return float64(s.tasks) / float64(v.servingTasks)
-	}
-	return 0
-}
