Pace by the pressure that a worker's tails show at present

Change: the mean residual of a worker's tails scales the weights for its paces; pressures count as uncertain by 40% when loads and weights are learned. Ruled out: a model in which pressure multiplies the own load (larger residuals on both sites).

--- a/internal/interference/pressure.go
+++ b/internal/interference/pressure.go
@@ -16,6 +16,9 @@
 	// minNoise and modelVariance cover what the model leaves out: uses are rough figures as well, and queues need time.
 	minNoise      = 0.05
 	modelVariance = 0.001
+	// pressureNoise is the deviation of a pressure as a part of it: what a task does to its neighbours changes within
+	// seconds.
+	pressureNoise = 0.4
 	// maxDeviations bounds what a single sample changes, in standard deviations: workers that turn slow have long tails for
 	// other reasons.
 	maxDeviations = 2.5
@@ -88,6 +91,11 @@
 	return pairWeight{mean: startWeight, variance: startVariance}
 }
 
+// Residual returns by how much a measured tail exceeds the utilization that the model expects.
+func (p *Pressure) Residual(now time.Time, serving string, load *Load, tail float64, uses Uses) float64 {
+	return min(Utilization(tail), maxUtilization) - load.At(now) - p.Of(serving, uses)
+}
+
 // Observe takes the tail of a serving task that was measured up to now, as a part of its target, together with the uses of
 // the time that it covers, and corrects the tasks' load and the weights.
 func (p *Pressure) Observe(now time.Time, serving string, load *Load, tail float64, uses Uses) {
@@ -95,14 +103,15 @@
 		return
 	}
 	load.advance(now)
-	expected := load.At(now) + p.Of(serving, uses)
+	pressure := p.Of(serving, uses)
+	expected := load.At(now) + pressure
 	measured := min(Utilization(tail), maxUtilization)
 	if measured >= maxUtilization && expected >= maxUtilization {
 		return // a saturated tail does not tell by how much
 	}
 	surprise := measured - min(expected, maxUtilization)
 	noise := max(tailNoise*(1-measured), minNoise)
-	total := load.covariance[0][0] + noise*noise + modelVariance
+	total := load.covariance[0][0] + noise*noise + modelVariance + pressureNoise*pressureNoise*pressure*pressure
 	for filling, use := range uses {
 		total += p.pair(filling, serving).drifted(now).variance * use * use
 	}
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -27,6 +27,10 @@
 	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
 	// time, and slow others down as well.
 	leastShare = 0.55
+	// excessGain is the part of a new excess of the pressure that counts; maxExcess bounds the factor by which a worker's
+	// pressure may exceed what the weights say.
+	excessGain = 0.6
+	maxExcess  = 3
 	// paceStep is the least change of a pace that is worth an order.
 	paceStep = 12
 	// useMemory is the time over which the use that a measured tail answers to fades: tails cover half a second, and
@@ -90,6 +94,7 @@
 func (o *Owner) control(now time.Time, w *worker) {
 	w.smoothUses(now)
 	worst, fills := 0.0, false
+	excess, samples := 0.0, 0
 	limit := math.Inf(1)
 	for _, at := range w.attempts {
 		fills = fills || at.task.step.Fills
@@ -102,6 +107,8 @@
 			load = interference.NewLoad(now)
 			at.task.job.occurrences[at.task.key.Occurrence].loads[at.task.key.Step] = load
 		}
+		excess += o.pressure.Residual(now, at.task.step.Image, load, tail, w.uses)
+		samples++
 		o.pressure.Observe(now, at.task.step.Image, load, tail, w.uses)
 		worst = max(worst, tail)
 		switch {
@@ -122,6 +129,12 @@
 			}
 		}
 	}
+	if samples > 0 {
+		w.excess += excessGain * (excess/float64(samples) - w.excess)
+	}
+	if !fills {
+		w.excess = 0
+	}
 	if !fills || now.Sub(w.pacedAt) < paceGap {
 		return
 	}
@@ -158,6 +171,7 @@
 	share := min(max(v.left, 0)/max(v.demand, 1), 1)
 	var fills []*attempt
 	halted := 0
+	factor := o.excessFactor(w, v)
 	weight, harm := map[string]float64{}, map[string]float64{}
 	for _, at := range w.attempts {
 		if !at.task.step.Fills || at.phase != phaseRunning {
@@ -179,7 +193,7 @@
 		use := share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
 		part := 1.0
 		for serving, s := range v.serving {
-			if cost := o.pressure.Weight(at.task.step.Image, serving) * use; cost > 0 {
+			if cost := factor * o.pressure.Weight(at.task.step.Image, serving) * use; cost > 0 {
 				part = min(part, max(s.allowed-pressure[serving], 0)/cost)
 			}
 		}
@@ -188,7 +202,7 @@
 			halted++
 		}
 		for serving := range v.serving {
-			pressure[serving] += part * o.pressure.Weight(at.task.step.Image, serving) * use
+			pressure[serving] += part * factor * o.pressure.Weight(at.task.step.Image, serving) * use
 		}
 		o.adjust(now, at, int(part*fullPace), worst)
 	}
@@ -201,6 +215,18 @@
 	}
 }
 
+// excessFactor returns by which factor the pressure on a worker's serving tasks exceeds what the weights say at present.
+func (o *Owner) excessFactor(w *worker, v *view) float64 {
+	expected := 0.0
+	for serving := range v.serving {
+		expected = max(expected, o.pressure.Of(serving, w.uses))
+	}
+	if expected < leastAllowed {
+		return 1
+	}
+	return min(max(1+w.excess/expected, 1.0/maxExcess), maxExcess)
+}
+
 // adjust changes the pace of a task if that is worth an order.
 func (o *Owner) adjust(now time.Time, at *attempt, percent int, worst float64) {
 	diff := percent - at.paced
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -134,6 +134,8 @@
 	drainedAt time.Time
 	// fenced says that the worker has accepted the owner's token.
 	fenced bool
+	// excess is by how much the pressure on the serving tasks exceeds what the model expects, at present.
+	excess float64
 	// haltedAt is when tasks of a weight from haltLimit on had to stand still last.
 	haltedAt  time.Time
 	haltLimit float64
