Move runs off workers that stand still, and replace overdue runs

Change: a worker with a tail above 40 times the target is left and gets nothing for 6 s; a run that takes twice as long as its done siblings is copied where copies are allowed, and stopped and started elsewhere otherwise. Tests: TestServingTaskStaysOnAStalledWorker and TestStepWaitsForARunThatNeverEnds fail without the change; TestSlowSiblingIsCopied guards the other side.

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -35,6 +35,12 @@
 	return true
 }
 
+// stalled puts a worker that stands still into quarantine.
+func (h *health) stalled(now time.Time) {
+	h.pause = stalledPause
+	h.until, h.probation, h.failures = now.Add(h.pause), true, 0
+}
+
 func (h *health) succeeded() { *h = health{} }
 
 // accepts reports whether the worker may get a run now.
--- a/internal/shard/look.go
+++ b/internal/shard/look.go
@@ -188,6 +188,11 @@
 		t.checkpoint = e.Checkpoint
 	}
 	if at != nil {
+		if e.Cause == EndDone && !at.confirmedAt.IsZero() {
+			times := &t.job.occurrences[t.key.Occurrence].times[t.key.Step]
+			times.count++
+			times.total += now.Sub(at.confirmedAt)
+		}
 		o.drop(at, string(e.Cause))
 	}
 	switch e.Cause {
@@ -232,8 +237,7 @@
 	t.notBefore = now.Add(failurePause)
 	o.mark(t.job)
 	if w.health.failed(now) {
-		o.log.WithFields(logrus.Fields{"decision": "quarantine", "worker": w.ID, "until_in": w.health.pause.String()}).
-			Warn("worker fails what it runs and gets no more for a while")
+		o.logQuarantine(w)
 	}
 	limit := t.job.queue.MaxAttempts
 	if t.step.LongRunning || limit <= 0 || t.failures < limit || t.job.final != "" {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -34,8 +34,10 @@
 	// mostlyIdle holds for a round of placement which services use few of their processors.
 	mostlyIdle map[string]bool
 	// now is the time of the call in progress.
-	now   time.Time
-	paces []Pace
+	now time.Time
+	// overdueAt is when overdue runs were searched for last.
+	overdueAt time.Time
+	paces     []Pace
 	// placed collects the tasks that a round of placement placed, for the log.
 	placed map[*job][]string
 	// pressure is what is known of how filling images slow serving ones down.
@@ -186,6 +188,7 @@
 	o.openOccurrences(now, &a)
 	o.expire(now, &a)
 	o.leaveDraining(now, &a)
+	o.replaceOverdue(now)
 	o.place(now, &a)
 	a.Commit = o.nextCommit(now, &a)
 	o.orders(now, &a)
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -129,6 +129,7 @@
 			}
 		}
 	}
+	o.leaveStalled(now, w, worst)
 	if samples > 0 {
 		w.excess += excessGain * (excess/float64(samples) - w.excess)
 	}
--- /dev/null
+++ b/internal/shard/stall_test.go
@@ -0,0 +1,180 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// crew drives an owner and several workers on which runs end when the test says so.
+type crew struct {
+	*world
+	// ends returns the cause with which a run ends now, empty if it goes on.
+	ends   func(s shard.Start) shard.EndCause
+	figure func(s shard.Start) float64
+	// starts holds all starts, running those that have not ended.
+	starts, running []shard.Start
+	ended           map[string][]shard.EndRow
+	numbers         map[string]int64
+	startedAt       map[string]time.Time
+}
+
+func newCrew(t *testing.T, workers int) *crew {
+	t.Helper()
+	return &crew{
+		world: newWorld(t, 1, workers), ended: map[string][]shard.EndRow{}, numbers: map[string]int64{},
+		startedAt: map[string]time.Time{}, figure: func(shard.Start) float64 { return 1000 },
+		ends: func(shard.Start) shard.EndCause { return "" },
+	}
+}
+
+func (c *crew) name(s shard.Start) string { return s.Key.Name(s.Job) + "@" + s.Worker }
+
+func (c *crew) age(s shard.Start) time.Duration { return c.now.Sub(c.startedAt[c.name(s)]) }
+
+func (c *crew) end(s shard.Start, cause shard.EndCause) {
+	c.numbers[s.Worker]++
+	c.ended[s.Worker] = append(c.ended[s.Worker], shard.EndRow{
+		Number: c.numbers[s.Worker], Job: s.Job, Key: s.Key, Run: s.Run, Cause: cause,
+	})
+}
+
+func (c *crew) step() {
+	c.now = c.now.Add(worldStep)
+	a := c.owner.Step(c.now)
+	if a.Commit != nil {
+		c.owner.Committed(c.now, a.Commit)
+	}
+	for _, s := range a.Starts {
+		c.starts, c.running = append(c.starts, s), append(c.running, s)
+		c.startedAt[c.name(s)] = c.now
+		c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: c.clock(c.worker(s.Worker))})
+	}
+	for _, s := range a.Stops {
+		c.finish(func(r shard.Start) shard.EndCause {
+			if r.Worker == s.Worker && r.Job == s.Job && r.Key == s.Key && r.Run == s.Run {
+				return shard.EndStopped
+			}
+			return ""
+		})
+		c.owner.Stopped(c.now, s, shard.Reply{Outcome: shard.OutcomeDone})
+	}
+	for _, p := range a.Paces {
+		c.owner.Paced(c.now, p, shard.Reply{Outcome: shard.OutcomeDone})
+	}
+	c.finish(c.ends)
+	for _, l := range a.Looks {
+		f := c.worker(l.Worker)
+		list := shard.Listing{Born: f.born, Clock: c.clock(f), Ended: c.ended[l.Worker]}
+		for _, s := range c.running {
+			if s.Worker == l.Worker {
+				list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Figure: c.figure(s)})
+			}
+		}
+		c.owner.Looked(c.now, l, c.now, list)
+	}
+}
+
+func (c *crew) finish(ends func(shard.Start) shard.EndCause) {
+	var left []shard.Start
+	for _, s := range c.running {
+		if cause := ends(s); cause != "" {
+			c.end(s, cause)
+		} else {
+			left = append(left, s)
+		}
+	}
+	c.running = left
+}
+
+func (c *crew) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.step()
+	}
+}
+
+func (c *crew) workersOf(job string) map[string]int {
+	out := map[string]int{}
+	for _, s := range c.running {
+		if s.Job == job {
+			out[s.Worker]++
+		}
+	}
+	return out
+}
+
+// Guards against serving tasks that stay on a worker that stands still although it answers.
+func TestServingTaskStaysOnAStalledWorker(t *testing.T) {
+	c := newCrew(t, 2)
+	const job = "0000000000000001"
+	stalled := ""
+	c.figure = func(s shard.Start) float64 {
+		if s.Worker == stalled {
+			return 2000
+		}
+		return 7
+	}
+	c.owner.Add(c.now, workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{{
+		Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, LongRunning: true,
+		TailTarget: 18 * time.Millisecond, Image: "s",
+	}}})
+	c.run(2 * time.Second)
+	for w := range c.workersOf(job) {
+		stalled = w
+	}
+	assert.Assert(t, stalled != "", "the task runs")
+	c.run(3 * time.Second)
+	assert.Equal(t, c.workersOf(job)[stalled], 0, "the task has left worker %s", stalled)
+	assert.Equal(t, len(c.workersOf(job)), 1, "the task runs elsewhere")
+}
+
+// Guards against steps that wait for a run on a worker that hangs without any other sign.
+func TestStepWaitsForARunThatNeverEnds(t *testing.T) {
+	for _, speculative := range []bool{false, true} {
+		c := newCrew(t, 3)
+		const job = "0000000000000001"
+		hung := ""
+		c.ends = func(s shard.Start) shard.EndCause {
+			if s.Worker != hung && c.age(s) > 500*time.Millisecond {
+				return shard.EndDone
+			}
+			return ""
+		}
+		c.owner.Add(c.now, workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{{
+			Count: 6, PerWorker: 2, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10},
+			Estimate: 10 * time.Second, Speculative: speculative,
+		}}})
+		for len(c.starts) == 0 {
+			c.step()
+		}
+		hung = c.starts[0].Worker
+		c.run(4 * time.Second)
+		s, ok := c.owner.State(job)
+		assert.Assert(t, ok)
+		assert.Equal(t, s, workflow.StateCompleted, "speculative %t", speculative)
+	}
+}
+
+// Guards against copies of runs that are merely slower than their siblings.
+func TestSlowSiblingIsCopied(t *testing.T) {
+	c := newCrew(t, 3)
+	const job = "0000000000000001"
+	c.ends = func(s shard.Start) shard.EndCause {
+		if c.age(s) > time.Duration(800+80*s.Key.Index)*time.Millisecond {
+			return shard.EndDone
+		}
+		return ""
+	}
+	c.owner.Add(c.now, workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{{
+		Count: 6, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, Estimate: time.Second, Speculative: true,
+	}}})
+	c.run(3 * time.Second)
+	s, _ := c.owner.State(job)
+	assert.Equal(t, s, workflow.StateCompleted)
+	assert.Equal(t, len(c.starts), 6)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -36,6 +36,8 @@
 	figure      float64
 	// inFlight says that an order for the attempt has no answer yet.
 	inFlight bool
+	// overdue says that the run took much longer than its siblings.
+	overdue bool
 	// overSince is since when every listing showed the run over its latency target.
 	overSince time.Time
 	// paced is the percentage that was last asked for; 100 after a start.
@@ -60,10 +62,12 @@
 	attempts   []*attempt
 	avoid      string
 	checkpoint string
-	done       bool
-	failures   int
-	job        *job
-	key        workflow.TaskKey
+	// copies counts the runs that were given up as overdue.
+	copies   int
+	done     bool
+	failures int
+	job      *job
+	key      workflow.TaskKey
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	run       int
@@ -86,6 +90,8 @@
 	// ready says for each step that all steps before it are done.
 	ready []bool
 	tasks [][]*task
+	// times holds for each step how long its done tasks took.
+	times []stepTimes
 	// undone counts the tasks of each step that are not done.
 	undone []int
 }
