Split fleets by the strength of their hosts

Change: the number of shards follows from the third strongest host, 50 to 200 workers each; the layout waits a second for hosts to register. Test: TestShardsOutgrowTheirOwners.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -163,6 +163,19 @@
 	return l.Shards
 }
 
+// strengths returns the strengths of all live hosts.
+func (d *directory) strengths(self hostRecord) []float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := []float64{self.Strength}
+	for _, h := range d.hosts {
+		if h.Host != self.Host {
+			out = append(out, h.Strength)
+		}
+	}
+	return out
+}
+
 // peers returns the other hosts that do not drain, those of the zone first.
 func (d *directory) peers(self hostRecord) []hostRecord {
 	d.mu.Lock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -31,6 +31,8 @@
 	self      hostRecord
 	session   *session
 	settings  settings.Settings
+	// started is when the host was made.
+	started time.Time
 }
 
 // New returns a host that runs on the platform.
@@ -49,6 +51,7 @@
 			Zone: s.Zone,
 		},
 		settings: s,
+		started:  time.Now(),
 	}
 	h.pool = peer.NewPool(entry, h.answerPeer)
 	h.owners = newOwners(h)
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -2,21 +2,25 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/election"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// workersPerShard is how many workers one owner decides for. Larger shards pack wide steps better; an owner with a
-// sixth of a core carries about this many.
-const workersPerShard = 100
+// layoutDelay leaves the other hosts time to register before the number of shards follows from their strength.
+const layoutDelay = time.Second
 
 // createLayout decides the number of shards once the workers have registered; the first host to write it wins.
 func (h *Host) createLayout(ctx context.Context) {
+	if time.Since(h.started) < layoutDelay {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeCall)
 	defer cancel()
 	before, err := h.countWorkers(ctx)
@@ -28,7 +32,7 @@
 	if err != nil || count != before {
 		return // workers are still registering
 	}
-	l := layout{Shards: (count + workersPerShard - 1) / workersPerShard}
+	l := layout{Shards: election.Shards(count, h.directory.strengths(h.self))}
 	_, err = h.platform.Store.Txn(ctx, kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: layoutKey}}, Puts: []kvstore.Put{{Key: layoutKey, Value: workflow.Encode(l)}},
 	})
