Pause after rounds of placement by the strength of the host

Cause: the pause was set for a sixth of a core, so strong owners of large shards placed short tasks late.

--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -14,17 +14,13 @@
 // placeGap is the least time between two rounds of placement, each of which looks at all tasks that wait.
 const placeGap = 15 * time.Millisecond
 
-// evaluationGap lengthens the pause after a round by the pairs of task and worker that it looked at, about a
-// microsecond each on a sixth of a core, so that placement takes a tenth of the processor at most.
-const evaluationGap = 10 * time.Microsecond
-
 // failurePause delays the restart of a task that failed, so that a task that fails at once does not take over its
 // worker's time.
 const failurePause = 50 * time.Millisecond
 
 // place chooses workers for the tasks that wait.
 func (o *Owner) place(now time.Time, a *Actions) {
-	if due := o.lastPlace.Add(placeGap + time.Duration(o.evaluated)*evaluationGap); now.Before(due) {
+	if due := o.lastPlace.Add(placeGap + time.Duration(o.evaluated)*o.timing.EvaluationGap); now.Before(due) {
 		a.wakeAt(due)
 		return
 	}
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -8,6 +8,8 @@
 	ClockDrift float64
 	// CommitGap is the least time between two writes of records, which lets changes share a write.
 	CommitGap time.Duration
+	// EvaluationGap lengthens the pause after a round of placement by the pairs of task and worker that it looked at.
+	EvaluationGap time.Duration
 	// LeaseMargin is added to the end of a worker's lease before its tasks count as ended: scheduling and rounding.
 	LeaseMargin time.Duration
 	// LookGap is the least time between two looks at a worker, which lets several ends share a look.
@@ -33,6 +35,7 @@
 	return Timing{
 		ClockDrift:     0.02,
 		CommitGap:      15 * time.Millisecond,
+		EvaluationGap:  10 * time.Microsecond,
 		LeaseMargin:    300 * time.Millisecond,
 		LookGap:        150 * time.Millisecond,
 		LookRetry:      200 * time.Millisecond,
