--- a/internal/shard/order_test.go
+++ b/internal/shard/order_test.go
@@ -38,3 +38,25 @@
 	assert.Assert(t, failed)
 	assert.Equal(t, len(c.workersOf(job)), 1, "the task that lasts runs again")
 }
+
+// Guards against a large task that lasts and never fits, since small batch tasks take each bit of room that comes free.
+func TestSmallBatchTasksKeepALargeTaskOut(t *testing.T) {
+	c := newCrew(t, 2)
+	const job = "0000000000000001"
+	small := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, Estimate: 100 * time.Millisecond}
+	large := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 6000, MemoryMiB: 10}, LongRunning: true}
+	c.ends = func(s shard.Start) shard.EndCause {
+		if s.Job != job && c.age(s) > time.Duration(300+100*s.Key.Index)*time.Millisecond {
+			return shard.EndDone
+		}
+		return ""
+	}
+	for i := range 100 {
+		c.run(100 * time.Millisecond)
+		if i == 20 {
+			c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{large}})
+		}
+		c.owner.Add(c.now, workflow.Job{ID: fmt.Sprintf("00000000000001%02x", i), AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{small}})
+	}
+	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -22,7 +22,9 @@
 	dirty      []*job
 	ended      endedJobs
 	// evaluated counts the pairs of task and worker that the last round of placement looked at.
-	evaluated  int
+	evaluated int
+	// holds counts the workers that the last round of placement kept for tasks that last.
+	holds      int
 	jobs       map[string]*job
 	lastCommit time.Time
 	lastPlace  time.Time
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -29,7 +29,7 @@
 	// full holds the requests that found no worker in this pass; the same request can't find one either.
 	full := map[request]bool{}
 	free := o.mostFree(now)
-	o.evaluated = 0
+	o.evaluated, o.holds = 0, 0
 	clear(o.mostlyIdle)
 	for _, j := range o.backlog {
 		if j.final != "" {
@@ -44,7 +44,7 @@
 					o.placeGang(now, tasks)
 					continue
 				}
-				if !j.Steps[s].Fills && j.Steps[s].Resources.CPUMilli > free[j.queue.Service] {
+				if !j.Steps[s].Fills && !j.Steps[s].LongRunning && j.Steps[s].Resources.CPUMilli > free[j.queue.Service] {
 					continue
 				}
 				for _, t := range tasks {
@@ -116,6 +116,7 @@
 		return false
 	}
 	if w == nil {
+		o.hold(now, t)
 		full[r] = true
 		return false
 	}
@@ -282,9 +283,14 @@
 func (o *Owner) hasRoom(now time.Time, w *worker, t *task) bool {
 	s := t.step
 	o.evaluated++
-	if !s.Fills && s.Resources.CPUMilli > w.Capacity.CPUMilli-w.reserved.CPUMilli ||
-		w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) ||
-		!w.reserved.Add(reservation(s)).FitsIn(w.Capacity) {
+	return (s.Fills || s.Resources.CPUMilli <= w.Capacity.CPUMilli-w.reserved.CPUMilli) && !w.isHeldFrom(now, t) &&
+		w.suitsStep(now, t) && w.reserved.Add(reservation(s)).FitsIn(w.Capacity)
+}
+
+// suitsStep reports whether a worker could take a task but for its room and the advice on it.
+func (w *worker) suitsStep(now time.Time, t *task) bool {
+	s := t.step
+	if w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) {
 		return false
 	}
 	if s.PerWorker > 0 {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -146,6 +146,9 @@
 	haltedAt  time.Time
 	haltLimit float64
 	health    health
+	// holdsFor is the task that the worker is kept for until heldUntil.
+	heldUntil time.Time
+	holdsFor  *task
 	// inheritedUntil bounds the leases that earlier owners may have given.
 	inheritedUntil time.Time
 	lookDue        time.Time
