Share what is learned of images between owners, and keep it for the next

Cause: each owner learned the pairs of images by itself, at the cost of its serving tasks, after each takeover again. Test: TestKnowledgeOfAnotherOwnerIsLost.

--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -17,11 +17,14 @@
 	placedPrefix  = root + "placed/"
 	jobPrefix     = root + "job/"
 	progressRoot  = root + "progress/"
+	weightsPrefix = root + "weights/"
 	cancelSuffix  = "/cancel"
 )
 
 func ownerKey(shard int) string { return ownerPrefix + strconv.Itoa(shard) }
 
+func weightsKey(shard int) string { return weightsPrefix + strconv.Itoa(shard) }
+
 func epochKey(shard int) string { return epochPrefix + strconv.Itoa(shard) }
 
 func placedKey(id string) string { return placedPrefix + id }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -85,6 +85,7 @@
 	r.owner.SetConfig(r.host.config.config())
 	go r.loop()
 	go r.forgetEnded()
+	go r.shareWeights()
 	go follow(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.registrySnapshot, r.registryEvents)
 	go func() {
 		recorded := r.readProgress()
--- a/internal/interference/pressure_test.go
+++ b/internal/interference/pressure_test.go
@@ -95,3 +95,24 @@
 	assert.Assert(t, p.Weight("mild", "serving") < 0.4, "weight %f", p.Weight("mild", "serving"))
 	assert.Assert(t, p.Weight("harmful", "serving") > 2, "weight %f", p.Weight("harmful", "serving"))
 }
+
+// Guards against an owner that learns anew, at its serving tasks' cost, what another one knows; and against one that gives
+// up what it knows better itself.
+func TestKnowledgeOfAnotherOwnerIsLost(t *testing.T) {
+	now := time.Unix(0, 0)
+	teacher, pupil := interference.NewPressure(), interference.NewPressure()
+	teach := func(p *interference.Pressure, weight float64, samples int) {
+		load := interference.NewLoad(now)
+		for range samples {
+			now = now.Add(sampleGap)
+			p.Observe(now, "serving", load, 0.222/(1-0.42), nil)
+			p.Observe(now, "serving", load, 0.222/(1-0.42-0.1*weight), interference.Uses{"filling": 0.1})
+		}
+	}
+	teach(teacher, 2.8, 40)
+	assert.Equal(t, pupil.Adopt(now, teacher.Known(now)), 1)
+	assert.Assert(t, pupil.Weight("filling", "serving") > 2, "weight %f", pupil.Weight("filling", "serving"))
+	assert.Equal(t, pupil.Adopt(now, teacher.Known(now)), 0, "nothing new is adopted again")
+	teach(pupil, 0.2, 80)
+	assert.Equal(t, pupil.Adopt(now, teacher.Known(now)), 0, "what is known better stays")
+}
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -301,3 +301,11 @@
 	halted := o.now.Sub(w.haltedAt) < haltPause && weight >= w.haltLimit
 	return min(worst, 1), worst <= 1 && share >= leastShare && !halted
 }
+
+// Learned returns what is known well of how filling images disturb serving ones.
+func (o *Owner) Learned(now time.Time) []interference.PairWeight { return o.pressure.Known(now) }
+
+// Adopt takes over what another owner knows better of images, and returns how many pairs that were.
+func (o *Owner) Adopt(now time.Time, known []interference.PairWeight) int {
+	return o.pressure.Adopt(now, known)
+}
