--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -9,14 +9,16 @@
 const (
 	// holdTime is how long a worker is held for a task that lasts; each round of placement renews it.
 	holdTime = 400 * time.Millisecond
-	// maxHolds bounds the workers that a round holds, so that batch tasks go on in a full shard.
-	maxHolds = 8
+	// heldPart bounds the part of the workers that a round holds, so that other work goes on in a full shard; small shards
+	// hold up to minHolds.
+	heldPart = 10
+	minHolds = 4
 )
 
-// hold keeps batch tasks off a worker that could take a task that lasts once some of its batch tasks have ended. Otherwise
+// hold keeps other tasks off a worker that could take a task that lasts once some of its batch tasks have ended. Otherwise
 // smaller batch tasks take each bit of room that comes free, and the larger task never fits.
 func (o *Owner) hold(now time.Time, t *task) {
-	if !t.step.LongRunning || o.holds >= maxHolds {
+	if !t.step.LongRunning || o.holds >= max(len(o.workers)/heldPart, minHolds) {
 		return
 	}
 	var best *worker
@@ -61,5 +63,5 @@
 
 // isHeldFrom reports whether the worker is kept for another task than t.
 func (w *worker) isHeldFrom(now time.Time, t *task) bool {
-	return now.Before(w.heldUntil) && w.holdsFor != t && !t.step.LongRunning && !t.step.Fills
+	return now.Before(w.heldUntil) && w.holdsFor != t && !t.step.Fills
 }
