Leave a quarter of what serving tasks bear when tasks that fill are placed

Cause: pressures swing by a factor of two within seconds, so tasks placed up to the mean pressure pushed serving tasks over their targets at the next swing.

--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -22,6 +22,9 @@
 	// swingLoad is the load of its own that a serving task is taken to reach while a task that fills beside it runs:
 	// loads swing by half within some ten seconds.
 	swingLoad = 0.6
+	// pressureReserve is the factor by which the expected pressure has to stay below what serving tasks bear when a task that
+	// fills is placed: pressures swing by a factor of two within seconds.
+	pressureReserve = 1.25
 	// leastAllowed lets tasks that do little harm go on beside a serving task that is busy by itself.
 	leastAllowed = 0.04
 	// leastShare is the part of its demand that a task that fills has to get: with less it would take over twice its
@@ -296,7 +299,7 @@
 	for image, s := range v.serving {
 		weight = max(weight, o.pressure.Weight(t.step.Image, image))
 		cost := o.pressure.Weight(t.step.Image, image) * use
-		worst = max(worst, (s.pressure+cost)/s.allowedPeak)
+		worst = max(worst, pressureReserve*(s.pressure+cost)/s.allowedPeak)
 	}
 	halted := o.now.Sub(w.haltedAt) < haltPause && weight >= w.haltLimit
 	return min(worst, 1), worst <= 1 && share >= leastShare && !halted
