Keep held workers from tasks that fill, too

Change: a held worker takes nothing but the task that it is held for. Test: TestTasksThatFillKeepALargeTaskOut fails without the change.

--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -61,7 +61,8 @@
 	return reserved.Add(reservation(t.step)).FitsIn(w.Capacity)
 }
 
-// isHeldFrom reports whether the worker is kept for another task than t.
+// isHeldFrom reports whether the worker is kept for another task than t. Tasks that fill are kept off as well, since they take
+// memory.
 func (w *worker) isHeldFrom(now time.Time, t *task) bool {
-	return now.Before(w.heldUntil) && w.holdsFor != t && !t.step.Fills
+	return now.Before(w.heldUntil) && w.holdsFor != t
 }
--- a/internal/shard/order_test.go
+++ b/internal/shard/order_test.go
@@ -60,3 +60,25 @@
 	}
 	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
 }
+
+// Guards against a task that lasts and never fits, since tasks that fill take each bit of memory that comes free.
+func TestTasksThatFillKeepALargeTaskOut(t *testing.T) {
+	c := newCrew(t, 2)
+	const job = "0000000000000001"
+	fill := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 100, MemoryMiB: 1000}, Fills: true, Image: "f"}
+	large := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 6000}, LongRunning: true}
+	c.ends = func(s shard.Start) shard.EndCause {
+		if s.Job != job && c.age(s) > time.Duration(300+100*s.Key.Index)*time.Millisecond {
+			return shard.EndDone
+		}
+		return ""
+	}
+	for i := range 100 {
+		c.run(100 * time.Millisecond)
+		if i == 20 {
+			c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{large}})
+		}
+		c.owner.Add(c.now, workflow.Job{ID: fmt.Sprintf("00000000000001%02x", i), AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{fill}})
+	}
+	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
+}
