--- a/internal/shard/order_test.go
+++ b/internal/shard/order_test.go
@@ -45,19 +45,7 @@
 	const job = "0000000000000001"
 	small := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, Estimate: 100 * time.Millisecond}
 	large := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 6000, MemoryMiB: 10}, LongRunning: true}
-	c.ends = func(s shard.Start) shard.EndCause {
-		if s.Job != job && c.age(s) > time.Duration(300+100*s.Key.Index)*time.Millisecond {
-			return shard.EndDone
-		}
-		return ""
-	}
-	for i := range 100 {
-		c.run(100 * time.Millisecond)
-		if i == 20 {
-			c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{large}})
-		}
-		c.owner.Add(c.now, workflow.Job{ID: fmt.Sprintf("00000000000001%02x", i), AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{small}})
-	}
+	c.crowd(job, large, small)
 	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
 }
 
@@ -67,6 +55,12 @@
 	const job = "0000000000000001"
 	fill := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 100, MemoryMiB: 1000}, Fills: true, Image: "f"}
 	large := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 6000}, LongRunning: true}
+	c.crowd(job, large, fill)
+	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
+}
+
+// crowd submits a job with a step that lasts after 2 s of short jobs, which go on coming each 100 ms.
+func (c *crew) crowd(job string, lasting, short workflow.Step) {
 	c.ends = func(s shard.Start) shard.EndCause {
 		if s.Job != job && c.age(s) > time.Duration(300+100*s.Key.Index)*time.Millisecond {
 			return shard.EndDone
@@ -76,9 +70,8 @@
 	for i := range 100 {
 		c.run(100 * time.Millisecond)
 		if i == 20 {
-			c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{large}})
+			c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{lasting}})
 		}
-		c.owner.Add(c.now, workflow.Job{ID: fmt.Sprintf("00000000000001%02x", i), AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{fill}})
+		c.owner.Add(c.now, workflow.Job{ID: fmt.Sprintf("00000000000001%02x", i), AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{short}})
 	}
-	assert.Equal(t, len(c.workersOf(job)), 1, "the large task runs")
 }
