Show how far the commits, starts and timers of a shard's owner are behind

Cause: a task was placed and started 13 s later, and no log line or metric told whether it waited for its record, for the host's processor or for the worker. Change: the summary of a shard has the jobs whose changes are not on record, the placed attempts without a confirmed start, the age of the oldest of each, and the longest delay of a timer. No decision changes.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -173,6 +173,13 @@
 	return l.Shards
 }
 
+// hostCount returns the number of hosts whose records are known.
+func (d *directory) hostCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.hosts)
+}
+
 // strengths returns the strengths of self and all other live hosts.
 func (d *directory) strengths(self hostRecord) []float64 {
 	d.mu.Lock()
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -195,7 +195,10 @@
 		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
 		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
 	})
-	fields := logrus.Fields{"decision": "own", "shard": n, "epoch": epoch, "lease": lease}
+	fields := logrus.Fields{
+		"decision": "own", "shard": n, "epoch": epoch, "hosts": h.directory.hostCount(), "lease": lease,
+		"owned": len(o.allRunners()),
+	}
 	switch {
 	case err == nil && r != nil:
 		h.log.WithFields(fields).WithField("revision", res.Revision).Info("took ownership of the shard again")
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -53,6 +53,8 @@
 	shard            int
 	// callSemaphores limit the concurrent calls to each worker, by worker.
 	callSemaphores map[string]chan struct{}
+	// maxTimerLag is the longest delay of a timer since the previous summary.
+	maxTimerLag time.Duration
 	// lastSummary is when the previous summary was logged.
 	lastSummary time.Time
 	// wake starts a scheduling round before the loop's timer fires.
@@ -66,7 +68,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &runner{
 		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, epochKeyRevision: revision, host: h, lease: lease, log: log,
-		owner:             shard.NewOwner(revision, h.now(), shard.WithLog(log), shard.WithTiming(h.timing())),
+		owner: shard.NewOwner(revision, h.now(), shard.WithLog(log), shard.WithTiming(h.timing()),
+			shard.WithStartObserver(startWait.Observe)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
 		callSemaphores: map[string]chan struct{}{}, wake: make(chan struct{}, 1),
 	}
@@ -165,28 +168,44 @@
 			r.dispatch(a)
 		}
 		r.mu.Unlock()
+		slept := time.Now()
 		retry.Sleep(r.ctx, minStepInterval)
+		r.observeTimerLag(time.Since(slept) - minStepInterval)
 		timer.Reset(pause)
 	}
 }
 
+// observeTimerLag records how late a timer fired. The lag grows when the host has too little processor time.
+func (r *runner) observeTimerLag(lag time.Duration) {
+	timerLag.Observe(lag)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.maxTimerLag = max(r.maxTimerLag, lag)
+}
+
 // reportSummary logs and exports the state of the shard, at most once per summaryInterval.
 func (r *runner) reportSummary(now time.Time) {
 	if now.Sub(r.lastSummary) < summaryInterval {
 		return
 	}
 	r.lastSummary = now
-	s := r.owner.Summary()
-	for name, n := range map[string]int{"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "waiting": s.Waiting} {
+	s := r.owner.Summary(now)
+	for name, n := range map[string]int{
+		"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "uncommitted": s.Uncommitted,
+		"unstarted": s.Unstarted, "waiting": s.Waiting,
+	} {
 		v := new(expvar.Int)
 		v.Set(int64(n))
 		shardGauges.Set(strconv.Itoa(r.shard)+"_"+name, v)
 	}
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
-		"serving": s.Serving, "stopping": s.Stopping, "waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort,
-		"workers": s.Workers,
+		"serving": s.Serving, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
+		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
+		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
+		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort, "workers": s.Workers,
 	}).Info("shard summary")
+	r.maxTimerLag = 0
 }
 
 func (r *runner) setConfig(c workflow.Config) {
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -13,7 +13,7 @@
 
 // nextCommit returns the records to write, or nil. There is at most one unanswered commit at a time.
 func (o *Owner) nextCommit(now time.Time, a *Actions) *Commit {
-	if o.committing || len(o.dirty) == 0 && !o.hasUnrecordedEnds() {
+	if o.committing != nil || len(o.dirty) == 0 && !o.hasUnrecordedEnds() {
 		return nil
 	}
 	if due := o.lastCommit.Add(o.timing.CommitGap); now.Before(due) {
@@ -21,9 +21,9 @@
 		return nil
 	}
 	n := min(len(o.dirty), maxJobsPerCommit)
-	c := &Commit{recordedEnd: map[string]int64{}}
+	c := &Commit{recordedEnd: map[string]int64{}, oldest: now}
 	for _, j := range o.dirty[:n] {
-		j.dirty = false
+		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
 		w := JobWrite{Job: j.ID, Final: j.final, version: j.version}
 		if j.final == "" {
 			w.Progress = workflow.Encode(o.progress(j, c))
@@ -43,10 +43,23 @@
 		o.markEndsRecorded(c)
 		return nil
 	}
-	o.committing, o.lastCommit = true, now
+	o.committing, o.lastCommit = c, now
 	return c
 }
 
+// uncommitted returns the number of jobs with changes that are not recorded yet, and when the first of these changes was
+// made. The time is now if there are none.
+func (o *Owner) uncommitted(now time.Time) (jobs int, oldest time.Time) {
+	jobs, oldest = len(o.dirty), now
+	for _, j := range o.dirty {
+		oldest = minTime(oldest, j.dirtySince)
+	}
+	if o.committing != nil {
+		jobs, oldest = jobs+len(o.committing.Writes), minTime(oldest, o.committing.oldest)
+	}
+	return jobs, oldest
+}
+
 func (o *Owner) hasUnrecordedEnds() bool {
 	for _, w := range o.sortedWorkers() {
 		if w.lastEnd > w.recordedEnd {
@@ -92,7 +105,7 @@
 
 // Committed handles the confirmation that a commit is durable.
 func (o *Owner) Committed(_ time.Time, c *Commit) {
-	o.committing = false
+	o.committing = nil
 	for _, at := range c.planned {
 		if at.phase == phasePlanned {
 			at.phase = phaseReady
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -13,6 +13,7 @@
 // Restore adds a job with its recorded progress. Recorded attempts count as running until their workers have been
 // polled.
 func (o *Owner) Restore(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
+	o.now = now
 	if o.jobs[j.ID] != nil {
 		return
 	}
@@ -98,7 +99,8 @@
 }
 
 // Cancel stops a job whose cancellation has been recorded.
-func (o *Owner) Cancel(_ time.Time, id string) {
+func (o *Owner) Cancel(now time.Time, id string) {
+	o.now = now
 	j := o.jobs[id]
 	if j == nil || j.cancelled || j.final != "" {
 		return
@@ -270,7 +272,7 @@
 func (o *Owner) markDirty(j *job) {
 	j.version++
 	if !j.dirty && !j.finalRecorded {
-		j.dirty = true
+		j.dirty, j.dirtySince = true, o.now
 		o.dirty = append(o.dirty, j)
 	}
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -18,10 +18,11 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 	adviceRequests []AdviceRequest
-	committing     bool
-	config         workflow.Config
-	dirty          []*job
-	ended          endedJobs
+	// committing is the unanswered commit, or nil.
+	committing *Commit
+	config     workflow.Config
+	dirty      []*job
+	ended      endedJobs
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated.
 	evaluatedPairs int
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
@@ -31,6 +32,8 @@
 	lastPlace       time.Time
 	backlogSortedAt time.Time
 	log             *logrus.Entry
+	// observeStart is called with the time from the plan of an attempt to its confirmed start.
+	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
 	backlog []*job
 	// mostlyIdle caches isMostlyIdle by service for the duration of a placement round.
@@ -62,6 +65,11 @@
 // WithLog sets the logger for decisions.
 func WithLog(log *logrus.Entry) Option { return func(o *Owner) { o.log = log } }
 
+// WithStartObserver sets a function that receives the time from the choice of a worker for a task to the confirmed start.
+func WithStartObserver(observe func(time.Duration)) Option {
+	return func(o *Owner) { o.observeStart = observe }
+}
+
 // WithTiming replaces the default timing.
 func WithTiming(t Timing) Option { return func(o *Owner) { o.timing = t } }
 
@@ -74,16 +82,17 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
-		jobs:       map[string]*job{},
-		mostlyIdle: map[string]bool{},
-		placed:     map[*job][]string{},
-		pressure:   interference.NewPressureModel(),
-		log:        logrus.NewEntry(logrus.StandardLogger()),
-		acquiredAt: now,
-		timing:     DefaultTiming(),
-		token:      token,
-		wallClock:  time.Now,
-		workers:    map[string]*worker{},
+		jobs:         map[string]*job{},
+		mostlyIdle:   map[string]bool{},
+		placed:       map[*job][]string{},
+		pressure:     interference.NewPressureModel(),
+		log:          logrus.NewEntry(logrus.StandardLogger()),
+		observeStart: func(time.Duration) {},
+		acquiredAt:   now,
+		timing:       DefaultTiming(),
+		token:        token,
+		wallClock:    time.Now,
+		workers:      map[string]*worker{},
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -302,7 +311,7 @@
 }
 
 // AllRecorded reports whether all changes are recorded.
-func (o *Owner) AllRecorded() bool { return !o.committing && len(o.dirty) == 0 }
+func (o *Owner) AllRecorded() bool { return o.committing == nil && len(o.dirty) == 0 }
 
 // IsCurrent reports whether an order carries the current token of its worker.
 func (o *Owner) IsCurrent(order Order) bool {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -185,7 +185,7 @@
 // assign plans an attempt of a task on a worker. The start is sent once the attempt is recorded. run is the attempt's
 // number.
 func (o *Owner) assign(t *task, w *worker, run int) {
-	at := &attempt{phase: phasePlanned, run: run, task: t, worker: w, pace: fullPace}
+	at := &attempt{phase: phasePlanned, plannedAt: o.now, run: run, task: t, worker: w, pace: fullPace}
 	if t.job.queue.Advice != nil {
 		at.ticket = o.ticket(o.now, w, t)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -42,11 +42,13 @@
 	// overTargetSince is the start of the period in which every listing has shown the run above its latency target.
 	overTargetSince time.Time
 	// pace is the percentage of full speed that was requested last: 100 after a start, -1 if unknown.
-	pace    int
-	phase   phase
-	retryAt time.Time
-	run     int
-	sentAt  time.Time
+	pace  int
+	phase phase
+	// plannedAt is when the owner chose the worker; zero for an attempt of an earlier owner.
+	plannedAt time.Time
+	retryAt   time.Time
+	run       int
+	sentAt    time.Time
 	// slowSince is when the pace fell to slowPace or below; zero while it is above.
 	slowSince time.Time
 	stopCause string
@@ -100,8 +102,10 @@
 // job is an accepted job whose final state is not recorded yet, or which still has runs that have not ended.
 type job struct {
 	workflow.Job
-	cancelled   bool
-	dirty       bool
+	cancelled bool
+	dirty     bool
+	// dirtySince is when the job changed first since its last write; it is valid while the job is dirty.
+	dirtySince  time.Time
 	doneThrough int
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -1,16 +1,26 @@
 package shard
 
+import "time"
+
 // Summary counts the tasks, runs and workers of a shard at one moment.
 type Summary struct {
 	// BestEffortPace is the mean pace of the best-effort tasks, in percent.
 	BestEffortPace int
 	BestEffort     int
 	Jobs           int
+	// OldestUncommitted and OldestUnstarted are the ages of the oldest change that is not recorded yet, and of the oldest
+	// planned attempt whose start the worker has not confirmed.
+	OldestUncommitted time.Duration
+	OldestUnstarted   time.Duration
 	// OverTarget is the number of serving tasks above their latency target at the last poll.
 	OverTarget int
 	Runs       int
 	Serving    int
 	Stopping   int
+	// Uncommitted is the number of jobs with changes that are not recorded yet.
+	Uncommitted int
+	// Unstarted is the number of planned attempts whose start the worker has not confirmed.
+	Unstarted int
 	// Waiting is the number of tasks that are ready but not assigned to a worker. The best-effort tasks among them are
 	// also counted by themselves.
 	Waiting           int
@@ -19,8 +29,11 @@
 }
 
 // Summary returns the current counts.
-func (o *Owner) Summary() Summary {
+func (o *Owner) Summary(now time.Time) Summary {
 	s := Summary{Jobs: len(o.jobs)}
+	var oldest time.Time
+	s.Uncommitted, oldest = o.uncommitted(now)
+	s.OldestUncommitted = now.Sub(oldest)
 	paces := 0
 	for _, w := range o.sortedWorkers() {
 		if w.registered {
@@ -28,6 +41,10 @@
 		}
 		for _, at := range w.attempts {
 			s.Runs++
+			if !at.plannedAt.IsZero() && (at.phase == phasePlanned || at.phase == phaseReady || at.phase == phaseSent) {
+				s.Unstarted++
+				s.OldestUnstarted = max(s.OldestUnstarted, now.Sub(at.plannedAt))
+			}
 			switch {
 			case at.phase == phaseStopping || at.phase == phaseStopped:
 				s.Stopping++
