Pace the claims of a host that owns shards

After all hosts lost power at once, the first one with a lease took every shard within 35 ms: it ranked only hosts that had registered by then, was the first in rank for all shards, and did not wait. Nothing let the hosts that started with it have their turn.

Change. election.ClaimDelay decides how long a host waits before it claims a shard. Until no host has joined for 1 s, a host with shards waits 150 ms for each, 0.45 s at most. Hosts ranked behind it wait as well, so that a weak host does not take a shard because a stronger one is paced. The first shard is taken at once, and without a new host nothing is paced.

Hosts that register more than 0.45 s after the first one still find all shards taken.

--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -1,7 +1,9 @@
 package election
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,11 +32,19 @@
 
 // Rank returns how many of the others have a higher score than self as the owner of a shard.
 func Rank(self Candidate, others []Candidate, shard int) int {
-	selfScore, rank := self.Score(shard), 0
+	return len(preferred(self, others, shard))
+}
+
+// preferred returns the others that have a higher score than self as the owner of a shard, the highest first.
+func preferred(self Candidate, others []Candidate, shard int) []Candidate {
+	scores := map[string]float64{}
+	var out []Candidate
 	for _, c := range others {
-		if c.Host != self.Host && c.Score(shard) > selfScore {
-			rank++
+		if score := c.Score(shard); c.Host != self.Host && score > self.Score(shard) {
+			scores[c.Host] = score
+			out = append(out, c)
 		}
 	}
-	return rank
+	slices.SortFunc(out, func(a, b Candidate) int { return cmp.Compare(scores[b.Host], scores[a.Host]) })
+	return out
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,6 +14,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
+// joinSettleTime is the time without a new host after which the directory is taken to know all hosts that are starting.
+const joinSettleTime = time.Second
+
 // hostRecord is what a host publishes about itself under its lease.
 type hostRecord struct {
 	Draining    bool   `cbor:"1,keyasint,omitempty"`
@@ -46,21 +50,24 @@
 	// epochs holds the store revision of each shard's epoch key, by shard.
 	epochs map[int]int64
 	// hosts is keyed by store key.
-	hosts  map[string]hostRecord
-	layout layout
+	hosts map[string]hostRecord
+	// lastJoin is when a host was last seen to register, or a new process of it.
+	lastJoin time.Time
+	layout   layout
 	// layoutRevision is 0 while there is no layout.
 	layoutRevision int64
 	// loaded is set once the keys have been read from the store.
 	loaded bool
 	log    *logrus.Entry
 	mu     sync.Mutex
+	now    func() time.Time
 	owners map[int]ownerRecord
 }
 
-func newDirectory(log *logrus.Entry) *directory {
+func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
 		changed: make(chan struct{}), epochs: map[int]int64{}, hosts: map[string]hostRecord{}, log: log,
-		owners: map[int]ownerRecord{},
+		now: now, owners: map[int]ownerRecord{},
 	}
 }
 
@@ -113,6 +120,9 @@
 		}
 	case strings.HasPrefix(kv.Key, hostPrefix):
 		if h, err := workflow.Decode[hostRecord](kv.Value); err == nil {
+			if d.hosts[kv.Key].Incarnation != h.Incarnation {
+				d.lastJoin = d.now()
+			}
 			d.hosts[kv.Key] = h
 		} else {
 			d.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed host record")
@@ -212,9 +222,9 @@
 	return out
 }
 
-// rank returns the number of live hosts, without draining ones, that are preferred over self as the owner of a shard. owned is
-// the number of shards that self owns.
-func (d *directory) rank(self hostRecord, shard, owned int) int {
+// claimDelay returns how long self waits before it claims a shard that has no owner. owned is the number of shards that self
+// owns.
+func (d *directory) claimDelay(self hostRecord, shard, owned int) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	shards := map[string]int{}
@@ -227,7 +237,8 @@
 			others = append(others, election.Candidate{Host: h.Host, Shards: shards[h.Incarnation], Strength: h.Strength})
 		}
 	}
-	return election.Rank(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard)
+	return election.ClaimDelay(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard,
+		d.now().Sub(d.lastJoin) < joinSettleTime)
 }
 
 func boolInt(b bool) int {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -39,7 +39,7 @@
 func New(s settings.Settings, p Platform, log *logrus.Logger) *Host {
 	entry := log.WithField("host", s.Host)
 	h := &Host{
-		directory: newDirectory(entry),
+		directory: newDirectory(entry, BootTime),
 		locations: newLocationCache(),
 		loads:     &loadCache{loads: map[loadKey]cachedLoad{}},
 		log:       entry,
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -16,9 +16,6 @@
 const (
 	// electionInterval is how often a host checks for shards without an owner while it sees no change.
 	electionInterval = 200 * time.Millisecond
-	// rankDelay is multiplied by a host's rank for a shard to get the time that the host waits before it tries to take the
-	// shard, so that usually only one host writes.
-	rankDelay = 120 * time.Millisecond
 	// handoverTimeout bounds the wait for pending commits when a shard is handed over.
 	handoverTimeout = 800 * time.Millisecond
 )
@@ -143,7 +140,7 @@
 	return pause
 }
 
-// checkShard takes a shard without an owner once the delay for this host's rank has passed, and stops the runner of a shard
+// checkShard takes a shard without an owner once this host's delay has passed, and stops the runner of a shard
 // that another host owns. It returns the rest of the delay, or 0 if there is nothing to wait for.
 func (o *ownedShards) checkShard(ctx context.Context, n int) time.Duration {
 	h := o.host
@@ -170,7 +167,7 @@
 		if !ok {
 			o.ownerlessSince[n], since = now, now
 		}
-		if wait := since.Add(time.Duration(h.directory.rank(h.self, n, len(o.allRunners()))) * rankDelay).Sub(now); wait > 0 {
+		if wait := since.Add(h.directory.claimDelay(h.self, n, len(o.allRunners()))).Sub(now); wait > 0 {
 			return wait
 		}
 	} else if !r.mayReacquire(lease) {
