Rank owners by shards per strength without bands

Score rounded log2 of the load down, so that hosts whose loads differ by almost a factor of two ranked alike: with strength 0.8, a second and a third shard are loads of 2.5 and 3.75, and only the hash decided between the two hosts.

The score is the logarithm of the load plus a tenth of the hash, so that the hash orders only hosts whose loads differ by less than 7%.

TestLessLoadedHostIsPreferred compares neighbouring numbers of shards at five strengths for 50 shards. It failed before: "1 or 2 shards at 0.11", the host with 2 was ranked first. TestShardsAreSpreadOverStrongHosts is unchanged and passes.

The rank still covers only hosts that are registered when a shard has no owner.

--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -9,8 +9,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// minStrength is the lower bound of a host's strength, and its value if the strength is unknown.
-const minStrength = 0.01
+const (
+	// hashWeight is how much of a score depends on the hash: as much as a difference in load of 7%. Two hosts of equal strength
+	// differ by more than that up to 13 shards each.
+	hashWeight = 0.1
+	// minStrength is the lower bound of a host's strength, and its value if the strength is unknown.
+	minStrength = 0.01
+)
 
 // Candidate is a host that may own a shard.
 type Candidate struct {
@@ -23,11 +28,15 @@
 
 // Score ranks candidates as owners of a shard; a higher score comes first. It drops by one each time the number of shards
 // per strength doubles, since an owner without spare processor time delays all its workers. The hash of shard
-// and host (rendezvous hashing) orders candidates that would otherwise have the same score.
+// and host (rendezvous hashing) orders candidates whose loads differ by less than hashWeight.
 func (c Candidate) Score(shard int) float64 {
-	load := float64(1+c.Shards) / max(c.Strength, minStrength)
 	hash := float64(xxhash.Sum64String(strconv.Itoa(shard)+"/"+c.Host)>>11) / (1 << 53)
-	return hash - math.Floor(math.Log2(load))
+	return hashWeight*hash - math.Log2(c.loadWith(1))
+}
+
+// loadWith returns the shards per strength of the candidate if it owned more of them.
+func (c Candidate) loadWith(more int) float64 {
+	return float64(c.Shards+more) / max(c.Strength, minStrength)
 }
 
 // Rank returns how many of the others have a higher score than self as the owner of a shard.
