Record what callers wait for before progress that nobody waits for

Cause: a commit took the 40 jobs that changed first. With commits that take long, a restarted long-running task waited for its record behind jobs whose only change was one more task done. Change: a commit that can't take all changed jobs takes restarts of long-running tasks first, then changes older than 1.5 s, so that nothing starves, then starts and final states in the order of the backlog, then cancellations, and plain progress last. Starts and final states share a place since a job's completion is delayed by both alike.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +22,13 @@
 		return nil
 	}
 	n := min(len(o.dirty), maxJobsPerCommit)
+	if n < len(o.dirty) {
+		sortForCommit(now, o.dirty)
+	}
 	c := &Commit{recordedEnd: map[string]int64{}, oldest: now}
 	for _, j := range o.dirty[:n] {
 		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
+		j.restartPlanned, j.startPlanned = false, false
 		w := JobWrite{Job: j.ID, Final: j.final, version: j.version}
 		if j.final == "" {
 			w.Progress = workflow.Encode(o.progress(j, c))
@@ -31,6 +36,7 @@
 		c.Writes = append(c.Writes, w)
 	}
 	o.dirty = append([]*job(nil), o.dirty[n:]...)
+	slices.SortStableFunc(o.dirty, func(a, b *job) int { return a.dirtySince.Compare(b.dirtySince) })
 	if len(o.dirty) == 0 {
 		for _, w := range o.sortedWorkers() {
 			id := w.ID
--- a/internal/shard/joborder.go
+++ b/internal/shard/joborder.go
@@ -14,16 +14,15 @@
 	}
 	o.backlogUnsorted, o.backlogSortedAt = false, now
 	o.backlog = slices.DeleteFunc(o.backlog, func(j *job) bool { return o.jobs[j.ID] != j })
-	rank := make(map[*job]int, len(o.backlog))
 	for _, j := range o.backlog {
-		rank[j] = j.rank(now)
+		j.lastRank = j.rank(now)
 	}
 	slices.SortStableFunc(o.backlog, func(a, b *job) int {
 		if a.priority != b.priority {
 			return a.priority - b.priority
 		}
-		if rank[a] != rank[b] {
-			return rank[a] - rank[b]
+		if a.lastRank != b.lastRank {
+			return a.lastRank - b.lastRank
 		}
 		return a.objective.Compare(b.objective)
 	})
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -189,6 +189,10 @@
 	if t.job.queue.Advice != nil {
 		at.ticket = o.ticket(o.now, w, t)
 	}
+	if t.step.LongRunning && t.run > 0 {
+		t.job.restartPlanned = true
+	}
+	t.job.startPlanned = true
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	w.add(at)
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -22,16 +22,22 @@
 	// starts holds all starts, running those whose runs have not ended.
 	starts, running []shard.Start
 	endedByWorker   map[string][]shard.EndRow
+	// store answers the commits; by default at once.
+	store commitStore
 	// lastEndNumber is the number of the last end on each worker.
 	lastEndNumber map[string]int64
 	startedAt     map[string]time.Time
+	// listedAt is when each worker listed each of its ends first, by the number of the end. An end is removed once it is
+	// acknowledged, and longestUnacknowledged is the longest time that this took.
+	listedAt              map[string]map[int64]time.Time
+	longestUnacknowledged time.Duration
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
 	t.Helper()
 	return &fleetHarness{
 		simulation: newSimulation(t, 1, workers), endedByWorker: map[string][]shard.EndRow{}, lastEndNumber: map[string]int64{},
-		startedAt: map[string]time.Time{}, measurement: func(shard.Start) float64 { return 1000 },
+		startedAt: map[string]time.Time{}, listedAt: map[string]map[int64]time.Time{}, measurement: func(shard.Start) float64 { return 1000 },
 		endCause: func(shard.Start) shard.EndCause { return "" },
 	}
 }
@@ -50,9 +56,7 @@
 func (c *fleetHarness) step() {
 	c.now = c.now.Add(simulationStep)
 	a := c.owner.Step(c.now)
-	if a.Commit != nil {
-		c.owner.Committed(c.now, a.Commit)
-	}
+	c.store.step(c.simulation, a.Commit)
 	for _, s := range a.Starts {
 		c.starts, c.running = append(c.starts, s), append(c.running, s)
 		c.startedAt[c.name(s)] = c.now
@@ -73,12 +77,14 @@
 	c.endRunsWhere(c.endCause)
 	for _, poll := range a.Polls {
 		f := c.worker(poll.Worker)
+		c.acknowledge(poll)
 		list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
 		for _, s := range c.running {
 			if s.Worker == poll.Worker {
 				list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Measurement: c.measurement(s)})
 			}
 		}
+		c.list(poll.Worker, list.Ended)
 		c.owner.Polled(c.now, poll, c.now, list)
 	}
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -110,11 +110,16 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// lastRank is the rank at the last sorting of the backlog.
+	lastRank int
 	// objective is the time after which the job counts as late.
 	objective   time.Time
 	occurrences map[int]*occurrence
 	priority    int
 	queue       workflow.Queue
+	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
+	// long-running task that ran before.
+	startPlanned, restartPlanned bool
 	// started is set once any task of the job has been started.
 	started bool
 	version int
