Acknowledge ends as soon as their own jobs are recorded

Cause: the ends of all workers were acknowledged when no job had an unrecorded change, which under a lasting backlog is never. Workers then listed all their ends again in every poll, polls did not wait for new ends, and beyond 500 ends a worker listed no new ones. Change: for each worker the owner keeps the listed ends whose job has changes that are not recorded, with the job's version, and acknowledges the ends before the first that the recorded versions don't cover. Ends of unknown or ended jobs wait for nothing. A restart of the worker drops them; before, an unanswered commit could acknowledge ends of the worker's next lifetime by the numbers of the earlier one.

--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -201,8 +201,6 @@
 	Writes []JobWrite
 	// oldest is when the first of the changes in Writes was made.
 	oldest time.Time
-	// recordedEnd holds by worker the number of the newest end that the records cover.
-	recordedEnd map[string]int64
 	// planned holds the attempts that may be started once the records are written.
 	planned []*attempt
 }
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -14,7 +14,7 @@
 
 // nextCommit returns the records to write, or nil. There is at most one unanswered commit at a time.
 func (o *Owner) nextCommit(now time.Time, a *Actions) *Commit {
-	if o.committing != nil || len(o.dirty) == 0 && !o.hasUnrecordedEnds() {
+	if o.committing != nil || len(o.dirty) == 0 {
 		return nil
 	}
 	if due := o.lastCommit.Add(o.timing.CommitGap); now.Before(due) {
@@ -25,7 +25,7 @@
 	if n < len(o.dirty) {
 		sortForCommit(now, o.dirty)
 	}
-	c := &Commit{recordedEnd: map[string]int64{}, oldest: now}
+	c := &Commit{oldest: now}
 	for _, j := range o.dirty[:n] {
 		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
 		j.restartPlanned, j.startPlanned = false, false
@@ -37,18 +37,6 @@
 	}
 	o.dirty = append([]*job(nil), o.dirty[n:]...)
 	slices.SortStableFunc(o.dirty, func(a, b *job) int { return a.dirtySince.Compare(b.dirtySince) })
-	if len(o.dirty) == 0 {
-		for _, w := range o.sortedWorkers() {
-			id := w.ID
-			if w.lastEnd > w.recordedEnd {
-				c.recordedEnd[id] = w.lastEnd
-			}
-		}
-	}
-	if len(c.Writes) == 0 { // all new ends belong to jobs that have ended
-		o.markEndsRecorded(c)
-		return nil
-	}
 	o.committing, o.lastCommit = c, now
 	return c
 }
@@ -66,23 +54,6 @@
 	return jobs, oldest
 }
 
-func (o *Owner) hasUnrecordedEnds() bool {
-	for _, w := range o.sortedWorkers() {
-		if w.lastEnd > w.recordedEnd {
-			return true
-		}
-	}
-	return false
-}
-
-func (o *Owner) markEndsRecorded(c *Commit) {
-	for id, n := range c.recordedEnd {
-		if w := o.workers[id]; w != nil && n <= w.lastEnd {
-			w.recordedEnd = max(w.recordedEnd, n)
-		}
-	}
-}
-
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
 	for _, occ := range j.openOccurrences() {
@@ -117,12 +88,12 @@
 			at.phase = phaseReady
 		}
 	}
-	o.markEndsRecorded(c)
 	for _, w := range c.Writes {
 		j := o.jobs[w.Job]
 		if j == nil {
 			continue
 		}
+		j.recordedVersion = w.version
 		if w.Final != "" {
 			j.finalRecorded = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
@@ -131,4 +102,7 @@
 			o.forgetIfEnded(j)
 		}
 	}
+	for _, w := range o.sortedWorkers() {
+		w.advanceRecordedEnd()
+	}
 }
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -148,6 +148,7 @@
 		"decision": "worker_reborn", "worker": w.ID, "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
 	}).Warn("worker restarted; its earlier runs have ended")
 	w.incarnation, w.lastEnd, w.recordedEnd, w.ackedEnd = incarnation, 0, 0, 0
+	w.unrecordedEnds = nil
 	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.nextPollAt = time.Time{}
 	w.health = health{}
@@ -166,9 +167,11 @@
 		if e.Number <= w.lastEnd {
 			continue
 		}
-		w.lastEnd = e.Number
+		j := o.jobs[e.Job]
 		o.handleEnd(now, w, e)
+		w.noteEnd(e.Number, j)
 	}
+	w.advanceRecordedEnd()
 }
 
 // handleEnd processes the end of a run.
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -242,6 +242,7 @@
 		}
 		name := e.Job + e.Key.String()
 		sim.record(name, "end number %d of %s is acknowledged", e.Number, f.ID)
+		sim.checkRecorded(f, e)
 		switch e.Cause {
 		case shard.EndDone:
 			sim.completed[name] = true
@@ -252,3 +253,26 @@
 		return true
 	})
 }
+
+// checkRecorded checks that the store has an acknowledged end: the run is no longer open, and its task is done if the run is.
+func (sim *simulation) checkRecorded(f *fakeWorker, e shard.EndRow) {
+	p := sim.storedProgress[e.Job]
+	if sim.final[e.Job] != "" || e.Key.Occurrence < p.DoneThrough {
+		return
+	}
+	for _, rec := range p.Tasks {
+		if rec.Key != e.Key {
+			continue
+		}
+		for _, at := range rec.Attempts {
+			if at.Worker == f.ID && at.Born == f.incarnation && at.Run == e.Run {
+				sim.fail(e.Job+e.Key.String(), "the end of run %d on %s is acknowledged and not on record", e.Run, f.ID)
+			}
+		}
+		if e.Cause == shard.EndDone && !rec.Done {
+			sim.fail(e.Job+e.Key.String(), "run %d is done and acknowledged, and its task is not done on record", e.Run)
+		}
+		return
+	}
+	sim.fail(e.Job+e.Key.String(), "the end of run %d on %s is acknowledged and its task is not on record", e.Run, f.ID)
+}
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -87,6 +87,7 @@
 	if c.listedAt[worker] == nil {
 		c.listedAt[worker] = map[int64]time.Time{}
 	}
+	c.endsListed += len(ends)
 	for _, e := range ends {
 		if _, ok := c.listedAt[worker][e.Number]; !ok {
 			c.listedAt[worker][e.Number] = c.now
@@ -107,14 +108,11 @@
 	}
 }
 
-const (
-	longRunningJobs = 4
-	batchJobs       = 400
-)
+const longRunningJobs = 4
 
-// newLoadedHarness returns a harness with jobs of long-running tasks and several hundred batch jobs, which are chains of many
-// short steps and change all the time.
-func newLoadedHarness(t *testing.T, answerTime func() time.Duration) *fleetHarness {
+// newLoadedHarness returns a harness with jobs of long-running tasks and batch jobs, which are chains of many short steps and
+// change all the time.
+func newLoadedHarness(t *testing.T, batchJobs int, answerTime func() time.Duration) *fleetHarness {
 	t.Helper()
 	c := newFleetHarness(t, 30)
 	c.store.answerTime = answerTime
@@ -176,7 +174,7 @@
 
 // Guards against a failed long-running task whose new run waits behind the records of progress that nobody waits for.
 func TestRestartOvertakesProgressAtSlowStore(t *testing.T) {
-	c := newLoadedHarness(t, func() time.Duration { return 200 * time.Millisecond })
+	c := newLoadedHarness(t, 400, func() time.Duration { return 200 * time.Millisecond })
 	c.run(12 * time.Second)
 	for i := range 2 * longRunningJobs {
 		took := c.failLongRunning(fmt.Sprintf("00000000000001%02x", i%longRunningJobs), i%3, 10*time.Second)
@@ -184,3 +182,19 @@
 		assert.Check(t, took < 3*time.Second, "started again after %s", took)
 	}
 }
+
+// Guards against ends that are never acknowledged, and listed again in each poll, while the owner always has unrecorded changes.
+func TestEndsAreAcknowledgedUnderLastingBacklog(t *testing.T) {
+	c := newLoadedHarness(t, 120, func() time.Duration { return 200 * time.Millisecond })
+	c.run(3 * time.Second)
+	for range 150 {
+		c.run(100 * time.Millisecond)
+		assert.Assert(t, c.owner.Summary(c.now).Uncommitted > 0, "the backlog lasts")
+	}
+	ended := int64(0)
+	for _, n := range c.lastEndNumber {
+		ended += n
+	}
+	t.Logf("acknowledged after %s, ends: %d, listed %d times", c.longestUnacknowledged, ended, c.endsListed)
+	assert.Assert(t, c.longestUnacknowledged < 4*time.Second, "acknowledged after %s", c.longestUnacknowledged)
+}
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -31,6 +31,8 @@
 	// acknowledged, and longestUnacknowledged is the longest time that this took.
 	listedAt              map[string]map[int64]time.Time
 	longestUnacknowledged time.Duration
+	// endsListed counts the ends in all listings.
+	endsListed int
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -122,7 +122,8 @@
 	startPlanned, restartPlanned bool
 	// started is set once any task of the job has been started.
 	started bool
-	version int
+	// version counts the changes of the job, and recordedVersion is the one in the store.
+	version, recordedVersion int
 }
 
 // openOccurrences returns the job's unfinished occurrences, earliest first.
@@ -171,6 +172,8 @@
 	// lastEnd is the number of the newest end that the worker listed, recordedEnd that of the newest end that is
 	// durably recorded, and ackedEnd that of the newest end acknowledged to the worker, which may forget ends up to it.
 	recordedEnd, ackedEnd int64
+	// unrecordedEnds holds the listed ends that wait for a record, in ascending order.
+	unrecordedEnds []unrecordedEnd
 	// pacedAt is when the pace of a task on the worker was last changed.
 	pacedAt    time.Time
 	registered bool
