Keep a peer connection open when a request with a short timeout gets no reply

Cause: a request whose context ended closed the connection if nothing had been read since it was sent. A load query has 60 ms, so an owner that is short of processor time, or one lost packet, ended the connection and with it every submission, cancellation and state query that waited on it. A submission that the owner records then is answered as unknown. The hosts then dial the busy owner again for each submission. A caller that disconnects had the same effect. Change: only a timeout of 350 ms or more closes the connection at once; it outlasts the retransmission of a lost packet. Shorter timeouts and cancelled requests close it after a second without any reply. TestDeadConnectionIsReplaced shows that a silent connection is still replaced.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,7 +25,9 @@
 	sendQueue     chan []byte
 	// pending holds the channels for the replies to outstanding requests, by message id.
 	pending map[uint64]chan Message
-	ws      *websocket.Conn
+	// unansweredSince is when a Pool sent the first request after the last frame was read, in Unix nanoseconds; 0 if none.
+	unansweredSince atomic.Int64
+	ws              *websocket.Conn
 }
 
 func newConn(ctx context.Context, ws *websocket.Conn) *conn {
@@ -91,6 +93,7 @@
 		return Message{}, err
 	}
 	c.lastRead.Store(time.Now().UnixNano())
+	c.unansweredSince.Store(0)
 	bytesIn.Add(int64(len(frame)))
 	return Decode(frame)
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,8 +13,15 @@
 	"github.com/sirupsen/logrus"
 )
 
-// poolDialTimeout allows for two round trips between zones and the retransmission of a lost packet.
-const poolDialTimeout = 600 * time.Millisecond
+const (
+	// poolDialTimeout allows for two round trips between zones and the retransmission of a lost packet.
+	poolDialTimeout = 600 * time.Millisecond
+	// minTrustedTimeout is the shortest timeout whose expiry shows that a silent connection is dead. A shorter one also
+	// expires when a packet is lost, which TCP resends after 200 ms, or when the peer is slow.
+	minTrustedTimeout = 350 * time.Millisecond
+	// defaultSilenceLimit is how long requests with shorter timeouts may stay without any reply.
+	defaultSilenceLimit = time.Second
+)
 
 // Pool dials other entry hosts on demand and serves their inbound connections. Unlike a Mesh it opens no connection
 // before it is needed, so its cost does not grow with the number of hosts.
@@ -24,8 +32,13 @@
 	mu        sync.Mutex
 	nextID    atomic.Uint64
 	onRequest func(ctx context.Context, m Message) (Message, error)
+	// silenceLimit is the time without a frame from the peer after which any unanswered request closes the connection.
+	silenceLimit time.Duration
 }
 
+// PoolOption configures a Pool.
+type PoolOption func(*Pool)
+
 // dialAttempt is an attempt to connect. conn or err is set before done is closed.
 type dialAttempt struct {
 	conn *conn
@@ -34,14 +47,27 @@
 }
 
 // NewPool returns a pool that handles inbound requests with onRequest.
-func NewPool(log *logrus.Entry, onRequest func(ctx context.Context, m Message) (Message, error)) *Pool {
-	return &Pool{conns: map[string]*conn{}, dialing: map[string]*dialAttempt{}, log: log, onRequest: onRequest}
+func NewPool(
+	log *logrus.Entry, onRequest func(ctx context.Context, m Message) (Message, error), opts ...PoolOption,
+) *Pool {
+	p := &Pool{
+		conns: map[string]*conn{}, dialing: map[string]*dialAttempt{}, log: log, onRequest: onRequest,
+		silenceLimit: defaultSilenceLimit,
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
+// WithSilenceLimit sets how long requests with short timeouts may stay without any reply before the connection is closed;
+// the default is 1 s.
+func WithSilenceLimit(d time.Duration) PoolOption { return func(p *Pool) { p.silenceLimit = d } }
+
 // Request sends a message to a host:port address and waits for the reply. Errors match ErrNotConnected if nothing was
 // sent, ErrRefused, or the error of ctx; an error that matches none of them means that the connection ended before the
-// reply. If nothing at all was read since the request, the connection may be dead
-// without an error, so it is closed.
+// reply. If the timeout of ctx passes and nothing at all was read since the request, the connection may be dead without an
+// error, so it is closed; after a timeout below minTrustedTimeout only if no request got a reply within the silence limit.
 func (p *Pool) Request(ctx context.Context, address string, msg Message) (Message, error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
@@ -51,6 +77,7 @@
 	reply := c.addPending(msg.ID)
 	defer c.removePending(msg.ID)
 	sentAt := time.Now()
+	c.unansweredSince.CompareAndSwap(0, sentAt.UnixNano())
 	if err := c.send(msg); err != nil {
 		return Message{}, err
 	}
@@ -63,7 +90,7 @@
 	case <-c.done:
 		return Message{}, eris.Errorf("connection to %s ended before the reply", address)
 	case <-ctx.Done():
-		if time.Unix(0, c.lastRead.Load()).Before(sentAt) {
+		if p.isUnresponsive(ctx, c, sentAt) {
 			p.closeUnresponsive(address, c)
 		}
 		return Message{}, eris.Wrapf(ctx.Err(), "asking %s", address)
@@ -164,6 +191,20 @@
 	close(attempt.done)
 }
 
+// isUnresponsive reports whether a connection is to be closed because a request that was sent at sentAt got no reply
+// before ctx ended. Closing it fails all other requests that wait on it.
+func (p *Pool) isUnresponsive(ctx context.Context, c *conn, sentAt time.Time) bool {
+	if !time.Unix(0, c.lastRead.Load()).Before(sentAt) {
+		return false
+	}
+	deadline, ok := ctx.Deadline()
+	if ok && errors.Is(ctx.Err(), context.DeadlineExceeded) && deadline.Sub(sentAt) >= minTrustedTimeout {
+		return true
+	}
+	since := c.unansweredSince.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) >= p.silenceLimit
+}
+
 func (p *Pool) closeUnresponsive(address string, c *conn) {
 	silentConnsClosed.Add(1)
 	c.cancel()
