Give an owner its workers again when the layout has changed

Cause: an owner chose its workers by the layout when the registry changed, not when the layout did. At the first start, and for each new rack, the owners read the registry before the owner of shard 0 has assigned the racks, and the watch of the registry and the one of the layout reach them in either order. Until some registry entry changed, such a shard had no workers and its jobs waited. A write of the layout that failed was tried again only then, too. Change: a runner follows the layout and passes its workers on after each change, and every second while a rack has no shard. The layout is read under the runner's lock, so that an older one can't replace the choice by a newer one. With one shard nothing changes.

--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -16,6 +16,9 @@
 // layoutDelay gives other hosts time to register, since the number of shards depends on the strength of all hosts.
 const layoutDelay = time.Second
 
+// layoutRetryDelay is how long an owner waits before it looks again at racks that the layout does not assign.
+const layoutRetryDelay = time.Second
+
 // createLayout decides the number of shards once the number of registered workers is stable. The first host to write the
 // layout wins.
 func (h *Host) createLayout(ctx context.Context) {
@@ -63,6 +66,56 @@
 	return w.Rack
 }
 
+// followLayout passes the shard's workers to the owner again after each change of the layout: workers whose registry entry
+// stays as it is cause no event. While a rack has no shard it also tries again every layoutRetryDelay, since a write of the
+// layout may have failed.
+func (r *runner) followLayout() {
+	for r.ctx.Err() == nil {
+		changed := r.host.directory.nextChange()
+		_, revision, _ := r.host.directory.currentLayout()
+		r.mu.Lock()
+		applied, unassigned := r.appliedLayout, r.hasUnassigned
+		r.mu.Unlock()
+		if applied != 0 && applied != revision {
+			r.updateWorkers()
+			continue
+		}
+		retryDelay := time.NewTimer(layoutRetryDelay)
+		select {
+		case <-r.ctx.Done():
+		case <-changed:
+		case <-retryDelay.C:
+			if unassigned {
+				r.updateWorkers()
+			}
+		}
+		retryDelay.Stop()
+	}
+}
+
+// updateWorkers passes the shard's workers to the owner. The runner of shard 0 also assigns new racks to shards.
+func (r *runner) updateWorkers() {
+	var unassigned []shard.Worker
+	r.updateOwner(func(now time.Time) {
+		l, revision, _ := r.host.directory.currentLayout()
+		var own []shard.Worker
+		for _, w := range r.registry {
+			n, ok := l.shardOf(w)
+			switch {
+			case !ok:
+				unassigned = append(unassigned, w)
+			case n == r.shard:
+				own = append(own, w)
+			}
+		}
+		r.owner.SetWorkers(now, own)
+		r.appliedLayout, r.hasUnassigned = revision, len(unassigned) > 0
+	})
+	if len(unassigned) > 0 && r.shard == 0 {
+		r.host.addRacks(r.ctx, unassigned)
+	}
+}
+
 // addRacks assigns each rack that the layout does not have yet to the shard with the fewest racks.
 func (h *Host) addRacks(ctx context.Context, workers []shard.Worker) {
 	l, revision, _ := h.directory.currentLayout()
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -26,15 +26,19 @@
 // runner executes the decisions of a shard's owner: it follows the records of the shard, calls workers and writes progress to
 // the store.
 type runner struct {
-	ctx    context.Context
-	cancel context.CancelFunc
+	// appliedLayout is the revision of the layout by which the owner's workers were chosen; 0 until the registry is read.
+	appliedLayout int64
+	ctx           context.Context
+	cancel        context.CancelFunc
 	// deposed is set once a worker has rejected the current token because it knows a higher one.
 	deposed bool
 	// endedJobs lists the jobs whose final state this owner has recorded and not yet deleted, the oldest first.
 	endedJobs []endedJob
 	// epochKeyRevision is the revision of the shard's epoch key as this host wrote it. The next acquisition is guarded by it.
 	epochKeyRevision int64
-	host             *Host
+	// hasUnassigned is set while the layout assigns no shard to the rack of a worker.
+	hasUnassigned bool
+	host          *Host
 	// lease is the lease of the shard's owner key.
 	lease int64
 	// loaded is set once the shard's jobs have been read from the store.
@@ -80,6 +84,7 @@
 	go r.loop()
 	go r.deleteExpiredStates()
 	go r.syncWeights()
+	go r.followLayout()
 	go watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
 	go func() {
 		recorded := r.readProgress()
@@ -414,25 +419,3 @@
 	}
 	r.registry[kv.Key] = w
 }
-
-// updateWorkers passes the shard's workers to the owner. The runner of shard 0 also assigns new racks to shards.
-func (r *runner) updateWorkers() {
-	l, _, _ := r.host.directory.currentLayout()
-	var unassigned []shard.Worker
-	r.updateOwner(func(now time.Time) {
-		var own []shard.Worker
-		for _, w := range r.registry {
-			n, ok := l.shardOf(w)
-			switch {
-			case !ok:
-				unassigned = append(unassigned, w)
-			case n == r.shard:
-				own = append(own, w)
-			}
-		}
-		r.owner.SetWorkers(now, own)
-	})
-	if len(unassigned) > 0 && r.shard == 0 {
-		r.host.addRacks(r.ctx, unassigned)
-	}
-}
