Decide the number of shards only when the number of hosts is stable

Cause: the host with the first look decided the number of shards 1 s after its own start, from the hosts that had registered by then. The number never changes, so hosts that start one after the other split the fleet for good by the strength of the first few: seven shards of 50 workers instead of two if weak hosts are first, and shards that no other host can own if a strong one is. Change: the count of hosts must stay the same for 1 s, as the count of workers must for one election round. 5 s after its start a host decides with what it knows, since no job is accepted before. Result: TestLayoutWaitsForHostsThatStart (virtual time) failed before with 7 shards, not 2, for hosts that start 0.6 s apart. When all start at once the layout is written as early as before. Hosts that start more than 1 s after the others still come too late; a case of the test shows it.

--- /dev/null
+++ b/internal/entry/exportlayout_test.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// ElectionInterval is the time between two election rounds.
+const ElectionInterval = electionInterval
+
+// AddHost adds the record of a live host to the host's directory.
+func (h *Host) AddHost(name string, strength float64) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	record := hostRecord{Host: name, Incarnation: name, Strength: strength}
+	h.directory.put(kvstore.KV{Key: hostPrefix + name, Value: workflow.Encode(record), ModRevision: 1})
+}
+
+// CreateLayout does what an election round does while there is no layout.
+func (h *Host) CreateLayout(ctx context.Context) { h.createLayout(ctx) }
+
+// LayoutShards returns the number of shards in an encoded layout.
+func LayoutShards(data []byte) (int, error) {
+	l, err := workflow.Decode[layout](data)
+	return l.Shards, err
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -17,20 +17,23 @@
 
 // Host is the daemon of an entry host.
 type Host struct {
-	config      *configSource
-	directory   *directory
-	draining    atomic.Bool
-	locations   *locationCache
-	loads       *loadCache
-	log         *logrus.Entry
-	now         func() time.Time
-	ownedShards *ownedShards
-	pending     *pendingCache
-	platform    Platform
-	pool        *peer.Pool
-	self        hostRecord
-	session     *session
-	settings    settings.Settings
+	config    *configSource
+	directory *directory
+	draining  atomic.Bool
+	// hostCount is the number of live hosts at the last round without a layout, and hostCountSince when it last changed.
+	hostCount      int
+	hostCountSince time.Time
+	locations      *locationCache
+	loads          *loadCache
+	log            *logrus.Entry
+	now            func() time.Time
+	ownedShards    *ownedShards
+	pending        *pendingCache
+	platform       Platform
+	pool           *peer.Pool
+	self           hostRecord
+	session        *session
+	settings       settings.Settings
 	// started is when the host was created.
 	started time.Time
 }
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -13,16 +13,20 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// layoutDelay gives other hosts time to register, since the number of shards depends on the strength of all hosts.
-const layoutDelay = time.Second
-
-// layoutRetryDelay is how long an owner waits before it looks again at racks that the layout does not assign.
-const layoutRetryDelay = time.Second
+const (
+	// layoutDelay is how long the number of hosts must stay the same before one of them writes the layout. The number of
+	// shards depends on the strength of all hosts and never changes afterwards.
+	layoutDelay = time.Second
+	// maxLayoutDelay bounds the wait for hosts that start one after the other, since no job is accepted without a layout.
+	maxLayoutDelay = 5 * time.Second
+	// layoutRetryDelay is how long an owner waits before it looks again at racks that the layout does not assign.
+	layoutRetryDelay = time.Second
+)
 
-// createLayout decides the number of shards once the number of registered workers is stable. The first host to write the
-// layout wins.
+// createLayout decides the number of shards once the numbers of hosts and of registered workers are stable. The first host to
+// write the layout wins.
 func (h *Host) createLayout(ctx context.Context) {
-	if time.Since(h.started) < layoutDelay {
+	if !h.isHostCountStable() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -44,6 +48,15 @@
 		Info("tried to write the initial layout")
 }
 
+// isHostCountStable reports whether the number of live hosts has not changed for layoutDelay, or maxLayoutDelay has passed since
+// this host was created. Only election rounds call it.
+func (h *Host) isHostCountStable() bool {
+	if n := len(h.directory.strengths(h.self)); n != h.hostCount {
+		h.hostCount, h.hostCountSince = n, time.Now()
+	}
+	return time.Since(h.hostCountSince) >= layoutDelay || time.Since(h.started) >= maxLayoutDelay
+}
+
 func (h *Host) countWorkers(ctx context.Context) (int, error) {
 	kvs, _, err := h.platform.Store.Range(ctx, h.platform.WorkerPrefix)
 	return len(kvs), err
--- /dev/null
+++ b/internal/entry/layout_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+)
+
+// Guards against a number of shards that follows from the few hosts that start first. It never changes afterwards, so that a
+// fleet is split by the strength of its weakest hosts, or into shards that no other host is able to own.
+func TestLayoutWaitsForHostsThatStart(t *testing.T) {
+	strengths := []float64{0.05, 0.05, 1, 1, 1}
+	for name, tc := range map[string]struct {
+		interval time.Duration
+		want     int
+	}{
+		"all at once":                        {0, 2},
+		"one after the other":                {600 * time.Millisecond, 2},
+		"still starting after 5 s":           {900 * time.Millisecond, 2},
+		"no wait for hosts that start later": {time.Hour, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started, shards := time.Now(), 0
+				h := newHost(0.05, kvstore.Store{
+					Range: func(context.Context, string) ([]kvstore.KV, int64, error) { return make([]kvstore.KV, 350), 1, nil },
+					Txn: func(_ context.Context, t kvstore.Txn) (res kvstore.TxnResult, err error) {
+						shards, err = entry.LayoutShards(t.Puts[0].Value)
+						return res, err
+					},
+				})
+				for i, strength := range strengths {
+					time.AfterFunc(time.Duration(i+1)*tc.interval, func() { h.AddHost(string(rune('a'+i)), strength) })
+				}
+				for shards == 0 && time.Since(started) < time.Minute {
+					time.Sleep(entry.ElectionInterval)
+					h.CreateLayout(t.Context())
+				}
+				assert.Equal(t, shards, tc.want)
+				assert.Assert(t, time.Since(started) < 5500*time.Millisecond, "layout after %s", time.Since(started))
+			})
+		})
+	}
+}
+
+// newHost returns a host that is not started, with the given strength and store.
+func newHost(strength float64, store kvstore.Store) *entry.Host {
+	s := settings.Default()
+	s.Host, s.Zone, s.Platform.Strength = "self", "z", strength
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return entry.New(s, entry.Platform{Store: store}, log)
+}
