Ask the owners of all shards for pending jobs at once

Cause: Pending asked the owner of one shard after the other. Each may take 0.5 s until its records are counted in the store instead, with two more calls of up to 0.4 s, so one owner that is slow or gone delayed the count of all others. Change: the shards are asked concurrently.

--- a/internal/entry/exportlayout_test.go
+++ b/internal/entry/exportlayout_test.go
@@ -26,3 +26,13 @@
 	l, err := workflow.Decode[layout](data)
 	return l.Shards, err
 }
+
+// SetOwners sets a layout with one shard for each owner, given by the addresses of their peer listeners.
+func (h *Host) SetOwners(addresses ...string) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	h.directory.layout, h.directory.layoutRevision = layout{Shards: len(addresses)}, 1
+	for n, address := range addresses {
+		h.directory.owners[n] = ownerRecord{hostRecord: hostRecord{Host: address, Incarnation: address, PeerAddress: address}}
+	}
+}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -165,12 +165,19 @@
 
 func newPendingCache() *pendingCache { return &pendingCache{counts: map[pendingKey]pendingCount{}} }
 
-// Pending returns the number of a queue's jobs that have not started, over all shards.
+// Pending returns the number of a queue's jobs that have not started, over all shards. All owners are asked at once, so that
+// the answer takes as long as the slowest of them and not as long as all together.
 func (h *Host) Pending(ctx context.Context, q workflow.Queue) Answer {
+	counts := make([]int, h.directory.shardCount())
+	errs := make([]error, len(counts))
+	var queries sync.WaitGroup
+	for shard := range counts {
+		queries.Go(func() { counts[shard], errs[shard] = h.shardPending(ctx, pendingKey{q.Name, shard}) })
+	}
+	queries.Wait()
 	total := 0
-	for shard := range h.directory.shardCount() {
-		n, err := h.shardPending(ctx, pendingKey{q.Name, shard})
-		if err != nil {
+	for shard, n := range counts {
+		if err := errs[shard]; err != nil {
 			return h.logAnswer("pending", "", q.Name, Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter})
 		}
 		total += n
