Read the numbers of shards of zones that start later

Cause: a host read the numbers of shards of all zones once, when it wrote or found that of its own zone. When all zones start at once, the zones that were not yet there counted as one shard from then on. Keys of their other partitions went to the owner of partition 0 or were refused as key_owner_unknown however often the caller repeated them; jobs were never given to their other shards; and an adopting host would have taken the workers of the whole zone for those of shard 0. Change: the numbers are read again each round while a zone with entry hosts has none. No further read is made once all are known.

--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -1,9 +1,12 @@
 package host
 
 import (
+	"context"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
@@ -41,3 +44,15 @@
 func (n Notes) ApplyReply(after int64, reply peer.NotesReply) error {
 	return n.applyReply(after, reply)
 }
+
+// LoadShardCounts reads the numbers of shards as each round of contention does.
+func (h *Host) LoadShardCounts(ctx context.Context) error { return h.shards.loadShardCounts(ctx) }
+
+// SetHostList replaces the host's view of the host list.
+func (h *Host) SetHostList(hosts ...fleet.Host) {
+	s := fleet.NewSnapshot(hosts...)
+	h.hosts.current.Store(&s)
+}
+
+// ShardCount returns the number of shards of a zone as the host knows it.
+func (h *Host) ShardCount(zone string) int { return h.shardCount(zone) }
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -145,22 +146,26 @@
 	}
 }
 
-// loadShardCounts reads the number of shards of each zone. The first host of a zone writes the number from its
-// settings.
+// loadShardCounts reads the number of shards of each zone, unless all are known. The first host of a zone writes the number
+// from its settings, so that of a zone that starts later than this host appears only then. Errors are returned while the
+// number of this host's zone is unknown.
 func (s *shards) loadShardCounts(ctx context.Context) error {
-	s.mu.Lock()
-	known := s.shardCounts[s.host.zone] != 0
-	s.mu.Unlock()
-	if known {
+	isOwnKnown, areOthersKnown := s.knownShardCounts()
+	if isOwnKnown && areOthersKnown {
 		return nil
 	}
 	store := s.host.storeFor(kvstore.ClassOwnership)
-	own := zonePrefix + s.host.zone
-	value := []byte(strconv.Itoa(s.host.settings.ZoneSettings.Shards))
-	if _, err := store.CompareAndSwap(ctx, own, 0, value, 0); err != nil && !errors.Is(err, kvstore.ErrConflict) {
-		return err
+	if !isOwnKnown {
+		value := []byte(strconv.Itoa(s.host.settings.ZoneSettings.Shards))
+		_, err := store.CompareAndSwap(ctx, zonePrefix+s.host.zone, 0, value, 0)
+		if err != nil && !errors.Is(err, kvstore.ErrConflict) {
+			return err
+		}
 	}
 	kvs, _, err := store.Range(ctx, zonePrefix)
+	if err != nil && isOwnKnown {
+		return nil // the next round reads the numbers of the other zones
+	}
 	if err != nil {
 		return err
 	}
@@ -176,6 +181,16 @@
 	return nil
 }
 
+// knownShardCounts reports whether the number of shards is known of this host's zone, and of all other zones with entry
+// hosts.
+func (s *shards) knownShardCounts() (own, others bool) {
+	hosts := s.host.hosts.snapshot().EntryHosts("")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	missing := slices.ContainsFunc(hosts, func(h fleet.Host) bool { return s.shardCounts[h.Zone] == 0 })
+	return s.shardCounts[s.host.zone] != 0, !missing
+}
+
 // contend takes over a shard whose owner is gone. Hosts wait in an order that differs from shard to shard, and hosts
 // that own shards wait longer, so that shards spread over the hosts and few writes conflict.
 func (s *shards) contend(ctx context.Context, id fleet.ShardID) {
