Hand shards over to hosts that are clearly less loaded

Ownership was decided once, with the hosts that were registered at that moment, and never corrected: a host that took three shards kept them for 82 s while nine hosts as strong owned none, and its commits were up to 15.8 s behind.

An owner hands one shard over when another host that is not draining would have at most 0.8 of the owner's shards per strength after it took the shard. election.Rebalance decides on values alone; internal/entry carries it out and logs it once. Both hosts must have been known with the same shards for 1.5 s, with loaded shards and a healthy session whose lease outlasts the handover. The time doubles for each return of a host within a minute. Owners take turns, the most loaded first. The giving owner deletes its key and names the successor in one transaction, so that the successor takes the shard at once and neither the giver nor a third host does. If the successor does not take it within 0.4 s, the others do, and it counts as a return. Draining uses the same code. There the attempt to delete the key shared its deadline with the wait for commits, and so failed without being sent whenever commits took longer than 0.8 s; each has a deadline of its own now.

The final states of ended jobs that the giver recorded stay in the store, as after any change of the owner.

--- /dev/null
+++ b/internal/election/rebalance.go
@@ -0,0 +1,74 @@
+package election
+
+import "time"
+
+const (
+	// minRelief is the least fraction of its load by which an owner has to exceed the load of another host after the handover.
+	// It keeps a shard from moving between hosts whose strength differs little.
+	minRelief = 0.2
+	// stableTime is how long both hosts must have owned the same shards, so that a host that is still starting, or about to take
+	// other shards, receives none.
+	stableTime = 1500 * time.Millisecond
+	// maxRejoins bounds how often the stable time doubles for a host that keeps coming and going: up to 24 s.
+	maxRejoins = 4
+	// turnTime separates the handovers of several owners, the most loaded one first. A handover takes up to 0.8 s until others
+	// see it, and owners that decide on the same view would choose the same host.
+	turnTime = time.Second
+)
+
+// Member is a live host that may give or receive a shard. Its Shards are all that it owns.
+type Member struct {
+	Candidate
+	// Rejoins is how often the host has come back recently.
+	Rejoins int
+	// StableFor is how long the host has been known without a change in the shards that it owns.
+	StableFor time.Duration
+}
+
+// Handover is the decision of an owner to hand one of its shards over to another host.
+type Handover struct {
+	From, To Candidate
+	Shard    int
+}
+
+// Rebalance decides whether self hands one of the shards that it owns to one of the other live hosts, none of which is
+// draining. It does if a host would be clearly less loaded with the shard than self is now. With a steady membership, the
+// sum over all hosts of the loads at which they took each of their shards drops with every handover, so handovers end.
+func Rebalance(self Member, owned []int, others []Member) (Handover, bool) {
+	h := Handover{From: self.Candidate, Shard: -1}
+	if len(owned) == 0 {
+		return h, false
+	}
+	wait := self.requiredStableTime() + turnTime*time.Duration(ownersAhead(self, others))
+	if self.StableFor < wait {
+		return h, false
+	}
+	limit := self.loadWith(0) * (1 - minRelief)
+	for _, m := range others {
+		if m.loadWith(1) > limit || m.StableFor < max(wait, m.requiredStableTime()) {
+			continue
+		}
+		for _, n := range owned {
+			if h.Shard < 0 || m.Score(n) > h.To.Score(h.Shard) {
+				h.Shard, h.To = n, m.Candidate
+			}
+		}
+	}
+	return h, h.Shard >= 0
+}
+
+// requiredStableTime returns how long the host must be stable before it gives or receives a shard. It doubles with each rejoin,
+// so that a host that comes and goes does not cause a handover each time.
+func (m Member) requiredStableTime() time.Duration { return stableTime << min(m.Rejoins, maxRejoins) }
+
+// ownersAhead returns the number of owners that are more loaded than self; the names order owners of the same load.
+func ownersAhead(self Member, others []Member) int {
+	ahead := 0
+	for _, m := range others {
+		load, selfLoad := m.loadWith(0), self.loadWith(0)
+		if m.Shards > 0 && (load > selfLoad || load == selfLoad && m.Host < self.Host) {
+			ahead++
+		}
+	}
+	return ahead
+}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -14,9 +15,6 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// joinSettleTime is the time without a new host after which the directory is taken to know all hosts that are starting.
-const joinSettleTime = time.Second
-
 // hostRecord is what a host publishes about itself under its lease.
 type hostRecord struct {
 	Draining    bool   `cbor:"1,keyasint,omitempty"`
@@ -49,6 +47,8 @@
 	changed chan struct{}
 	// epochs holds the store revision of each shard's epoch key, by shard.
 	epochs map[int]int64
+	// histories holds what is remembered of each host, by name.
+	histories map[string]election.History
 	// hosts is keyed by store key.
 	hosts map[string]hostRecord
 	// lastJoin is when a host was last seen to register, or a new process of it.
@@ -62,19 +62,22 @@
 	mu     sync.Mutex
 	now    func() time.Time
 	owners map[int]ownerRecord
+	// successors holds the hosts to which owners have handed shards over, by shard.
+	successors map[int]ownerRecord
 }
 
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
-		changed: make(chan struct{}), epochs: map[int]int64{}, hosts: map[string]hostRecord{}, log: log,
-		now: now, owners: map[int]ownerRecord{},
+		changed: make(chan struct{}), epochs: map[int]int64{}, histories: map[string]election.History{},
+		hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{}, successors: map[int]ownerRecord{},
 	}
 }
 
 func (d *directory) run(ctx context.Context, s kvstore.Store) {
 	watchPrefix(ctx, s, d.log, controlPrefix, func(kvs []kvstore.KV) {
 		d.mu.Lock()
-		d.epochs, d.hosts, d.owners = map[int]int64{}, map[string]hostRecord{}, map[int]ownerRecord{}
+		d.epochs, d.hosts = map[int]int64{}, map[string]hostRecord{}
+		d.owners, d.successors = map[int]ownerRecord{}, map[int]ownerRecord{}
 		for _, kv := range kvs {
 			d.put(kv)
 		}
@@ -124,6 +127,7 @@
 				d.lastJoin = d.now()
 			}
 			d.hosts[kv.Key] = h
+			d.histories[h.Host] = d.histories[h.Host].WithRecord(d.now(), h.Incarnation)
 		} else {
 			d.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed host record")
 		}
@@ -135,11 +139,21 @@
 			return
 		}
 		if old := d.owners[n]; old.Incarnation != h.Incarnation {
+			d.recordOwnershipChange(old.Host)
+			d.recordOwnershipChange(h.Host)
+			if successor, ok := d.successor(n); ok && successor.Incarnation != h.Incarnation {
+				d.histories[successor.Host] = d.histories[successor.Host].WithMissedHandover(d.now())
+			}
 			d.log.WithFields(logrus.Fields{
 				"decision": "owner_seen", "shard": n, "owner": h.Host, "before": old.Host, "revision": kv.ModRevision,
 			}).Info("shard has a new owner")
 		}
 		d.owners[n] = ownerRecord{hostRecord: h, revision: kv.ModRevision}
+	case strings.HasPrefix(kv.Key, successorPrefix):
+		n, ok := parseShardKey(kv.Key, successorPrefix)
+		if h, err := workflow.Decode[hostRecord](kv.Value); ok && err == nil {
+			d.successors[n] = ownerRecord{hostRecord: h, revision: kv.ModRevision}
+		}
 	case strings.HasPrefix(kv.Key, epochPrefix):
 		if n, ok := parseShardKey(kv.Key, epochPrefix); ok {
 			d.epochs[n] = kv.ModRevision
@@ -152,9 +166,21 @@
 	if n, ok := parseShardKey(key, ownerPrefix); ok && strings.HasPrefix(key, ownerPrefix) {
 		d.log.WithFields(logrus.Fields{"decision": "owner_lost", "shard": n, "before": d.owners[n].Host}).
 			Info("shard has lost its owner")
+		d.recordOwnershipChange(d.owners[n].Host)
 		delete(d.owners, n)
 	}
-	delete(d.hosts, key)
+	if h, ok := d.hosts[key]; ok {
+		d.histories[h.Host] = d.histories[h.Host].WithRecordGone()
+		delete(d.hosts, key)
+		maps.DeleteFunc(d.histories, func(_ string, h election.History) bool { return h.IsForgettable(d.now()) })
+	}
+}
+
+// recordOwnershipChange notes that the shards of a host have changed; the caller holds d.mu.
+func (d *directory) recordOwnershipChange(host string) {
+	if h, ok := d.histories[host]; ok {
+		d.histories[host] = h.WithOwnershipChange(d.now())
+	}
 }
 
 func (d *directory) owner(shard int) (ownerRecord, bool) {
@@ -222,25 +248,6 @@
 	return out
 }
 
-// claimDelay returns how long self waits before it claims a shard that has no owner. owned is the number of shards that self
-// owns.
-func (d *directory) claimDelay(self hostRecord, shard, owned int) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	shards := map[string]int{}
-	for _, o := range d.owners {
-		shards[o.Incarnation]++
-	}
-	var others []election.Candidate
-	for _, h := range d.hosts {
-		if h.Host != self.Host && !h.Draining {
-			others = append(others, election.Candidate{Host: h.Host, Shards: shards[h.Incarnation], Strength: h.Strength})
-		}
-	}
-	return election.ClaimDelay(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard,
-		d.now().Sub(d.lastJoin) < joinSettleTime)
-}
-
 func boolInt(b bool) int {
 	if b {
 		return 1
--- /dev/null
+++ b/internal/entry/handover.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/election"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+const (
+	// commitWaitTimeout bounds the wait for pending commits when a shard is handed over. The next owner learns of later changes
+	// from the workers, as after a crash.
+	commitWaitTimeout = 800 * time.Millisecond
+	// deleteTimeout bounds the attempts to delete the owner key, so that one lost response is tolerated.
+	deleteTimeout = 2 * storeCallTimeout
+)
+
+// handovers tracks the shards that this host is handing over.
+type handovers struct {
+	mu sync.Mutex
+	// active is the set of shards whose handover is under way.
+	active map[int]bool
+	// isClosed is set once no further handover may begin.
+	isClosed bool
+	// revisions holds, by shard, the revision of the last owner key that this host gave up. The directory still shows such a
+	// key until the deletion is seen.
+	revisions map[int]int64
+	running   sync.WaitGroup
+}
+
+func newHandovers() *handovers {
+	return &handovers{active: map[int]bool{}, revisions: map[int]int64{}}
+}
+
+// begin marks a shard as being handed over. It returns false if it is already, or if no handover may begin.
+func (h *handovers) begin(shard int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isClosed || h.active[shard] {
+		return false
+	}
+	h.active[shard] = true
+	h.running.Add(1)
+	return true
+}
+
+// finish lets no further handover begin and waits until none is under way.
+func (h *handovers) finish() {
+	h.mu.Lock()
+	h.isClosed = true
+	h.mu.Unlock()
+	h.running.Wait()
+}
+
+func (h *handovers) end(shard int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.active, shard)
+	h.running.Done()
+}
+
+func (h *handovers) isActive(shard int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.active[shard]
+}
+
+func (h *handovers) isAnyActive() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.active) > 0
+}
+
+func (h *handovers) recordGivenUp(shard int, revision int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revisions[shard] = revision
+}
+
+// isGivenUp reports whether this host gave up the owner key of a shard with this revision.
+func (h *handovers) isGivenUp(shard int, revision int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return revision <= h.revisions[shard]
+}
+
+// giveUp deletes the owner key of a shard once its pending commits are done or commitWaitTimeout has passed. It names the
+// successor in the same transaction if there is one. After a nil error this host is no longer the owner.
+func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord) error {
+	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
+	r.waitForCommits(waitCtx)
+	cancelWait()
+	revision := r.ownerRevision()
+	t := kvstore.Txn{Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: revision}}}
+	if successor != nil {
+		t.Puts = []kvstore.Put{{Key: successorKey(r.shard), Value: workflow.Encode(*successor)}}
+	}
+	for deadline := time.Now().Add(deleteTimeout); ; retry.Sleep(ctx, minWriteBackoff) {
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		_, err := o.host.platform.Store.Txn(callCtx, t)
+		cancel()
+		countWrite(err)
+		// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
+		if err == nil || errors.Is(err, kvstore.ErrConflict) {
+			o.handovers.recordGivenUp(r.shard, revision)
+			return nil
+		}
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return err
+		}
+	}
+}
+
+// handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards.
+func (o *ownedShards) handOverAll(ctx context.Context) {
+	for _, r := range o.allRunners() {
+		if !o.handovers.begin(r.shard) {
+			continue // a handover for rebalancing is under way
+		}
+		go func() {
+			defer o.handovers.end(r.shard)
+			if err := o.giveUp(ctx, r, nil); err != nil {
+				o.host.log.WithError(err).WithField("shard", r.shard).
+					Warn("failed to delete the owner key of the shard; it expires with the host's lease")
+			}
+			o.stopRunner(r, "the host drains")
+		}()
+	}
+	o.handovers.finish()
+}
+
+// rebalance hands one shard over if the decision of election.Rebalance is to do so. Nothing is handed over while this host
+// drains, may lose its lease before the handover is done, or does not see its shards as the store has them.
+func (o *ownedShards) rebalance(ctx context.Context) {
+	h := o.host
+	lease, expires := h.session.currentLease()
+	if h.draining.Load() || !h.session.isHealthy() || lease == 0 || h.now().Add(commitWaitTimeout).After(expires) ||
+		o.handovers.isAnyActive() {
+		return
+	}
+	runners := o.allRunners()
+	if len(runners) == 0 {
+		return
+	}
+	self, others, ok := h.directory.rebalancingView(h.self)
+	if !ok || len(runners) != self.Shards {
+		return
+	}
+	var owned []int
+	for _, r := range runners {
+		loadedAt, isLoaded := r.loadTime()
+		if !isLoaded {
+			return
+		}
+		self.StableFor = min(self.StableFor, h.now().Sub(loadedAt))
+		owned = append(owned, r.shard)
+	}
+	decision, ok := election.Rebalance(self, owned, others)
+	if !ok {
+		return
+	}
+	successor, ok := h.directory.host(decision.To.Host)
+	if !ok || !o.handovers.begin(decision.Shard) {
+		return
+	}
+	go o.handOver(ctx, decision, successor)
+}
+
+// handOver carries out the decision to hand a shard over. If that fails, this host goes on as the owner.
+func (o *ownedShards) handOver(ctx context.Context, d election.Handover, successor hostRecord) {
+	defer o.wakeElection()
+	defer o.handovers.end(d.Shard)
+	log := o.host.log.WithFields(logrus.Fields{
+		"decision": "rebalance", "shard": d.Shard, "owned": d.From.Shards, "strength": d.From.Strength,
+		"to": d.To.Host, "to_owned": d.To.Shards, "to_strength": d.To.Strength, "reason": "the other host would be less loaded",
+	})
+	r := o.runner(d.Shard)
+	if r == nil {
+		return
+	}
+	log.Info("handing the shard over")
+	err := o.giveUp(ctx, r, &successor)
+	switch {
+	case err == nil:
+		o.stopRunner(r, "handed over to a less loaded host")
+	case o.host.draining.Load():
+		o.stopRunner(r, "the host drains")
+	default:
+		log.WithError(err).Warn("failed to delete the owner key of the shard; this host keeps the shard")
+	}
+}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -13,7 +13,10 @@
 	hostPrefix    = controlPrefix + "host/"
 	ownerPrefix   = controlPrefix + "owner/"
 	epochPrefix   = controlPrefix + "epoch/"
-	layoutKey     = controlPrefix + "layout"
+	// successorPrefix is the prefix of the keys that name the host to which a shard was last handed over. Such a key counts
+	// until the next change of the shard's epoch key.
+	successorPrefix = controlPrefix + "successor/"
+	layoutKey       = controlPrefix + "layout"
 	// locationPrefix is the prefix of the JobLocation records, which name the shard of each job.
 	locationPrefix = root + "placed/"
 	jobPrefix      = root + "job/"
@@ -29,6 +32,8 @@
 
 func epochKey(shard int) string { return epochPrefix + strconv.Itoa(shard) }
 
+func successorKey(shard int) string { return successorPrefix + strconv.Itoa(shard) }
+
 func locationKey(id string) string { return locationPrefix + id }
 
 func shardJobsPrefix(shard int) string { return jobPrefix + strconv.Itoa(shard) + "/" }
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/election"
+)
+
+const (
+	// joinSettleTime is the time without a new host after which the directory is taken to know all hosts that are starting.
+	joinSettleTime = time.Second
+	// successorDelay is how long other hosts leave a shard that was handed over to its successor, ten times as long as it
+	// usually needs to take it.
+	successorDelay = 400 * time.Millisecond
+)
+
+// claimDelay returns how long self waits before it claims a shard that has no owner. owned is the number of shards that self
+// owns.
+func (d *directory) claimDelay(self hostRecord, shard, owned int) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var delay time.Duration
+	switch successor, ok := d.successor(shard); {
+	case ok && successor.Incarnation == self.Incarnation:
+		return 0
+	case ok:
+		delay = successorDelay
+	}
+	var others []election.Candidate
+	for _, m := range d.members() {
+		if m.Host != self.Host {
+			others = append(others, m.Candidate)
+		}
+	}
+	return delay + election.ClaimDelay(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard,
+		d.now().Sub(d.lastJoin) < joinSettleTime)
+}
+
+// successor returns the live host to which the last owner of a shard has handed it over. The caller holds d.mu.
+func (d *directory) successor(shard int) (hostRecord, bool) {
+	s, ok := d.successors[shard]
+	if !ok || s.revision <= d.epochs[shard] {
+		return hostRecord{}, false
+	}
+	for _, h := range d.hosts {
+		if h.Incarnation == s.Incarnation {
+			return h, !h.Draining
+		}
+	}
+	return hostRecord{}, false
+}
+
+// members returns the live hosts that are not draining, with the shards that they own. The caller holds d.mu.
+func (d *directory) members() []election.Member {
+	shards := map[string]int{}
+	for _, o := range d.owners {
+		shards[o.Incarnation]++
+	}
+	var out []election.Member
+	for _, h := range d.hosts {
+		if !h.Draining {
+			out = append(out, d.histories[h.Host].Member(d.now(), election.Candidate{
+				Host: h.Host, Shards: shards[h.Incarnation], Strength: h.Strength,
+			}))
+		}
+	}
+	return out
+}
+
+// rebalancingView returns self and the other live hosts that are not draining. It returns false while the view is not
+// complete: self is not registered, or one of the shards has no owner that other hosts may be about to claim.
+func (d *directory) rebalancingView(self hostRecord) (own election.Member, others []election.Member, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n := range d.layout.Shards {
+		if _, owned := d.owners[n]; !owned {
+			return election.Member{}, nil, false
+		}
+	}
+	for _, m := range d.members() {
+		if m.Host == self.Host {
+			own, ok = m, true
+		} else {
+			others = append(others, m)
+		}
+	}
+	return own, others, ok
+}
+
+// host returns the record of the live host with this name.
+func (d *directory) host(name string) (hostRecord, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.hosts[hostPrefix+name]
+	return h, ok
+}
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -16,15 +16,14 @@
 const (
 	// electionInterval is how often a host checks for shards without an owner while it sees no change.
 	electionInterval = 200 * time.Millisecond
-	// handoverTimeout bounds the wait for pending commits when a shard is handed over.
-	handoverTimeout = 800 * time.Millisecond
 )
 
 // ownedShards holds the runners of the shards that this host owns.
 type ownedShards struct {
-	host    *Host
-	mu      sync.Mutex
-	runners map[int]*runner
+	handovers *handovers
+	host      *Host
+	mu        sync.Mutex
+	runners   map[int]*runner
 	// ownerlessSince holds the time at which this host first saw that a shard has no owner, by shard.
 	ownerlessSince map[int]time.Time
 	// wake starts an election round early.
@@ -32,7 +31,10 @@
 }
 
 func newOwnedShards(h *Host) *ownedShards {
-	return &ownedShards{host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{}, wake: make(chan struct{}, 1)}
+	return &ownedShards{
+		handovers: newHandovers(), host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{},
+		wake: make(chan struct{}, 1),
+	}
 }
 
 func (o *ownedShards) wakeElection() {
@@ -101,7 +103,8 @@
 	return r.serviceLoad(service)
 }
 
-// runElection takes over shards without an owner until ctx ends, then stops all runners.
+// runElection takes over shards without an owner and hands shards over to less loaded hosts until ctx ends, then stops all
+// runners.
 func (o *ownedShards) runElection(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := o.host.directory.nextChange()
@@ -115,6 +118,7 @@
 		}
 		t.Stop()
 	}
+	o.handovers.finish()
 	for _, r := range o.allRunners() {
 		o.stopRunner(r, "the host stops")
 	}
@@ -137,6 +141,7 @@
 			pause = min(pause, wait)
 		}
 	}
+	o.rebalance(ctx)
 	return pause
 }
 
@@ -151,12 +156,15 @@
 		switch {
 		case current.Incarnation != h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			o.stopRunner(r, "another host owns the shard")
-		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load():
+		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load() && !o.handovers.isGivenUp(n, current.revision):
 			// This host's write of the owner key took effect, but the response was lost.
 			o.startRunner(n, current.revision)
 		}
 		return 0
 	}
+	if o.handovers.isActive(n) {
+		return 0 // the key was deleted by this host, or its handover is about to fail
+	}
 	lease, expires := h.session.currentLease()
 	now := h.now()
 	if h.draining.Load() || lease == 0 || !now.Before(expires) || h.config.current.Load() == nil {
@@ -227,31 +235,19 @@
 	r.start()
 }
 
+// stopRunner ends the runner of a shard unless it has been stopped before.
 func (o *ownedShards) stopRunner(r *runner, reason string) {
-	o.host.log.WithFields(logrus.Fields{"decision": "disown", "shard": r.shard, "reason": reason, "revision": r.ownerRevision()}).
-		Info("gave up the shard")
 	o.mu.Lock()
-	if o.runners[r.shard] == r {
+	isRunning := o.runners[r.shard] == r
+	if isRunning {
 		delete(o.runners, r.shard)
 	}
 	o.mu.Unlock()
+	if !isRunning {
+		return
+	}
+	o.host.log.WithFields(logrus.Fields{"decision": "disown", "shard": r.shard, "reason": reason, "revision": r.ownerRevision()}).
+		Info("gave up the shard")
 	ownerChanges.Add("given_up", 1)
 	r.close()
 }
-
-// handOverAll gives up each shard once its pending commits are done or handoverTimeout has passed.
-func (o *ownedShards) handOverAll(ctx context.Context) {
-	for _, r := range o.allRunners() {
-		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-		r.waitForCommits(ctx)
-		_, err := o.host.platform.Store.Txn(ctx, kvstore.Txn{
-			Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: r.ownerRevision()}},
-		})
-		cancel()
-		if err != nil {
-			o.host.log.WithError(err).WithField("shard", r.shard).
-				Warn("failed to delete the owner key of the shard; it expires with the host's lease")
-		}
-		o.stopRunner(r, "the host drains")
-	}
-}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -37,11 +37,12 @@
 	host             *Host
 	// lease is the lease of the shard's owner key.
 	lease int64
-	// loaded is set once the shard's jobs have been read from the store.
-	loaded bool
-	log    *logrus.Entry
-	mu     sync.Mutex
-	owner  *shard.Owner
+	// loaded is set once the shard's jobs have been read from the store, at loadedAt.
+	loaded   bool
+	loadedAt time.Time
+	log      *logrus.Entry
+	mu       sync.Mutex
+	owner    *shard.Owner
 	// progressRevisions maps job ids to the revisions of their progress records.
 	progressRevisions map[string]int64
 	// cancellations is the set of jobs with a recorded cancellation.
@@ -108,6 +109,13 @@
 	return r.ownerKeyRevision
 }
 
+// loadTime returns when the shard's jobs were read, and whether they have been and this host has not been fenced.
+func (r *runner) loadTime() (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loadedAt, r.loaded && !r.deposed
+}
+
 func (r *runner) epochRevision() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -341,7 +349,9 @@
 		for id := range r.cancellations {
 			r.owner.Cancel(now, id)
 		}
-		r.loaded = true
+		if !r.loaded {
+			r.loaded, r.loadedAt = true, now
+		}
 		r.log.WithFields(logrus.Fields{"decision": "load", "jobs": jobs, "records": len(recorded), "revision": r.ownerKeyRevision}).
 			Info("shard loaded")
 	})
