Never drop the outcome of a commit in a shard owner's loop

Cause: results for the owner's loop are dropped while 1024 of them are queued, as after a takeover with many starts at once or on a host that is short of processor time. For reports and starts that is harmless, since they are sent again. The outcome of a commit comes once: if it was dropped, the commit stayed in flight and the owner never wrote to its ledger again. It renewed the leases of its workers and bound no further task until it was restarted. Change: these three wait for room in the queue.

--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/ledger"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
@@ -56,3 +58,28 @@
 
 // ShardCount returns the number of shards of a zone as the host knows it.
 func (h *Host) ShardCount(zone string) int { return h.shardCount(zone) }
+
+// CommitWithFullQueue lets the owner of a shard append a batch to a store that rejects it, while the queue of the owner's loop
+// is full. It returns whether the owner proposes the batch again once the loop has emptied its queue. wait must return when
+// the commit can make no progress.
+func (h *Host) CommitWithFullQueue(ctx context.Context, wait func()) bool {
+	o := newShardOwner(h, fleet.ShardID{Zone: h.zone}, 1)
+	o.ledgerLog = kvstore.NewLog(kvstore.Store{
+		CompareAndSwap: func(context.Context, string, int64, []byte, int64) (int64, error) { return 0, kvstore.ErrUnavailable },
+	}, "ledger")
+	now := time.Now()
+	o.ledger = ledger.NewOwner(ledger.State{}, h.id, o.epoch, now)
+	commit := o.ledger.Tick(now).Commit
+	for range cap(o.posted) {
+		o.post(func(time.Time) {})
+	}
+	go o.commit(ctx, *commit)
+	wait()
+	for range 2 {
+		for len(o.posted) > 0 {
+			(<-o.posted)(now)
+		}
+		wait()
+	}
+	return o.ledger.Tick(now.Add(time.Second)).Commit != nil
+}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -161,7 +161,8 @@
 	}
 }
 
-// post queues f for the owner's loop. f is dropped if the loop has ended or is far behind.
+// post queues f for the owner's loop. f is dropped if the loop has ended or is far behind, so it must be something that is
+// sent or reported again.
 func (o *shardOwner) post(f func(now time.Time)) {
 	select {
 	case o.posted <- f:
@@ -170,11 +171,20 @@
 	}
 }
 
+// postUntil queues f for the owner's loop and waits for room in the queue until ctx ends. It is for what happens only
+// once, such as the outcome of a commit.
+func (o *shardOwner) postUntil(ctx context.Context, f func(now time.Time)) {
+	select {
+	case o.posted <- f:
+	case <-ctx.Done():
+	}
+}
+
 // callOwner runs f on the owner's loop and returns its result. If ctx ends first, f may still run later, so it must
 // not write to variables of the caller.
 func callOwner[T any](ctx context.Context, o *shardOwner, f func(now time.Time) T) (T, error) {
 	got := make(chan T, 1)
-	o.post(func(now time.Time) { got <- f(now) })
+	o.postUntil(ctx, func(now time.Time) { got <- f(now) })
 	select {
 	case <-ctx.Done():
 		var none T
--- a/internal/host/ownersend.go
+++ b/internal/host/ownersend.go
@@ -44,10 +44,11 @@
 }
 
 func (o *shardOwner) commit(ctx context.Context, c ledger.Commit) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	appendCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	err := o.append(ctx, c)
-	o.post(func(now time.Time) {
+	err := o.append(appendCtx, c)
+	// The next commit waits for this outcome.
+	o.postUntil(ctx, func(now time.Time) {
 		switch {
 		case err == nil:
 			o.ledger.Committed(now)
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -318,7 +318,7 @@
 	var all sync.WaitGroup
 	for id, o := range owned {
 		all.Go(func() {
-			o.owner.post(func(time.Time) { o.owner.handingOver = true })
+			o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
 			select {
 			case <-o.done:
 			case <-ctx.Done():
