Queue one checkpoint of each task for the ledger, not one of each report

Cause: the ledger proposed each reported checkpoint and committed the proposals first-in first-out, at most 500 in a batch and four batches a second. In a store outage nothing left this queue while each running task added a checkpoint every 2 s, without bound. After the outage new bindings, for which tasks wait, came behind all of them. Change: while a checkpoint of a task waits for its batch, later ones only replace its value. Result: TestBindingsWaitForCheckpointsOfOutage failed before: after an outage of an hour with one running task the binding was in the fifth commit; it is in the second at the latest now.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -97,15 +97,28 @@
 		if len(o.proposals) == 0 || !o.handingOver && o.hasOnlyCheckpoints() && now.Sub(o.lastCommitSentAt) < o.timing.CheckpointInterval {
 			return nil
 		}
-		n := min(len(o.proposals), maxBatchChanges)
-		b := NewBatch(now, o.proposals[:n]...)
-		o.uncommittedBatch, o.proposals = &b, append([]Change(nil), o.proposals[n:]...)
+		b := o.nextBatch(now)
+		o.uncommittedBatch = &b
 	}
 	o.lastCommitSentAt = now
 	o.inFlightCommit = &Commit{Batch: *o.uncommittedBatch, MayBeInLog: o.outcomeUnknown}
 	return o.inFlightCommit
 }
 
+// nextBatch takes the first proposals, with the last checkpoint that was reported of each task. A store outage thus leaves one
+// checkpoint of each task and not one of each report, which bindings would have to wait for.
+func (o *Owner) nextBatch(now time.Time) Batch {
+	n := min(len(o.proposals), maxBatchChanges)
+	b := NewBatch(now, append([]Change(nil), o.proposals[:n]...)...)
+	o.proposals = append([]Change(nil), o.proposals[n:]...)
+	for i, c := range b.Changes {
+		if r := o.runs[c.Task]; c.Kind == ChangeCheckpoint && r != nil {
+			b.Changes[i].Checkpoint, r.checkpointProposed = r.checkpoint, false
+		}
+	}
+	return b
+}
+
 func (o *Owner) hasOnlyCheckpoints() bool {
 	for _, c := range o.proposals {
 		if c.Kind != ChangeCheckpoint {
--- a/internal/ledger/observe.go
+++ b/internal/ledger/observe.go
@@ -139,13 +139,16 @@
 	})
 }
 
-// recordCheckpoint proposes to record a checkpoint that is above the last one.
+// recordCheckpoint proposes to record a checkpoint that is above the last one. While an earlier checkpoint of the task waits
+// for its batch, that one is replaced by nextBatch.
 func (o *Owner) recordCheckpoint(r *taskRun, checkpoint int64) {
-	if checkpoint > r.checkpoint {
-		r.checkpoint = checkpoint
-		if !r.endProposed {
-			o.propose(Checkpoint(r.id, checkpoint))
-		}
+	if checkpoint <= r.checkpoint {
+		return
+	}
+	r.checkpoint = checkpoint
+	if !r.endProposed && !r.checkpointProposed && !o.handingOver {
+		r.checkpointProposed = true
+		o.propose(Checkpoint(r.id, checkpoint))
 	}
 }
 
--- a/internal/ledger/taskrun.go
+++ b/internal/ledger/taskrun.go
@@ -25,6 +25,8 @@
 	// attemptKnown is set if no earlier owner can have used a higher attempt number.
 	attemptKnown bool
 	checkpoint   int64
+	// checkpointProposed is set while a proposed checkpoint is not in a batch yet.
+	checkpointProposed bool
 	// jobClosing is set once a change that withdraws or parks the job is proposed.
 	jobClosing  bool
 	endProposed bool
