--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +14,7 @@
 
 // nextCommit returns the records to write, or nil. There is at most one unanswered commit at a time.
 func (o *Owner) nextCommit(now time.Time, a *Actions) *Commit {
-	if o.committing != nil || len(o.dirty) == 0 && !o.hasUnrecordedEnds() {
+	if o.committing != nil || len(o.dirty) == 0 {
 		return nil
 	}
 	if due := o.lastCommit.Add(o.timing.CommitGap); now.Before(due) {
@@ -21,9 +22,13 @@
 		return nil
 	}
 	n := min(len(o.dirty), maxJobsPerCommit)
-	c := &Commit{recordedEnd: map[string]int64{}, oldest: now}
+	if n < len(o.dirty) {
+		sortForCommit(now, o.dirty)
+	}
+	c := &Commit{oldest: now}
 	for _, j := range o.dirty[:n] {
 		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
+		j.restartPlanned, j.startPlanned = false, false
 		w := JobWrite{Job: j.ID, Final: j.final, version: j.version}
 		if j.final == "" {
 			w.Progress = workflow.Encode(o.progress(j, c))
@@ -31,18 +36,7 @@
 		c.Writes = append(c.Writes, w)
 	}
 	o.dirty = append([]*job(nil), o.dirty[n:]...)
-	if len(o.dirty) == 0 {
-		for _, w := range o.sortedWorkers() {
-			id := w.ID
-			if w.lastEnd > w.recordedEnd {
-				c.recordedEnd[id] = w.lastEnd
-			}
-		}
-	}
-	if len(c.Writes) == 0 { // all new ends belong to jobs that have ended
-		o.markEndsRecorded(c)
-		return nil
-	}
+	slices.SortStableFunc(o.dirty, func(a, b *job) int { return a.dirtySince.Compare(b.dirtySince) })
 	o.committing, o.lastCommit = c, now
 	return c
 }
@@ -60,23 +54,6 @@
 	return jobs, oldest
 }
 
-func (o *Owner) hasUnrecordedEnds() bool {
-	for _, w := range o.sortedWorkers() {
-		if w.lastEnd > w.recordedEnd {
-			return true
-		}
-	}
-	return false
-}
-
-func (o *Owner) markEndsRecorded(c *Commit) {
-	for id, n := range c.recordedEnd {
-		if w := o.workers[id]; w != nil && n <= w.lastEnd {
-			w.recordedEnd = max(w.recordedEnd, n)
-		}
-	}
-}
-
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
 	for _, occ := range j.openOccurrences() {
@@ -111,12 +88,12 @@
 			at.phase = phaseReady
 		}
 	}
-	o.markEndsRecorded(c)
 	for _, w := range c.Writes {
 		j := o.jobs[w.Job]
 		if j == nil {
 			continue
 		}
+		j.recordedVersion = w.version
 		if w.Final != "" {
 			j.finalRecorded = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
@@ -125,4 +102,7 @@
 			o.forgetIfEnded(j)
 		}
 	}
+	for _, w := range o.sortedWorkers() {
+		w.advanceRecordedEnd()
+	}
 }
