--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -49,9 +49,11 @@
 type cluster struct {
 	journal  *fake.Journal
 	platform *fake.Platform
-	t        *testing.T
-	url      string
-	worker   *fake.Worker
+	// shards is the number of shards of the zone.
+	shards int
+	t      *testing.T
+	url    string
+	worker *fake.Worker
 }
 
 // entryHost is a running entry host.
@@ -65,7 +67,7 @@
 
 func newCluster(t *testing.T, options ...fake.WorkerOption) *cluster {
 	t.Helper()
-	c := &cluster{journal: fake.NewJournal(time.Now), platform: fake.NewPlatform(), t: t}
+	c := &cluster{journal: fake.NewJournal(time.Now), platform: fake.NewPlatform(), shards: 1, t: t}
 	var err error
 	c.url, err = c.platform.Start()
 	assert.NilError(t, err)
@@ -88,6 +90,7 @@
 	s := settings.Default()
 	s.Host, s.Region, s.Zone = id, "r", "z"
 	s.Platform.Endpoints = []string{platformURL}
+	s.ZoneSettings.Shards = c.shards
 	s.Platform.Timeout.Duration = 500 * time.Millisecond
 	for _, address := range []*string{&s.Listen.Caller, &s.Listen.Debug, &s.Listen.Peer} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
