Let callers that ask for pending jobs at once share one count

Callers that arrived before the first answer multiplied the load on a store or an owner that was already slow. Change: callers of the same queue and shard wait for one call, which goes on if its first caller disconnects. Failures are shared by those who wait and not kept.

--- a/internal/entry/exportlayout_test.go
+++ b/internal/entry/exportlayout_test.go
@@ -36,3 +36,10 @@
 		h.directory.owners[n] = ownerRecord{hostRecord: hostRecord{Host: address, Incarnation: address, PeerAddress: address}}
 	}
 }
+
+// SetShardCount sets a layout of shards without owners.
+func (h *Host) SetShardCount(n int) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	h.directory.layout, h.directory.layoutRevision = layout{Shards: n}, 1
+}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -157,13 +157,23 @@
 	shard int
 }
 
+// pendingCall is a count that is under way. count or err is set before done is closed.
+type pendingCall struct {
+	count int
+	done  chan struct{}
+	err   error
+}
+
 // pendingCache caches the numbers of pending jobs in shards that this host does not own.
 type pendingCache struct {
+	calls  map[pendingKey]*pendingCall
 	counts map[pendingKey]pendingCount
 	mu     sync.Mutex
 }
 
-func newPendingCache() *pendingCache { return &pendingCache{counts: map[pendingKey]pendingCount{}} }
+func newPendingCache() *pendingCache {
+	return &pendingCache{calls: map[pendingKey]*pendingCall{}, counts: map[pendingKey]pendingCount{}}
+}
 
 // Pending returns the number of a queue's jobs that have not started, over all shards. All owners are asked at once, so that
 // the answer takes as long as the slowest of them and not as long as all together.
@@ -185,27 +195,47 @@
 	return Answer{Outcome: OutcomeAccepted, Pending: total}
 }
 
+// shardPending returns the number of a queue's pending jobs in a shard. Callers that ask at the same time share one call: a
+// count in the store reads all records of the shard.
 func (h *Host) shardPending(ctx context.Context, k pendingKey) (int, error) {
 	if n, ok := h.ownedShards.pending(k.shard, k.queue); ok {
 		return n, nil
 	}
 	h.pending.mu.Lock()
-	last, ok := h.pending.counts[k]
-	h.pending.mu.Unlock()
-	if ok && time.Since(last.receivedAt) < maxPendingAge {
+	if last, ok := h.pending.counts[k]; ok && time.Since(last.receivedAt) < maxPendingAge {
+		h.pending.mu.Unlock()
 		return last.count, nil
 	}
+	call := h.pending.calls[k]
+	if call == nil {
+		call = &pendingCall{done: make(chan struct{})}
+		h.pending.calls[k] = call
+		// The call continues if its caller disconnects, since others may wait for it.
+		go h.fetchPending(context.WithoutCancel(ctx), k, call)
+	}
+	h.pending.mu.Unlock()
+	select {
+	case <-call.done:
+		return call.count, call.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// fetchPending asks the owner of a shard for its pending jobs, or else counts them in the store, and completes the call.
+func (h *Host) fetchPending(ctx context.Context, k pendingKey, call *pendingCall) {
 	n, ok := h.askPending(ctx, k)
 	if !ok {
-		var err error
-		if n, err = h.countPending(ctx, k); err != nil {
-			return 0, err
-		}
+		n, call.err = h.countPending(ctx, k)
 	}
+	call.count = n
 	h.pending.mu.Lock()
 	defer h.pending.mu.Unlock()
-	h.pending.counts[k] = pendingCount{receivedAt: time.Now(), count: n}
-	return n, nil
+	delete(h.pending.calls, k)
+	if call.err == nil {
+		h.pending.counts[k] = pendingCount{receivedAt: time.Now(), count: n}
+	}
+	close(call.done)
 }
 
 func (h *Host) askPending(ctx context.Context, k pendingKey) (int, bool) {
--- a/internal/entry/query_test.go
+++ b/internal/entry/query_test.go
@@ -6,7 +6,10 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
@@ -44,3 +47,42 @@
 	assert.Equal(t, a.Outcome, entry.OutcomeAccepted)
 	assert.Equal(t, a.Pending, owners)
 }
+
+// Guards against callers that ask for pending jobs at the same time and each make the store read all records of a shard, most of
+// all while its owner does not answer: reads then become slower, and more callers wait at once.
+func TestCallersShareCountOfPendingJobs(t *testing.T) {
+	for name, err := range map[string]error{"counted": nil, "store fails": kvstore.ErrUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var reads atomic.Int64
+				h := newHost(1, kvstore.Store{Range: func(context.Context, string) ([]kvstore.KV, int64, error) {
+					reads.Add(1)
+					time.Sleep(100 * time.Millisecond)
+					return nil, 1, err
+				}})
+				h.SetShardCount(1)
+				for range 20 {
+					go h.Pending(t.Context(), workflow.Queue{Name: "q"})
+				}
+				time.Sleep(time.Second)
+				assert.Assert(t, reads.Load() <= 2, "%d reads", reads.Load())
+			})
+		})
+	}
+}
+
+// Guards against a caller that disconnects and with it ends the count that other callers wait for.
+func TestCountOutlivesCallerWhoAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(1, kvstore.Store{Range: func(ctx context.Context, _ string) ([]kvstore.KV, int64, error) {
+			time.Sleep(100 * time.Millisecond)
+			return nil, 1, ctx.Err()
+		}})
+		h.SetShardCount(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Pending(ctx, workflow.Queue{Name: "q"})
+		synctest.Wait()
+		cancel()
+		assert.Equal(t, h.Pending(t.Context(), workflow.Queue{Name: "q"}).Outcome, entry.OutcomeAccepted)
+	})
+}
