--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -218,6 +218,7 @@
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
 		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort, "workers": s.Workers,
 	}).Info("shard summary")
+	r.owner.ReportWaits(now)
 	r.maxTimerLag = 0
 }
 
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -74,9 +74,11 @@
 
 // simulation runs owners against fake workers in virtual time, and checks the guarantees that callers are given.
 type simulation struct {
-	t       *testing.T
-	random  *rand.Rand
-	now     time.Time
+	t      *testing.T
+	random *rand.Rand
+	now    time.Time
+	// log is the log of the present owner.
+	log     *logrus.Logger
 	owner   *shard.Owner
 	epoch   int64
 	workers []*fakeWorker
@@ -145,11 +147,11 @@
 	for task := range sim.history {
 		sim.record(task, "another owner took over")
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	sim.log = logrus.New()
+	sim.log.SetOutput(io.Discard)
 	timing := shard.DefaultTiming()
 	timing.MaxWorkerLease = maxLease
-	sim.owner = shard.NewOwner(sim.epoch, sim.now, shard.WithTiming(timing), shard.WithLog(logrus.NewEntry(log)),
+	sim.owner = shard.NewOwner(sim.epoch, sim.now, shard.WithTiming(timing), shard.WithLog(logrus.NewEntry(sim.log)),
 		shard.WithWallClock(func() time.Time { return sim.now }))
 	sim.owner.SetConfig(sim.config)
 	for _, id := range sim.ids {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -73,9 +73,11 @@
 	key      workflow.TaskKey
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
-	run       int
-	started   bool
-	step      *workflow.Step
+	// restartWait is kept by ReportWaits.
+	restartWait restartWait
+	run         int
+	started     bool
+	step        *workflow.Step
 	// waitingSince is when a best-effort task was first considered for placement without being placed.
 	waitingSince time.Time
 }
