Resume a shard that was taken again without a response

An owner whose lease had ended wrote the owner key again under its new lease, and the response was lost. The key then named this host, which still had the revision and the lease of its earlier ownership and so never acted; no other host took the shard, since it had an owner. Only a retry before the watch showed the key would have ended this. Found by reading after the soak had found reads that wait for a lost response.

A host that sees itself as the owner at a higher revision than its runner knows resumes the runner at that revision. The guard on the epoch key means that no other host has owned the shard since.

--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -159,6 +159,9 @@
 		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load() && !o.handovers.isGivenUp(n, current.revision):
 			// This host's write of the owner key took effect, but the response was lost.
 			o.startRunner(n, current.revision)
+		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
+			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
+			o.resumeRunner(r, current.revision)
 		}
 		return 0
 	}
@@ -225,6 +228,18 @@
 	}
 }
 
+// resumeRunner continues with the state in memory under the owner key of this revision, unless a worker knows a later owner.
+func (o *ownedShards) resumeRunner(r *runner, revision int64) {
+	lease, _ := o.host.session.currentLease()
+	if !r.mayReacquire(lease) {
+		return
+	}
+	o.host.log.WithFields(logrus.Fields{"decision": "own", "shard": r.shard, "revision": revision, "lease": lease}).
+		Info("took ownership of the shard again; the response was lost")
+	ownerChanges.Add("taken_again", 1)
+	r.resume(revision, lease)
+}
+
 func (o *ownedShards) startRunner(n int, revision int64) {
 	lease, _ := o.host.session.currentLease()
 	r := newRunner(o.host, n, revision, lease)
