Don't hand a key table over before it is known to be complete

Cause: an owner that drained before it had fenced its workers handed its table over with a time of completeness near the zero time. The next owner would have taken the table for a complete one and run keys again that an owner which crashed before had run. Change: such a table is not handed over; the shard is, without keys, and its next owner treats it as after a crash. Result: TestTableThatNeverServedIsNotHandedOver passes, as do the tests of idempotency, and of drain, takeover and keys in host. No case was seen outside of the code.

--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,7 +11,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/idempotency"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // maxHandoverResponseBytes limits the responses that are handed over with the keys. It is well below the size limit
@@ -23,10 +26,81 @@
 	Since  time.Time                   `json:"since"`
 }
 
-// sendHandover hands a released shard and its keys to the peer of the zone that owns the fewest shards.
+// handOver stops all owners gracefully and releases their shards.
+func (s *shards) handOver(ctx context.Context) {
+	s.mu.Lock()
+	owned := map[fleet.ShardID]*ownedShard{}
+	for id, o := range s.owned {
+		owned[id] = o
+	}
+	s.mu.Unlock()
+	var all sync.WaitGroup
+	for id, o := range owned {
+		all.Go(func() {
+			o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
+			select {
+			case <-o.done:
+			case <-ctx.Done():
+				o.cancel()
+				<-o.done
+			}
+			keys := s.closeKeyTable(ctx, id, o.owner.epoch)
+			if s.releaseShard(ctx, id, o.owner.epoch) {
+				s.sendHandover(ctx, id, o.owner.epoch, keys)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// closeKeyTable ends the claims of a shard's key table and returns the encoded table for the next owner. It returns nil if the
+// table may not be handed over.
+func (s *shards) closeKeyTable(ctx context.Context, id fleet.ShardID, epoch int64) []byte {
+	table, ok := s.host.keyTables.get(id)
+	if !ok || table.epoch != epoch {
+		return nil
+	}
+	defer s.host.keyTables.remove(id, epoch)
+	for table.Close() > 0 && ctx.Err() == nil {
+		retry.Sleep(ctx, pollInterval)
+	}
+	if !table.CanHandOver() {
+		return nil
+	}
+	var keys keyTransfer
+	keys.Handed, keys.Since = table.HandOver(maxHandoverResponseBytes)
+	data, err := json.Marshal(keys)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// releaseShard removes this host from the shard's record. It returns true only if the write is known to have taken
+// effect.
+func (s *shards) releaseShard(ctx context.Context, id fleet.ShardID, epoch int64) bool {
+	rec, mod, err := s.read(ctx, id)
+	if err != nil || rec.Owner != s.host.id || rec.Epoch != epoch {
+		return false
+	}
+	value, err := json.Marshal(shardRecord{Epoch: epoch})
+	if err != nil {
+		return false
+	}
+	_, err = s.host.storeFor(kvstore.ClassOwnership).CompareAndSwap(ctx, shardPrefix+id.String(), mod, value, 0)
+	s.host.decisions.Add(explain.Decision{
+		Decision: "free_shard", Reason: "host drains", Task: "shard/" + id.String(), Zone: id.Zone,
+	})
+	if err != nil {
+		s.host.log.WithError(err).Warn("failed to free the shard; another host takes it over when this host's platform lease expires")
+	}
+	return err == nil
+}
+
+// sendHandover hands a released shard and its keys, if there are any, to the peer of the zone that owns the fewest shards.
 func (s *shards) sendHandover(ctx context.Context, id fleet.ShardID, epoch int64, keys []byte) {
 	to := s.handoverTarget(id)
-	if to == "" || keys == nil {
+	if to == "" {
 		return
 	}
 	_, err := s.host.mesh.Request(ctx, to, peer.Message{Handover: &peer.Handover{
@@ -67,8 +141,10 @@
 func (s *shards) acceptHandover(ctx context.Context, in peer.Handover) error {
 	id := fleet.ShardID{Index: in.Index, Zone: in.Zone}
 	var keys keyTransfer
-	if err := json.Unmarshal(in.Keys, &keys); err != nil {
-		return eris.Wrapf(err, "keys of %s", id)
+	if len(in.Keys) > 0 {
+		if err := json.Unmarshal(in.Keys, &keys); err != nil {
+			return eris.Wrapf(err, "keys of %s", id)
+		}
 	}
 	rec, mod, err := s.read(ctx, id)
 	if err != nil {
@@ -77,9 +153,11 @@
 	if rec.Epoch != in.Epoch || rec.Owner != "" {
 		return eris.Errorf("shard %s is at epoch %d with owner %q", id, rec.Epoch, rec.Owner)
 	}
-	s.mu.Lock()
-	s.received[id] = receivedKeys{epoch: in.Epoch, keys: keys}
-	s.mu.Unlock()
+	if len(in.Keys) > 0 {
+		s.mu.Lock()
+		s.received[id] = receivedKeys{epoch: in.Epoch, keys: keys}
+		s.mu.Unlock()
+	}
 	s.takeOver(ctx, id, rec, mod)
 	if _, ok := s.get(id); !ok {
 		return eris.Errorf("shard %s was not taken", id)
--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -51,6 +51,14 @@
 	return out, t.completeSince()
 }
 
+// CanHandOver reports whether the table may be handed over. It can't before it is known from when the table is complete: an
+// earlier owner may have claimed any key that is not in it.
+func (t *Table) CanHandOver() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inheritedCompleteSince != nil || !t.lease.servesFrom.IsZero()
+}
+
 // IsClosed reports whether Close or HandOver has closed the table.
 func (t *Table) IsClosed() bool {
 	t.mu.Lock()
--- a/internal/idempotency/handover_test.go
+++ b/internal/idempotency/handover_test.go
@@ -42,3 +42,17 @@
 	assert.Equal(t, verdict(old, t0, early), idempotency.VerdictUnknown)
 	assert.Equal(t, verdict(successor(old), t0, early), idempotency.VerdictUnknown)
 }
+
+// Guards against an owner that drains before it has fenced its workers and hands its table over as a complete one. The next
+// owner would run keys again that an owner which crashed before had run.
+func TestTableThatNeverServedIsNotHandedOver(t *testing.T) {
+	old := idempotency.NewTable(idempotency.DefaultLimits())
+	old.SetWorkers([]string{"w1", "w2", "w3"})
+	assert.Assert(t, !old.CanHandOver())
+	heartbeat(old, t0, "w1", "w2")
+	assert.Assert(t, old.CanHandOver())
+	assert.Assert(t, successor(old).CanHandOver())
+	first := idempotency.NewTable(idempotency.DefaultLimits())
+	first.AcceptHandover(t0, nil, time.Time{})
+	assert.Assert(t, first.CanHandOver(), "the first owner of a shard has a complete table")
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -93,7 +93,8 @@
 	Status []byte `json:"status"`
 }
 
-// Handover transfers a shard and its idempotency keys to the next owner.
+// Handover transfers a shard and its idempotency keys to the next owner. Keys is empty if the sender's key table is not complete
+// from a known time on.
 type Handover struct {
 	Epoch int64  `json:"epoch"`
 	Index int    `json:"index"`
