Stop the work on a shard before its owner key is deleted

An owner that is short of processor time could not hand its shard over: the deletion of its key waited behind the owner's own calls to workers, passed its two deadlines of 0.4 s, and the owner kept the shard. So the owner that needed relief most got none; it tried again every 1.6 s.

The giver stops its work on the shard after the wait for commits, and only then deletes the key. It retries until the key is gone or its lease has ended, and does not take up the work again; what it did not commit is recovered from the workers, as after a crash.

Whole hosts in virtual time (internal/entry, synctest): store, workers and hosts with the processor time of their strength, where each call to a worker costs 0.9 ms of a core and a shard stands for 163 workers.

--- /dev/null
+++ b/internal/entry/exportsimulation_test.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// NewInVirtualTime returns a host whose clock is the one of a synctest bubble.
+func NewInVirtualTime(s settings.Settings, p Platform, log *logrus.Logger) *Host {
+	h := New(s, p, log)
+	h.now, h.directory.now, h.session.now = time.Now, time.Now, time.Now
+	return h
+}
+
+// RunWithoutListeners does what Run does, without callers and peers. When ctx ends it stops as a killed process does.
+func (h *Host) RunWithoutListeners(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, f := range []func(context.Context){
+		h.session.run,
+		func(ctx context.Context) { h.directory.run(ctx, h.platform.Store) },
+		func(ctx context.Context) { h.config.run(ctx, h.platform.Store) },
+		h.ownedShards.runElection,
+	} {
+		running.Go(func() { f(ctx) })
+	}
+	running.Wait()
+}
+
+// DrainShards marks the host as draining and gives up its shards.
+func (h *Host) DrainShards(ctx context.Context) {
+	h.draining.Store(true)
+	h.session.markDraining(ctx)
+	h.ownedShards.handOverAll(ctx)
+}
+
+// JobRecords returns the keys and values with which a host accepts a job.
+func JobRecords(shard int, j workflow.Job) map[string][]byte {
+	return map[string][]byte{
+		jobKey(shard, j.ID): workflow.Encode(j), locationKey(j.ID): workflow.Encode(workflow.JobLocation{Shard: shard}),
+	}
+}
+
+// LayoutRecord returns the key and value of a layout.
+func LayoutRecord(shards int, racks map[string]int) (key string, value []byte) {
+	return layoutKey, workflow.Encode(layout{Shards: shards, Racks: racks})
+}
+
+// Prefixes of the keys of owners and successors.
+const (
+	OwnerPrefix     = ownerPrefix
+	SuccessorPrefix = successorPrefix
+)
+
+// RecordedHost returns the name in the record of a host or owner.
+func RecordedHost(value []byte) (string, error) {
+	h, err := workflow.Decode[hostRecord](value)
+	return h.Host, err
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -14,13 +14,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-const (
-	// commitWaitTimeout bounds the wait for pending commits when a shard is handed over. The next owner learns of later changes
-	// from the workers, as after a crash.
-	commitWaitTimeout = 800 * time.Millisecond
-	// deleteTimeout bounds the attempts to delete the owner key, so that one lost response is tolerated.
-	deleteTimeout = 2 * storeCallTimeout
-)
+// commitWaitTimeout bounds the wait for pending commits when a shard is handed over. The next owner learns of later changes
+// from the workers, as after a crash.
+const commitWaitTimeout = 800 * time.Millisecond
 
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
@@ -91,28 +87,31 @@
 	return revision <= h.revisions[shard]
 }
 
-// giveUp deletes the owner key of a shard once its pending commits are done or commitWaitTimeout has passed. It names the
-// successor in the same transaction if there is one. After a nil error this host is no longer the owner.
-func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord) error {
+// giveUp stops the runner of a shard once its pending commits are done or commitWaitTimeout has passed, then deletes the owner
+// key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
+// processor time would not get the deletion done beside its other work, and would keep the shard because of its load. It
+// retries until the key is deleted, the lease of the key has ended or ctx ends; only then does it return an error.
+func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord, reason string) error {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.waitForCommits(waitCtx)
 	cancelWait()
 	revision := r.ownerRevision()
+	o.handovers.recordGivenUp(r.shard, revision)
+	o.stopRunner(r, reason)
 	t := kvstore.Txn{Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: revision}}}
 	if successor != nil {
 		t.Puts = []kvstore.Put{{Key: successorKey(r.shard), Value: workflow.Encode(*successor)}}
 	}
-	for deadline := time.Now().Add(deleteTimeout); ; retry.Sleep(ctx, minWriteBackoff) {
+	for ; ; retry.Sleep(ctx, minWriteBackoff) {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		_, err := o.host.platform.Store.Txn(callCtx, t)
 		cancel()
 		countWrite(err)
 		// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
 		if err == nil || errors.Is(err, kvstore.ErrConflict) {
-			o.handovers.recordGivenUp(r.shard, revision)
 			return nil
 		}
-		if ctx.Err() != nil || time.Now().After(deadline) {
+		if lease, expires := o.host.session.currentLease(); ctx.Err() != nil || lease != r.lease || !o.host.now().Before(expires) {
 			return err
 		}
 	}
@@ -126,11 +125,10 @@
 		}
 		go func() {
 			defer o.handovers.end(r.shard)
-			if err := o.giveUp(ctx, r, nil); err != nil {
+			if err := o.giveUp(ctx, r, nil, "the host drains"); err != nil {
 				o.host.log.WithError(err).WithField("shard", r.shard).
 					Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 			}
-			o.stopRunner(r, "the host drains")
 		}()
 	}
 	o.handovers.finish()
@@ -173,7 +171,7 @@
 	go o.handOver(ctx, decision, successor)
 }
 
-// handOver carries out the decision to hand a shard over. If that fails, this host goes on as the owner.
+// handOver carries out the decision to hand a shard over.
 func (o *ownedShards) handOver(ctx context.Context, d election.Handover, successor hostRecord) {
 	defer o.wakeElection()
 	defer o.handovers.end(d.Shard)
@@ -186,13 +184,7 @@
 		return
 	}
 	log.Info("handing the shard over")
-	err := o.giveUp(ctx, r, &successor)
-	switch {
-	case err == nil:
-		o.stopRunner(r, "handed over to a less loaded host")
-	case o.host.draining.Load():
-		o.stopRunner(r, "the host drains")
-	default:
-		log.WithError(err).Warn("failed to delete the owner key of the shard; this host keeps the shard")
+	if err := o.giveUp(ctx, r, &successor, "handed over to a less loaded host"); err != nil {
+		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
 }
--- /dev/null
+++ b/internal/entry/memorystore_test.go
@@ -0,0 +1,245 @@
+package entry_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+)
+
+// memoryStore is an in-memory store with leases and watches, for synctest bubbles.
+type memoryStore struct {
+	mu        sync.Mutex
+	changed   chan struct{}
+	downSince time.Time
+	events    []storeEvent
+	items     map[string]kvstore.KV
+	lastLease int64
+	leases    map[int64]*memoryLease
+	revision  int64
+}
+
+type storeEvent struct {
+	kvstore.Event
+	at time.Time
+}
+
+type memoryLease struct {
+	end   time.Time
+	timer *time.Timer
+	ttl   time.Duration
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{changed: make(chan struct{}), items: map[string]kvstore.KV{}, leases: map[int64]*memoryLease{}, revision: 10}
+}
+
+// setDown ends all answers, or lets the store answer again. Leases run on meanwhile; those that are over end with the outage.
+func (s *memoryStore) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isDown {
+		s.downSince = time.Now()
+		return
+	}
+	s.downSince = time.Time{}
+	for id, l := range s.leases {
+		if !time.Now().Before(l.end) {
+			s.endLease(id)
+		}
+	}
+	s.notify()
+}
+
+func (s *memoryStore) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.downSince.IsZero()
+}
+
+func (s *memoryStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) write(ev kvstore.Event) {
+	ev.KV.ModRevision = s.revision
+	if ev.Deleted {
+		delete(s.items, ev.KV.Key)
+	} else {
+		s.items[ev.KV.Key] = ev.KV
+	}
+	s.events = append(s.events, storeEvent{ev, time.Now()})
+}
+
+func (s *memoryStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(kvstore.Event{KV: kvstore.KV{Key: key, Value: value}})
+	s.notify()
+}
+
+func (s *memoryStore) endLease(id int64) {
+	s.leases[id].timer.Stop()
+	delete(s.leases, id)
+	s.revision++
+	var keys []string
+	for key, kv := range s.items {
+		if kv.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		s.write(kvstore.Event{Deleted: true, KV: kvstore.KV{Key: key}})
+	}
+	s.notify()
+}
+
+func (s *memoryStore) grant(ttl time.Duration) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	id := s.lastLease
+	s.leases[id] = &memoryLease{end: time.Now().Add(ttl), ttl: ttl}
+	s.leases[id].timer = time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if l, ok := s.leases[id]; ok && s.downSince.IsZero() && !time.Now().Before(l.end) {
+			s.endLease(id)
+		}
+	})
+	return id
+}
+
+func (s *memoryStore) keepAlive(id int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return kvstore.ErrConflict
+	}
+	l.end = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+func (s *memoryStore) revoke(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; ok {
+		s.endLease(id)
+	}
+}
+
+func (s *memoryStore) readRange(prefix string) ([]kvstore.KV, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []kvstore.KV
+	for key, kv := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, kv)
+		}
+	}
+	slices.SortFunc(out, func(a, b kvstore.KV) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.revision
+}
+
+func (s *memoryStore) txn(t kvstore.Txn) (kvstore.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var res kvstore.TxnResult
+	holds := true
+	for _, g := range t.Guards {
+		kv, ok := s.items[g.Key]
+		if !ok {
+			kv = kvstore.KV{Key: g.Key}
+		}
+		holds = holds && kv.ModRevision == g.Revision
+		res.Current = append(res.Current, kv)
+	}
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return kvstore.TxnResult{}, kvstore.ErrConflict
+		}
+	}
+	if !holds {
+		return res, kvstore.ErrConflict
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.write(kvstore.Event{KV: kvstore.KV{Key: p.Key, Lease: p.Lease, Value: p.Value}})
+	}
+	for _, key := range t.Deletes {
+		s.write(kvstore.Event{Deleted: true, KV: kvstore.KV{Key: key}})
+	}
+	s.notify()
+	return kvstore.TxnResult{Revision: s.revision}, nil
+}
+
+// eventsAfter returns the events of a prefix after a revision, and a channel that is closed at the next change.
+func (s *memoryStore) eventsAfter(prefix string, revision int64) ([]kvstore.Event, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first, _ := slices.BinarySearchFunc(s.events, revision+1, func(e storeEvent, r int64) int { return int(e.KV.ModRevision - r) })
+	var out []kvstore.Event
+	for _, e := range s.events[first:] {
+		if strings.HasPrefix(e.KV.Key, prefix) {
+			out = append(out, e.Event)
+		}
+	}
+	return out, s.changed
+}
+
+// client returns the store as a host sees it.
+func (s *memoryStore) client(h *simulatedHost) kvstore.Store {
+	return kvstore.Store{
+		Grant: func(ctx context.Context, ttl time.Duration) (id int64, err error) {
+			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { id = s.grant(ttl); return nil })
+			return id, err
+		},
+		KeepAlive: func(ctx context.Context, id int64) error {
+			return h.callStore(ctx, kvstore.ErrUnavailable, func() error { return s.keepAlive(id) })
+		},
+		Range: func(ctx context.Context, prefix string) (kvs []kvstore.KV, revision int64, err error) {
+			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { kvs, revision = s.readRange(prefix); return nil })
+			h.use(ctx, time.Duration(len(kvs))*recordCost)
+			return kvs, revision, err
+		},
+		Revoke: func(ctx context.Context, id int64) error {
+			return h.callStore(ctx, kvstore.ErrUnavailable, func() error { s.revoke(id); return nil })
+		},
+		Txn: func(ctx context.Context, t kvstore.Txn) (res kvstore.TxnResult, err error) {
+			h.use(ctx, time.Duration(t.Size())*recordCost)
+			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.txn(t); return err })
+			return res, err
+		},
+		Watch: func(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
+			for ctx.Err() == nil {
+				if s.isDown() || h.isCut.Load() {
+					return kvstore.ErrUnavailable
+				}
+				events, changed := s.eventsAfter(prefix, since)
+				if len(events) > 0 {
+					since = events[len(events)-1].KV.ModRevision
+					sleep(ctx, storeLatency)
+					h.use(ctx, time.Duration(len(events))*recordCost/4)
+					if ctx.Err() == nil {
+						each(events)
+					}
+					continue
+				}
+				select {
+				case <-ctx.Done():
+				case <-changed:
+				case <-time.After(time.Second): // notices an outage
+				}
+			}
+			return ctx.Err()
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/simulatedfleet_test.go
@@ -0,0 +1,392 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// Spans from the rules that callers and operators rely on.
+const (
+	// contactTime is how long machines and store must be without disturbance before rules with a time bound hold.
+	contactTime = 4 * time.Second
+	// restartGrace and restartWindow bound how long a long-running task may have nothing running.
+	restartGrace  = 6 * time.Second
+	restartWindow = 3 * time.Second
+)
+
+// Model of the simulated hosts. An owner needs about 1.6 thousandths of a core for each worker whose tasks are short, as
+// played days show: a worker with 0.6 ends a second has 1.2 polls and 0.6 starts.
+const (
+	callCost   = 900 * time.Microsecond
+	recordCost = 100 * time.Microsecond
+	// modelledWorkers is the number of workers in a shard for which these costs are meant. A smaller shard has calls that cost
+	// more.
+	modelledWorkers = 163
+	storeLatency    = 4 * time.Millisecond
+	// shortTaskDuration is how long a task runs that is not long-running.
+	shortTaskDuration = 900 * time.Millisecond
+)
+
+// simulatedHost is an entry host without listeners, with the processor time of its strength.
+type simulatedHost struct {
+	cancel context.CancelFunc
+	daemon *entry.Host
+	done   chan struct{}
+	fleet  *simulatedFleet
+	isCut  atomic.Bool
+	name   string
+	// processor is held while the host computes.
+	processor chan struct{}
+	// waiting is the number of calls that compute or wait for it.
+	waiting  atomic.Int64
+	strength float64
+}
+
+// use takes processor time of the host, after everything else that waits for it. What is given up before its turn takes none.
+func (h *simulatedHost) use(ctx context.Context, cost time.Duration) {
+	h.waiting.Add(1)
+	defer h.waiting.Add(-1)
+	select {
+	case <-ctx.Done():
+	case h.processor <- struct{}{}:
+		time.Sleep(time.Duration(float64(cost) / h.strength))
+		<-h.processor
+	}
+}
+
+// sleep waits for a time or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// callStore makes a call to the store, which gets no answer while the store is down or this host is cut off.
+func (h *simulatedHost) callStore(ctx context.Context, onSilence error, call func() error) error {
+	sleep(ctx, storeLatency/2+time.Duration(h.fleet.int(int(storeLatency/2))))
+	if ctx.Err() != nil {
+		return onSilence
+	}
+	if h.fleet.store.isDown() || h.isCut.Load() {
+		<-ctx.Done()
+		return onSilence
+	}
+	err := call()
+	sleep(ctx, storeLatency/2)
+	if ctx.Err() != nil || h.isCut.Load() {
+		return onSilence
+	}
+	return err
+}
+
+// simulatedFleet is a store, workers and hosts in a synctest bubble.
+type simulatedFleet struct {
+	callCost time.Duration
+	hosts    map[string]*simulatedHost
+	log      io.Writer
+	mu       sync.Mutex
+	random   *rand.Rand
+	shards   int
+	store    *memoryStore
+	t        *testing.T
+	tasks    *taskLog
+	workers  map[string]*simulatedWorker
+}
+
+// newSimulatedFleet returns a fleet without hosts, whose shards have the same number of workers each.
+func newSimulatedFleet(t *testing.T, seed uint64, shards, workersPerShard int) *simulatedFleet {
+	f := &simulatedFleet{
+		callCost: callCost * modelledWorkers / time.Duration(workersPerShard),
+		hosts:    map[string]*simulatedHost{}, log: io.Discard, random: rand.New(rand.NewPCG(seed, 1)), shards: shards,
+		store: newMemoryStore(), t: t, tasks: newTaskLog(), workers: map[string]*simulatedWorker{},
+	}
+	racks := map[string]int{}
+	for n := range shards {
+		racks[rackName(n)] = n
+		for i := range workersPerShard {
+			id := fmt.Sprintf("servers/w%d-%d", n, i)
+			f.workers[id] = newSimulatedWorker(id, rackName(n), f.tasks)
+			f.store.put(id, nil)
+		}
+	}
+	f.store.put("op/config", nil)
+	key, value := entry.LayoutRecord(shards, racks)
+	f.store.put(key, value)
+	return f
+}
+
+func rackName(shard int) string { return fmt.Sprintf("rack-%d", shard) }
+
+func (f *simulatedFleet) int(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+func (f *simulatedFleet) platform(h *simulatedHost) entry.Platform {
+	call := func(ctx context.Context, do func() shard.Reply) shard.Reply {
+		h.use(ctx, f.callCost)
+		if ctx.Err() != nil {
+			return shard.Reply{Outcome: shard.OutcomeNotSent}
+		}
+		sleep(ctx, storeLatency/2)
+		return do()
+	}
+	return entry.Platform{
+		ConfigKey: "op/config",
+		DecodeConfig: func([]byte) (workflow.Config, error) {
+			return workflow.NewConfig(1, []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
+				[]workflow.Service{{Name: "s"}}, workflow.Limits{}), nil
+		},
+		DecodeWorker: func(kv kvstore.KV) (shard.Worker, error) { return f.workers[kv.Key].Worker, nil },
+		Poll: func(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
+			h.use(ctx, f.callCost)
+			if ctx.Err() != nil {
+				return shard.Listing{}, shard.OutcomeNotSent
+			}
+			return f.workers[p.Worker].poll(ctx, p)
+		},
+		Pace: func(context.Context, shard.Pace) shard.Reply { return shard.Reply{Outcome: shard.OutcomeDone} },
+		Start: func(ctx context.Context, s shard.Start) shard.Reply {
+			return call(ctx, func() shard.Reply { return f.workers[s.Worker].start(s) })
+		},
+		Stop: func(ctx context.Context, s shard.Stop) shard.Reply {
+			return call(ctx, func() shard.Reply { return f.workers[s.Worker].stop(s) })
+		},
+		Store:        f.store.client(h),
+		WorkerPrefix: "servers/",
+	}
+}
+
+// start starts the process of a host.
+func (f *simulatedFleet) start(name string, strength float64) *simulatedHost {
+	h := &simulatedHost{done: make(chan struct{}), fleet: f, name: name, processor: make(chan struct{}, 1), strength: strength}
+	s := settings.Default()
+	s.Host, s.Zone, s.Platform.Strength = name, "z", strength
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
+	h.daemon = entry.NewInVirtualTime(s, f.platform(h), log)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	h.cancel = cancel
+	f.hosts[name] = h
+	go func() {
+		h.daemon.RunWithoutListeners(ctx)
+		close(h.done)
+	}()
+	return h
+}
+
+// kill ends the process of a host. Its lease stays until it expires.
+func (f *simulatedFleet) kill(names ...string) {
+	for _, name := range names {
+		f.hosts[name].isCut.Store(true)
+		f.hosts[name].cancel()
+	}
+	for _, name := range names {
+		<-f.hosts[name].done
+		delete(f.hosts, name)
+	}
+}
+
+func (f *simulatedFleet) names() []string {
+	var out []string
+	for name := range f.hosts {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// owners returns the shards that each host owns, by the keys in the store.
+func (f *simulatedFleet) owners() map[string]int {
+	kvs, _ := f.store.readRange(entry.OwnerPrefix)
+	out := map[string]int{}
+	for _, kv := range kvs {
+		name, err := entry.RecordedHost(kv.Value)
+		assert.NilError(f.t, err)
+		out[name]++
+	}
+	return out
+}
+
+// ownershipFault describes a shard without an owner, or a host that owns several shards while one as strong owns none; "" if
+// there is neither.
+func (f *simulatedFleet) ownershipFault() string {
+	owners, total := f.owners(), 0
+	for name, n := range owners {
+		total += n
+		for _, h := range f.hosts {
+			if o := f.hosts[name]; n > 1 && o != nil && owners[h.name] == 0 && h.strength >= o.strength {
+				return fmt.Sprintf("%s (strength %g) owns %d shards while %s (strength %g) owns none", name, o.strength, n, h.name, h.strength)
+			}
+		}
+	}
+	if total < f.shards {
+		return fmt.Sprintf("%d of %d shards have an owner", total, f.shards)
+	}
+	return ""
+}
+
+// ownerHistory describes the changes of owners since a time.
+func (f *simulatedFleet) ownerHistory(since time.Time) string {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var out []string
+	for _, e := range f.store.events {
+		key, ok := strings.CutPrefix(e.KV.Key, entry.OwnerPrefix)
+		if !ok || e.at.Before(since) {
+			continue
+		}
+		name := "none"
+		if !e.Deleted {
+			name, _ = entry.RecordedHost(e.KV.Value)
+		}
+		out = append(out, fmt.Sprintf("%.3f %s:%s", e.at.Sub(since).Seconds(), key, name))
+	}
+	return strings.Join(out, "  ")
+}
+
+// addLongRunning hands in a long-running job of a number of tasks for each shard.
+func (f *simulatedFleet) addLongRunning(tasks int) {
+	for n := range f.shards {
+		id := fmt.Sprintf("f%015d", n)
+		f.tasks.expect(id, tasks)
+		f.addJob(n, workflow.Job{ID: id, Queue: "q", Steps: []workflow.Step{{
+			Count: tasks, LongRunning: true, Resources: fleet.Resources{CPUMilli: 500, MemoryMiB: 10}, Rack: rackName(n),
+		}}})
+	}
+}
+
+func (f *simulatedFleet) addJob(shard int, j workflow.Job) {
+	for key, value := range entry.JobRecords(shard, j) {
+		f.store.put(key, value)
+	}
+}
+
+// runLoad hands in short jobs for all shards until ctx ends. With 100 ended tasks a second in a shard of 163 workers, an owner
+// needs 1.6 thousandths of a core for each worker.
+func (f *simulatedFleet) runLoad(ctx context.Context, jobsPerSecond, tasks int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		if f.store.isDown() {
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		n := i % f.shards
+		f.addJob(n, workflow.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Steps: []workflow.Step{{
+			Count: tasks, Estimate: time.Second, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, Rack: rackName(n),
+		}}})
+		sleep(ctx, time.Second/time.Duration(jobsPerSecond*f.shards))
+	}
+}
+
+// taskLog records the starts and ends of tasks on all workers.
+type taskLog struct {
+	// failAfter returns how long a run of a long-running task lasts until it fails; 0 means that it does not fail.
+	failAfter func() time.Duration
+	// idleSince is when the last run of each expected task ended that does not run.
+	idleSince map[string]time.Time
+	calmSince time.Time
+	// expected holds the accepted long-running jobs.
+	expected map[string]bool
+	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
+	longest   time.Duration
+	longestOf string
+	mu        sync.Mutex
+	running   map[string]string
+	// twice describes the tasks that ran on two workers at the same time.
+	twice []string
+}
+
+func newTaskLog() *taskLog {
+	return &taskLog{
+		expected: map[string]bool{}, failAfter: func() time.Duration { return 0 },
+		idleSince: map[string]time.Time{}, running: map[string]string{},
+	}
+}
+
+func (l *taskLog) expect(job string, tasks int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected[job] = true
+	for i := range tasks {
+		l.idleSince[workflow.TaskKey{Index: i}.Name(job)] = time.Now()
+	}
+}
+
+func (l *taskLog) started(worker string, s shard.Start) (time.Duration, shard.EndCause) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := s.Key.Name(s.Job)
+	if other, ok := l.running[name]; ok {
+		l.twice = append(l.twice, fmt.Sprintf("%s runs on %s and %s", name, other, worker))
+	}
+	l.running[name] = worker
+	if since, ok := l.idleSince[name]; ok {
+		l.note(name, since)
+		delete(l.idleSince, name)
+	}
+	if l.expected[s.Job] {
+		return l.failAfter(), shard.EndFailed
+	}
+	return shortTaskDuration, shard.EndDone
+}
+
+func (l *taskLog) ended(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.running, name)
+	if job, _, _ := strings.Cut(name, "."); l.expected[job] {
+		l.idleSince[name] = time.Now()
+	}
+}
+
+// note records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
+// calm. The caller holds l.mu.
+func (l *taskLog) note(name string, since time.Time) {
+	from := since.Add(restartGrace)
+	if calm := l.calmSince.Add(contactTime); from.Before(calm) {
+		from = calm
+	}
+	if d := time.Since(from); d > l.longest {
+		l.longest, l.longestOf = d, name
+	}
+}
+
+// calm begins a calm span.
+func (l *taskLog) calm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calmSince, l.longest = time.Now(), -time.Hour
+}
+
+// longestCounted returns the longest time that a task had nothing running in the calm span, as the rule counts it, and the task.
+func (l *taskLog) longestCounted() (time.Duration, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, since := range l.idleSince {
+		l.note(name, since)
+	}
+	return l.longest, l.longestOf
+}
--- /dev/null
+++ b/internal/entry/simulatedworker_test.go
@@ -0,0 +1,143 @@
+package entry_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+)
+
+// maxWorkerLease is the longest lease that simulated workers grant.
+const maxWorkerLease = 10 * time.Second
+
+// simulatedWorker runs tasks in virtual time. Runs end with the lease, calls with a lower token are refused, and ended runs are
+// listed until they are acknowledged.
+type simulatedWorker struct {
+	shard.Worker
+	changed      chan struct{}
+	endCount     int64
+	ended        []shard.EndRow
+	highestEnded map[string]int
+	leaseEnd     time.Time
+	mu           sync.Mutex
+	runs         map[string]shard.Start
+	started      time.Time
+	tasks        *taskLog
+	token        int64
+}
+
+func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
+	return &simulatedWorker{
+		Worker: shard.Worker{
+			Address: id, Born: 1, Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
+		},
+		changed: make(chan struct{}), highestEnded: map[string]int{}, runs: map[string]shard.Start{}, started: time.Now(), tasks: tasks,
+	}
+}
+
+func (w *simulatedWorker) clock() int64 { return time.Since(w.started).Milliseconds() }
+
+// accept checks the token of a call and renews the lease. The caller holds w.mu.
+func (w *simulatedWorker) accept(token, until int64) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	if len(w.runs) > 0 && time.Now().After(w.leaseEnd) {
+		for name := range w.runs {
+			w.end(name, shard.EndLeaseExpired)
+		}
+	}
+	end := w.started.Add(time.Duration(until) * time.Millisecond)
+	if latest := time.Now().Add(maxWorkerLease); end.After(latest) {
+		end = latest
+	}
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+	return true
+}
+
+func (w *simulatedWorker) start(s shard.Start) shard.Reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name := s.Key.Name(s.Job)
+	switch {
+	case !w.accept(s.Token, s.Until):
+		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
+	case w.runs[name].Run == s.Run:
+		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeDone}
+	case s.Run <= w.highestEnded[name]:
+		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeOldRun}
+	case time.Now().After(w.leaseEnd):
+		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeLeaseExpired}
+	}
+	w.runs[name] = s
+	duration, cause := w.tasks.started(w.ID, s)
+	if duration > 0 {
+		time.AfterFunc(duration, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.runs[name].Run == s.Run && !time.Now().After(w.leaseEnd) {
+				w.end(name, cause)
+			}
+		})
+	}
+	return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeDone}
+}
+
+// end ends the run of a task. The caller holds w.mu.
+func (w *simulatedWorker) end(name string, cause shard.EndCause) {
+	s := w.runs[name]
+	delete(w.runs, name)
+	w.endCount++
+	w.highestEnded[name] = s.Run
+	w.ended = append(w.ended, shard.EndRow{Cause: cause, Job: s.Job, Key: s.Key, Number: w.endCount, Run: s.Run})
+	w.tasks.ended(name)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *simulatedWorker) stop(s shard.Stop) shard.Reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.accept(s.Token, 0) {
+		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
+	}
+	name := s.Key.Name(s.Job)
+	if run, ok := w.runs[name]; ok && run.Run <= s.Run {
+		w.end(name, shard.EndStopped)
+	}
+	w.highestEnded[name] = max(w.highestEnded[name], s.Run)
+	return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeDone}
+}
+
+func (w *simulatedWorker) poll(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.accept(p.Token, p.Until) {
+		return shard.Listing{}, shard.OutcomeFenced
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e shard.EndRow) bool { return e.Number <= p.LastSeen })
+	if len(w.ended) == 0 {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(p.Wait):
+		case <-ctx.Done():
+		}
+		w.mu.Lock()
+	}
+	if ctx.Err() != nil {
+		return shard.Listing{}, shard.OutcomeUnknown
+	}
+	list := shard.Listing{Born: w.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for _, s := range w.runs {
+		list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Percent: 100, Run: s.Run})
+	}
+	return list, shard.OutcomeDone
+}
--- /dev/null
+++ b/internal/entry/takeover_test.go
@@ -0,0 +1,83 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	strongHost = 0.8
+	weakHost   = 0.192
+	// simulatedWorkers is the number of workers in a shard of the tests.
+	simulatedWorkers = 16
+)
+
+// runFleet runs a scenario on a fleet whose shards have long-running tasks that fail and short jobs. A strong host can own one of
+// these shards, a weak one lacks processor time for it.
+func runFleet(t *testing.T, seed uint64, shards int, scenario func(*simulatedFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, seed, shards, simulatedWorkers)
+		f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
+		f.addLongRunning(20)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.runLoad(ctx, 8, 10)
+		scenario(f)
+		cancel()
+		f.kill(f.names()...)
+		time.Sleep(contactTime) // background calls of the hosts end
+		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+	})
+}
+
+// startMixed starts the hosts of a fleet that are not running, the weak ones first.
+func (f *simulatedFleet) startMixed(strong, weak int) {
+	for i := range weak {
+		f.startMissing(fmt.Sprintf("weak-%d", i), weakHost)
+	}
+	for i := range strong {
+		f.startMissing(fmt.Sprintf("strong-%d", i), strongHost)
+	}
+}
+
+func (f *simulatedFleet) startMissing(name string, strength float64) {
+	if f.hosts[name] == nil {
+		f.start(name, strength)
+	}
+}
+
+// checkCalm begins a calm span. Once a rule with a time bound holds, each shard must have an owner, weak hosts none while strong
+// ones are idle, and no long-running task may have nothing running for longer than the rule allows.
+func (f *simulatedFleet) checkCalm(after string) {
+	f.t.Helper()
+	f.tasks.calm()
+	begin := time.Now()
+	time.Sleep(contactTime + restartWindow)
+	assert.Check(f.t, f.ownershipFault() == "", "%s: %s", after, f.ownershipFault())
+	for owner, n := range f.owners() {
+		assert.Check(f.t, strings.HasPrefix(owner, "strong"), "%s: %s owns %d shards; owners: %s", after, owner, n,
+			f.ownerHistory(begin.Add(-contactTime)))
+	}
+	time.Sleep(restartGrace)
+	longest, task := f.tasks.longestCounted()
+	assert.Check(f.t, longest <= restartWindow, "%s: %s had nothing running for %s; owners: %s", after, task, longest,
+		f.ownerHistory(begin.Add(-contactTime)))
+}
+
+// Guards against an owner without the processor time for its shard that keeps it because of that: the deletion of its key got
+// no answer in time beside its other calls, and each attempt to hand the shard over ended that way.
+func TestOverloadedOwnerHandsItsShardOver(t *testing.T) {
+	for seed := range uint64(3) {
+		runFleet(t, seed, 1, func(f *simulatedFleet) {
+			f.start("weak", weakHost)
+			time.Sleep(10 * time.Second)
+			f.start("strong", strongHost)
+			f.checkCalm("a strong host has started")
+		})
+	}
+}
