Let an interrupted long-running task keep its place in a full shard

Cause: the shards are full of long-running tasks, and hundreds wait that never ran: 722 in the shard of the task. A failed task may not run for 50 ms, in which a waiting one takes the room that it has left; then it waits until another task ends. A task that has to leave a draining worker waits behind tasks that never ran as well, and a task for which a worker is held was passed over when another one with the same requirements did not fit. Change: the room is held for a failed long-running task until it may run again. Long-running tasks that ran before are placed first. A task with a hold is tried whatever became of others. A task may still wait while workers of another shard have room, since jobs do not move.

--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -44,7 +44,32 @@
 			"decision": "hold", "job": t.job.ID, "task": t.key.String(), "worker": best.ID, "free_cpu_milli": bestFree,
 		}).Info("holding worker for a long-running task")
 	}
-	best.heldFor, best.heldUntil = t, now.Add(holdTime)
+	best.holdFor(t, now.Add(holdTime))
+}
+
+// holdForRestart keeps the room that a failed long-running task has left until the task may run again. In a full shard another task
+// would take it, and the failed one would wait until some task ends.
+func (w *worker) holdForRestart(now time.Time, t *task) {
+	if t.step.LongRunning && (w.heldFor == nil || !now.Before(w.heldUntil) || w.heldFor.run == 0) {
+		w.holdFor(t, t.notBefore.Add(holdTime))
+	}
+}
+
+func (w *worker) holdFor(t *task, until time.Time) {
+	w.heldFor, w.heldUntil, t.heldWorker = t, until, w
+}
+
+// hasHold reports whether a worker is held for the task.
+func (t *task) hasHold(now time.Time) bool {
+	return t.heldWorker != nil && t.heldWorker.heldFor == t && now.Before(t.heldWorker.heldUntil)
+}
+
+// releaseHold ends the hold for the task.
+func (t *task) releaseHold(now time.Time) {
+	if t.hasHold(now) {
+		t.heldWorker.heldFor, t.heldWorker.heldUntil = nil, time.Time{}
+	}
+	t.heldWorker = nil
 }
 
 // fitsWithoutBatch reports whether a worker could take a task if all its batch tasks had ended.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -31,6 +31,7 @@
 	free := o.maxFreeCPU(now)
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
+	o.placeRestarts(now, unplaceable)
 	for _, j := range o.backlog {
 		if j.final != "" {
 			continue
@@ -49,20 +50,43 @@
 				if !j.Steps[s].BestEffort && !j.Steps[s].LongRunning && j.Steps[s].Resources.CPUMilli > free[j.queue.Service] {
 					continue
 				}
-				for _, t := range tasks {
-					// All tasks of a step have the same requirements: if one can't be placed, neither can the others.
-					if t.isWaiting() && !now.Before(t.notBefore) && !o.placeTask(now, t, unplaceable) {
-						break
-					}
-				}
+				o.placeTasks(now, tasks, unplaceable)
 			}
 		}
 	}
 	o.logPlaced(now)
 }
 
+// placeRestarts places the long-running tasks that ran before, so that they do not wait behind tasks that never ran: their callers
+// miss what they had.
+func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
+	for _, j := range o.backlog {
+		if j.final != "" || !j.IsLongRunning() {
+			continue
+		}
+		for _, occ := range j.openOccurrences() {
+			for s, tasks := range occ.tasks {
+				if occ.ready[s] && !j.Steps[s].Gang {
+					o.placeTasks(now, slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool { return !t.isInterrupted() }), unplaceable)
+				}
+			}
+		}
+	}
+}
+
+// placeTasks assigns the waiting ones of a step's tasks to workers. All tasks of a step have the same requirements: if one can't be
+// placed, the others can't either, unless a worker is held for them.
+func (o *Owner) placeTasks(now time.Time, tasks []*task, unplaceable map[taskClass]bool) {
+	isFull := false
+	for _, t := range tasks {
+		if t.isWaiting() && !now.Before(t.notBefore) && (!isFull || t.hasHold(now)) {
+			isFull = !o.placeTask(now, t, unplaceable) || isFull
+		}
+	}
+}
+
 // taskClass identifies tasks with equal requirements: a worker that can't take one of them can't take the others
-// either.
+// either, unless it is held for one.
 type taskClass struct {
 	bestEffort bool
 	// skipsWait is set if the task has waited longer than maxIdleWait while its job has no runs and its service is
@@ -111,7 +135,7 @@
 	if t.step.PerWorker > 0 {
 		class.step, class.occurrence = t.step, t.key.Occurrence
 	}
-	if unplaceable[class] {
+	if unplaceable[class] && !t.hasHold(now) {
 		return false
 	}
 	w := o.choose(now, t, "")
@@ -189,10 +213,11 @@
 	if t.job.queue.Advice != nil {
 		at.ticket = o.ticket(o.now, w, t)
 	}
-	if t.step.LongRunning && t.run > 0 {
+	if t.isInterrupted() {
 		t.job.restartPlanned = true
 	}
 	t.job.startPlanned = true
+	t.releaseHold(o.now)
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	w.add(at)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -240,6 +240,7 @@
 	t.failures++
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(restartDelay)
+	w.holdForRestart(now, t)
 	o.markDirty(t.job)
 	if w.health.failed(now) {
 		o.logQuarantine(w)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -69,8 +69,10 @@
 	copies   int
 	done     bool
 	failures int
-	job      *job
-	key      workflow.TaskKey
+	// heldWorker is the worker that was last held for the task.
+	heldWorker *worker
+	job        *job
+	key        workflow.TaskKey
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	// restartWait is kept by ReportWaits.
@@ -84,6 +86,9 @@
 
 func (t *task) isWaiting() bool { return !t.done && len(t.attempts) == 0 }
 
+// isInterrupted reports whether the task is a long-running one that ran before and waits for its next run.
+func (t *task) isInterrupted() bool { return t.step.LongRunning && t.run > 0 && t.isWaiting() }
+
 // occurrence is one run of all steps of a job.
 type occurrence struct {
 	index int
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -21,11 +21,9 @@
 			continue
 		}
 		for _, occ := range j.openOccurrences() {
-			for s, tasks := range occ.tasks {
+			for _, tasks := range occ.tasks {
 				for _, t := range tasks {
-					if j.Steps[s].LongRunning && t.run > 0 {
-						o.reportWait(now, t)
-					}
+					o.reportWait(now, t)
 				}
 			}
 		}
@@ -33,7 +31,7 @@
 }
 
 func (o *Owner) reportWait(now time.Time, t *task) {
-	if !t.isWaiting() {
+	if !t.isInterrupted() {
 		t.restartWait = restartWait{}
 		return
 	}
