Let weak hosts leave shards to strong ones that are about to return

A host without shards claimed the first one at once, whatever its strength, as the first in rank of the few hosts that had registered. After an outage of the store or a loss of power a weak host of 0.192 cores so took a shard milliseconds before strong ones registered, and kept it until the next rebalancing. A host whose own record had ended with an outage took its old view for complete, so that even the pause for further shards did not apply.

The pause in election.ClaimDelay follows the load: 150 ms for each time that the host's load would exceed the load of a host with one shard that is as strong as the strongest last owner, 0.45 s at most as before. Last owners are known from the epoch keys. For equal strengths it is the old rule. A view without the host's own record counts as incomplete.

TestWeakHostsLeaveShardsToStrongHostsThatReturn (virtual time, 12 hosts): failed before, three weak hosts took the three shards after a restart in which strong hosts start 0.2 s later; passes. The price: when only weak hosts return, their shards have no owner for 0.45 s longer.

--- a/internal/election/claim_test.go
+++ b/internal/election/claim_test.go
@@ -103,3 +103,14 @@
 		assert.Equal(t, election.ClaimDelay(strong, []election.Candidate{weak}, n, false), time.Duration(0))
 	}
 }
+
+// Guards against a weak host that takes a shard before a host as strong as its last owner has registered, against strong hosts that
+// wait as well, and against a fleet of weak hosts that waits although no host is about to register.
+func TestWeakHostLeavesShardToHostAsStrongAsItsLastOwner(t *testing.T) {
+	strong, weak := election.Candidate{Host: "strong", Strength: 0.8}, election.Candidate{Host: "weak", Strength: 0.192}
+	assert.Equal(t, election.ClaimDelay(strong, nil, 0, true, 0.8, 0.11), time.Duration(0))
+	assert.Equal(t, election.ClaimDelay(weak, nil, 0, true, 0.11, 0.8), 450*time.Millisecond)
+	assert.Equal(t, election.ClaimDelay(weak, nil, 0, true, 0.192), time.Duration(0))
+	assert.Equal(t, election.ClaimDelay(weak, nil, 0, false, 0.8), time.Duration(0))
+	assert.Equal(t, election.ClaimDelay(strong, []election.Candidate{weak}, 0, true, 0.8), time.Duration(0))
+}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -47,6 +47,8 @@
 	changed chan struct{}
 	// epochs holds the store revision of each shard's epoch key, by shard.
 	epochs map[int]int64
+	// formerOwners holds the last owner of each shard, from the epoch keys. It may not be alive.
+	formerOwners map[int]hostRecord
 	// histories holds what is remembered of each host, by name.
 	histories map[string]election.History
 	// hosts is keyed by store key.
@@ -68,7 +70,7 @@
 
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
-		changed: make(chan struct{}), epochs: map[int]int64{}, histories: map[string]election.History{},
+		changed: make(chan struct{}), epochs: map[int]int64{}, formerOwners: map[int]hostRecord{}, histories: map[string]election.History{},
 		hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{}, successors: map[int]ownerRecord{},
 	}
 }
@@ -157,6 +159,9 @@
 	case strings.HasPrefix(kv.Key, epochPrefix):
 		if n, ok := parseShardKey(kv.Key, epochPrefix); ok {
 			d.epochs[n] = kv.ModRevision
+			if h, err := workflow.Decode[hostRecord](kv.Value); err == nil {
+				d.formerOwners[n] = h
+			}
 		}
 	}
 }
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -32,8 +32,15 @@
 			others = append(others, m.Candidate)
 		}
 	}
+	// Without its own record, the view is older than the host's lease: the records of all hosts may have ended with it.
+	registered, ok := d.hosts[hostPrefix+self.Host]
+	isIncomplete := !ok || registered.Incarnation != self.Incarnation || d.now().Sub(d.lastJoin) < joinSettleTime
+	var formerOwners []float64
+	for _, h := range d.formerOwners {
+		formerOwners = append(formerOwners, h.Strength)
+	}
 	return delay + election.ClaimDelay(election.Candidate{Host: self.Host, Shards: owned, Strength: self.Strength}, others, shard,
-		d.now().Sub(d.lastJoin) < joinSettleTime)
+		isIncomplete, formerOwners...)
 }
 
 // successor returns the live host to which the last owner of a shard has handed it over. The caller holds d.mu.
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -81,3 +81,24 @@
 		})
 	}
 }
+
+// Guards against weak hosts that take shards because they get a lease a moment before strong ones when all hosts come back: after
+// an outage of the store, and after a loss of power.
+func TestWeakHostsLeaveShardsToStrongHostsThatReturn(t *testing.T) {
+	runFleet(t, 1, 3, func(f *simulatedFleet) {
+		f.startMixed(4, 8)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		f.store.setDown(true)
+		time.Sleep(3 * time.Second)
+		f.store.setDown(false)
+		f.checkCalm("the store is back")
+		f.kill(f.names()...)
+		time.Sleep(2 * time.Second)
+		f.startMixed(0, 8)
+		time.Sleep(200 * time.Millisecond)
+		f.startMixed(4, 8)
+		f.checkCalm("all hosts have started")
+		assert.Check(t, !strings.Contains(f.ownerHistory(began), ":weak"), "owners: %s", f.ownerHistory(began))
+	})
+}
