Do not count returns that many hosts make together as rejoins

A host that came back within a minute had to be stable for twice as long, for each time, before it got a shard: up to 24 s. That is meant for a host that comes and goes by itself. After an outage of the store, a cut zone or a loss of power all hosts come back at once; after the third one in a minute a weak owner kept its shard for 13 s, as every host that could take it waited.

Returns of three or more hosts within a second do not count.

TestReturnsOfManyHostsTogetherDoNotCount failed before (three hosts that come back together) and passes; a single host and two hosts still wait. TestHostThatComesAndGoesCausesFewHandovers is unchanged and passes.

--- a/internal/election/history.go
+++ b/internal/election/history.go
@@ -2,8 +2,15 @@
 
 import "time"
 
-// rejoinMemory is how long a host has to stay for its next return not to count as a rejoin.
-const rejoinMemory = time.Minute
+const (
+	// rejoinMemory is how long a host has to stay for its next return not to count as a rejoin.
+	rejoinMemory = time.Minute
+	// sharedReturnSpan is the time within which hosts that lost their power, their zone or the store together come back.
+	sharedReturnSpan = time.Second
+	// sharedReturnHosts is the number of hosts from which returns in that span count as shared. Two hosts that are restarted
+	// one after the other are fewer.
+	sharedReturnHosts = 3
+)
 
 // History is what an observer remembers of a host while its records come, change and go.
 type History struct {
@@ -13,6 +20,9 @@
 	isGone      bool
 	joinedAt    time.Time
 	rejoins     int
+	// earlierRejoins is the number of rejoins before the last return, which was at returnedAt.
+	earlierRejoins int
+	returnedAt     time.Time
 }
 
 // WithRecord returns the history after the record of a process of the host was seen.
@@ -20,11 +30,27 @@
 	if h.incarnation == incarnation && !h.isGone {
 		return h
 	}
-	rejoins := 0
+	next := History{changedAt: now, incarnation: incarnation, joinedAt: now}
 	if h.incarnation != "" && now.Sub(h.joinedAt) < rejoinMemory {
-		rejoins = h.rejoins + 1
+		next.earlierRejoins, next.rejoins, next.returnedAt = h.rejoins, h.rejoins+1, now
 	}
-	return History{changedAt: now, incarnation: incarnation, joinedAt: now, rejoins: rejoins}
+	return next
+}
+
+// SharedReturns returns the new histories of hosts whose last return does not count as a rejoin, since several hosts made one
+// at the same time: the cause was outside of these hosts, and shards must not wait for them because of it.
+func SharedReturns(now time.Time, histories map[string]History) map[string]History {
+	shared := map[string]History{}
+	for host, h := range histories {
+		if !h.returnedAt.IsZero() && now.Sub(h.returnedAt) < sharedReturnSpan {
+			h.rejoins = h.earlierRejoins
+			shared[host] = h
+		}
+	}
+	if len(shared) < sharedReturnHosts {
+		return nil
+	}
+	return shared
 }
 
 // WithRecordGone returns the history after the host's record was deleted.
@@ -42,7 +68,7 @@
 // WithMissedHandover returns the history after the host did not take a shard that was handed to it. It counts like a
 // rejoin, so that the shard is not handed to the host over and over.
 func (h History) WithMissedHandover(now time.Time) History {
-	h.changedAt, h.joinedAt, h.rejoins = now, now, h.rejoins+1
+	h.changedAt, h.joinedAt, h.rejoins, h.returnedAt = now, now, h.rejoins+1, time.Time{}
 	return h
 }
 
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -130,6 +130,7 @@
 			}
 			d.hosts[kv.Key] = h
 			d.histories[h.Host] = d.histories[h.Host].WithRecord(d.now(), h.Incarnation)
+			maps.Copy(d.histories, election.SharedReturns(d.now(), d.histories))
 		} else {
 			d.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed host record")
 		}
