Poll workers less often while their ends wait for a record

Cause: a worker lists its ends in each poll until they are recorded and acknowledged, and such polls don't wait, so they followed each other every 150 ms. An owner whose commits are late had the more to do the later they were: with 0.5 cores (TestOneOverloadedHost) 860 ends a second were listed 5,100 times in 1,110 polls. Change: polls are 300 ms apart while ends are unrecorded, and the next one is brought forward once they are. In a shard whose commits take less than 150 ms nothing changes. Result: TestUnrecordedEndsAreListedSeldom failed with 20 listings in 3 s (12 allowed), and without bringing the poll forward with an end that is not acknowledged 150 ms after its record.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -103,6 +103,9 @@
 		}
 	}
 	for _, w := range o.sortedWorkers() {
-		w.advanceRecordedEnd()
+		if w.recordedEnd < w.lastEnd {
+			w.advanceRecordedEnd()
+			o.pollForAcknowledgement(w)
+		}
 	}
 }
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -123,6 +123,16 @@
 	if w.lastEnd == w.recordedEnd && len(list.Ended) == 0 && len(w.attempts) > 0 && w.nextPollAt.After(now) && p.Wait > 0 {
 		w.nextPollAt = now // the long poll timed out without an end, so no pause is needed
 	}
+	if w.recordedEnd < w.lastEnd && w.nextPollAt.After(now) {
+		w.nextPollAt = now.Add(o.timing.UnrecordedPollInterval)
+	}
+}
+
+// pollForAcknowledgement brings the next poll of a worker forward once all its listed ends are recorded.
+func (o *Owner) pollForAcknowledgement(w *worker) {
+	if w.recordedEnd == w.lastEnd && w.pollFailures == 0 {
+		w.nextPollAt = minTime(w.nextPollAt, w.answeredAt.Add(o.timing.PollInterval))
+	}
 }
 
 // PollFailed handles a poll that was refused or not answered.
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -57,7 +57,7 @@
 }
 
 // transactions returns the number of transactions that a commit takes: one has 32 entries at most, of which one guards the
-// owner's key. They are written one after the other.
+// owner's key. The store takes them one after the other, as if it were the bottleneck.
 func transactions(c *shard.Commit) int {
 	n, entries := 1, 1
 	for _, w := range c.Writes {
@@ -198,3 +198,32 @@
 	t.Logf("acknowledged after %s, ends: %d, listed %d times", c.longestUnacknowledged, ended, c.endsListed)
 	assert.Assert(t, c.longestUnacknowledged < 4*time.Second, "acknowledged after %s", c.longestUnacknowledged)
 }
+
+// Guards against an owner that has the more to do the later its commits are, as workers list ends again in each poll until they
+// are recorded, and against an acknowledgement that waits for the longer pause between these polls.
+func TestUnrecordedEndsAreListedSeldom(t *testing.T) {
+	const blocked = 3 * time.Second
+	c := newFleetHarness(t, 1)
+	for _, id := range []string{"0000000000000001", "0000000000000002"} {
+		c.add(workflow.Job{ID: id, Queue: "q", Steps: []workflow.Step{smallStep}})
+	}
+	c.run(time.Second)
+	c.store.answerTime = func() time.Duration { return time.Hour }
+	c.endRunsWhere(func(s shard.Start) shard.EndCause {
+		if s.Job == "0000000000000001" {
+			return shard.EndDone
+		}
+		return ""
+	})
+	c.run(blocked)
+	most := int(blocked/shard.DefaultTiming().UnrecordedPollInterval) + 2
+	assert.Assert(t, c.endsListed > 0 && c.endsListed <= most, "the end was listed %d times in %s", c.endsListed, blocked)
+	for listed := c.endsListed; c.endsListed == listed; {
+		c.step()
+	}
+	c.release()
+	c.run(2*simulationStep + shard.DefaultTiming().PollInterval)
+	for worker, ends := range c.listedAt {
+		assert.Equal(t, len(ends), 0, "ends of worker %s that are not acknowledged", worker)
+	}
+}
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -27,6 +27,10 @@
 	// MixedPollWait is the wait for workers that run best-effort tasks next to serving tasks: the owner has to react
 	// within seconds to a tail above its target.
 	MixedPollWait time.Duration
+	// UnrecordedPollInterval replaces PollInterval while ends that the worker has listed are not recorded. The worker lists
+	// them again in each poll, so that an owner whose commits are late would have more to do the later they are. It has to
+	// leave time until maxAckGap for an owner that is behind its timers.
+	UnrecordedPollInterval time.Duration
 	// WorkerLease is the length of the leases that the owner requests. With longer leases tasks survive longer
 	// partitions and outages; with shorter ones the tasks of a lost worker are restarted elsewhere sooner.
 	WorkerLease time.Duration
@@ -35,17 +39,18 @@
 // DefaultTiming returns the timing for workers that grant leases of 10 s.
 func DefaultTiming() Timing {
 	return Timing{
-		ClockDrift:         0.02,
-		CommitGap:          15 * time.Millisecond,
-		EvaluationGap:      10 * time.Microsecond,
-		LeaseMargin:        300 * time.Millisecond,
-		PollInterval:       150 * time.Millisecond,
-		PollRetryDelay:     200 * time.Millisecond,
-		PollWait:           1500 * time.Millisecond,
-		MaxWorkerLease:     10 * time.Second,
-		OverTargetPollWait: 300 * time.Millisecond,
-		MixedPollWait:      700 * time.Millisecond,
-		WorkerLease:        7 * time.Second,
+		ClockDrift:             0.02,
+		CommitGap:              15 * time.Millisecond,
+		EvaluationGap:          10 * time.Microsecond,
+		LeaseMargin:            300 * time.Millisecond,
+		PollInterval:           150 * time.Millisecond,
+		PollRetryDelay:         200 * time.Millisecond,
+		PollWait:               1500 * time.Millisecond,
+		MaxWorkerLease:         10 * time.Second,
+		OverTargetPollWait:     300 * time.Millisecond,
+		MixedPollWait:          700 * time.Millisecond,
+		UnrecordedPollInterval: 300 * time.Millisecond,
+		WorkerLease:            7 * time.Second,
 	}
 }
 
