Write the transactions of a commit at the same time

Cause: a commit of 40 jobs is up to four transactions of 15 jobs, which were written one after the other. On a host that is short of processor time each took as long as the host needed to come back to it, so the starts of all jobs waited for four such delays. Change: the transactions of a commit are written at once. A job is in one of them only, and each has its own guards, so their order does not matter; a commit that ended halfway left some of its jobs unrecorded before as well.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -146,17 +148,25 @@
 		Warn("worker rejected the current token because it knows a later owner; this host stops acting for the shard")
 }
 
-// commit writes records, retrying until all of them are durable or the runner stops.
+// commit writes records, retrying until all of them are durable or the runner stops. A job is in one transaction only, so the
+// transactions are written at the same time.
 func (r *runner) commit(c *shard.Commit) {
-	rest := c.Writes
-	for len(rest) > 0 {
+	var transactions sync.WaitGroup
+	var stopped atomic.Bool
+	for rest := c.Writes; len(rest) > 0; {
 		n, t := r.buildTxn(rest)
-		if !r.writeRecords(t, rest[:n]) {
-			return
-		}
+		writes := rest[:n]
+		transactions.Go(func() {
+			if !r.writeRecords(t, writes) {
+				stopped.Store(true)
+			}
+		})
 		rest = rest[n:]
 	}
-	r.updateOwner(func(now time.Time) { r.owner.Committed(now, c) })
+	transactions.Wait()
+	if !stopped.Load() {
+		r.updateOwner(func(now time.Time) { r.owner.Committed(now, c) })
+	}
 }
 
 // buildTxn returns a transaction of the first writes, as many as fit, and their number.
