Don't take a host's own delay for a late answer of the store or a worker

Cause: a call's deadline is a timer of the host. After a pause, and in overload, timers that have expired fire before the answers are read that arrived meanwhile. The commit had taken effect, was repeated all the same and added load; the store refused it with the present records. Polls counted as failed, so that workers got no tasks. Change: the last 200 ms of a deadline are ten waits of 20 ms, each of which starts when the one before has fired. A pause of the host counts once, a lag of its timers lengthens the deadline by ten times the lag; without either nothing changes. It holds for commits, submissions, reads of a job's place, polls and orders, not for the renewal of the host's lease.

--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -33,7 +33,7 @@
 // readLocation reads the shard and final state of a job from the store. If the store fails and askPeers is set, it asks a
 // peer.
 func (h *Host) readLocation(ctx context.Context, id string, askPeers bool) (workflow.JobLocation, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	callCtx, cancel := withTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	kv, err := h.platform.Store.Get(callCtx, locationKey(id))
 	if err != nil {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -81,7 +81,7 @@
 	allowed := r.mayAct(r.host.now())
 	r.mu.Unlock()
 	if allowed {
-		ctx, cancel := context.WithTimeout(r.ctx, workerCallTimeout)
+		ctx, cancel := withTimeout(r.ctx, workerCallTimeout)
 		sent := time.Now()
 		reply = call(ctx)
 		cancel()
@@ -98,7 +98,7 @@
 // poll asks a worker for its runs and passes the listing or the failure to the owner. The worker may delay the answer for up
 // to l.Wait (long poll).
 func (r *runner) poll(l shard.Poll) {
-	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+pollTimeoutMargin)
+	ctx, cancel := withTimeout(r.ctx, l.Wait+pollTimeoutMargin)
 	defer cancel()
 	sent := r.host.now()
 	pollsSent.Add(1)
@@ -204,7 +204,7 @@
 		r.mu.Lock()
 		t.Guards[0].Revision = r.ownerKeyRevision
 		r.mu.Unlock()
-		ctx, cancel := context.WithTimeout(r.ctx, storeCallTimeout)
+		ctx, cancel := withTimeout(r.ctx, storeCallTimeout)
 		sent := time.Now()
 		res, err := r.host.platform.Store.Txn(ctx, t)
 		cancel()
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -129,7 +129,7 @@
 	backoff := retry.NewBackoff(minWriteBackoff, maxWriteBackoff, uint64(h.random(1<<30)))
 	started, unknown := time.Now(), false
 	for attempt := 1; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		callCtx, cancel := withTimeout(ctx, storeCallTimeout)
 		res, err := h.platform.Store.Txn(callCtx, t)
 		cancel()
 		countWrite(err)
