Don't give jobs to an owner on a load figure from before it fell silent

Cause: an owner that did not answer its load query in 60 ms was ranked by the last load that it ever reported. An owner that is behind, or has just taken over more shards, looked as empty as it was before. Change: the last load stands in for an answer for 0.5 s, which bridges a lost packet; after that the shard counts as one without room, so that the other shard is chosen. If no owner answers, the choice is random as before.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -19,6 +19,9 @@
 	loadTimeout = 60 * time.Millisecond
 	// maxLoadAge is how long a reported load is reused: about the time until a new job shows in the load that the owner reports.
 	maxLoadAge = 50 * time.Millisecond
+	// maxUnansweredLoadAge is how long a reported load stands in for the answer of an owner that does not answer. It bridges a
+	// lost packet. An owner that is late for longer may have filled up since, so it counts as unsuitable.
+	maxUnansweredLoadAge = 500 * time.Millisecond
 )
 
 type loadKey struct {
@@ -66,8 +69,8 @@
 	return candidates[best], true
 }
 
-// shardLoad returns a shard's load. It returns the last one reported if that is younger than maxLoadAge or the owner does not
-// answer.
+// shardLoad returns a shard's load. It returns the last one reported if that is younger than maxLoadAge, or younger than
+// maxUnansweredLoadAge and the owner does not answer. Without a load the shard has no room.
 func (h *Host) shardLoad(ctx context.Context, k loadKey) cachedLoad {
 	if l, ok := h.ownedShards.serviceLoad(k.shard, k.service); ok {
 		return cachedLoad{receivedAt: time.Now(), Load: l}
@@ -75,8 +78,15 @@
 	h.loads.mu.Lock()
 	last := h.loads.loads[k]
 	h.loads.mu.Unlock()
+	age := time.Since(last.receivedAt)
+	if age < maxLoadAge {
+		return last
+	}
+	if age > maxUnansweredLoadAge {
+		last = cachedLoad{}
+	}
 	o, ok := h.directory.owner(k.shard)
-	if !ok || time.Since(last.receivedAt) < maxLoadAge {
+	if !ok {
 		return last
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- /dev/null
+++ b/internal/entry/exportchoose_test.go
@@ -0,0 +1,15 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// MaxUnansweredLoadAge is how long a reported load stands in for that of an owner that does not answer.
+const MaxUnansweredLoadAge = maxUnansweredLoadAge
+
+// ChooseShard returns the shard for a new job.
+func (h *Host) ChooseShard(ctx context.Context, j workflow.Job) (int, bool) {
+	return h.chooseShard(ctx, j)
+}
