--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -79,7 +81,7 @@
 	allowed := r.mayAct(r.host.now())
 	r.mu.Unlock()
 	if allowed {
-		ctx, cancel := context.WithTimeout(r.ctx, workerCallTimeout)
+		ctx, cancel := withTimeout(r.ctx, workerCallTimeout)
 		sent := time.Now()
 		reply = call(ctx)
 		cancel()
@@ -96,7 +98,7 @@
 // poll asks a worker for its runs and passes the listing or the failure to the owner. The worker may delay the answer for up
 // to l.Wait (long poll).
 func (r *runner) poll(l shard.Poll) {
-	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+pollTimeoutMargin)
+	ctx, cancel := withTimeout(r.ctx, l.Wait+pollTimeoutMargin)
 	defer cancel()
 	sent := r.host.now()
 	pollsSent.Add(1)
@@ -146,17 +148,25 @@
 		Warn("worker rejected the current token because it knows a later owner; this host stops acting for the shard")
 }
 
-// commit writes records, retrying until all of them are durable or the runner stops.
+// commit writes records, retrying until all of them are durable or the runner stops. A job is in one transaction only, so the
+// transactions are written at the same time.
 func (r *runner) commit(c *shard.Commit) {
-	rest := c.Writes
-	for len(rest) > 0 {
+	var transactions sync.WaitGroup
+	var stopped atomic.Bool
+	for rest := c.Writes; len(rest) > 0; {
 		n, t := r.buildTxn(rest)
-		if !r.writeRecords(t, rest[:n]) {
-			return
-		}
+		writes := rest[:n]
+		transactions.Go(func() {
+			if !r.writeRecords(t, writes) {
+				stopped.Store(true)
+			}
+		})
 		rest = rest[n:]
 	}
-	r.updateOwner(func(now time.Time) { r.owner.Committed(now, c) })
+	transactions.Wait()
+	if !stopped.Load() {
+		r.updateOwner(func(now time.Time) { r.owner.Committed(now, c) })
+	}
 }
 
 // buildTxn returns a transaction of the first writes, as many as fit, and their number.
@@ -194,7 +204,7 @@
 		r.mu.Lock()
 		t.Guards[0].Revision = r.ownerKeyRevision
 		r.mu.Unlock()
-		ctx, cancel := context.WithTimeout(r.ctx, storeCallTimeout)
+		ctx, cancel := withTimeout(r.ctx, storeCallTimeout)
 		sent := time.Now()
 		res, err := r.host.platform.Store.Txn(ctx, t)
 		cancel()
