Let several overloaded owners hand over at the same time

An owner waited 1 s for each more loaded owner, whether or not there was a host for each of them, since owners that decide on the same view would choose the same host. When many hosts had come back, the last weak owner waited for all others and for their commits, which never settle on an overloaded host: 5 to 6 s with three shards, and longer with each further one.

Of the hosts that would be relieving, an owner leaves the least loaded ones to the owners that are more loaded than itself, one to each, and takes the next. The turns remain for the case that there are too few hosts.

TestSeveralWeakOwnersHandOverAtTheSameTime (24 shards) failed before: weak owners are left after the 7 s in which a failed task must run again.

--- a/internal/election/rebalance.go
+++ b/internal/election/rebalance.go
@@ -1,6 +1,10 @@
 package election
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// minRelief is the least fraction of its load by which an owner has to exceed the load of another host after the handover.
@@ -11,8 +15,8 @@
 	stableTime = 1500 * time.Millisecond
 	// maxRejoins bounds how often the stable time doubles for a host that keeps coming and going: up to 24 s.
 	maxRejoins = 4
-	// turnTime separates the handovers of several owners, the most loaded one first. A handover takes up to 0.8 s until others
-	// see it, and owners that decide on the same view would choose the same host.
+	// turnTime is how long an owner waits for each more loaded owner if there is no host for each of them. A handover takes up to
+	// 0.8 s until others see it, and owners that decide on the same view would choose the same host.
 	turnTime = time.Second
 )
 
@@ -32,29 +36,45 @@
 }
 
 // Rebalance decides whether self hands one of the shards that it owns to one of the other live hosts, none of which is
-// draining. It does if a host would be clearly less loaded with the shard than self is now. With a steady membership, the
-// sum over all hosts of the loads at which they took each of their shards drops with every handover, so handovers end.
+// draining. It does if a host would be clearly less loaded with the shard than self is now. Of such hosts, self leaves the least
+// loaded ones to the owners that are more loaded than self, one to each, so that all of them can hand over at the same time.
+// With a steady membership, the sum over all hosts of the loads at which they took each of their shards drops with every
+// handover, so handovers end.
 func Rebalance(self Member, owned []int, others []Member) (Handover, bool) {
 	h := Handover{From: self.Candidate, Shard: -1}
 	if len(owned) == 0 {
 		return h, false
 	}
-	wait := self.requiredStableTime() + turnTime*time.Duration(ownersAhead(self, others))
+	wait := self.requiredStableTime()
 	if self.StableFor < wait {
 		return h, false
 	}
 	limit := self.loadWith(0) * (1 - minRelief)
+	var relieving []Member
 	for _, m := range others {
-		if m.loadWith(1) > limit || m.StableFor < max(wait, m.requiredStableTime()) {
-			continue
+		if m.loadWith(1) <= limit && m.StableFor >= max(wait, m.requiredStableTime()) {
+			relieving = append(relieving, m)
 		}
-		for _, n := range owned {
-			if h.Shard < 0 || m.Score(n) > h.To.Score(h.Shard) {
-				h.Shard, h.To = n, m.Candidate
-			}
+	}
+	slices.SortFunc(relieving, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.loadWith(1), b.loadWith(1)), cmp.Compare(a.Host, b.Host))
+	})
+	ahead := ownersAhead(self, others)
+	if ahead >= len(relieving) {
+		turn := wait + turnTime*time.Duration(ahead)
+		relieving = slices.DeleteFunc(relieving, func(m Member) bool { return min(self.StableFor, m.StableFor) < turn })
+		ahead = 0
+	}
+	if len(relieving) == 0 {
+		return h, false
+	}
+	h.To = relieving[ahead].Candidate
+	for _, n := range owned {
+		if h.Shard < 0 || h.To.Score(n) > h.To.Score(h.Shard) {
+			h.Shard = n
 		}
 	}
-	return h, h.Shard >= 0
+	return h, true
 }
 
 // requiredStableTime returns how long the host must be stable before it gives or receives a shard. It doubles with each rejoin,
--- a/internal/election/rebalancesimulation_test.go
+++ b/internal/election/rebalancesimulation_test.go
@@ -32,12 +32,14 @@
 // rebalanceSimulation runs hosts that claim shards without an owner and rebalance, in virtual time. All hosts see the same
 // records, but an owner's decision takes up to 0.8 s until its shard moves.
 type rebalanceSimulation struct {
-	handovers int
-	hosts     []*simulatedHost
-	now       time.Time
-	owners    []*simulatedHost
-	pending   []pendingHandover
-	random    *rand.Rand
+	// areOverloaded means that the commits of owners never settle, so that each handover takes its longest time.
+	areOverloaded bool
+	handovers     int
+	hosts         []*simulatedHost
+	now           time.Time
+	owners        []*simulatedHost
+	pending       []pendingHandover
+	random        *rand.Rand
 }
 
 func newRebalanceSimulation(seed uint64, hosts, shards int) *rebalanceSimulation {
@@ -148,6 +150,9 @@
 	}
 	if h, ok := election.Rebalance(self.history.Member(s.now, self.Candidate), owned, others); ok {
 		delay := time.Duration(s.random.IntN(800)) * time.Millisecond
+		if s.areOverloaded {
+			delay = 800 * time.Millisecond
+		}
 		s.pending = append(s.pending, pendingHandover{Handover: h, at: s.now.Add(delay)})
 	}
 }
@@ -239,3 +244,30 @@
 	}
 	assert.Equal(t, s.handovers, 0)
 }
+
+// Guards against weak owners that hand over one after the other while a strong host is idle for each of them: the last of them
+// then keeps its shard for longer than a failed task may wait, which is 3 s after 4 s of calm.
+func TestSeveralWeakOwnersHandOverAtTheSameTime(t *testing.T) {
+	const shards = 24
+	for seed := range uint64(5) {
+		s := newRebalanceSimulation(seed, 2*shards, shards)
+		s.areOverloaded = true
+		for i, h := range s.hosts {
+			h.Strength = 0.192
+			if i >= shards {
+				h.Strength = 0.8
+				continue
+			}
+			s.start(h)
+		}
+		s.run(20 * time.Second)
+		for _, h := range s.hosts[shards:] {
+			s.start(h)
+		}
+		s.run(7 * time.Second)
+		for n, owner := range s.owners {
+			assert.Equal(t, owner.Strength, 0.8, "seed %d: %s still owns shard %d", seed, owner.Host, n)
+		}
+		assert.Assert(t, s.handovers <= shards+2, "%d handovers of %d shards", s.handovers, shards)
+	}
+}
