Count a host that fails during a handover once

A host that died or was cut off when a shard was handed to it counted as having come and gone twice: it had not taken the shard, and it returned. It then got no shard for 6 s, and the giver kept two shards beside it.

A return does not count if the host missed a handover since it joined. Each missed handover counts as before.

TestHostThatFailsDuringHandoverCountsOnce failed before (2 rejoins, not 1).

--- a/internal/election/history.go
+++ b/internal/election/history.go
@@ -15,11 +15,13 @@
 // History is what an observer remembers of a host while its records come, change and go.
 type History struct {
 	// changedAt is when the host came or the shards that it owns changed last.
-	changedAt   time.Time
-	incarnation string
-	isGone      bool
-	joinedAt    time.Time
-	rejoins     int
+	changedAt time.Time
+	// hasMissedHandover is set if the host did not take a shard that was handed to it since it joined.
+	hasMissedHandover bool
+	incarnation       string
+	isGone            bool
+	joinedAt          time.Time
+	rejoins           int
 	// earlierRejoins is the number of rejoins before the last return, which was at returnedAt.
 	earlierRejoins int
 	returnedAt     time.Time
@@ -33,6 +35,9 @@
 	next := History{changedAt: now, incarnation: incarnation, joinedAt: now}
 	if h.incarnation != "" && now.Sub(h.joinedAt) < rejoinMemory {
 		next.earlierRejoins, next.rejoins, next.returnedAt = h.rejoins, h.rejoins+1, now
+		if h.hasMissedHandover {
+			next.rejoins = h.rejoins // the host was failing by then, which counts once
+		}
 	}
 	return next
 }
@@ -68,7 +73,7 @@
 // WithMissedHandover returns the history after the host did not take a shard that was handed to it. It counts like a
 // rejoin, so that the shard is not handed to the host over and over.
 func (h History) WithMissedHandover(now time.Time) History {
-	h.changedAt, h.joinedAt, h.rejoins, h.returnedAt = now, now, h.rejoins+1, time.Time{}
+	h.changedAt, h.joinedAt, h.rejoins, h.returnedAt, h.hasMissedHandover = now, now, h.rejoins+1, time.Time{}, true
 	return h
 }
 
--- a/internal/election/history_test.go
+++ b/internal/election/history_test.go
@@ -42,3 +42,17 @@
 	assert.Assert(t, returnTogether(3) < 3*time.Second, "three hosts return together")
 	assert.Assert(t, returnTogether(40) < 3*time.Second, "many hosts return together")
 }
+
+// Guards against a host that fails once and counts as having come and gone twice: it did not take a shard that was handed to it,
+// and it came back. With both, it may receive no shard for 6 s, which leaves an owner of several shards overloaded for longer
+// than the 7 s in which a failed task must run again.
+func TestHostThatFailsDuringHandoverCountsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := election.History{}.WithRecord(now, "1")
+	h = h.WithMissedHandover(now.Add(5*time.Second)).WithRecordGone().WithRecord(now.Add(7*time.Second), "2")
+	assert.Equal(t, h.Member(now.Add(8*time.Second), election.Candidate{}).Rejoins, 1)
+	h = h.WithRecordGone().WithRecord(now.Add(9*time.Second), "3")
+	assert.Equal(t, h.Member(now.Add(10*time.Second), election.Candidate{}).Rejoins, 2)
+	h = h.WithMissedHandover(now.Add(12 * time.Second)).WithMissedHandover(now.Add(15 * time.Second))
+	assert.Equal(t, h.Member(now.Add(16*time.Second), election.Candidate{}).Rejoins, 4)
+}
