Load shards with many records from a slow store

A new owner read the records of its shard with a deadline of 1.6 s for all pages together. With more pages than the store serves in that time it began again without end, and the shard had no acting owner while the store was slow. Found by reading.

The whole read has no deadline of its own, since the read of each page is bounded now.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -297,12 +297,11 @@
 	}
 }
 
-// readProgress reads the shard's progress records. It retries until it succeeds or the runner stops.
+// readProgress reads the shard's progress records. It retries until it succeeds or the runner stops. The store bounds the read of
+// each page; a bound for all would keep a shard with many records from being loaded while the store is slow.
 func (r *runner) readProgress() map[string]workflow.Progress {
 	for r.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(r.ctx, 4*storeCallTimeout)
-		kvs, _, err := r.host.platform.Store.Range(ctx, shardProgressPrefix(r.shard))
-		cancel()
+		kvs, _, err := r.host.platform.Store.Range(r.ctx, shardProgressPrefix(r.shard))
 		if err != nil {
 			r.log.WithError(err).Warn("failed to read progress records; retrying")
 			retry.Sleep(r.ctx, watchRetryDelay)
