Say what the order of commits, holds and waits do in fewer words

Cause: In the new code of internal/shard, the condition of an unstarted attempt and the walk over all tasks were written out where they are used, five blocks deep; names such as whyNot and noteEnd and several comments did not say what they mean, and a test of 65 lines checked the order of writes inline.

Change: job.readyTasks and attempt.isUnstarted serve the summary and the report of waits. waitReason and trackEnd replace whyNot and noteEnd. Interrupted tasks are selected by a function of their own. Comments on the urgencies, on holds for restarts and on UnrecordedPollInterval give the reason. Tests share addWholeWorkerJob and checkOrderOfFirstWrites.

Result: No decision changes.

--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// maxRecordAge is the age from which a change is written before all others but restarts. Ends are acknowledged to workers
-// once they are recorded, which has to be done within 4 s: this leaves time for a poll and for an answer that is retried.
+// maxRecordAge is the age from which a change is written before all others but restarts. Ends have to be acknowledged to workers
+// within 4 s, and only once they are recorded; the rest of that time is for a poll and for a repeated call.
 const maxRecordAge = 1500 * time.Millisecond
 
-// urgency says who waits for the record of a changed job. Lower values are written first.
+// urgency ranks changed jobs by who waits for their record. Lower values are written first.
 type urgency int
 
 const (
@@ -18,10 +18,10 @@
 	urgencyRestart urgency = iota
 	// urgencyAge: the change is older than maxRecordAge.
 	urgencyAge
-	// urgencyCaller: a task with a worker waits for its start, or a caller for the final state. One does not come before the
-	// other, since a job's completion is delayed by both alike.
+	// urgencyCaller: a task with a worker waits for its start, or a caller for the final state. Both rank the same, since both
+	// delay the completion of a job.
 	urgencyCaller
-	// urgencyCancel: the runs are being stopped, and callers see the cancellation already.
+	// urgencyCancel: the job is cancelled. Its runs are being stopped, and callers see the cancellation already.
 	urgencyCancel
 	// urgencyProgress: nobody waits.
 	urgencyProgress
--- a/internal/shard/commitorder_test.go
+++ b/internal/shard/commitorder_test.go
@@ -13,8 +13,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// blockCommits adds jobs until the owner waits for answers before it commits anything else. The store then answers nothing
-// until it is released.
+// blockCommits makes the store answer nothing until release is called, and adds jobs until the owner commits nothing more.
 func (c *fleetHarness) blockCommits() {
 	c.store.answerTime = func() time.Duration { return time.Hour }
 	for i, received := 0, -1; received < len(c.store.received); i++ {
@@ -38,7 +37,6 @@
 func TestRecordsThatCallersWaitForComeFirst(t *testing.T) {
 	const jobsPerKind = 60
 	c := newFleetHarness(t, 10)
-	order := map[string]int{"restart": 0, "start": 1, "final": 1, "cancel": 2, "progress": 3}
 	id := func(kind string, i int) string { return fmt.Sprintf("%012x%04x", kind[:3], i) }
 	kinds := map[string]string{}
 	add := func(kind string, s workflow.Step) {
@@ -79,8 +77,16 @@
 	received := len(c.store.received)
 	c.release()
 	c.run(600 * time.Millisecond)
+	checkOrderOfFirstWrites(t, c.store.received[received:], kinds, 5*jobsPerKind)
+}
+
+// checkOrderOfFirstWrites checks that each of n jobs, whose kinds are given by id, is written, and that no job is first written
+// after one that is less urgent.
+func checkOrderOfFirstWrites(t *testing.T, commits []*shard.Commit, kinds map[string]string, n int) {
+	t.Helper()
+	order := map[string]int{"restart": 0, "start": 1, "final": 1, "cancel": 2, "progress": 3}
 	written, last := map[string]bool{}, ""
-	for _, commit := range c.store.received[received:] {
+	for _, commit := range commits {
 		for _, w := range commit.Writes {
 			kind := kinds[w.Job]
 			if kind == "" || written[w.Job] {
@@ -91,7 +97,7 @@
 			last = kind
 		}
 	}
-	assert.Equal(t, len(written), 5*jobsPerKind)
+	assert.Equal(t, len(written), n)
 }
 
 // Guards against a late job of low priority whose start is recorded before that of a job that can still meet its objective.
--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -47,8 +47,9 @@
 	best.holdFor(t, now.Add(holdTime))
 }
 
-// holdForRestart keeps the room that a failed long-running task has left until the task may run again. In a full shard another task
-// would take it, and the failed one would wait until some task ends.
+// holdForRestart holds the worker on which a long-running task failed until holdTime after the task may start again. In a full
+// shard another task would take the room, and the failed one would wait until some task ends. A hold for another task that ran
+// before is not replaced.
 func (w *worker) holdForRestart(now time.Time, t *task) {
 	if t.step.LongRunning && (w.heldFor == nil || !now.Before(w.heldUntil) || w.heldFor.run == 0) {
 		w.holdFor(t, t.notBefore.Add(holdTime))
@@ -59,7 +60,7 @@
 	w.heldFor, w.heldUntil, t.heldWorker = t, until, w
 }
 
-// hasHold reports whether a worker is held for the task.
+// hasHold reports whether a worker is still held for the task.
 func (t *task) hasHold(now time.Time) bool {
 	return t.heldWorker != nil && t.heldWorker.heldFor == t && now.Before(t.heldWorker.heldUntil)
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -57,8 +57,8 @@
 	o.logPlaced(now)
 }
 
-// placeRestarts places the long-running tasks that ran before, so that they do not wait behind tasks that never ran: their callers
-// miss what they had.
+// placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
+// lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
 	for _, j := range o.backlog {
 		if j.final != "" || !j.IsLongRunning() {
@@ -67,15 +67,25 @@
 		for _, occ := range j.openOccurrences() {
 			for s, tasks := range occ.tasks {
 				if occ.ready[s] && !j.Steps[s].Gang {
-					o.placeTasks(now, slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool { return !t.isInterrupted() }), unplaceable)
+					o.placeTasks(now, interruptedTasks(tasks), unplaceable)
 				}
 			}
 		}
 	}
 }
 
-// placeTasks assigns the waiting ones of a step's tasks to workers. All tasks of a step have the same requirements: if one can't be
-// placed, the others can't either, unless a worker is held for them.
+func interruptedTasks(tasks []*task) []*task {
+	var out []*task
+	for _, t := range tasks {
+		if t.isInterrupted() {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// placeTasks assigns those of a step's tasks to workers that wait and may start. All tasks of a step have the same requirements:
+// once one can't be placed, only those with a worker held for them are still tried.
 func (o *Owner) placeTasks(now time.Time, tasks []*task, unplaceable map[taskClass]bool) {
 	isFull := false
 	for _, t := range tasks {
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -179,7 +179,7 @@
 		}
 		j := o.jobs[e.Job]
 		o.handleEnd(now, w, e)
-		w.noteEnd(e.Number, j)
+		w.trackEnd(e.Number, j)
 	}
 	w.advanceRecordedEnd()
 }
--- a/internal/shard/recordedends.go
+++ b/internal/shard/recordedends.go
@@ -10,9 +10,9 @@
 // isRecorded reports whether the store has the job in the version or a later one.
 func (j *job) isRecorded(version int) bool { return j.finalRecorded || version <= j.recordedVersion }
 
-// noteEnd notes that a listed end has been handled. Ends whose job is unknown or not changed since its last record have nothing
-// to wait for.
-func (w *worker) noteEnd(number int64, j *job) {
+// trackEnd adds a listed end that has been handled. Ends whose job is unknown or not changed since its last record wait for no
+// record.
+func (w *worker) trackEnd(number int64, j *job) {
 	w.lastEnd = number
 	if j != nil && !j.isRecorded(j.version) {
 		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{job: j, number: number, version: j.version})
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -12,7 +12,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// addWholeWorkerJob adds a job with long-running tasks that take a whole worker each. Jobs with a lower age are less urgent.
+// addWholeWorkerJob adds a job that was accepted age ago, with long-running tasks that take a whole worker each.
 func (c *fleetHarness) addWholeWorkerJob(id string, age time.Duration, tasks int) {
 	c.owner.Add(c.now, workflow.Job{ID: id, AcceptedAt: c.now.Add(-age).UnixMilli(), Queue: "q", Steps: []workflow.Step{
 		{Count: tasks, Resources: fleet.Resources{CPUMilli: 8000, MemoryMiB: 10}, LongRunning: true},
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -199,8 +199,8 @@
 	assert.Assert(t, c.longestUnacknowledged < 4*time.Second, "acknowledged after %s", c.longestUnacknowledged)
 }
 
-// Guards against an owner that has the more to do the later its commits are, as workers list ends again in each poll until they
-// are recorded, and against an acknowledgement that waits for the longer pause between these polls.
+// Guards against frequent polls that list the same unrecorded ends again and add work to an owner whose commits are late, and
+// against an acknowledgement that waits for the longer pause between these polls.
 func TestUnrecordedEndsAreListedSeldom(t *testing.T) {
 	const blocked = 3 * time.Second
 	c := newFleetHarness(t, 1)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -60,6 +60,11 @@
 // isSent reports whether the worker may know about the attempt.
 func (a *attempt) isSent() bool { return a.phase != phasePlanned && a.phase != phaseReady }
 
+// isUnstarted reports whether this owner planned the attempt and the worker has not confirmed its start.
+func (a *attempt) isUnstarted() bool {
+	return !a.plannedAt.IsZero() && (a.phase == phasePlanned || a.phase == phaseReady || a.phase == phaseSent)
+}
+
 // task is one task of an occurrence of a job.
 type task struct {
 	attempts    []*attempt
@@ -143,6 +148,22 @@
 	return out
 }
 
+// readyTasks returns the tasks of the job that don't wait for other steps, or none if the job has a final state.
+func (j *job) readyTasks() []*task {
+	if j.final != "" {
+		return nil
+	}
+	var out []*task
+	for _, occ := range j.openOccurrences() {
+		for s, tasks := range occ.tasks {
+			if occ.ready[s] {
+				out = append(out, tasks...)
+			}
+		}
+	}
+	return out
+}
+
 // worker is the owner's view of a worker.
 type worker struct {
 	Worker
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -28,7 +28,7 @@
 	Workers           int
 }
 
-// Summary returns the current counts.
+// Summary returns the counts and ages at now.
 func (o *Owner) Summary(now time.Time) Summary {
 	s := Summary{Jobs: len(o.jobs)}
 	var oldest time.Time
@@ -41,7 +41,7 @@
 		}
 		for _, at := range w.attempts {
 			s.Runs++
-			if !at.plannedAt.IsZero() && (at.phase == phasePlanned || at.phase == phaseReady || at.phase == phaseSent) {
+			if at.isUnstarted() {
 				s.Unstarted++
 				s.OldestUnstarted = max(s.OldestUnstarted, now.Sub(at.plannedAt))
 			}
@@ -61,18 +61,11 @@
 	}
 	s.BestEffortPace = paces / max(s.BestEffort, 1)
 	for _, j := range o.jobs {
-		if j.final != "" {
-			continue
-		}
-		for _, occ := range j.openOccurrences() {
-			for i, tasks := range occ.tasks {
-				for _, t := range tasks {
-					if occ.ready[i] && t.isWaiting() {
-						s.Waiting++
-						if t.step.BestEffort {
-							s.WaitingBestEffort++
-						}
-					}
+		for _, t := range j.readyTasks() {
+			if t.isWaiting() {
+				s.Waiting++
+				if t.step.BestEffort {
+					s.WaitingBestEffort++
 				}
 			}
 		}
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -28,8 +28,8 @@
 	// within seconds to a tail above its target.
 	MixedPollWait time.Duration
 	// UnrecordedPollInterval replaces PollInterval while ends that the worker has listed are not recorded. The worker lists
-	// them again in each poll, so that an owner whose commits are late would have more to do the later they are. It has to
-	// leave time until maxAckGap for an owner that is behind its timers.
+	// them again in each poll, which adds work to an owner whose commits are already late. The interval is well below
+	// maxAckGap, so that late timers don't make the owner exceed that.
 	UnrecordedPollInterval time.Duration
 	// WorkerLease is the length of the leases that the owner requests. With longer leases tasks survive longer
 	// partitions and outages; with shorter ones the tasks of a lost worker are restarted elsewhere sooner.
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -7,25 +7,23 @@
 )
 
 const (
-	// reportedWait is how long a long-running task that ran before may wait for a worker until that is logged, and
-	// waitReportInterval the time until it is logged again.
-	reportedWait       = 2 * time.Second
+	// minReportedWait is how long a long-running task that ran before waits for a worker until that is logged.
+	minReportedWait = 2 * time.Second
+	// waitReportInterval is the time after which the wait of a task is logged again.
 	waitReportInterval = 5 * time.Second
 )
 
+// restartWait is the wait of a long-running task for its next run.
+type restartWait struct {
+	since, reportedAt time.Time
+}
+
 // ReportWaits logs the long-running tasks that ran before and wait for a worker, with the number of workers by the reason why
 // they can't take the task. It is to be called about once a second.
 func (o *Owner) ReportWaits(now time.Time) {
 	for _, j := range o.jobs {
-		if j.final != "" {
-			continue
-		}
-		for _, occ := range j.openOccurrences() {
-			for _, tasks := range occ.tasks {
-				for _, t := range tasks {
-					o.reportWait(now, t)
-				}
-			}
+		for _, t := range j.readyTasks() {
+			o.reportWait(now, t)
 		}
 	}
 }
@@ -38,7 +36,7 @@
 	if t.restartWait.since.IsZero() {
 		t.restartWait.since = now
 	}
-	if now.Sub(t.restartWait.since) < reportedWait || now.Sub(t.restartWait.reportedAt) < waitReportInterval {
+	if now.Sub(t.restartWait.since) < minReportedWait || now.Sub(t.restartWait.reportedAt) < waitReportInterval {
 		return
 	}
 	t.restartWait.reportedAt = now
@@ -47,7 +45,7 @@
 		"cpu_milli": t.step.Resources.CPUMilli, "memory_mib": t.step.Resources.MemoryMiB, "per_worker": t.step.PerWorker,
 	}
 	for _, w := range o.sortedWorkers() {
-		if reason := o.whyNot(now, w, t); reason != "" {
+		if reason := w.waitReason(now, t); reason != "" {
 			n, _ := fields[reason].(int)
 			fields[reason] = n + 1
 		}
@@ -55,14 +53,9 @@
 	o.log.WithFields(fields).Warn("long-running task waits for a worker")
 }
 
-// restartWait is the wait of a long-running task for its next run.
-type restartWait struct {
-	since, reportedAt time.Time
-}
-
-// whyNot returns the log field that counts the workers that can't take a task for the same reason, or "" for workers of other
-// services.
-func (o *Owner) whyNot(now time.Time, w *worker, t *task) string {
+// waitReason returns the log field that counts the worker while a task waits: the condition of hasRoom that the worker does not
+// meet, or "suitable" if it meets all. It returns "" for workers of other services.
+func (w *worker) waitReason(now time.Time, t *task) string {
 	free := w.Capacity.Sub(w.reserved)
 	switch {
 	case w.Service != t.job.queue.Service:
--- a/internal/shard/wait_test.go
+++ b/internal/shard/wait_test.go
@@ -7,17 +7,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
-
-	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
 // Guards against a failed long-running task that does not run again without a sign in the log of what it waits for.
 func TestWaitingRestartIsLoggedWithReasons(t *testing.T) {
 	c := newFleetHarness(t, 2)
-	step := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 8000, MemoryMiB: 10}, LongRunning: true}
 	for _, job := range []string{"0000000000000001", "0000000000000002"} {
-		c.owner.Add(c.now, workflow.Job{ID: job, AcceptedAt: c.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{step}})
+		c.addWholeWorkerJob(job, 0, 1)
 	}
 	c.run(time.Second)
 	assert.Equal(t, len(c.running), 2)
