Name handovers, moves and successors alike in internal/host

Cause: A reader met handOver, sendHandover and handOverTo, recordMove and recordMoved, parts for key tables that are not complete, and a "giver" in tests.

Change: handOverAll and drainShard hand shards over on a drain; recordSuccessor and recordTaken tell what they record. Comments say when reportLateOutcome returns and what a move is. CanHandOver needs one condition, since AcceptHandover sets servesFrom. Tests share newHost, checkDoneOnce and successorWith; checkDoneOnce also compares the bodies of repeats after a handover that failed. Tests are named for the owner instead of the giver.

Result: Behaviour is unchanged. The tests of both packages pass under the race detector.

--- a/internal/host/commit_test.go
+++ b/internal/host/commit_test.go
@@ -1,14 +1,11 @@
 package host_test
 
 import (
-	"io"
 	"testing"
 	"testing/synctest"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"github.com/laburnumridge/laburnumridge/internal/host"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 )
 
@@ -16,13 +13,10 @@
 // was full, for example after a takeover with many starts, and was dropped, so that the commit stayed in flight.
 func TestCommitOutcomeSurvivesFullQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := settings.Default()
-		s.Host, s.Zone = "a", "z"
-		s.Platform.Endpoints = []string{"http://127.0.0.1:1"}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		h, err := host.New(s, host.WithLog(log))
-		assert.NilError(t, err)
+		h := newHost(t, func(s *settings.Settings) {
+			s.Host, s.Zone = "a", "z"
+			s.Platform.Endpoints = []string{"http://127.0.0.1:1"}
+		})
 		assert.Assert(t, h.CommitWithFullQueue(t.Context(), synctest.Wait), "the batch is not proposed again")
 	})
 }
--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -56,6 +56,18 @@
 	worker *fake.Worker
 }
 
+// newHost returns a host that is not started, with the default settings as changed by change. It logs nothing.
+func newHost(t *testing.T, change func(*settings.Settings)) *host.Host {
+	t.Helper()
+	s := settings.Default()
+	change(&s)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h, err := host.New(s, host.WithLog(log))
+	assert.NilError(t, err)
+	return h
+}
+
 // entryHost is a running entry host.
 type entryHost struct {
 	cancel context.CancelFunc
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -28,40 +29,44 @@
 // errNotShardOwner means that this host can't do what only the owner of the shard may do.
 var errNotShardOwner = eris.New("this host does not own the shard")
 
-// keyTransfer is the key table of a shard, or a part of it in a handover message.
+// keyTransfer is the key table of a shard, or the part of it that one handover message carries.
 type keyTransfer struct {
 	Handed []idempotency.HandoverEntry `json:"handed"`
 	Since  time.Time                   `json:"since"`
 }
 
-// handOver stops all owners gracefully and releases their shards, once the shards that are being moved have a new owner.
-func (s *shards) handOver(ctx context.Context) {
+// handOverAll hands all shards over on a drain, at the same time, once the moves that are under way have ended.
+func (s *shards) handOverAll(ctx context.Context) {
 	s.moves.finish(ctx)
 	s.mu.Lock()
-	owned := map[fleet.ShardID]*ownedShard{}
-	for id, o := range s.owned {
-		owned[id] = o
-	}
+	owned := maps.Clone(s.owned)
 	s.mu.Unlock()
 	var all sync.WaitGroup
 	for id, o := range owned {
-		all.Go(func() {
-			o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
-			select {
-			case <-o.done:
-			case <-ctx.Done():
-				o.cancel()
-				<-o.done
-			}
-			keys := s.closeKeyTable(ctx, id, o.owner.epoch)
-			if s.releaseShard(ctx, id, shardRecord{Epoch: o.owner.epoch}, "host drains") {
-				s.sendHandover(ctx, id, o.owner.epoch, keys)
-			}
-		})
+		all.Go(func() { s.drainShard(ctx, id, o) })
 	}
 	all.Wait()
 }
 
+// drainShard stops the owner of a shard gracefully, releases the shard and hands it to the peer of the zone that owns the fewest
+// shards. Without such a peer, or if it does not take the shard, another host takes it over without its keys.
+func (s *shards) drainShard(ctx context.Context, id fleet.ShardID, o *ownedShard) {
+	o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
+	select {
+	case <-o.done:
+	case <-ctx.Done():
+		o.cancel()
+		<-o.done
+	}
+	keys := s.closeKeyTable(ctx, id, o.owner.epoch)
+	if !s.releaseShard(ctx, id, shardRecord{Epoch: o.owner.epoch}, "host drains") {
+		return
+	}
+	if to := s.handoverTarget(id); to != "" {
+		_ = s.handOverTo(ctx, to, id, o.owner.epoch, keys)
+	}
+}
+
 // closeKeyTable ends the claims of a shard's key table and returns the table for the next owner. It returns nil if the table may
 // not be handed over.
 func (s *shards) closeKeyTable(ctx context.Context, id fleet.ShardID, epoch int64) *keyTransfer {
@@ -102,14 +107,8 @@
 	return err == nil
 }
 
-// sendHandover hands a released shard and its keys, if there are any, to the peer of the zone that owns the fewest shards.
-func (s *shards) sendHandover(ctx context.Context, id fleet.ShardID, epoch int64, keys *keyTransfer) {
-	if to := s.handoverTarget(id); to != "" {
-		_ = s.handOverTo(ctx, to, id, epoch, keys)
-	}
-}
-
-// handOverTo hands a released shard and its keys, if there are any, to a peer and waits until it owns the shard.
+// handOverTo hands a released shard and its keys, if there are any, to a peer and waits until it owns the shard. It logs the
+// decision, also if the peer did not take the shard.
 func (s *shards) handOverTo(ctx context.Context, to string, id fleet.ShardID, epoch int64, keys *keyTransfer) error {
 	err := s.sendKeys(ctx, to, peer.Handover{Epoch: epoch, Index: id.Index, Zone: id.Zone}, keys)
 	reason := "keys and shard were given to " + to
@@ -122,6 +121,7 @@
 	return err
 }
 
+// sendKeys sends the handover message m, in several parts if there are many keys.
 func (s *shards) sendKeys(ctx context.Context, to string, m peer.Handover, keys *keyTransfer) error {
 	if keys == nil {
 		return s.requestHandover(ctx, to, m)
@@ -190,8 +190,8 @@
 	return nil
 }
 
-// joinKeys returns the keys of a handover message and of the parts before it. The parts are not used before the last one has
-// come: a key that is missing would run again.
+// joinKeys returns the keys of a handover message and of the parts before it. Until the last part has been received, they are kept
+// in s.partial and not used, since a request whose key is missing would run again.
 func (s *shards) joinKeys(id fleet.ShardID, in peer.Handover) (receivedKeys, error) {
 	out := receivedKeys{epoch: in.Epoch}
 	if len(in.Keys) == 0 {
@@ -202,8 +202,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.parts[id]
-	delete(s.parts, id)
+	before := s.partial[id]
+	delete(s.partial, id)
 	if in.Part > 0 {
 		if before.epoch != in.Epoch || before.parts != in.Part {
 			return out, eris.Errorf("keys of %s: part %d of epoch %d is out of order", id, in.Part, in.Epoch)
@@ -212,7 +212,7 @@
 	}
 	out.parts = in.Part + 1
 	if in.More {
-		s.parts[id] = out
+		s.partial[id] = out
 	}
 	return out, nil
 }
--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -61,7 +61,7 @@
 		return h.runClaimed(ctx, r, item, key, id, table)
 	}
 	owner, ok := h.awaitKeyOwner(ctx, id, r.ForwardedBy != "")
-	if !ok && r.ForwardedBy != "" && h.shards.moves.isRecent(id, time.Now()) {
+	if !ok && r.ForwardedBy != "" && h.shards.moves.wasTakenRecently(id, time.Now()) {
 		// The host that forwarded the request has not heard of the successor yet.
 		return nil, retryableUnknown(reasonHandingOver, "shard "+id.String()+" was handed over")
 	}
--- a/internal/host/lateoutcome.go
+++ b/internal/host/lateoutcome.go
@@ -14,16 +14,17 @@
 )
 
 const (
-	// lateOutcomeWait is how long a caller's response waits until the new owner knows the outcome, so that a repeat finds it.
-	// It is ten times as long as a new owner usually needs to start.
+	// lateOutcomeWait is how long a caller's response waits for the new owner to know the outcome, so that a repeat of the
+	// request gets the response too. It is ten times as long as a new owner usually needs to start.
 	lateOutcomeWait = 500 * time.Millisecond
 	// lateOutcomeTimeout bounds the attempts to report an outcome. A new owner after a crash needs up to 10 s to start.
 	lateOutcomeTimeout = 30 * time.Second
 	lateOutcomeRetry   = 50 * time.Millisecond
 )
 
-// reportLateOutcome tells the shard's present owner how a request ended whose key was handed over while it ran; late is nil for
-// other requests. The owner treats the request as running until then, and as of unknown outcome if it is never told.
+// reportLateOutcome tells the present owner of the shard how a request ended whose key was handed over while it ran; late is nil
+// for other requests. It returns once the owner knows, or after lateOutcomeWait, and then goes on in the background. Until the
+// owner is told, the request counts as running there, and in the end as of unknown outcome.
 func (h *Host) reportLateOutcome(id fleet.ShardID, late *idempotency.LateOutcome) {
 	if late == nil {
 		return
@@ -47,6 +48,8 @@
 	}
 }
 
+// sendLateOutcome makes one attempt to tell the owner of the shard, which may be this host again. It returns false if the owner is
+// unknown or did not record the outcome.
 func (h *Host) sendLateOutcome(ctx context.Context, id fleet.ShardID, late idempotency.LateOutcome) bool {
 	if table, ok := h.keyTables.get(id); ok && table.epoch > late.Epoch {
 		return table.AcceptLateOutcome(late)
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -84,7 +84,7 @@
 		retry.Sleep(ctx, pollInterval)
 	}
 	h.invariants.Check(invariant.GracefulStop, h.inFlight.Load() == 0, "requests are in flight after the drain timeout")
-	h.shards.handOver(ctx)
+	h.shards.handOverAll(ctx)
 	g.Shutdown(ctx)
 	h.session.revoke(ctx)
 	h.log.Info("entry host has drained")
--- a/internal/host/move.go
+++ b/internal/host/move.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// successorDelay is how long other hosts leave a released shard to its successor, several times as long as the
-	// successor usually needs to take it.
+	// successorDelay is how long other hosts leave a released shard to its successor. It is several times as long as the
+	// successor usually needs to take the shard.
 	successorDelay = time.Second
 	// moveTimeout bounds the wait for the successor of a shard. Keyed requests of the shard wait meanwhile.
 	moveTimeout = 2 * time.Second
@@ -19,10 +19,10 @@
 	reclaimInterval = 200 * time.Millisecond
 )
 
-// move hands a shard over to another host of the zone while this host goes on serving. Keyed requests that this host runs go
-// on; their keys are handed over as running, and reportLateOutcome tells the successor how they end. Requests with other keys
-// of the shard wait until the successor serves them. If the successor does not take the shard, this host takes it back with
-// all keys. move returns false then.
+// move hands a shard over to another host of the zone while this host goes on serving. The keys of requests that this host still
+// runs are handed over as running, and reportLateOutcome tells the successor how these requests end. Requests with other keys of
+// the shard wait until the successor serves them. If the successor does not take the shard, this host takes it back with all keys,
+// and move returns false.
 func (s *shards) move(ctx context.Context, id fleet.ShardID, to string) bool {
 	s.mu.Lock()
 	o, ok := s.owned[id]
@@ -43,7 +43,7 @@
 		err := s.handOverTo(sendCtx, to, id, epoch, keys)
 		cancel()
 		if err == nil {
-			s.recordMove(id, epoch+1, to)
+			s.recordSuccessor(id, epoch+1, to)
 			return true
 		}
 	}
@@ -89,7 +89,7 @@
 			}
 			continue
 		case rec.Epoch > epoch && rec.Owner != "" && rec.Owner != s.host.id:
-			s.recordMove(id, rec.Epoch, rec.Owner)
+			s.recordSuccessor(id, rec.Epoch, rec.Owner)
 		}
 		s.mu.Lock()
 		delete(s.received, id)
@@ -99,10 +99,11 @@
 	return ""
 }
 
-// recordMove records that another host owns a shard of this host now, so that requests are sent there before its heartbeat.
-func (s *shards) recordMove(id fleet.ShardID, epoch int64, owner string) {
+// recordSuccessor records that another host has taken a shard that this host moved, so that requests are sent there before its
+// first heartbeat says so.
+func (s *shards) recordSuccessor(id fleet.ShardID, epoch int64, owner string) {
 	now := time.Now()
-	s.moves.recordMoved(id, now)
+	s.moves.recordTaken(id, now)
 	s.mu.Lock()
 	isNew := s.lastOwners[id].epoch < epoch
 	if isNew {
@@ -114,7 +115,7 @@
 	}
 }
 
-// startMove moves a shard in the background and makes sure that it is not handed to the same host over and over.
+// startMove moves a shard in the background. If the other host does not take it, recordMissed delays the next move to that host.
 func (s *shards) startMove(id fleet.ShardID, to, reason string) {
 	if !s.moves.begin(id) {
 		return
--- a/internal/host/move_test.go
+++ b/internal/host/move_test.go
@@ -108,7 +108,7 @@
 	mu   sync.Mutex
 	sent []sentRequest
 	stop atomic.Bool
-	// wrong are wrong replies to repeats.
+	// wrong holds the replies to repeats that are neither the response nor say that the request is running.
 	wrong []reply
 }
 
@@ -142,8 +142,7 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// repeat sends a slow request again and again while it runs, and records the replies that are neither its response nor say that
-// it is running.
+// repeat sends a slow request again and again while it runs, and records wrong replies.
 func (k *keyedTraffic) repeat(e *entryHost, key string, done chan struct{}) {
 	for {
 		select {
@@ -186,26 +185,33 @@
 		}
 		return nil
 	})
+	c.checkDoneOnce(traffic, hosts...)
+}
+
+// checkDoneOnce ends the traffic and checks that each request ran once and was answered, and that repeats of it to the hosts get
+// the same answer.
+func (c *cluster) checkDoneOnce(traffic *keyedTraffic, hosts ...*entryHost) {
+	c.t.Helper()
 	sent := traffic.end()
-	assert.Check(t, len(traffic.wrong) == 0, "%+v", traffic.wrong)
+	assert.Check(c.t, len(traffic.wrong) == 0, "%+v", traffic.wrong)
 	slow := 0
 	for i, s := range sent {
-		assert.Check(t, s.reply.outcome == "done" && s.reply.body == s.body, "%+v", s)
+		assert.Check(c.t, s.reply.outcome == "done" && s.reply.body == s.body, "%+v", s)
 		repeat := hosts[i%len(hosts)].post(s.key, s.body)
-		assert.Check(t, repeat.replayed && repeat.body == s.body, "repeat of %+v: %+v", s, repeat)
+		assert.Check(c.t, repeat.replayed && repeat.body == s.body, "repeat of %+v: %+v", s, repeat)
 		if s.body == slowBody {
 			slow++
 		}
 	}
 	runs := c.runs()
 	for _, s := range sent {
-		assert.Check(t, runs[s.key] == 1, "%+v ran %d times", s, runs[s.key])
+		assert.Check(c.t, runs[s.key] == 1, "%+v ran %d times", s, runs[s.key])
 	}
-	t.Logf("%d requests, %d of them slow", len(sent), slow)
+	c.t.Logf("%d requests, %d of them slow", len(sent), slow)
 }
 
 // Guards against a shard that stays without an owner, and against errors for its callers, if the successor does not take it.
-func TestGiverTakesBackShardOfDeadSuccessor(t *testing.T) {
+func TestOwnerTakesBackShardOfDeadSuccessor(t *testing.T) {
 	c, a := newShardedCluster(t, 2)
 	var refused atomic.Int64
 	a.host.SetHandoverSender(func(context.Context, string, peer.Handover) error {
@@ -222,26 +228,18 @@
 		return ownsShards(a, 2)
 	})
 	time.Sleep(slowServiceTime) // for requests that were running in the handover
-	sent := traffic.end()
-	assert.Check(t, len(traffic.wrong) == 0, "%+v", traffic.wrong)
-	runs := c.runs()
-	for _, s := range sent {
-		assert.Check(t, s.reply.outcome == "done" && s.reply.body == s.body, "%+v", s)
-		repeat := a.post(s.key, s.body)
-		assert.Check(t, repeat.replayed, "repeat of %+v: %+v", s, repeat)
-		assert.Check(t, runs[s.key] == 1, "%+v ran %d times", s, runs[s.key])
-	}
+	c.checkDoneOnce(traffic, a)
 	assert.Assert(t, refused.Load() <= 2, "the shard was handed to the same host %d times", refused.Load())
 }
 
-// Guards against a shard that stays without an owner, or gets two, and against requests that run twice, if the giver hangs after it
+// Guards against a shard that stays without an owner, or gets two, and against requests that run twice, if the owner hangs after it
 // has released the shard and goes on once another host owns it.
-func TestShardOfHangingGiverIsTakenOver(t *testing.T) {
+func TestReleasedShardOfHangingOwnerIsTakenOver(t *testing.T) {
 	c, a := newShardedCluster(t, 2)
 	released, resume := make(chan int, 1), make(chan struct{})
 	var once sync.Once
-	goOn := func() { once.Do(func() { close(resume) }) }
-	t.Cleanup(goOn)
+	resumeOwner := func() { once.Do(func() { close(resume) }) }
+	t.Cleanup(resumeOwner)
 	a.host.SetHandoverSender(func(_ context.Context, _ string, m peer.Handover) error {
 		released <- m.Index
 		<-resume
@@ -260,7 +258,7 @@
 		t.Fatal("no shard was handed over")
 	}
 	waitUntil(t, "b owns the shard", func() error { return ownsShards(b, 1) })
-	goOn()
+	resumeOwner()
 	waitUntil(t, "b serves new keys of the shard for callers of a", func() error {
 		k := keyOfShard(index, 2)
 		keys = append(keys, k)
--- a/internal/host/rebalance.go
+++ b/internal/host/rebalance.go
@@ -14,7 +14,7 @@
 // entryHostStrength is the strength of every entry host in decisions on shards, since hosts do not report theirs here.
 const entryHostStrength = 1
 
-// rebalancer remembers since when each host of the zone has been there with the shards that it owns.
+// rebalancer keeps the histories of the zone's entry hosts, by which rebalance leaves hosts alone that come and go.
 type rebalancer struct {
 	histories map[string]election.History
 	mu        sync.Mutex
@@ -26,8 +26,8 @@
 	return &rebalancer{histories: map[string]election.History{}, owned: map[string][]string{}}
 }
 
-// observe updates the histories from the incarnations of the present hosts and the shards that they own, and returns the hosts
-// as members.
+// observe updates the histories from the incarnations and shards of the hosts that are present, and returns these hosts as
+// members.
 func (r *rebalancer) observe(now time.Time, incarnations map[string]string, owned map[string][]string) map[string]election.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,8 +64,8 @@
 	}
 }
 
-// rebalance hands one shard of the zone to a less loaded host of the zone if election.Rebalance decides so. Nothing is handed
-// over while this host may lose its platform lease, or while a shard has no owner that other hosts may be about to take over.
+// rebalance starts to move one shard of the zone to a less loaded host of the zone if election.Rebalance decides so. Nothing is
+// moved while this host may lose its platform lease, or while a shard has no owner, since other hosts may be about to take it.
 func (s *shards) rebalance(now time.Time) {
 	owned := s.ownedByHost(now)
 	incarnations := map[string]string{s.host.id: s.host.incarnation}
@@ -95,7 +95,7 @@
 	return slices.DeleteFunc(s.host.mesh.Zone(s.host.zone), func(p peer.Status) bool { return s.host.isPeerDraining(p.Host) })
 }
 
-// ownedByHost returns the shards of each host, sorted, from its heartbeats.
+// ownedByHost returns the shards of each host, sorted: those of this host, and what the heartbeats of its peers say.
 func (s *shards) ownedByHost(now time.Time) map[string][]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/host/shardcounts_test.go
+++ b/internal/host/shardcounts_test.go
@@ -1,10 +1,8 @@
 package host_test
 
 import (
-	"io"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fake"
@@ -20,21 +18,18 @@
 	url, err := p.Start()
 	assert.NilError(t, err)
 	t.Cleanup(p.Stop)
-	newHost := func(zone string, shards int) *host.Host {
-		s := settings.Default()
-		s.Host, s.Zone, s.ZoneSettings.Shards = "host-"+zone, zone, shards
-		s.Platform.Endpoints = []string{url}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		h, err := host.New(s, host.WithLog(log))
-		assert.NilError(t, err)
+	hostOf := func(zone string, shards int) *host.Host {
+		h := newHost(t, func(s *settings.Settings) {
+			s.Host, s.Zone, s.ZoneSettings.Shards = "host-"+zone, zone, shards
+			s.Platform.Endpoints = []string{url}
+		})
 		h.SetHostList(
 			fleet.Host{ID: "host-y", Kind: fleet.KindEntryHost, Zone: "y"},
 			fleet.Host{ID: "host-z", Kind: fleet.KindEntryHost, Zone: "z"},
 		)
 		return h
 	}
-	y, z := newHost("y", 1), newHost("z", 3)
+	y, z := hostOf("y", 1), hostOf("z", 3)
 	assert.NilError(t, y.LoadShardCounts(t.Context()))
 	assert.NilError(t, z.LoadShardCounts(t.Context()))
 	assert.Equal(t, z.ShardCount("y"), 1)
--- a/internal/host/shardmoves.go
+++ b/internal/host/shardmoves.go
@@ -9,21 +9,21 @@
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
-// shardMoves tracks the shards that this host hands over while it goes on serving.
+// shardMoves tracks moves: handovers of shards while this host goes on serving.
 type shardMoves struct {
 	active   map[fleet.ShardID]bool
 	isClosed bool // no further move may begin
-	// movedAt is when a successor has taken each shard.
-	movedAt map[fleet.ShardID]time.Time
+	// takenAt is when another host took each shard that was moved.
+	takenAt map[fleet.ShardID]time.Time
 	mu      sync.Mutex
 }
 
 func newShardMoves() *shardMoves {
-	return &shardMoves{active: map[fleet.ShardID]bool{}, movedAt: map[fleet.ShardID]time.Time{}}
+	return &shardMoves{active: map[fleet.ShardID]bool{}, takenAt: map[fleet.ShardID]time.Time{}}
 }
 
-// begin marks a shard as being moved. It returns false if a shard is already, since one move at a time lets the other hosts
-// decide on what they see, or if no move may begin.
+// begin marks a shard as being moved. It returns false if a move is under way, since the other hosts see its result only when it
+// has ended, or if no further move may begin.
 func (m *shardMoves) begin(id fleet.ShardID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -62,16 +62,16 @@
 	return len(m.active) > 0
 }
 
-func (m *shardMoves) recordMoved(id fleet.ShardID, now time.Time) {
+func (m *shardMoves) recordTaken(id fleet.ShardID, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.movedAt[id] = now
+	m.takenAt[id] = now
 }
 
-// isRecent reports whether the shard was moved so recently that another host may still take this one for its owner.
-func (m *shardMoves) isRecent(id fleet.ShardID, now time.Time) bool {
+// wasTakenRecently reports whether another host took the shard so recently that hosts may still send requests for it here.
+func (m *shardMoves) wasTakenRecently(id fleet.ShardID, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at, ok := m.movedAt[id]
+	at, ok := m.takenAt[id]
 	return ok && now.Sub(at) < ownerValidity
 }
--- a/internal/host/shards.go
+++ b/internal/host/shards.go
@@ -53,8 +53,8 @@
 	// lastOwners is the last reported owner of each shard.
 	lastOwners map[fleet.ShardID]ownerInfo
 	moves      *shardMoves
-	// parts is the key tables of which the last part has not been received.
-	parts      map[fleet.ShardID]receivedKeys
+	// partial is the key tables of which the last part has not been received.
+	partial    map[fleet.ShardID]receivedKeys
 	rebalancer *rebalancer
 	// requestHandover sends one handover message to an entry host and waits for its reply.
 	requestHandover func(ctx context.Context, to string, m peer.Handover) error
@@ -72,7 +72,7 @@
 	owner *shardOwner
 }
 
-// receivedKeys is the key table that the owner of an epoch handed over, in one or more parts.
+// receivedKeys is the key table that the owner of an epoch handed over, with the number of parts received so far.
 type receivedKeys struct {
 	epoch int64
 	keys  keyTransfer
@@ -96,7 +96,7 @@
 		owned:       map[fleet.ShardID]*ownedShard{},
 		lastOwners:  map[fleet.ShardID]ownerInfo{},
 		moves:       newShardMoves(),
-		parts:       map[fleet.ShardID]receivedKeys{},
+		partial:     map[fleet.ShardID]receivedKeys{},
 		rebalancer:  newRebalancer(),
 		requestHandover: func(ctx context.Context, to string, m peer.Handover) error {
 			_, err := h.mesh.Request(ctx, to, peer.Message{Handover: &m})
@@ -333,7 +333,7 @@
 		}
 		s.mu.Unlock()
 		if !s.host.isDraining() && (o.err != nil || !s.moves.isActive(id)) {
-			s.host.keyTables.remove(id, epoch) // in a handover, the table is removed once it was passed on
+			s.host.keyTables.remove(id, epoch) // a handover needs the table until its keys are handed over
 		}
 		if o.err != nil && !errors.Is(o.err, context.Canceled) {
 			s.host.decisions.Add(explain.Decision{
--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -41,8 +41,8 @@
 	return t.handOver(maxBytes, 0, time.Time{})
 }
 
-// HandOverWhileServing is like HandOver, except that the requests which this owner, with the given epoch, still runs are handed
-// over as running. They end by runningUntil; Finish and Release return the outcomes to report to the next owner.
+// HandOverWhileServing is like HandOver, except that requests which still run are handed over as running: those of this owner
+// under its epoch and until runningUntil at the latest. Finish and Release return their outcomes, to be reported to the next owner.
 func (t *Table) HandOverWhileServing(
 	maxBytes int, epoch int64, runningUntil time.Time,
 ) (handed []HandoverEntry, completeSince time.Time) {
@@ -74,12 +74,12 @@
 	return out, t.completeSince()
 }
 
-// CanHandOver reports whether the table may be handed over. It can't before it is known from when the table is complete: an
-// earlier owner may have claimed any key that is not in it.
+// CanHandOver reports whether the table may be handed over. It may not before the time is known from which the table is complete,
+// since an earlier owner may have claimed any key that is missing.
 func (t *Table) CanHandOver() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.inheritedCompleteSince != nil || !t.lease.servesFrom.IsZero()
+	return !t.lease.servesFrom.IsZero()
 }
 
 // IsClosed reports whether Close or HandOver has closed the table.
--- a/internal/idempotency/handover_test.go
+++ b/internal/idempotency/handover_test.go
@@ -11,8 +11,14 @@
 )
 
 // successor returns the table of the owner to which t is handed over at t0.
-func successor(t *idempotency.Table) *idempotency.Table {
-	handed, since := t.HandOver(1 << 20)
+func successor(t *idempotency.Table) *idempotency.Table { return successorWith(t.HandOver(1 << 20)) }
+
+// successorOfServing returns the table of the owner to which t, of an owner with the given epoch, is handed over while it serves.
+func successorOfServing(t *idempotency.Table, epoch int64) *idempotency.Table {
+	return successorWith(t.HandOverWhileServing(1<<20, epoch, t0.Add(time.Minute)))
+}
+
+func successorWith(handed []idempotency.HandoverEntry, since time.Time) *idempotency.Table {
 	next := idempotency.NewTable(idempotency.DefaultLimits())
 	next.SetWorkers([]string{"w1", "w2", "w3"})
 	next.AcceptHandover(t0, handed, since)
@@ -57,16 +63,6 @@
 	assert.Assert(t, first.CanHandOver(), "the first owner of a shard has a complete table")
 }
 
-// passOn returns the table of the next owner, to which t with the given epoch is handed over while it serves.
-func passOn(t *idempotency.Table, epoch int64) *idempotency.Table {
-	handed, since := t.HandOverWhileServing(1<<20, epoch, t0.Add(time.Minute))
-	next := idempotency.NewTable(idempotency.DefaultLimits())
-	next.SetWorkers([]string{"w1", "w2", "w3"})
-	next.AcceptHandover(t0, handed, since)
-	heartbeat(next, t0, "w1", "w2")
-	return next
-}
-
 // Guards against running a request again, and against losing its answer, if its key is handed over while it runs.
 func TestKeyHandedOverWhileRunning(t *testing.T) {
 	done, refused, silent := keyAt(t0, 1), keyAt(t0, 2), keyAt(t0, 3)
@@ -74,9 +70,9 @@
 	for _, k := range []idempotency.Key{done, refused, silent} {
 		assert.Equal(t, verdict(old, t0, k), idempotency.VerdictProceed)
 	}
-	next := passOn(old, 4)
+	next := successorOfServing(old, 4)
 	assert.Equal(t, next.Close(), 0, "a drain waits for requests that another host runs")
-	next = passOn(next, 5)
+	next = successorOfServing(next, 5)
 	for _, k := range []idempotency.Key{done, refused, silent} {
 		assert.Equal(t, verdict(old, t0, k), idempotency.VerdictHandingOver)
 		assert.Equal(t, verdict(next, t0, k), idempotency.VerdictRunning)
@@ -97,13 +93,13 @@
 	k := keyAt(t0, 1)
 	first := serving(idempotency.DefaultLimits())
 	assert.Equal(t, verdict(first, t0, k), idempotency.VerdictProceed)
-	second := passOn(first, 4)
+	second := successorOfServing(first, 4)
 	late := first.Release(k)
 	assert.Assert(t, second.AcceptLateOutcome(*late))
 	assert.Equal(t, verdict(second, t0, k), idempotency.VerdictProceed)
 	assert.Assert(t, second.AcceptLateOutcome(*late))
 	assert.Equal(t, verdict(second, t0, k), idempotency.VerdictRunning)
-	third := passOn(second, 5)
+	third := successorOfServing(second, 5)
 	assert.Assert(t, !second.AcceptLateOutcome(*late), "the third owner has to be told")
 	assert.Assert(t, third.AcceptLateOutcome(*late))
 	assert.Equal(t, verdict(third, t0, k), idempotency.VerdictRunning)
--- a/internal/idempotency/lateoutcome.go
+++ b/internal/idempotency/lateoutcome.go
@@ -4,8 +4,8 @@
 
 // LateOutcome is how a request ended whose key was handed over while it ran.
 type LateOutcome struct {
-	// Epoch is that of the owner that ran the request. It tells the request from a later one with the same key, which another
-	// owner may have run after the first was refused.
+	// Epoch is that of the owner that ran the request. It distinguishes the request from a later one with the same key, which
+	// another owner may run after the first was refused.
 	Epoch int64  `json:"epoch"`
 	Key   string `json:"key"`
 	// Outcome is empty if the request was not run.
@@ -43,7 +43,7 @@
 	return &LateOutcome{Epoch: t.handedOverUnder, Key: e.key, Outcome: e.outcome, Response: e.response}
 }
 
-// expireRunning gives a request that an earlier owner ran an unknown outcome if that owner can report none any more.
+// expireRunning sets the outcome of a request that an earlier owner ran to unknown once that owner can no longer report it.
 func (e *entry) expireRunning(now time.Time) {
 	if e.outcome == "" && e.runningUnder != 0 && !now.Before(e.runningUntil) {
 		e.outcome = OutcomeUnknown
