Share the peers and hosts of entry tests, and say how withTimeout ends

Cause: Three tests of internal/entry built a silent logger and two a peer that answers requests. isHostCountStable changed state under the name of a question, and comments on withTimeout, loads of silent owners and markDraining had to be read twice.

Change: newHost, startPeer and discardingLogger are in fixture_test.go; observeHostCount is named for what it does. withTimeout says that its context reports no deadline, and why a pause of the host uses up one wait only.

Result: Behaviour is unchanged. The tests of the package pass under the race detector.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -19,8 +19,8 @@
 	loadTimeout = 60 * time.Millisecond
 	// maxLoadAge is how long a reported load is reused: about the time until a new job shows in the load that the owner reports.
 	maxLoadAge = 50 * time.Millisecond
-	// maxUnansweredLoadAge is how long a reported load stands in for the answer of an owner that does not answer. It bridges a
-	// lost packet. An owner that is late for longer may have filled up since, so it counts as unsuitable.
+	// maxUnansweredLoadAge is how long a reported load is used while the owner does not answer, which allows for a lost packet. An
+	// owner that is silent for longer is probably overloaded, so its shard counts as full.
 	maxUnansweredLoadAge = 500 * time.Millisecond
 )
 
@@ -69,8 +69,8 @@
 	return candidates[best], true
 }
 
-// shardLoad returns a shard's load. It returns the last one reported if that is younger than maxLoadAge, or younger than
-// maxUnansweredLoadAge and the owner does not answer. Without a load the shard has no room.
+// shardLoad returns a shard's load: the last one reported if that is younger than maxLoadAge, else the owner's answer. If the owner
+// does not answer, it is the last one reported if that is younger than maxUnansweredLoadAge, else a load without room.
 func (h *Host) shardLoad(ctx context.Context, k loadKey) cachedLoad {
 	if l, ok := h.ownedShards.serviceLoad(k.shard, k.service); ok {
 		return cachedLoad{receivedAt: time.Now(), Load: l}
--- a/internal/entry/choose_test.go
+++ b/internal/entry/choose_test.go
@@ -1,15 +1,10 @@
 package entry_test
 
 import (
-	"context"
-	"io"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
@@ -18,21 +13,17 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Guards against jobs for an owner that is too late to answer, because the load that it reported before was low.
+// Guards against jobs that go to an owner that no longer answers, because the load that it reported before was low.
 func TestLateOwnerDoesNotLookEmpty(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var late atomic.Bool
 	end := make(chan struct{})
 	owner := func(free int64, isLate func() bool) string {
-		server := httptest.NewServer(peer.NewPool(logrus.NewEntry(log), func(context.Context, peer.Message) (peer.Message, error) {
+		return startPeer(t, func() peer.Message {
 			if isLate() {
 				<-end
 			}
-			return peer.Message{LoadReply: &peer.LoadReply{Free: free, Known: true, Room: 1000}}, nil
-		}))
-		t.Cleanup(server.Close)
-		return strings.TrimPrefix(server.URL, "http://")
+			return peer.Message{LoadReply: &peer.LoadReply{Free: free, Known: true, Room: 1000}}
+		})
 	}
 	h := newHost(1, kvstore.Store{})
 	h.SetOwners(owner(900, late.Load), owner(100, func() bool { return false }))
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -26,7 +26,7 @@
 // createLayout decides the number of shards once the numbers of hosts and of registered workers are stable. The first host to
 // write the layout wins.
 func (h *Host) createLayout(ctx context.Context) {
-	if !h.isHostCountStable() {
+	if !h.observeHostCount() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -48,9 +48,9 @@
 		Info("tried to write the initial layout")
 }
 
-// isHostCountStable reports whether the number of live hosts has not changed for layoutDelay, or maxLayoutDelay has passed since
-// this host was created. Only election rounds call it.
-func (h *Host) isHostCountStable() bool {
+// observeHostCount returns whether the layout may be written: in the calls during the last layoutDelay the number of live hosts was
+// the same, or maxLayoutDelay has passed since this host was created. Only election rounds call it, so it needs no lock.
+func (h *Host) observeHostCount() bool {
 	if n := len(h.directory.strengths(h.self)); n != h.hostCount {
 		h.hostCount, h.hostCountSince = n, time.Now()
 	}
@@ -79,9 +79,9 @@
 	return w.Rack
 }
 
-// followLayout passes the shard's workers to the owner again after each change of the layout: workers whose registry entry
-// stays as it is cause no event. While a rack has no shard it also tries again every layoutRetryDelay, since a write of the
-// layout may have failed.
+// followLayout passes the shard's workers to the owner again after each change of the layout, since workers whose registry entry
+// does not change cause no event. While the layout does not assign the rack of a worker, it also does so every layoutRetryDelay,
+// since a write of the layout may have failed.
 func (r *runner) followLayout() {
 	for r.ctx.Err() == nil {
 		changed := r.host.directory.nextChange()
@@ -93,16 +93,16 @@
 			r.updateWorkers()
 			continue
 		}
-		retryDelay := time.NewTimer(layoutRetryDelay)
+		retryTimer := time.NewTimer(layoutRetryDelay)
 		select {
 		case <-r.ctx.Done():
 		case <-changed:
-		case <-retryDelay.C:
+		case <-retryTimer.C:
 			if unassigned {
 				r.updateWorkers()
 			}
 		}
-		retryDelay.Stop()
+		retryTimer.Stop()
 	}
 }
 
--- a/internal/entry/layout_test.go
+++ b/internal/entry/layout_test.go
@@ -2,21 +2,18 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
-	"github.com/laburnumridge/laburnumridge/internal/settings"
 )
 
-// Guards against a number of shards that follows from the few hosts that start first. It never changes afterwards, so that a
-// fleet is split by the strength of its weakest hosts, or into shards that no other host is able to own.
+// Guards against a number of shards that is derived from the few hosts that start first. It never changes afterwards, so shards
+// would be as small as the weakest hosts need them, or too large for hosts that start later.
 func TestLayoutWaitsForHostsThatStart(t *testing.T) {
 	strengths := []float64{0.05, 0.05, 1, 1, 1}
 	for name, tc := range map[string]struct {
@@ -51,12 +48,3 @@
 		})
 	}
 }
-
-// newHost returns a host that is not started, with the given strength and store.
-func newHost(strength float64, store kvstore.Store) *entry.Host {
-	s := settings.Default()
-	s.Host, s.Zone, s.Platform.Strength = "self", "z", strength
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return entry.New(s, entry.Platform{Store: store}, log)
-}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -157,14 +157,14 @@
 	shard int
 }
 
-// pendingCall is a count that is under way. count or err is set before done is closed.
+// pendingCall is a count of pending jobs that is under way. count or err is set before done is closed.
 type pendingCall struct {
 	count int
 	done  chan struct{}
 	err   error
 }
 
-// pendingCache caches the numbers of pending jobs in shards that this host does not own.
+// pendingCache holds the numbers of pending jobs in shards that this host does not own, and the counts that are under way.
 type pendingCache struct {
 	calls  map[pendingKey]*pendingCall
 	counts map[pendingKey]pendingCount
@@ -175,8 +175,8 @@
 	return &pendingCache{calls: map[pendingKey]*pendingCall{}, counts: map[pendingKey]pendingCount{}}
 }
 
-// Pending returns the number of a queue's jobs that have not started, over all shards. All owners are asked at once, so that
-// the answer takes as long as the slowest of them and not as long as all together.
+// Pending returns the number of a queue's jobs that have not started, over all shards. All owners are asked at once, so the answer
+// takes as long as that of the slowest owner.
 func (h *Host) Pending(ctx context.Context, q workflow.Queue) Answer {
 	counts := make([]int, h.directory.shardCount())
 	errs := make([]error, len(counts))
--- a/internal/entry/query_test.go
+++ b/internal/entry/query_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
@@ -26,18 +22,13 @@
 	const owners = 3
 	var asked sync.WaitGroup
 	asked.Add(owners)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var addresses []string
 	for range owners {
-		server := httptest.NewServer(peer.NewPool(logrus.NewEntry(log),
-			func(context.Context, peer.Message) (peer.Message, error) {
-				asked.Done()
-				asked.Wait()
-				return peer.Message{PendingReply: &peer.PendingReply{Count: 1, Known: true}}, nil
-			}))
-		defer server.Close()
-		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		addresses = append(addresses, startPeer(t, func() peer.Message {
+			asked.Done()
+			asked.Wait()
+			return peer.Message{PendingReply: &peer.PendingReply{Count: 1, Known: true}}
+		}))
 	}
 	h := newHost(1, kvstore.Store{
 		Range: func(context.Context, string) ([]kvstore.KV, int64, error) { return nil, 0, kvstore.ErrUnavailable },
@@ -48,8 +39,8 @@
 	assert.Equal(t, a.Pending, owners)
 }
 
-// Guards against callers that ask for pending jobs at the same time and each make the store read all records of a shard, most of
-// all while its owner does not answer: reads then become slower, and more callers wait at once.
+// Guards against a count of pending jobs for each caller while the owner of a shard does not answer. Each count reads all records
+// of the shard, and reads become slower the more callers count at once.
 func TestCallersShareCountOfPendingJobs(t *testing.T) {
 	for name, err := range map[string]error{"counted": nil, "store fails": kvstore.ErrUnavailable} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// markDraining marks the host's record as draining, so that other hosts stop choosing this one. It makes one attempt, so that a lost
-// response does not take the time of the drain.
+// markDraining marks the host's record as draining, so that other hosts stop choosing this one. It makes one attempt only, since
+// repeated ones would take the time that the drain needs.
 func (s *session) markDraining(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
--- a/internal/entry/timeout.go
+++ b/internal/entry/timeout.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// The last part of a timeout is made of timeoutTicks waits of timeoutTick each.
+// The last part of a timeout consists of timeoutTicks waits of timeoutTick each.
 const (
 	timeoutTick  = 20 * time.Millisecond
 	timeoutTicks = 10
 )
 
-// withTimeout returns a context for a call to another machine. It ends after a timeout of at least timeoutTicks * timeoutTick, and
-// later if this host is late: after a pause or in overload, all timers that have expired meanwhile fire before an answer is read
-// that has long been received. A repeated call would then only add load. As the end of the timeout is made of short waits,
-// each of which starts when the one before has fired, the time that the host was away counts once, and its lag with each of
-// them.
+// withTimeout returns a context for a call to the store or a worker. It ends after the timeout, which must be at least timeoutTicks
+// times timeoutTick, and later if this host lacks processor time: when a host runs again after a pause, expired timers fire before
+// it reads the answers that have arrived meanwhile, and a call that was answered would be repeated. Each wait of the last part
+// starts when the one before has fired, so a pause uses up one wait only, and late timers prolong each wait. The context reports
+// no deadline.
 func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var tick func(left int)
