Wait only for the commit in flight when a shard is handed over

A handover waited until all changes were recorded, 0.8 s at most. An owner with a backlog always has unrecorded changes, so each of its handovers took the full wait, and it went on placing tasks and adding to the backlog meanwhile.

From the decision on the owner plans no starts and begins no commit; the handover waits for the commit in flight, 0.5 s at most. The next owner learns of unrecorded changes from the workers, as after a crash. Since a handover that has begun always ends the ownership, there is no way back.

--- a/internal/election/rebalance.go
+++ b/internal/election/rebalance.go
@@ -16,7 +16,7 @@
 	// maxRejoins bounds how often the stable time doubles for a host that keeps coming and going: up to 24 s.
 	maxRejoins = 4
 	// turnTime is how long an owner waits for each more loaded owner if there is no host for each of them. A handover takes up to
-	// 0.8 s until others see it, and owners that decide on the same view would choose the same host.
+	// 0.8 s until others see it, 0.5 s of it for the commit in flight, and owners that decide on the same view would choose the same host.
 	turnTime = time.Second
 )
 
--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -51,8 +51,9 @@
 	return layoutKey, workflow.Encode(layout{Shards: shards, Racks: racks})
 }
 
-// Prefixes of the keys of owners and successors.
+// Prefixes of the keys of jobs, owners and successors.
 const (
+	JobPrefix       = jobPrefix
 	OwnerPrefix     = ownerPrefix
 	SuccessorPrefix = successorPrefix
 )
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -14,9 +14,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// commitWaitTimeout bounds the wait for pending commits when a shard is handed over. The next owner learns of later changes
-// from the workers, as after a crash.
-const commitWaitTimeout = 800 * time.Millisecond
+// commitWaitTimeout bounds the wait for the commit in flight when a shard is handed over: two transactions of a store that answers
+// in 200 ms, fifty times its usual latency. The next owner learns of other changes from the workers, as after a crash.
+const commitWaitTimeout = 500 * time.Millisecond
 
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
@@ -87,13 +87,28 @@
 	return revision <= h.revisions[shard]
 }
 
-// giveUp stops the runner of a shard once its pending commits are done or commitWaitTimeout has passed, then deletes the owner
+// beginHandover keeps the owner from planning starts and beginning commits, and waits until the commit in flight is done or ctx
+// ends.
+func (r *runner) beginHandover(ctx context.Context) {
+	r.updateOwner(func(time.Time) { r.owner.BeginHandover() })
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		isCommitting := r.owner.IsCommitting()
+		r.mu.Unlock()
+		if !isCommitting {
+			return
+		}
+		retry.Sleep(ctx, minStepInterval)
+	}
+}
+
+// giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
 // key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
 // processor time would not get the deletion done beside its other work, and would keep the shard because of its load. It
 // retries until the key is deleted, the lease of the key has ended or ctx ends; only then does it return an error.
 func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord, reason string) error {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
-	r.waitForCommits(waitCtx)
+	r.beginHandover(waitCtx)
 	cancelWait()
 	revision := r.ownerRevision()
 	o.handovers.recordGivenUp(r.shard, revision)
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -84,7 +84,8 @@
 
 // callStore makes a call to the store, which gets no answer while the store is down or this host is cut off.
 func (h *simulatedHost) callStore(ctx context.Context, onSilence error, call func() error) error {
-	sleep(ctx, storeLatency/2+time.Duration(h.fleet.int(int(storeLatency/2))))
+	latency := h.fleet.storeLatency
+	sleep(ctx, latency/2+time.Duration(h.fleet.int(int(latency/2))))
 	if ctx.Err() != nil {
 		return onSilence
 	}
@@ -93,7 +94,7 @@
 		return onSilence
 	}
 	err := call()
-	sleep(ctx, storeLatency/2)
+	sleep(ctx, latency/2)
 	if ctx.Err() != nil || h.isCut.Load() {
 		return onSilence
 	}
@@ -105,13 +106,18 @@
 	callCost time.Duration
 	hosts    map[string]*simulatedHost
 	log      io.Writer
-	mu       sync.Mutex
-	random   *rand.Rand
-	shards   int
-	store    *memoryStore
-	t        *testing.T
-	tasks    *taskLog
-	workers  map[string]*simulatedWorker
+	// logHook, if set, receives the log entries of the hosts that are started.
+	logHook logrus.Hook
+	mu      sync.Mutex
+	random  *rand.Rand
+	shards  int
+	// stopLoad ends the load of short jobs.
+	stopLoad     context.CancelFunc
+	store        *memoryStore
+	storeLatency time.Duration
+	t            *testing.T
+	tasks        *taskLog
+	workers      map[string]*simulatedWorker
 }
 
 // newSimulatedFleet returns a fleet without hosts, whose shards have the same number of workers each.
@@ -119,7 +125,7 @@
 	f := &simulatedFleet{
 		callCost: callCost * modelledWorkers / time.Duration(workersPerShard),
 		hosts:    map[string]*simulatedHost{}, log: io.Discard, random: rand.New(rand.NewPCG(seed, 1)), shards: shards,
-		store: newMemoryStore(), t: t, tasks: newTaskLog(), workers: map[string]*simulatedWorker{},
+		store: newMemoryStore(), storeLatency: storeLatency, t: t, tasks: newTaskLog(), workers: map[string]*simulatedWorker{},
 	}
 	racks := map[string]int{}
 	for n := range shards {
@@ -187,6 +193,9 @@
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
+	if f.logHook != nil {
+		log.AddHook(f.logHook)
+	}
 	h.daemon = entry.NewInVirtualTime(s, f.platform(h), log)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	h.cancel = cancel
@@ -300,93 +309,3 @@
 		sleep(ctx, time.Second/time.Duration(jobsPerSecond*f.shards))
 	}
 }
-
-// taskLog records the starts and ends of tasks on all workers.
-type taskLog struct {
-	// failAfter returns how long a run of a long-running task lasts until it fails; 0 means that it does not fail.
-	failAfter func() time.Duration
-	// idleSince is when the last run of each expected task ended that does not run.
-	idleSince map[string]time.Time
-	calmSince time.Time
-	// expected holds the accepted long-running jobs.
-	expected map[string]bool
-	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
-	longest   time.Duration
-	longestOf string
-	mu        sync.Mutex
-	running   map[string]string
-	// twice describes the tasks that ran on two workers at the same time.
-	twice []string
-}
-
-func newTaskLog() *taskLog {
-	return &taskLog{
-		expected: map[string]bool{}, failAfter: func() time.Duration { return 0 },
-		idleSince: map[string]time.Time{}, running: map[string]string{},
-	}
-}
-
-func (l *taskLog) expect(job string, tasks int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expected[job] = true
-	for i := range tasks {
-		l.idleSince[workflow.TaskKey{Index: i}.Name(job)] = time.Now()
-	}
-}
-
-func (l *taskLog) started(worker string, s shard.Start) (time.Duration, shard.EndCause) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	name := s.Key.Name(s.Job)
-	if other, ok := l.running[name]; ok {
-		l.twice = append(l.twice, fmt.Sprintf("%s runs on %s and %s", name, other, worker))
-	}
-	l.running[name] = worker
-	if since, ok := l.idleSince[name]; ok {
-		l.note(name, since)
-		delete(l.idleSince, name)
-	}
-	if l.expected[s.Job] {
-		return l.failAfter(), shard.EndFailed
-	}
-	return shortTaskDuration, shard.EndDone
-}
-
-func (l *taskLog) ended(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.running, name)
-	if job, _, _ := strings.Cut(name, "."); l.expected[job] {
-		l.idleSince[name] = time.Now()
-	}
-}
-
-// note records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
-// calm. The caller holds l.mu.
-func (l *taskLog) note(name string, since time.Time) {
-	from := since.Add(restartGrace)
-	if calm := l.calmSince.Add(contactTime); from.Before(calm) {
-		from = calm
-	}
-	if d := time.Since(from); d > l.longest {
-		l.longest, l.longestOf = d, name
-	}
-}
-
-// calm begins a calm span.
-func (l *taskLog) calm() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.calmSince, l.longest = time.Now(), -time.Hour
-}
-
-// longestCounted returns the longest time that a task had nothing running in the calm span, as the rule counts it, and the task.
-func (l *taskLog) longestCounted() (time.Duration, string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, since := range l.idleSince {
-		l.note(name, since)
-	}
-	return l.longest, l.longestOf
-}
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -27,10 +27,11 @@
 		f := newSimulatedFleet(t, seed, shards, simulatedWorkers)
 		f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
 		f.addLongRunning(20)
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx, stopLoad := context.WithCancel(t.Context())
+		f.stopLoad = stopLoad
 		go f.runLoad(ctx, 8, 10)
 		scenario(f)
-		cancel()
+		stopLoad()
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
 		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
--- /dev/null
+++ b/internal/entry/tasklog_test.go
@@ -0,0 +1,101 @@
+package entry_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// taskLog records the starts and ends of tasks on all workers.
+type taskLog struct {
+	// failAfter returns how long a run of a long-running task lasts until it fails; 0 means that it does not fail.
+	failAfter func() time.Duration
+	// idleSince is when the last run of each expected task ended that does not run.
+	idleSince map[string]time.Time
+	calmSince time.Time
+	// expected holds the accepted long-running jobs.
+	expected map[string]bool
+	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
+	longest   time.Duration
+	longestOf string
+	mu        sync.Mutex
+	running   map[string]string
+	// twice describes the tasks that ran on two workers at the same time.
+	twice []string
+}
+
+func newTaskLog() *taskLog {
+	return &taskLog{
+		expected: map[string]bool{}, failAfter: func() time.Duration { return 0 },
+		idleSince: map[string]time.Time{}, running: map[string]string{},
+	}
+}
+
+func (l *taskLog) expect(job string, tasks int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected[job] = true
+	for i := range tasks {
+		l.idleSince[workflow.TaskKey{Index: i}.Name(job)] = time.Now()
+	}
+}
+
+func (l *taskLog) started(worker string, s shard.Start) (time.Duration, shard.EndCause) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := s.Key.Name(s.Job)
+	if other, ok := l.running[name]; ok {
+		l.twice = append(l.twice, fmt.Sprintf("%s runs on %s and %s", name, other, worker))
+	}
+	l.running[name] = worker
+	if since, ok := l.idleSince[name]; ok {
+		l.note(name, since)
+		delete(l.idleSince, name)
+	}
+	if l.expected[s.Job] {
+		return l.failAfter(), shard.EndFailed
+	}
+	return shortTaskDuration, shard.EndDone
+}
+
+func (l *taskLog) ended(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.running, name)
+	if job, _, _ := strings.Cut(name, "."); l.expected[job] {
+		l.idleSince[name] = time.Now()
+	}
+}
+
+// note records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
+// calm. The caller holds l.mu.
+func (l *taskLog) note(name string, since time.Time) {
+	from := since.Add(restartGrace)
+	if calm := l.calmSince.Add(contactTime); from.Before(calm) {
+		from = calm
+	}
+	if d := time.Since(from); d > l.longest {
+		l.longest, l.longestOf = d, name
+	}
+}
+
+// calm begins a calm span.
+func (l *taskLog) calm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calmSince, l.longest = time.Now(), -time.Hour
+}
+
+// longestCounted returns the longest time that a task had nothing running in the calm span, as the rule counts it, and the task.
+func (l *taskLog) longestCounted() (time.Duration, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, since := range l.idleSince {
+		l.note(name, since)
+	}
+	return l.longest, l.longestOf
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -26,7 +26,9 @@
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated.
 	evaluatedPairs int
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
-	heldWorkers     int
+	heldWorkers int
+	// isHandingOver is set once the shard is handed over to another owner.
+	isHandingOver   bool
 	jobs            map[string]*job
 	lastCommit      time.Time
 	lastPlace       time.Time
@@ -203,9 +205,11 @@
 	o.openOccurrences(now, &a)
 	o.expireLeases(now, &a)
 	o.stopOnDrainingWorkers(now, &a)
-	o.replaceOverdue(now)
-	o.place(now, &a)
-	a.Commit = o.nextCommit(now, &a)
+	if !o.isHandingOver {
+		o.replaceOverdue(now)
+		o.place(now, &a)
+		a.Commit = o.nextCommit(now, &a)
+	}
 	o.dueOrders(now, &a)
 	o.duePolls(now, &a)
 	a.Paces, o.paceOrders = o.paceOrders, nil
@@ -310,9 +314,6 @@
 	}).Info("stopping run")
 }
 
-// AllRecorded reports whether all changes are recorded.
-func (o *Owner) AllRecorded() bool { return o.committing == nil && len(o.dirty) == 0 }
-
 // IsCurrent reports whether an order carries the current token of its worker.
 func (o *Owner) IsCurrent(order Order) bool {
 	w := o.workers[order.Worker]
