Count a missed handover whatever the order of the events of a revision

Cause: a taker writes owner key and epoch key in one transaction. The directory counted a miss of the successor when it saw the owner key, but only while the record of the successor was newer than the epoch key. If the event of the epoch key came first, no miss was counted, and the shard was handed over again and again to a host that does not take it. Change: the first write of an owner key after a handover decides, without regard to the epoch; the successor is then forgotten, so that later owners count no miss.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -65,7 +65,7 @@
 	mu     sync.Mutex
 	now    func() time.Time
 	owners map[int]ownerRecord
-	// successors holds the hosts to which owners have handed shards over, by shard.
+	// successors holds the hosts to which owners have handed shards over, by shard, until the next owner is seen.
 	successors map[int]ownerRecord
 }
 
@@ -84,6 +84,7 @@
 		for _, kv := range kvs {
 			d.put(kv)
 		}
+		maps.DeleteFunc(d.successors, func(n int, s ownerRecord) bool { return s.revision <= d.epochs[n] })
 		d.loaded = true
 		d.mu.Unlock()
 		d.notifyWatchers()
@@ -93,6 +94,7 @@
 			if ev.Deleted {
 				d.remove(ev.KV.Key)
 			} else {
+				d.recordMissedHandover(ev.KV)
 				d.put(ev.KV)
 			}
 		}
@@ -145,9 +147,6 @@
 		if old := d.owners[n]; old.Incarnation != h.Incarnation {
 			d.recordOwnershipChange(old.Host)
 			d.recordOwnershipChange(h.Host)
-			if successor, ok := d.successor(n); ok && successor.Incarnation != h.Incarnation {
-				d.histories[successor.Host] = d.histories[successor.Host].WithMissedHandover(d.now())
-			}
 			d.log.WithFields(logrus.Fields{
 				"decision": "owner_seen", "shard": n, "owner": h.Host, "before": old.Host, "revision": kv.ModRevision,
 			}).Info("shard has a new owner")
@@ -168,6 +167,25 @@
 	}
 }
 
+// recordMissedHandover notes that a host did not take a shard that was handed over to it if the event is the write of an owner key
+// by another host. The first owner after the handover decides. Epochs are not compared, since the events of the transaction that
+// writes owner key and epoch key come in any order. The caller holds d.mu.
+func (d *directory) recordMissedHandover(kv kvstore.KV) {
+	n, ok := parseShardKey(kv.Key, ownerPrefix)
+	if !ok || !strings.HasPrefix(kv.Key, ownerPrefix) {
+		return
+	}
+	s, ok := d.successors[n]
+	h, err := workflow.Decode[hostRecord](kv.Value)
+	if !ok || err != nil || kv.ModRevision <= s.revision {
+		return
+	}
+	delete(d.successors, n)
+	if _, ok := d.activeHost(s.Incarnation); ok && s.Incarnation != h.Incarnation {
+		d.histories[s.Host] = d.histories[s.Host].WithMissedHandover(d.now())
+	}
+}
+
 // remove applies a deleted key; the caller holds d.mu.
 func (d *directory) remove(key string) {
 	if n, ok := parseShardKey(key, ownerPrefix); ok && strings.HasPrefix(key, ownerPrefix) {
--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -46,11 +47,22 @@
 	}
 }
 
+// HostRecord returns the key and value of the record of a host whose name is also its incarnation.
+func HostRecord(name string, strength float64) (key string, value []byte) {
+	return hostPrefix + name, workflow.Encode(hostRecord{Host: name, Incarnation: name, Strength: strength})
+}
+
 // LayoutRecord returns the key and value of a layout.
 func LayoutRecord(shards int, racks map[string]int) (key string, value []byte) {
 	return layoutKey, workflow.Encode(layout{Shards: shards, Racks: racks})
 }
 
+// OwnershipTxn returns the transaction with which a host that is known by HostRecord takes a shard.
+func OwnershipTxn(shard int, host string) kvstore.Txn {
+	_, record := HostRecord(host, 0)
+	return kvstore.Txn{Puts: []kvstore.Put{{Key: ownerKey(shard), Value: record}, {Key: epochKey(shard), Value: record}}}
+}
+
 // Prefixes of the keys of owners and successors.
 const (
 	OwnerPrefix     = ownerPrefix
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -49,8 +49,13 @@
 	if !ok || s.revision <= d.epochs[shard] {
 		return hostRecord{}, false
 	}
+	return d.activeHost(s.Incarnation)
+}
+
+// activeHost returns the live host with this incarnation, and whether there is one that is not draining. The caller holds d.mu.
+func (d *directory) activeHost(incarnation string) (hostRecord, bool) {
 	for _, h := range d.hosts {
-		if h.Incarnation == s.Incarnation {
+		if h.Incarnation == incarnation {
 			return h, !h.Draining
 		}
 	}
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -20,6 +20,8 @@
 	lastLease int64
 	leases    map[int64]*memoryLease
 	revision  int64
+	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
+	writeOrder func(a, b string) int
 }
 
 type storeEvent struct {
@@ -171,7 +173,11 @@
 		return res, kvstore.ErrConflict
 	}
 	s.revision++
-	for _, p := range t.Puts {
+	puts := slices.Clone(t.Puts)
+	if s.writeOrder != nil {
+		slices.SortFunc(puts, func(a, b kvstore.Put) int { return s.writeOrder(a.Key, b.Key) })
+	}
+	for _, p := range puts {
 		s.write(kvstore.Event{KV: kvstore.KV{Key: p.Key, Lease: p.Lease, Value: p.Value}})
 	}
 	for _, key := range t.Deletes {
