Report an entry host that is not trusted at once

Cause: the Go client took a certificate that it rejected for a lost answer and sent GETs and requests with a key up to six times. With slow handshakes the last attempt ran into the deadline, and the caller read "context deadline exceeded" instead of the reason. Change: a rejected certificate is a problem of its own with the outcome not_run, since nothing was sent. The other entry hosts are still tried, and retried if one of them was only unreachable.

--- a/pkg/laburnumridge/call_test.go
+++ b/pkg/laburnumridge/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -58,6 +59,7 @@
 
 var (
 	errRefused = &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	errTrust   = &tls.CertificateVerificationError{Err: errors.New("unknown authority")}
 	errReset   = &net.OpError{Op: "read", Err: errors.New("connection reset")}
 )
 
@@ -88,6 +90,7 @@
 		"unknown, then not run":     {steps{fails(errReset), problem(400, "not_run")}, "POST", nil, 2, laburnumridge.ErrUnknown},
 		"unknown, then not reached": {steps{fails(errReset), fails(errRefused)}, "POST", nil, 6, laburnumridge.ErrUnknown},
 		"never reached":             {steps{fails(errRefused)}, "POST", nil, 6, laburnumridge.ErrNotRun},
+		"not trusted":               {steps{fails(errTrust)}, "GET", nil, 1, laburnumridge.ErrNotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -110,6 +113,26 @@
 	}
 }
 
+// TestOtherHostIsTriedAfterRejectedCertificate guards against a client that gives up, or never retries, because one of its entry
+// hosts has a certificate that is not trusted.
+func TestOtherHostIsTriedAfterRejectedCertificate(t *testing.T) {
+	for name, steps := range map[string][]func() (*http.Response, error){
+		"other host answers":  {fails(errTrust), respond(200, "ok")},
+		"other host restarts": {fails(errRefused), fails(errTrust), respond(200, "ok")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &fakeTransport{steps: steps}
+				c := n.client(t, laburnumridge.WithURLs("https://a", "https://b"))
+				_, err := c.Do(t.Context(), "dose-orders", http.MethodGet, "/rooms/4", nil)
+				assert.NilError(t, err)
+				assert.Equal(t, len(n.requests), len(steps))
+				assert.Assert(t, n.requests[0].URL.Host != n.requests[1].URL.Host)
+			})
+		})
+	}
+}
+
 // TestKeyHasZonePrefix guards against keys without a zone although the zone is known, and against two requests with the
 // same key.
 func TestKeyHasZonePrefix(t *testing.T) {
--- a/pkg/laburnumridge/problem.go
+++ b/pkg/laburnumridge/problem.go
@@ -54,6 +54,8 @@
 	cause error
 	// unreached is true if no connection to the entry host could be opened.
 	unreached bool
+	// untrusted is true if the certificate of the entry host was rejected.
+	untrusted bool
 }
 
 // Error returns the title, detail and outcome.
@@ -86,7 +88,7 @@
 	case http.StatusConflict:
 		return target == ErrConflict
 	}
-	return p.isTemporary() && target == ErrUnavailable
+	return (p.isTemporary() || p.unreached) && target == ErrUnavailable
 }
 
 // Unwrap returns the transport error, if no response was received.
@@ -106,8 +108,11 @@
 }
 
 // isTemporary reports whether another attempt may succeed: no response was received (Status 0), or an entry host or load balancer
-// was overloaded or unavailable.
+// was overloaded or unavailable. A rejected certificate stays rejected.
 func (p *Problem) isTemporary() bool {
+	if p.untrusted {
+		return false
+	}
 	switch p.Status {
 	case 0, http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable,
 		http.StatusGatewayTimeout:
--- a/pkg/laburnumridge/retry.go
+++ b/pkg/laburnumridge/retry.go
@@ -57,7 +57,7 @@
 // host does not use the retry budget, because no host has received the request.
 func (c *Client) withRetries(ctx context.Context, repeatable bool, send func(base string) error) error {
 	c.budget.credit()
-	mayHaveRun, unreached := false, 0
+	mayHaveRun, retriable, unreached := false, false, 0
 	for attempt := 1; ; attempt++ {
 		base := c.baseURL()
 		err := send(base)
@@ -65,17 +65,18 @@
 		if !errors.As(err, &p) {
 			return err
 		}
-		if p.isTemporary() {
+		if p.isTemporary() || p.unreached {
 			c.advanceURL(base)
 		}
+		retriable = retriable || p.canRetry(repeatable)
 		if p.unreached && unreached < len(c.urls)-1 && ctx.Err() == nil {
 			unreached++
 			attempt--
 			continue
 		}
 		mayHaveRun = mayHaveRun || p.Outcome == OutcomeUnknown
-		if p.canRetry(repeatable) && attempt < maxAttempts && c.waitRetry(ctx, p, attempt) {
-			unreached = 0
+		if retriable && attempt < maxAttempts && c.waitRetry(ctx, p, attempt) {
+			retriable, unreached = false, 0
 			continue
 		}
 		// The last attempt did not run, but an earlier one may have.
--- a/pkg/laburnumridge/send.go
+++ b/pkg/laburnumridge/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -58,11 +59,19 @@
 }
 
 // transportProblem returns a problem with the outcome not_run if no connection was opened, or else unknown. When a
-// reused connection breaks, net/http sends a request with an idempotency key again on a new connection, so a dial error
-// proves that nothing was sent only if the request had no connection before.
+// reused connection breaks, net/http sends a request with an idempotency key again on a new connection, so a dial error or a
+// rejected certificate proves that nothing was sent only if the request had no connection before.
 func transportProblem(err error, connected bool) *Problem {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && !connected {
+	var certificate *tls.CertificateVerificationError
+	switch {
+	case connected:
+		return noAnswerProblem(err, OutcomeUnknown)
+	case errors.As(err, &certificate):
+		p := noAnswerProblem(err, OutcomeNotRun)
+		p.Title, p.Reason, p.unreached, p.untrusted = "entry host not trusted", "certificate_rejected", true, true
+		return p
+	case errors.As(err, &op) && op.Op == "dial":
 		p := noAnswerProblem(err, OutcomeNotRun)
 		p.Title, p.Reason, p.unreached = "entry host not reached", "not_reached", true
 		return p
