Keep an attempt to delete the owner key while others follow

The owner gave up each attempt to delete its key after 0.4 s and made another one. On a host that is short of processor time a call waits longer than that for its turn, and the next one waits behind all others again: a shard whose work had stopped kept its owner for seconds.

An attempt goes on, at most for the time of a lease, while a further one is made each 0.4 s; the first answer counts. The guard on the key's revision makes repeated attempts harmless.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -117,14 +117,38 @@
 	if successor != nil {
 		t.Puts = []kvstore.Put{{Key: successorKey(r.shard), Value: workflow.Encode(*successor)}}
 	}
-	for ; ; retry.Sleep(ctx, minWriteBackoff) {
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	return o.deleteOwnerKey(ctx, r, t)
+}
+
+// deleteOwnerKey carries out the transaction that deletes the owner key of a runner that has stopped. An attempt without an answer
+// after storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt
+// before its turn comes, and the others bound the time that a lost response costs. The guard makes repeated attempts harmless.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error)
+	attempt := func() {
+		callCtx, cancelCall := context.WithTimeout(ctx, sessionTTL)
+		defer cancelCall()
 		_, err := o.host.platform.Store.Txn(callCtx, t)
-		cancel()
-		countWrite(err)
-		// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
-		if err == nil || errors.Is(err, kvstore.ErrConflict) {
-			return nil
+		select {
+		case results <- err:
+		case <-ctx.Done():
+		}
+	}
+	for {
+		go attempt()
+		err := kvstore.ErrUnknownOutcome
+		select {
+		case err = <-results:
+			countWrite(err)
+			// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
+			if err == nil || errors.Is(err, kvstore.ErrConflict) {
+				return nil
+			}
+			retry.Sleep(ctx, minWriteBackoff)
+		case <-ctx.Done():
+		case <-time.After(storeCallTimeout):
 		}
 		if lease, expires := o.host.session.currentLease(); ctx.Err() != nil || lease != r.lease || !o.host.now().Before(expires) {
 			return err
--- a/internal/entry/slowhandover_test.go
+++ b/internal/entry/slowhandover_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// Guards against an owner that gives up each attempt to delete its key just before the attempt gets processor time, so that the
+// shard stays without work until the queue of the owner's calls happens to be short.
+func TestOverloadedOwnerDeletesItsKeyInTime(t *testing.T) {
+	for seed := range uint64(5) {
+		decisions := &handoverLog{decidedAt: map[string]time.Time{}}
+		runFleet(t, seed, 5, func(f *simulatedFleet) {
+			f.logHook = decisions
+			f.startMixed(1, 0)
+			time.Sleep(5 * time.Second)
+			f.startMixed(2, 0)
+			time.Sleep(contactTime + restartWindow)
+			took := decisions.took(f.store)
+			t.Logf("seed %d: given up after %s", seed, took)
+			assert.Check(t, len(took) > 0, "seed %d: no shard was given up", seed)
+			for _, d := range took {
+				// 0.5 s for the commit in flight, and the time for which a call waits for the processor.
+				assert.Check(t, d < 2*time.Second, "seed %d: a shard was given up %s after the decision", seed, d)
+			}
+		})
+	}
+}
