--- a/internal/integration/shard_move_test.go
+++ b/internal/integration/shard_move_test.go
@@ -44,22 +44,22 @@
 // or the one that is to take it, is killed as soon as the shard is released.
 func TestHostKilledWhileShardMoves(t *testing.T) {
 	startParallel(t)
-	for name, killsGiver := range map[string]bool{"giver": true, "successor": false} {
+	for name, killsOwner := range map[string]bool{"owner": true, "successor": false} {
 		t.Run(name, func(t *testing.T) {
 			startParallel(t)
 			c := startCluster(t, clusterConfig{
 				serviceTime: 300 * time.Millisecond, settings: "[zone_settings]\nshards = 2\n", zones: []zoneSize{{"wattala", 1, 4}},
 			})
-			giver := c.entries[0]
+			owner := c.entries[0]
 			var requests []*keyedRequest
 			for range requestsPerTest {
 				requests = append(requests, &keyedRequest{id: ulid.Make().String(), key: newKey("wattala")})
 			}
-			sendAll(c, requests[:requestsPerTest/2], giver)
+			sendAll(c, requests[:requestsPerTest/2], owner)
 			successor := c.addEntry("wattala-entry-2", "wattala")
 			killed := c.onRelease("wattala", func(id string) {
-				victim := giver
-				if !killsGiver {
+				victim := owner
+				if !killsOwner {
 					victim = successor
 				}
 				_ = victim.process.Process.Signal(syscall.SIGKILL)
@@ -68,7 +68,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 			defer cancel()
 			for isKilled := false; !isKilled && ctx.Err() == nil; {
-				sendAll(c, requests, giver)
+				sendAll(c, requests, owner)
 				select {
 				case <-killed:
 					isKilled = true
@@ -78,8 +78,8 @@
 			if ctx.Err() != nil {
 				t.Fatal("no shard was handed over")
 			}
-			survivor := giver
-			if killsGiver {
+			survivor := owner
+			if killsOwner {
 				survivor = successor
 			}
 			sendAll(c, requests, survivor)
