Split functions that were longer than a screen or six blocks deep

Result: Behaviour is unchanged. Under the race detector the tests of internal/shard, internal/host and platform (without the soak) and TestHostKilledWhileShardMoves pass.

--- a/internal/host/keyed.go
+++ b/internal/host/keyed.go
@@ -141,6 +141,13 @@
 		return nil, problem(http.StatusConflict, laburnumridge.OutcomeUnknown, "key_unknown", claim.Reason)
 	case idempotency.VerdictProceed:
 	}
+	return h.runAndRecord(ctx, r, item, key, id, table)
+}
+
+// runAndRecord runs a request whose key is claimed and records how it ended.
+func (h *Host) runAndRecord(
+	ctx context.Context, r caller.Request, item note.Item, key idempotency.Key, id fleet.ShardID, table keyTable,
+) (*caller.Response, *laburnumridge.Problem) {
 	// The request continues if its caller disconnects, so that a repeat finds the response.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
--- a/internal/integration/shard_move_test.go
+++ b/internal/integration/shard_move_test.go
@@ -57,11 +57,11 @@
 			}
 			sendAll(c, requests[:requestsPerTest/2], owner)
 			successor := c.addEntry("wattala-entry-2", "wattala")
+			victim, survivor := owner, successor
+			if !killsOwner {
+				victim, survivor = successor, owner
+			}
 			killed := c.onRelease("wattala", func(id string) {
-				victim := owner
-				if !killsOwner {
-					victim = successor
-				}
 				_ = victim.process.Process.Signal(syscall.SIGKILL)
 				c.t.Logf("killed %s while a shard moved to %s", victim.id, id)
 			})
@@ -78,10 +78,6 @@
 			if ctx.Err() != nil {
 				t.Fatal("no shard was handed over")
 			}
-			survivor := owner
-			if killsOwner {
-				survivor = successor
-			}
 			sendAll(c, requests, survivor)
 			eventually(t, "keys of both shards are served", func() error {
 				for range 10 {
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -54,32 +54,32 @@
 	return jobs, oldest
 }
 
+// progress returns the record of a job, and adds the attempts to the commit that may start once it is written.
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
 	for _, occ := range j.openOccurrences() {
 		for _, tasks := range occ.tasks {
 			for _, t := range tasks {
-				if t.run == 0 && !t.done {
-					continue
+				if t.run > 0 || t.done {
+					p.Tasks = append(p.Tasks, t.record(c))
 				}
-				rec := workflow.TaskRecord{
-					Key: t.key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run,
-				}
-				for _, at := range t.attempts {
-					rec.Attempts = append(rec.Attempts, workflow.Attempt{
-						Worker: at.worker.ID, Born: at.worker.incarnation, Run: at.run,
-					})
-					if at.phase == phasePlanned {
-						c.planned = append(c.planned, at)
-					}
-				}
-				p.Tasks = append(p.Tasks, rec)
 			}
 		}
 	}
 	return p
 }
 
+func (t *task) record(c *Commit) workflow.TaskRecord {
+	rec := workflow.TaskRecord{Key: t.key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run}
+	for _, at := range t.attempts {
+		rec.Attempts = append(rec.Attempts, workflow.Attempt{Worker: at.worker.ID, Born: at.worker.incarnation, Run: at.run})
+		if at.phase == phasePlanned {
+			c.planned = append(c.planned, at)
+		}
+	}
+	return rec
+}
+
 // Committed handles the confirmation that a commit is durable.
 func (o *Owner) Committed(_ time.Time, c *Commit) {
 	o.committing = nil
