Choose the racks of the test's workers shard by shard

Cause: newShardedCluster counted shards and racks in one loop with three exits, which a reader had to run in the head.

Change: rackOfShard returns a rack for each shard that has no worker.

--- a/internal/host/move_test.go
+++ b/internal/host/move_test.go
@@ -39,17 +39,12 @@
 	})
 	c := newCluster(t, handler)
 	c.shards = shards
-	first := fleet.ShardOf("z", "r1", shards)
-	for i, rack := 0, 2; i < shards; rack++ {
-		name := fmt.Sprint("r", rack)
-		if i == first.Index {
-			i++
-			continue
-		}
-		if fleet.ShardOf("z", name, shards).Index == i {
-			c.addWorker(fmt.Sprint("worker-", name), name, handler)
-			i++
+	for i := range shards {
+		if i == fleet.ShardOf("z", "r1", shards).Index {
+			continue // the first worker of the cluster is in this shard
 		}
+		rack := rackOfShard(i, shards)
+		c.addWorker("worker-"+rack, rack, handler)
 	}
 	a := c.start("a", c.url)
 	waitUntil(t, "a owns all shards", func() error { return ownsShards(a, shards) })
@@ -78,6 +73,14 @@
 	})
 }
 
+func rackOfShard(index, shards int) string {
+	for n := 2; ; n++ {
+		if rack := fmt.Sprint("r", n); fleet.ShardOf("z", rack, shards).Index == index {
+			return rack
+		}
+	}
+}
+
 func keyOfShard(index, shards int) string {
 	for {
 		k := newKey()
