--- a/internal/entry/exportchoose_test.go
+++ b/internal/entry/exportchoose_test.go
@@ -6,7 +6,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// MaxUnansweredLoadAge is how long a reported load stands in for that of an owner that does not answer.
+// MaxUnansweredLoadAge is how long a reported load is used while the owner does not answer.
 const MaxUnansweredLoadAge = maxUnansweredLoadAge
 
 // ChooseShard returns the shard for a new job.
--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -14,7 +14,7 @@
 type urgency int
 
 const (
-	// urgencyRestart: a long-running task that ran before has a new attempt. Callers miss it until it runs again.
+	// urgencyRestart: a long-running task that ran before has a new attempt. It is interrupted until it runs again.
 	urgencyRestart urgency = iota
 	// urgencyAge: the change is older than maxRecordAge.
 	urgencyAge
@@ -23,7 +23,7 @@
 	urgencyCaller
 	// urgencyCancel: the job is cancelled. Its runs are being stopped, and callers see the cancellation already.
 	urgencyCancel
-	// urgencyProgress: nobody waits.
+	// urgencyProgress: neither tasks nor callers wait for the record.
 	urgencyProgress
 )
 
