Take a shard back that the store does not hand over

Cause: an owner that hands a shard over stops its work, then repeats the deletion of its key until it is carried out or its lease has ended. A store that renews leases but turns the deletion away, or does not answer it, left the shard with an owner that does not act for as long as that lasted. The tasks ended with the leases of their workers, and nothing was started. Change: after 2.5 s without a deletion the owner writes owner key and epoch key again under the same lease, guarded by the key's revision. The new revision makes the guard of each deletion fail that may be carried out later; if one was carried out before, the write fails and the shard is given up. The election round that sees the key starts a new runner, as after a write whose answer was lost. The failed handover counts like a return of the own host, so that the wait for the next one doubles. A call for the deletion has the timeout that grows with the lag of the host.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -18,6 +18,11 @@
 // in 200 ms, fifty times its usual latency. The next owner learns of other changes from the workers, as after a crash.
 const commitWaitTimeout = 500 * time.Millisecond
 
+// deletionTimeout is how long an owner that has stopped its work on a shard tries to delete the owner key. An overloaded host that
+// had two other shards needed up to 1.9 s (simulation). The tasks of the shard keep running for at least 4.6 s after the stop: a
+// worker's lease lasts 7 s, and the poll that renewed it is at most 2.4 s old.
+const deletionTimeout = 2500 * time.Millisecond
+
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
 	mu sync.Mutex
@@ -104,8 +109,7 @@
 
 // giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
 // key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
-// processor time would not get the deletion done beside its other work, and would keep the shard because of its load. It
-// retries until the key is deleted, the lease of the key has ended or ctx ends; only then does it return an error.
+// processor time would not get the deletion done beside its other work, and would keep the shard because of its load.
 func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord, reason string) error {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.beginHandover(waitCtx)
@@ -117,21 +121,46 @@
 	if successor != nil {
 		t.Puts = []kvstore.Put{{Key: successorKey(r.shard), Value: workflow.Encode(*successor)}}
 	}
+	return o.deleteOwnerKey(ctx, r, t)
+}
+
+// deleteOwnerKey retries a transaction that deletes the owner key until it is carried out, the lease of the key has ended or ctx
+// ends; only then does it return an error. After deletionTimeout it takes the shard back instead, unless the host drains: the
+// host would otherwise renew the lease of a shard that nobody serves.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
+	deadline := o.host.now().Add(deletionTimeout)
+	isTakenBack := o.host.draining.Load()
 	for ; ; retry.Sleep(ctx, minWriteBackoff) {
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		callCtx, cancel := withTimeout(ctx, storeCallTimeout)
 		_, err := o.host.platform.Store.Txn(callCtx, t)
 		cancel()
 		countWrite(err)
-		// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
+		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
 		if err == nil || errors.Is(err, kvstore.ErrConflict) {
 			return nil
 		}
 		if lease, expires := o.host.session.currentLease(); ctx.Err() != nil || lease != r.lease || !o.host.now().Before(expires) {
 			return err
 		}
+		if !isTakenBack && !o.host.now().Before(deadline) {
+			isTakenBack = true
+			o.host.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
+				Warn("failed to delete the owner key of the shard; taking the shard back")
+			o.host.directory.recordFailedHandover(o.host.self.Host)
+			t = o.takeBackTxn(r)
+		}
 	}
 }
 
+// takeBackTxn returns a transaction that writes the owner key of a shard again under the same lease. An attempt to delete the key
+// may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
+// starts a runner.
+func (o *ownedShards) takeBackTxn(r *runner) kvstore.Txn {
+	t := o.ownershipTxn(r.shard, r.lease, r.epochRevision())
+	t.Guards[0].Revision = r.ownerRevision()
+	return t
+}
+
 // handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards.
 func (o *ownedShards) handOverAll(ctx context.Context) {
 	for _, r := range o.allRunners() {
