End the lease of a host that can neither hand a shard over nor take it back

Cause: a drain repeated the deletion of owner keys for all of its 5 s, which left no time to serve callers until connections went elsewhere, and renewed the lease meanwhile. A drain also waits for a handover for rebalancing that is under way, whose attempts the time of the drain does not end: if the store did not carry it out, the drain did not end. And a store that refuses all transactions of a host but renews its lease refuses the write with which the host takes its shard back, too. Change: after 1 s without a deletion in a drain, or 1 s without that write, the host stops renewing the lease, asks the store once to end it, and requests a new one. Its shards are then free at once, or after 1.6 s. A renewal that is under way does not bring the lease back. Other shards of the host lose their owner with it; a host whose transactions are refused can't record anything for them.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -23,6 +23,14 @@
 // worker's lease lasts 7 s, and the poll that renewed it is at most 2.4 s old.
 const deletionTimeout = 2500 * time.Millisecond
 
+const (
+	// drainDeletionTimeout replaces deletionTimeout in a drain, which has to serve callers for drainServePeriod of its drainTimeout
+	// after the handovers.
+	drainDeletionTimeout = time.Second
+	// takeBackTimeout bounds the attempts to take a shard back after a handover that failed.
+	takeBackTimeout = time.Second
+)
+
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
 	mu sync.Mutex
@@ -124,30 +132,35 @@
 	return o.deleteOwnerKey(ctx, r, t)
 }
 
-// deleteOwnerKey retries a transaction that deletes the owner key until it is carried out, the lease of the key has ended or ctx
-// ends; only then does it return an error. After deletionTimeout it takes the shard back instead, unless the host drains: the
-// host would otherwise renew the lease of a shard that nobody serves.
+// deleteOwnerKey retries a transaction that deletes the owner key until it is carried out. After deletionTimeout it takes the shard
+// back instead: the host would otherwise renew the lease of a shard that nobody serves. If that fails as well, or the host drains,
+// it abandons the lease. It returns an error if the lease of the key has ended or ctx ends.
 func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
-	deadline := o.host.now().Add(deletionTimeout)
-	isTakenBack := o.host.draining.Load()
+	h := o.host
+	began, isTakingBack := h.now(), false
 	for ; ; retry.Sleep(ctx, minWriteBackoff) {
 		callCtx, cancel := withTimeout(ctx, storeCallTimeout)
-		_, err := o.host.platform.Store.Txn(callCtx, t)
+		_, err := h.platform.Store.Txn(callCtx, t)
 		cancel()
 		countWrite(err)
+		isDraining := h.draining.Load()
 		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
-		if err == nil || errors.Is(err, kvstore.ErrConflict) {
+		isDone := err == nil || errors.Is(err, kvstore.ErrConflict)
+		if isDone && !(isTakingBack && isDraining) {
 			return nil
 		}
-		if lease, expires := o.host.session.currentLease(); ctx.Err() != nil || lease != r.lease || !o.host.now().Before(expires) {
+		if lease, expires := h.session.currentLease(); ctx.Err() != nil || lease != r.lease || !h.now().Before(expires) {
 			return err
 		}
-		if !isTakenBack && !o.host.now().Before(deadline) {
-			isTakenBack = true
-			o.host.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
+		elapsed := h.now().Sub(began)
+		switch {
+		case isDraining && (isTakingBack || elapsed >= drainDeletionTimeout), isTakingBack && elapsed >= takeBackTimeout:
+			return errors.Join(err, h.session.abandon(ctx, r.lease))
+		case !isTakingBack && elapsed >= deletionTimeout:
+			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
 				Warn("failed to delete the owner key of the shard; taking the shard back")
-			o.host.directory.recordFailedHandover(o.host.self.Host)
-			t = o.takeBackTxn(r)
+			h.directory.recordFailedHandover(h.self.Host)
+			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r)
 		}
 	}
 }
