Compare running tasks from the time at which all of them run

Cause: TestNotes took its first list of running tasks from the workers as soon as the owner reported three running tasks. The owner counts a start that is under way. Change: the list is taken once the workers run all three. The comparison at the end is unchanged. Result: TestNotes passes under the race detector.

--- a/internal/integration/notes_test.go
+++ b/internal/integration/notes_test.go
@@ -32,7 +32,11 @@
 	remote := c.entries[2]
 	c.submit(owner, "job", 3)
 	c.awaitRunning(owner, "job", 3)
-	before := c.runningAttempts()
+	var before map[string]int64
+	eventually(t, "the tasks run", func() error { // a task whose start is under way counts as running
+		before = c.runningAttempts()
+		return errorUnless(before["job/0"]*before["job/1"]*before["job/2"] > 0, "%v run", before)
+	})
 	stop := c.watchRevisions()
 	base := c.publish(owner, changeNote("base", 1, "added", "shared"))
 	c.awaitRevision(base, c.entries...)
