Choose the addresses of the hosts of tests below the ephemeral ports

The listen error of the host was dropped, so the cause is inferred: the fixture took the host's addresses from a listener that it closed again, on ports from which the kernel also takes those of outgoing connections. A trial with an outgoing connection on such a port gives "address already in use" and then the same refused connection. Change: fake.FreeAddress chooses the addresses, as for the other tests, and an error of a host's run fails the test.

--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -105,10 +104,9 @@
 	s.ZoneSettings.Shards = c.shards
 	s.Platform.Timeout.Duration = 500 * time.Millisecond
 	for _, address := range []*string{&s.Listen.Caller, &s.Listen.Debug, &s.Listen.Peer} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		var err error
+		*address, err = fake.FreeAddress()
 		assert.NilError(c.t, err)
-		*address = l.Addr().String()
-		assert.NilError(c.t, l.Close())
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -121,7 +119,9 @@
 	e := &entryHost{cancel: cancel, done: make(chan struct{}), host: h, url: "http://" + s.Listen.Caller}
 	go func() {
 		defer close(e.done)
-		_ = h.Run(ctx)
+		if err := h.Run(ctx); err != nil && ctx.Err() == nil {
+			c.t.Errorf("%s: %v", id, err)
+		}
 	}()
 	c.t.Cleanup(e.stop)
 	e.client, err = laburnumridge.New(laburnumridge.WithURLs(e.url))
