Test hosts that register after one has taken every shard

Claims of a host that owns shards are paced for 0.45 s only. Hosts that register later find every shard taken, and only handovers share the shards. Handovers at the same time have mended it since.

No change of the code.

--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -133,3 +133,25 @@
 		})
 	}
 }
+
+// Guards against a host that keeps several shards since the others registered after it had taken all of them: claims are paced
+// for 0.45 s only, so handovers alone share the shards. A host that hands over one shard after the other needs 4.9 to 6.8 s of the
+// 7 s that it may take.
+func TestHostsThatRegisterLateReceiveShards(t *testing.T) {
+	for seed, delay := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond} {
+		runFleet(t, uint64(seed), 3, func(f *simulatedFleet) {
+			f.startMixed(3, 3)
+			time.Sleep(2 * time.Second)
+			f.kill(f.names()...)
+			time.Sleep(2 * time.Second)
+			f.startMixed(1, 0)
+			time.Sleep(delay)
+			began := time.Now()
+			f.startMixed(3, 3)
+			f.checkCalm("the other hosts have started")
+			deletions := f.ownerDeletions()
+			last := deletions[len(deletions)-1].Sub(began)
+			assert.Check(t, last < 4900*time.Millisecond, "%s: last handover after %s; owners: %s", delay, last, f.ownerHistory(began))
+		})
+	}
+}
