Don't wait for room in the queue of a shard owner that has ended

Cause: a move asks the owner's loop to end by a function in its queue. If the loop ended before, because another host owned the shard, and its queue was full, the move waited until the host stopped. The host then neither claimed the shard nor moved others. Found by reading. Change: the request gives up when the loop has ended. A drain uses the same code. Result: TestHandoverOfEndedOwnerIsNotAwaited fails without it (the minute of the test passes, in virtual time) and passes.

--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -86,6 +86,16 @@
 	return o.ledger.Tick(now.Add(time.Second)).Commit != nil
 }
 
+// RequestHandoverOfEndedOwner requests the handover of a shard whose owner's loop has ended with a full queue.
+func (h *Host) RequestHandoverOfEndedOwner(ctx context.Context) {
+	o := &ownedShard{done: make(chan struct{}), owner: newShardOwner(h, fleet.ShardID{Zone: h.zone}, 1)}
+	for range cap(o.owner.posted) {
+		o.owner.post(func(time.Time) {})
+	}
+	close(o.done)
+	o.requestHandover(ctx)
+}
+
 // SetHandoverSender replaces the function that sends the handover messages of a host. It must be set before the first handover.
 func (h *Host) SetHandoverSender(send func(ctx context.Context, to string, m peer.Handover) error) {
 	h.shards.requestHandover = send
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -48,10 +48,19 @@
 	all.Wait()
 }
 
+// requestHandover asks the owner's loop to prepare the handover of the shard and to end. It does nothing if the loop has ended.
+func (o *ownedShard) requestHandover(ctx context.Context) {
+	select {
+	case o.owner.posted <- func(time.Time) { o.owner.handingOver = true }:
+	case <-o.done:
+	case <-ctx.Done():
+	}
+}
+
 // drainShard stops the owner of a shard gracefully, releases the shard and hands it to the peer of the zone that owns the fewest
 // shards. Without such a peer, or if it does not take the shard, another host takes it over without its keys.
 func (s *shards) drainShard(ctx context.Context, id fleet.ShardID, o *ownedShard) {
-	o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
+	o.requestHandover(ctx)
 	select {
 	case <-o.done:
 	case <-ctx.Done():
--- a/internal/host/move.go
+++ b/internal/host/move.go
@@ -31,7 +31,7 @@
 		return true
 	}
 	epoch := o.owner.epoch
-	o.owner.postUntil(ctx, func(time.Time) { o.owner.handingOver = true })
+	o.requestHandover(ctx)
 	<-o.done
 	defer s.host.keyTables.remove(id, epoch)
 	if o.err != nil {
