Let no lease lapse on which nothing runs

Cause: a worker that has only planned attempts is not polled, but its lease counted as lapsed after 7 s without a poll. The owner then raised the worker's fencing token, of which there are 255, and dropped the attempts that were recorded before the next poll was answered; they had to be placed and recorded once more. The log said that the worker did not answer, but it was not asked.

Change: a lease lapses only if an attempt was sent that it could end; a start renews the lease. This needs no polls of workers without runs. A recorded attempt is dropped at a worker that does not know the current token only if a poll of it failed; otherwise it waits for the answer, also after this owner has taken the shard again. lease_over counts the attempts that were sent, has the failed polls, and says that the lease was not renewed when no poll failed.

An attempt that is recorded just after the shard was taken again started as run 2, now as run 1.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -25,11 +25,14 @@
 			}
 			switch at.phase {
 			case phaseReady:
-				if !w.registered || w.Draining || !w.fenced || at.task.job.final != "" {
+				if !w.registered || w.Draining || !w.fenced && w.pollFailures > 0 || at.task.job.final != "" {
 					o.removeAttempt(at, "worker can no longer take it")
 					o.markDirty(at.task.job)
 					continue
 				}
+				if !w.fenced {
+					continue // the answer to a poll that is in flight or due decides
+				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseSent:
 				if w.pollFailures > 0 {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -223,10 +223,12 @@
 	}
 }
 
-// expireLeases removes the attempts on workers whose lease expired while they did not answer.
+// expireLeases removes the attempts on workers whose lease expired. Without attempts that were sent there is nothing that a lease
+// could end: such workers are not polled, and a start renews the lease.
 func (o *Owner) expireLeases(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
-		if len(w.attempts) == 0 {
+		sent := w.sentAttempts()
+		if len(sent) == 0 {
 			continue
 		}
 		expiry := w.leaseExpiry(o.timing)
@@ -234,14 +236,16 @@
 			a.wakeAt(expiry)
 			continue
 		}
+		reason := "worker did not answer until its lease expired; its runs count as ended"
+		if w.pollFailures == 0 {
+			reason = "lease of the worker was not renewed in time; its runs count as ended"
+		}
 		o.log.WithFields(logrus.Fields{
-			"decision": "lease_over", "worker": w.ID, "runs": len(w.attempts), "clock_age": now.Sub(w.clockAt).String(),
-			"registered": w.registered,
-		}).Warn("worker did not answer until its lease expired; its runs count as ended")
-		for _, at := range w.attempts {
-			if at.isSent() {
-				o.removeAttempt(at, "lease over")
-			}
+			"decision": "lease_over", "worker": w.ID, "runs": len(sent), "clock_age": now.Sub(w.clockAt).String(),
+			"poll_failures": w.pollFailures, "registered": w.registered,
+		}).Warn(reason)
+		for _, at := range sent {
+			o.removeAttempt(at, "lease over")
 		}
 		o.raiseToken(w)
 	}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -67,15 +67,7 @@
 	if !w.fenced {
 		return w.registered || len(w.attempts) > 0
 	}
-	if w.ackedEnd < w.recordedEnd || w.orphans > 0 {
-		return true
-	}
-	for _, at := range w.attempts {
-		if at.isSent() {
-			return true
-		}
-	}
-	return false
+	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || len(w.sentAttempts()) > 0
 }
 
 // Polled handles a worker's answer to a poll that was sent at sent.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// sentAttempts returns the attempts that the worker may know about.
+func (w *worker) sentAttempts() []*attempt {
+	var sent []*attempt
+	for _, at := range w.attempts {
+		if at.isSent() {
+			sent = append(sent, at)
+		}
+	}
+	return sent
+}
+
 // reservation returns the resources that a task of the step reserves on its worker.
 func reservation(s *workflow.Step) fleet.Resources {
 	r := s.Resources
