Test that handovers do not overload their receivers

All tests passed with `ahead := 0` in election.Rebalance, so that all owners choose the same host: 22 of 24 shards were on one host after 7 s, which TestSeveralWeakOwnersHandOverAtTheSameTime took for success, since it only checked the strength of the owners. Nothing tested the turns with fewer hosts than owners, that nothing is handed over while a shard has no owner, or that a change of owner begins the stable time of a receiver again.

TestSeveralWeakOwnersHandOverAtTheSameTime also checks that each strong host has one shard, and that each handover leaves the receiver clearly less loaded than the giver was. TestOwnersTakeTurnsWithFewStrongHosts does the same for 1, 3 and 8 strong hosts beside 32 weak owners. TestNoShardIsHandedOverWhileAnotherHasNoOwner and TestHostThatTookShardReceivesNextAfterStableTime run a whole host beside hosts that are records in the store. No change of the code.

With each mutation, undone afterwards: - `ahead := 0`: both tests of internal/election fail, one host has 22 of 24 shards. - no turns (without the wait, or with `ahead %= len(relieving)`): TestOwnersTakeTurnsWithFewStrongHosts fails, one host gets up to 10 shards and more, where it may have 3. - rebalancing while a shard has no owner: TestNoShardIsHandedOverWhileAnotherHasNoOwner fails, a shard is handed over 0.2 s after another has lost its owner. - recordOwnershipChange without effect: TestHostThatTookShardReceivesNextAfterStableTime fails, the next shard comes after 9 ms, not 1.5 s.

--- a/internal/election/rebalancesimulation_test.go
+++ b/internal/election/rebalancesimulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	owners            []*simulatedHost
 	pending           []pendingHandover
 	random            *rand.Rand
+	// unhelpful describes the handovers that did not leave the receiver clearly less loaded than the giver was.
+	unhelpful []string
 }
 
 func newRebalanceSimulation(seed uint64, hosts, shards int) *rebalanceSimulation {
@@ -126,10 +129,14 @@
 			return false
 		}
 		s.handovers++
+		before := float64(s.owners[p.Shard].Shards) / p.From.Strength
 		s.setOwner(p.Shard, nil)
 		for _, h := range s.hosts {
 			if h.Host == p.To.Host && h.isUp {
 				s.setOwner(p.Shard, h)
+				if after := float64(h.Shards) / h.Strength; after > 0.8*before {
+					s.unhelpful = append(s.unhelpful, fmt.Sprintf("%s to %s, which then has %d", p.From.Host, h.Host, h.Shards))
+				}
 			}
 		}
 		return true
@@ -281,29 +288,54 @@
 	assert.Equal(t, s.handovers, 0)
 }
 
+// startWeakOwners runs weak hosts that have a shard each, then starts strong hosts beside them. Handovers take their longest time.
+func startWeakOwners(seed uint64, weak, strong int) *rebalanceSimulation {
+	s := newRebalanceSimulation(seed, weak+strong, weak)
+	s.areOverloaded = true
+	for i, h := range s.hosts {
+		h.Strength = 0.8
+		if i < weak {
+			h.Strength = 0.192
+			s.start(h)
+		}
+	}
+	s.run(20 * time.Second)
+	for _, h := range s.hosts[weak:] {
+		s.start(h)
+	}
+	return s
+}
+
 // Guards against weak owners that hand over one after the other while a strong host is idle for each of them: the last of them
-// then keeps its shard for longer than a failed task may wait, which is 3 s after 4 s of calm.
+// then keeps its shard for longer than a failed task may wait, which is 3 s after 4 s of calm. Guards also against owners that all
+// choose the same host, which gets almost all shards that way.
 func TestSeveralWeakOwnersHandOverAtTheSameTime(t *testing.T) {
 	const shards = 24
 	for seed := range uint64(5) {
-		s := newRebalanceSimulation(seed, 2*shards, shards)
-		s.areOverloaded = true
-		for i, h := range s.hosts {
-			h.Strength = 0.192
-			if i >= shards {
-				h.Strength = 0.8
-				continue
-			}
-			s.start(h)
-		}
-		s.run(20 * time.Second)
-		for _, h := range s.hosts[shards:] {
-			s.start(h)
-		}
+		s := startWeakOwners(seed, shards, shards)
 		s.run(7 * time.Second)
 		for n, owner := range s.owners {
 			assert.Equal(t, owner.Strength, 0.8, "seed %d: %s still owns shard %d", seed, owner.Host, n)
 		}
+		for _, h := range s.hosts[shards:] {
+			assert.Equal(t, h.Shards, 1, "seed %d: shards of %s, one of as many strong hosts as shards", seed, h.Host)
+		}
+		assert.Equal(t, strings.Join(s.unhelpful, "; "), "", "seed %d: handovers that relieve nobody", seed)
 		assert.Assert(t, s.handovers <= shards+2, "%d handovers of %d shards", s.handovers, shards)
 	}
 }
+
+// Guards against owners that choose the same host because there are fewer hosts than owners: the host is then more loaded than
+// they were.
+func TestOwnersTakeTurnsWithFewStrongHosts(t *testing.T) {
+	const shards = 32
+	for _, strong := range []int{1, 3, 8} {
+		s := startWeakOwners(1, shards, strong)
+		s.run(30 * time.Second)
+		assert.Equal(t, strings.Join(s.unhelpful, "; "), "", "%d strong hosts: handovers that relieve nobody", strong)
+		for _, h := range s.hosts[shards:] {
+			// With a fourth shard a strong host would have 0.96 of the load of a weak one with a shard.
+			assert.Equal(t, h.Shards, 3, "%d strong hosts: shards of %s", strong, h.Host)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/rebalancingview_test.go
@@ -0,0 +1,76 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+)
+
+// runView runs a scenario on a fleet without load, in which other hosts are records in the store.
+func runView(t *testing.T, shards int, scenario func(*simulatedFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 1, shards, simulatedWorkers)
+		scenario(f)
+		f.kill(f.names()...)
+		time.Sleep(contactTime) // background calls of the hosts end
+	})
+}
+
+// takeShard makes a host that is known by its record the owner of a shard.
+func (f *simulatedFleet) takeShard(shard int, host string) {
+	f.t.Helper()
+	_, err := f.store.txn(entry.OwnershipTxn(shard, host))
+	assert.NilError(f.t, err)
+}
+
+// Guards against a shard that is handed to a host which is about to claim another one that has lost its owner: the host would
+// have two shards beside idle hosts.
+func TestNoShardIsHandedOverWhileAnotherHasNoOwner(t *testing.T) {
+	runView(t, 3, func(f *simulatedFleet) {
+		f.store.put(entry.HostRecord("other", strongHost))
+		f.takeShard(2, "other")
+		f.start("self", strongHost)
+		time.Sleep(4 * time.Second)
+		assert.Equal(f.t, f.owners()["self"], 2)
+		began := time.Now()
+		for i := range 4 {
+			f.store.put(entry.HostRecord(fmt.Sprintf("idle-%d", i), strongHost))
+		}
+		time.Sleep(1450 * time.Millisecond) // just before the idle hosts may receive a shard
+		_, err := f.store.txn(kvstore.Txn{Deletes: []string{entry.OwnerPrefix + "2"}})
+		assert.NilError(f.t, err)
+		// The five hosts without a shard come before self in rank, 120 ms apart.
+		time.Sleep(550 * time.Millisecond)
+		assert.Equal(f.t, f.owners()["self"], 2, "owners: %s", f.ownerHistory(began))
+		assert.Equal(f.t, len(f.ownerDeletions()), 1, "owners: %s", f.ownerHistory(began))
+		f.takeShard(2, "idle-0")
+		f.waitForOwnerDeletions(2) // with all owners known, self hands a shard over
+	})
+}
+
+// Guards against an owner that hands a further shard to a host which has just taken one, before the load that comes with it can
+// be seen and while the host may be taking others.
+func TestHostThatTookShardReceivesNextAfterStableTime(t *testing.T) {
+	runView(t, 4, func(f *simulatedFleet) {
+		f.start("self", strongHost)
+		time.Sleep(4 * time.Second)
+		began := time.Now()
+		f.store.put(entry.HostRecord("receiver", strongHost))
+		f.waitForOwnerDeletions(1)
+		for n := range 4 {
+			if kvs, _ := f.store.readRange(fmt.Sprint(entry.OwnerPrefix, n)); len(kvs) == 0 {
+				f.takeShard(n, "receiver")
+			}
+		}
+		took := time.Now()
+		f.waitForOwnerDeletions(2)
+		gap := f.ownerDeletions()[1].Sub(took)
+		assert.Check(f.t, gap >= 1500*time.Millisecond && gap < 2*time.Second, "next shard after %s; owners: %s", gap, f.ownerHistory(began))
+	})
+}
