Take a shard back that the store does not hand over

Cause: an owner that hands a shard over stops its work, then repeats the deletion of its key until it is carried out or its lease has ended. A store that renews leases but turns the deletion away, or does not answer it, left the shard with an owner that does not act for as long as that lasted. The tasks ended with the leases of their workers, and nothing was started. Change: after 2.5 s without a deletion the owner writes owner key and epoch key again under the same lease, guarded by the key's revision. The new revision makes the guard of each deletion fail that may be carried out later; if one was carried out before, the write fails and the shard is given up. The election round that sees the key starts a new runner, as after a write whose answer was lost. The failed handover counts like a return of the own host, so that the wait for the next one doubles. Tasks have at least 4.6 s of their lease left (reckoned). Result: TestShardIsServedWhileTheStoreDoesNotHandItOver before: a long-running task had nothing running for 37.5 s (refused) and 37.2 s (no answer), which is all the time of the fault; 4.2 s with deletions that are carried out after 5 s. After: it passes, with 4 s allowed, four handovers in 40 s, and deletions that are carried out after 3 or 5 s without effect.

--- a/internal/election/history.go
+++ b/internal/election/history.go
@@ -73,7 +73,15 @@
 // WithMissedHandover returns the history after the host did not take a shard that was handed to it. It counts like a
 // rejoin, so that the shard is not handed to the host over and over.
 func (h History) WithMissedHandover(now time.Time) History {
-	h.changedAt, h.joinedAt, h.rejoins, h.returnedAt, h.hasMissedHandover = now, now, h.rejoins+1, time.Time{}, true
+	h = h.WithFailedHandover(now)
+	h.hasMissedHandover = true
+	return h
+}
+
+// WithFailedHandover returns the history after the host did not get one of its shards handed over, because the store did not
+// carry it out. It counts like a rejoin, so that the shard is not without an acting owner over and over.
+func (h History) WithFailedHandover(now time.Time) History {
+	h.changedAt, h.joinedAt, h.rejoins, h.returnedAt = now, now, h.rejoins+1, time.Time{}
 	return h
 }
 
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// recordFailedHandover notes that a host did not get one of its shards handed over.
+func (d *directory) recordFailedHandover(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.histories[host] = d.histories[host].WithFailedHandover(d.now())
+}
+
 // remove applies a deleted key; the caller holds d.mu.
 func (d *directory) remove(key string) {
 	if n, ok := parseShardKey(key, ownerPrefix); ok && strings.HasPrefix(key, ownerPrefix) {
--- /dev/null
+++ b/internal/entry/failedhandover_test.go
@@ -0,0 +1,94 @@
+package entry_test
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+)
+
+// maxUnservedTime is how long a task may have nothing running around a handover that fails: 2.5 s of attempts, a call to the store,
+// the start of the runner, and what the task would wait without a handover.
+const maxUnservedTime = 4 * time.Second
+
+// deletesOwner reports whether a transaction gives up a shard.
+func deletesOwner(t kvstore.Txn) bool {
+	return slices.ContainsFunc(t.Deletes, func(key string) bool { return strings.HasPrefix(key, entry.OwnerPrefix) })
+}
+
+// ownerWrites returns when a host wrote owner keys since a time.
+func (f *simulatedFleet) ownerWrites(host string, since time.Time) []time.Time {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var out []time.Time
+	for _, e := range f.store.events {
+		if e.Deleted || e.at.Before(since) || !strings.HasPrefix(e.KV.Key, entry.OwnerPrefix) {
+			continue
+		}
+		if name, _ := entry.RecordedHost(e.KV.Value); name == host {
+			out = append(out, e.at)
+		}
+	}
+	return out
+}
+
+// Guards against a shard whose owner does not act because it stopped its work for a handover that the store does not carry out,
+// while it goes on renewing the lease: all tasks of the shard end with the leases of the workers, and are not started again.
+// Guards also against a handover that is tried again at once, and against a deletion that is carried out after the owner has
+// taken the shard back.
+func TestShardIsServedWhileTheStoreDoesNotHandItOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault     txnFault
+		takeBacks int
+	}{
+		"refused":                 {txnFault{isRefused: true}, 4},
+		"no answer":               {txnFault{delay: time.Hour}, 4},
+		"carried out after 1.2 s": {txnFault{delay: 1200 * time.Millisecond}, 0},
+		"carried out after 3 s":   {txnFault{delay: 3 * time.Second}, 4},
+		"carried out after 5 s":   {txnFault{delay: 5 * time.Second}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimulatedFleet(t, 1, 3, simulatedWorkers)
+				f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
+				f.addLongRunning(20)
+				var isFaulty atomic.Bool
+				f.store.txnFault = func(t kvstore.Txn) txnFault {
+					if isFaulty.Load() && deletesOwner(t) {
+						return c.fault
+					}
+					return txnFault{}
+				}
+				f.start("one", strongHost)
+				time.Sleep(5 * time.Second)
+				isFaulty.Store(true)
+				f.start("two", strongHost)
+				begin := time.Now()
+				f.tasks.calm()
+				time.Sleep(40 * time.Second)
+				longest, task := f.tasks.longestCounted()
+				assert.Check(t, longest+restartGrace <= maxUnservedTime, "%s had nothing running for %s; owners: %s", task,
+					longest+restartGrace, f.ownerHistory(begin))
+				at := f.ownerWrites("one", begin)
+				assert.Check(t, len(at) == c.takeBacks, "%d shards were taken back: %s", len(at), f.ownerHistory(begin))
+				for i := 1; i < len(at); i++ {
+					least, gap := 2*time.Second+3*time.Second<<(i-1), at[i].Sub(at[i-1])
+					assert.Check(t, gap >= least, "handover %d fails %s after the one before", i+1, gap)
+				}
+				isFaulty.Store(false)
+				time.Sleep(30 * time.Second)
+				assert.Check(t, f.ownershipFault() == "", "%s; owners: %s", f.ownershipFault(), f.ownerHistory(begin))
+				f.kill(f.names()...)
+				time.Sleep(contactTime) // background calls of the hosts end
+				assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+			})
+		})
+	}
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -19,6 +19,12 @@
 // in 200 ms, fifty times its usual latency. The next owner learns of other changes from the workers, as after a crash.
 const commitWaitTimeout = 500 * time.Millisecond
 
+// deletionTimeout is how long an owner that has stopped its work on a shard tries to delete the owner key. Overloaded hosts with three
+// and five shards needed up to 0.9 and 1.75 s (simulation); a host that is merely late must not keep the shard because of that. The
+// tasks of the shard keep running for at least 4.6 s after the stop: a worker's lease lasts 7 s, and the poll that renewed it is at
+// most 2.4 s old.
+const deletionTimeout = 2500 * time.Millisecond
+
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
 	mu sync.Mutex
@@ -115,8 +121,7 @@
 
 // giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
 // key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
-// processor time would not get the deletion done beside its other work, and would keep the shard because of its load. It
-// retries until the key is deleted, the lease of the key has ended or ctx ends; only then does it return an error.
+// processor time would not get the deletion done beside its other work, and would keep the shard because of its load.
 func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord, reason string) error {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.beginHandover(waitCtx)
@@ -134,26 +139,30 @@
 // deleteOwnerKey carries out the transaction that deletes the owner key of a runner that has stopped. An attempt without an answer
 // after storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt
 // before its turn comes, and the others bound the time that a lost response costs. The guard makes repeated attempts harmless.
+// After deletionTimeout it takes the shard back instead, unless the host drains: the host would otherwise renew the lease of a
+// shard that nobody serves. It returns an error if the lease of the key has ended or ctx ends.
 func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
+	h := o.host
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
-	attempt := func() {
+	attempt := func(t kvstore.Txn) {
 		callCtx, cancelCall := context.WithTimeout(ctx, sessionTTL)
 		defer cancelCall()
-		_, err := o.host.platform.Store.Txn(callCtx, t)
+		_, err := h.platform.Store.Txn(callCtx, t)
 		select {
 		case results <- err:
 		case <-ctx.Done():
 		}
 	}
+	began, isTakingBack := h.now(), h.draining.Load()
 	for {
-		go attempt()
+		go attempt(t)
 		err := kvstore.ErrUnknownOutcome
 		select {
 		case err = <-results:
 			countWrite(err)
-			// A conflict means that an earlier attempt has deleted the key, or that the ownership was lost.
+			// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
 			if err == nil || errors.Is(err, kvstore.ErrConflict) {
 				return nil
 			}
@@ -161,12 +170,27 @@
 		case <-ctx.Done():
 		case <-time.After(storeCallTimeout):
 		}
-		if lease, expires := o.host.session.currentLease(); ctx.Err() != nil || lease != r.lease || !o.host.now().Before(expires) {
+		if lease, expires := h.session.currentLease(); ctx.Err() != nil || lease != r.lease || !h.now().Before(expires) {
 			return err
 		}
+		if !isTakingBack && h.now().Sub(began) >= deletionTimeout {
+			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
+				Warn("failed to delete the owner key of the shard; taking the shard back")
+			h.directory.recordFailedHandover(h.self.Host)
+			isTakingBack, t = true, o.takeBackTxn(r)
+		}
 	}
 }
 
+// takeBackTxn returns a transaction that writes the owner key of a shard again under the same lease. An attempt to delete the key
+// may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
+// starts a runner.
+func (o *ownedShards) takeBackTxn(r *runner) kvstore.Txn {
+	t := o.ownershipTxn(r.shard, r.lease, r.epochRevision())
+	t.Guards[0].Revision = r.ownerRevision()
+	return t
+}
+
 // handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards.
 func (o *ownedShards) handOverAll(ctx context.Context) {
 	for _, r := range o.allRunners() {
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -20,6 +20,8 @@
 	lastLease int64
 	leases    map[int64]*memoryLease
 	revision  int64
+	// txnFault, if set, returns what happens to a transaction.
+	txnFault func(kvstore.Txn) txnFault
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -29,6 +31,13 @@
 	at time.Time
 }
 
+// txnFault is a fault of the store in a transaction; the zero value means that there is none.
+type txnFault struct {
+	isRefused bool
+	// delay, if set, is after what time the transaction is executed, without an answer.
+	delay time.Duration
+}
+
 type memoryLease struct {
 	end   time.Time
 	timer *time.Timer
@@ -187,6 +196,23 @@
 	return kvstore.TxnResult{Revision: s.revision}, nil
 }
 
+// callTxn executes a transaction unless there is a fault.
+func (s *memoryStore) callTxn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+	var fault txnFault
+	if s.txnFault != nil {
+		fault = s.txnFault(t)
+	}
+	switch {
+	case fault.isRefused:
+		return kvstore.TxnResult{}, kvstore.ErrUnavailable
+	case fault.delay > 0:
+		time.AfterFunc(fault.delay, func() { _, _ = s.txn(t) })
+		<-ctx.Done()
+		return kvstore.TxnResult{}, kvstore.ErrUnknownOutcome
+	}
+	return s.txn(t)
+}
+
 // eventsAfter returns the events of a prefix after a revision, and a channel that is closed at the next change.
 func (s *memoryStore) eventsAfter(prefix string, revision int64) ([]kvstore.Event, <-chan struct{}) {
 	s.mu.Lock()
@@ -221,7 +247,7 @@
 		},
 		Txn: func(ctx context.Context, t kvstore.Txn) (res kvstore.TxnResult, err error) {
 			h.use(ctx, time.Duration(t.Size())*recordCost)
-			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.txn(t); return err })
+			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.callTxn(ctx, t); return err })
 			return res, err
 		},
 		Watch: func(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -157,7 +157,8 @@
 		case current.Incarnation != h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			o.stopRunner(r, "another host owns the shard")
 		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load() && !o.handovers.isGivenUp(n, current.revision):
-			// This host's write of the owner key took effect, but the response was lost.
+			// This host's write of the owner key took effect, but the response was lost; or it took back a shard that it could not hand
+			// over.
 			o.startRunner(n, current.revision)
 		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
@@ -198,11 +199,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	record := workflow.Encode(h.self)
-	res, err := h.platform.Store.Txn(ctx, kvstore.Txn{
-		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
-		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
-	})
+	res, err := h.platform.Store.Txn(ctx, o.ownershipTxn(n, lease, epoch))
 	fields := logrus.Fields{
 		"decision": "own", "shard": n, "epoch": epoch, "hosts": h.directory.hostCount(), "lease": lease,
 		"owned": len(o.allRunners()),
@@ -228,6 +225,15 @@
 	}
 }
 
+// ownershipTxn returns the transaction with which this host takes a shard without an owner.
+func (o *ownedShards) ownershipTxn(n int, lease, epoch int64) kvstore.Txn {
+	record := workflow.Encode(o.host.self)
+	return kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
+		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
+	}
+}
+
 // resumeRunner continues with the state in memory under an owner key that this host has written, unless the lease of the key has
 // ended or a worker knows a later owner.
 func (o *ownedShards) resumeRunner(r *runner, current ownerRecord) {
