End the lease of a host that can neither hand a shard over nor take it back

Cause: a drain repeated the deletion of owner keys for all of its 5 s, which left no time to serve callers until connections went elsewhere, and renewed the lease meanwhile. A drain also waits for a handover for rebalancing that is under way, whose attempts the time of the drain does not end: if the store did not carry it out, the drain did not end. And a store that refuses all transactions of a host but renews its lease refuses the write with which the host takes its shard back, too. Change: after 1 s without a deletion in a drain, or 1 s without that write, the host stops renewing the lease, asks the store once to end it, and requests a new one. Its shards are then free at once, or after 1.6 s. A renewal that is under way does not bring the lease back. Other shards of the host lose their owner with it; a host whose transactions are refused can't record anything for them. In a drain whose handover was taken back a moment before, the key without a runner is deleted only with the lease, at the end of the drain; that window of some milliseconds is not closed.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -33,6 +33,15 @@
 	running.Wait()
 }
 
+// RunSession keeps a lease until ctx ends.
+func (h *Host) RunSession(ctx context.Context) { h.session.run(ctx) }
+
+// AbandonLease abandons the present lease.
+func (h *Host) AbandonLease(ctx context.Context) error {
+	lease, _ := h.session.currentLease()
+	return h.session.abandon(ctx, lease)
+}
+
 // DrainShards marks the host as draining and gives up its shards.
 func (h *Host) DrainShards(ctx context.Context) {
 	h.draining.Store(true)
--- a/internal/entry/failedhandover_test.go
+++ b/internal/entry/failedhandover_test.go
@@ -39,6 +39,39 @@
 	return out
 }
 
+// runFaultyFleet runs a scenario on a fleet of three shards with long-running tasks that fail, and a host that owns all shards.
+// After setFaulty(true), the transactions of this host for which isAffected returns true have a fault.
+func runFaultyFleet(t *testing.T, fault txnFault, isAffected func(kvstore.Txn) bool,
+	scenario func(f *simulatedFleet, setFaulty func(bool)),
+) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 1, 3, simulatedWorkers)
+		f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
+		f.addLongRunning(20)
+		var isFaulty atomic.Bool
+		f.store.txnFault = func(host string, t kvstore.Txn) txnFault {
+			if isFaulty.Load() && host == "one" && isAffected(t) {
+				return fault
+			}
+			return txnFault{}
+		}
+		f.start("one", strongHost)
+		time.Sleep(5 * time.Second)
+		scenario(f, isFaulty.Store)
+		f.kill(f.names()...)
+		time.Sleep(contactTime) // background calls of the hosts end
+		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+	})
+}
+
+// checkIdle checks that no task has had nothing running for longer than maxIdle.
+func (f *simulatedFleet) checkIdle(maxIdle time.Duration, began time.Time) {
+	f.t.Helper()
+	longest, task := f.tasks.longestCounted()
+	assert.Check(f.t, longest+restartGrace <= maxIdle, "%s had nothing running for %s; owners: %s", task, longest+restartGrace,
+		f.ownerHistory(began))
+}
+
 // Guards against a shard whose owner does not act because it stopped its work for a handover that the store does not carry out,
 // while it goes on renewing the lease: all tasks of the shard end with the leases of the workers, and are not started again.
 // Guards also against a handover that is tried again at once, and against a deletion that is carried out after the owner has
@@ -55,39 +88,22 @@
 		"carried out after 5 s":   {txnFault{delay: 5 * time.Second}, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newSimulatedFleet(t, 1, 3, simulatedWorkers)
-				f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
-				f.addLongRunning(20)
-				var isFaulty atomic.Bool
-				f.store.txnFault = func(t kvstore.Txn) txnFault {
-					if isFaulty.Load() && deletesOwner(t) {
-						return c.fault
-					}
-					return txnFault{}
-				}
-				f.start("one", strongHost)
-				time.Sleep(5 * time.Second)
-				isFaulty.Store(true)
+			runFaultyFleet(t, c.fault, deletesOwner, func(f *simulatedFleet, setFaulty func(bool)) {
+				setFaulty(true)
 				f.start("two", strongHost)
 				begin := time.Now()
 				f.tasks.calm()
 				time.Sleep(40 * time.Second)
-				longest, task := f.tasks.longestCounted()
-				assert.Check(t, longest+restartGrace <= maxUnservedTime, "%s had nothing running for %s; owners: %s", task,
-					longest+restartGrace, f.ownerHistory(begin))
+				f.checkIdle(maxUnservedTime, begin)
 				at := f.ownerWrites("one", begin)
-				assert.Check(t, len(at) == c.takeBacks, "%d shards were taken back: %s", len(at), f.ownerHistory(begin))
+				assert.Check(f.t, len(at) == c.takeBacks, "%d shards were taken back: %s", len(at), f.ownerHistory(begin))
 				for i := 1; i < len(at); i++ {
 					least, gap := 2*time.Second+3*time.Second<<(i-1), at[i].Sub(at[i-1])
-					assert.Check(t, gap >= least, "handover %d fails %s after the one before", i+1, gap)
+					assert.Check(f.t, gap >= least, "handover %d fails %s after the one before", i+1, gap)
 				}
-				isFaulty.Store(false)
+				setFaulty(false)
 				time.Sleep(30 * time.Second)
-				assert.Check(t, f.ownershipFault() == "", "%s; owners: %s", f.ownershipFault(), f.ownerHistory(begin))
-				f.kill(f.names()...)
-				time.Sleep(contactTime) // background calls of the hosts end
-				assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+				assert.Check(f.t, f.ownershipFault() == "", "%s; owners: %s", f.ownershipFault(), f.ownerHistory(begin))
 			})
 		})
 	}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -25,6 +25,14 @@
 // most 2.4 s old.
 const deletionTimeout = 2500 * time.Millisecond
 
+const (
+	// drainDeletionTimeout replaces deletionTimeout in a drain, which has to serve callers for drainServePeriod of its drainTimeout
+	// after the handovers.
+	drainDeletionTimeout = time.Second
+	// takeBackTimeout bounds the attempts to take a shard back after a handover that failed.
+	takeBackTimeout = time.Second
+)
+
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
 	mu sync.Mutex
@@ -139,46 +147,55 @@
 // deleteOwnerKey carries out the transaction that deletes the owner key of a runner that has stopped. An attempt without an answer
 // after storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt
 // before its turn comes, and the others bound the time that a lost response costs. The guard makes repeated attempts harmless.
-// After deletionTimeout it takes the shard back instead, unless the host drains: the host would otherwise renew the lease of a
-// shard that nobody serves. It returns an error if the lease of the key has ended or ctx ends.
+// After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves.
+// If that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx
+// ends.
 func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
 	h := o.host
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
-	attempt := func(t kvstore.Txn) {
-		callCtx, cancelCall := context.WithTimeout(ctx, sessionTTL)
-		defer cancelCall()
-		_, err := h.platform.Store.Txn(callCtx, t)
-		select {
-		case results <- err:
-		case <-ctx.Done():
-		}
-	}
-	began, isTakingBack := h.now(), h.draining.Load()
+	began, isTakingBack := h.now(), false
 	for {
-		go attempt(t)
+		go o.attemptTxn(attemptCtx, t, results)
 		err := kvstore.ErrUnknownOutcome
 		select {
 		case err = <-results:
 			countWrite(err)
-			// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
-			if err == nil || errors.Is(err, kvstore.ErrConflict) {
-				return nil
-			}
-			retry.Sleep(ctx, minWriteBackoff)
 		case <-ctx.Done():
 		case <-time.After(storeCallTimeout):
 		}
+		isDraining := h.draining.Load()
+		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
+		isDone := err == nil || errors.Is(err, kvstore.ErrConflict)
+		if isDone && !(isTakingBack && isDraining) {
+			return nil
+		}
 		if lease, expires := h.session.currentLease(); ctx.Err() != nil || lease != r.lease || !h.now().Before(expires) {
 			return err
 		}
-		if !isTakingBack && h.now().Sub(began) >= deletionTimeout {
+		elapsed := h.now().Sub(began)
+		switch {
+		case isDraining && (isTakingBack || elapsed >= drainDeletionTimeout), isTakingBack && elapsed >= takeBackTimeout:
+			return errors.Join(err, h.session.abandon(ctx, r.lease))
+		case !isTakingBack && elapsed >= deletionTimeout:
 			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
 				Warn("failed to delete the owner key of the shard; taking the shard back")
 			h.directory.recordFailedHandover(h.self.Host)
-			isTakingBack, t = true, o.takeBackTxn(r)
+			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r)
 		}
+		retry.Sleep(ctx, minWriteBackoff)
+	}
+}
+
+// attemptTxn makes one attempt to carry out a transaction and sends its outcome.
+func (o *ownedShards) attemptTxn(ctx context.Context, t kvstore.Txn, outcome chan<- error) {
+	callCtx, cancel := context.WithTimeout(ctx, sessionTTL)
+	defer cancel()
+	_, err := o.host.platform.Store.Txn(callCtx, t)
+	select {
+	case outcome <- err:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -20,8 +20,8 @@
 	lastLease int64
 	leases    map[int64]*memoryLease
 	revision  int64
-	// txnFault, if set, returns what happens to a transaction.
-	txnFault func(kvstore.Txn) txnFault
+	// txnFault, if set, returns what happens to a transaction of a host.
+	txnFault func(host string, t kvstore.Txn) txnFault
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -196,11 +196,11 @@
 	return kvstore.TxnResult{Revision: s.revision}, nil
 }
 
-// callTxn executes a transaction unless there is a fault.
-func (s *memoryStore) callTxn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+// callTxn executes a transaction of a host unless there is a fault.
+func (s *memoryStore) callTxn(ctx context.Context, host string, t kvstore.Txn) (kvstore.TxnResult, error) {
 	var fault txnFault
 	if s.txnFault != nil {
-		fault = s.txnFault(t)
+		fault = s.txnFault(host, t)
 	}
 	switch {
 	case fault.isRefused:
@@ -247,7 +247,7 @@
 		},
 		Txn: func(ctx context.Context, t kvstore.Txn) (res kvstore.TxnResult, err error) {
 			h.use(ctx, time.Duration(t.Size())*recordCost)
-			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.callTxn(ctx, t); return err })
+			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.callTxn(ctx, h.name, t); return err })
 			return res, err
 		},
 		Watch: func(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -25,6 +25,8 @@
 
 // session keeps the host's lease and record in the store.
 type session struct {
+	// abandoned is the lease that was abandoned last.
+	abandoned int64
 	// expires is when this host stops relying on the lease: sessionExpiryMargin before the store can end it.
 	expires time.Time
 	healthy atomic.Bool
@@ -53,7 +55,8 @@
 	for ctx.Err() == nil {
 		err := s.renew(ctx)
 		if ok := err == nil; s.healthy.Swap(ok) != ok {
-			entry := s.log.WithFields(logrus.Fields{"decision": "store_health", "lease": s.lease, "healthy": ok})
+			lease, _ := s.currentLease()
+			entry := s.log.WithFields(logrus.Fields{"decision": "store_health", "lease": lease, "healthy": ok})
 			if ok {
 				entry.Info("lease renewal succeeded; the store is reachable")
 			} else {
@@ -118,6 +121,9 @@
 func (s *session) setLease(lease int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if lease != 0 && lease == s.abandoned {
+		return // the renewal was under way
+	}
 	s.lease = lease
 	s.expires = sent.Add(sessionTTL - sessionExpiryMargin)
 	if lease == 0 {
@@ -142,6 +148,23 @@
 	}
 }
 
+// abandon ends a lease whose keys the host can't delete one by one, so that other hosts take its shards. The lease ends after its TTL
+// if the call fails, as it is not renewed any more. The next renewal requests a new lease.
+func (s *session) abandon(ctx context.Context, lease int64) error {
+	s.mu.Lock()
+	if lease == 0 || lease != s.lease {
+		s.mu.Unlock()
+		return nil
+	}
+	s.abandoned, s.lease, s.expires = lease, 0, time.Time{}
+	s.mu.Unlock()
+	s.log.WithFields(logrus.Fields{"decision": "lease_abandoned", "lease": lease}).
+		Warn("abandoning the host's lease, since the store does not carry out the handover of a shard")
+	ctx, cancel := withTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	return s.store.Revoke(ctx, lease)
+}
+
 // revoke ends the lease, which deletes the keys that the host wrote under it.
 func (s *session) revoke(ctx context.Context) {
 	if lease, _ := s.currentLease(); lease != 0 {
