--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -146,40 +146,27 @@
 // deleteOwnerKey carries out the transaction that deletes the owner key of a runner that has stopped. An attempt without an answer
 // after storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt
 // before its turn comes, and the others bound the time that a lost response costs. The guard makes repeated attempts harmless.
-//
-// After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves. If
-// that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx ends.
+// After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves.
+// If that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx
+// ends.
 func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
 	h := o.host
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
-	attempt := func(t kvstore.Txn) {
-		callCtx, cancelCall := context.WithTimeout(ctx, sessionTTL)
-		defer cancelCall()
-		_, err := h.platform.Store.Txn(callCtx, t)
-		select {
-		case results <- err:
-		case <-ctx.Done():
-		}
-	}
 	began, isTakingBack := h.now(), false
 	for {
-		go attempt(t)
+		go o.attemptTxn(attemptCtx, t, results)
 		err := kvstore.ErrUnknownOutcome
-		isDone := false
 		select {
 		case err = <-results:
 			countWrite(err)
-			// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
-			isDone = err == nil || errors.Is(err, kvstore.ErrConflict)
-			if !isDone {
-				retry.Sleep(ctx, minWriteBackoff)
-			}
 		case <-ctx.Done():
 		case <-time.After(storeCallTimeout):
 		}
 		isDraining := h.draining.Load()
+		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
+		isDone := err == nil || errors.Is(err, kvstore.ErrConflict)
 		if isDone && !(isTakingBack && isDraining) {
 			return nil
 		}
@@ -196,6 +183,18 @@
 			h.directory.recordFailedHandover(h.self.Host)
 			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r)
 		}
+		retry.Sleep(ctx, minWriteBackoff)
+	}
+}
+
+// attemptTxn makes one attempt to carry out a transaction and sends its outcome.
+func (o *ownedShards) attemptTxn(ctx context.Context, t kvstore.Txn, outcome chan<- error) {
+	callCtx, cancel := context.WithTimeout(ctx, sessionTTL)
+	defer cancel()
+	_, err := o.host.platform.Store.Txn(callCtx, t)
+	select {
+	case outcome <- err:
+	case <-ctx.Done():
 	}
 }
 
