Count a transaction as written only if all its records are

Cause: after a failed guard, a transaction counted as written if one of its progress records equalled the store's. A job that is written again without a change equals it in any case, so that records of other jobs in the transaction, which a successor may have changed, counted as durable. Starts and acknowledgements follow from that.

Change: the owner key is looked at first; after its loss nothing is concluded from the records, which a successor may have written. Otherwise all guarded puts must be in the store, at one revision. A transaction that took effect before the shard was lost is found when this owner takes the shard again (the epoch key rules out another owner in between); without that its runner is stopped and the writes end. If a record is changed while the owner key stays, the transaction is written once more at the present revisions.

Result: with the owner key gone, job a unchanged and job b not written, the transaction counted as written; now it does not, and it is written after the shard was taken again. A record of a successor is not overwritten. With one key changed under the same owner, the third call of the store writes both records.

--- /dev/null
+++ b/internal/entry/exportcommit_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import "github.com/laburnumridge/laburnumridge/internal/shard"
+
+// CommitWriter writes the records of jobs of shard 0 as its owner does.
+type CommitWriter struct{ r *runner }
+
+// NewCommitWriter returns a writer for the owner whose key is at a revision, and which has read the progress records at theirs.
+func NewCommitWriter(h *Host, ownerRevision int64, progress map[string]int64) CommitWriter {
+	r := newRunner(h, 0, ownerRevision, 1)
+	for job, revision := range progress {
+		r.progressRevisions[job] = revision
+	}
+	return CommitWriter{r}
+}
+
+// Write writes one transaction and reports whether it is known to have taken effect before Close.
+func (c CommitWriter) Write(writes []shard.JobWrite) bool {
+	n, t := c.r.buildTxn(writes)
+	return c.r.writeRecords(t, writes[:n])
+}
+
+// Close stops the writer.
+func (c CommitWriter) Close() { c.r.close() }
+
+// Resume continues under a new owner key that this host has written.
+func (c CommitWriter) Resume(ownerRevision int64) { c.r.resume(ownerRevision, 1) }
+
+// OwnerKey returns the key of the owner of shard 0.
+func OwnerKey() string { return ownerKey(0) }
+
+// ProgressKey returns the key of the progress record of a job in shard 0.
+func ProgressKey(job string) string { return progressKey(0, job) }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -228,26 +228,24 @@
 	return false
 }
 
-// resolveConflict handles a transaction whose guards did not hold. It returns true if an earlier attempt, whose response was
-// lost, has written the records. Otherwise it wakes the election if this host has lost the shard, or else adopts the present
-// revisions of the records for the next attempt.
+// resolveConflict handles a transaction whose guards did not hold. It wakes the election if this host has lost the shard; its
+// successor may have changed the records since, so nothing is concluded from them. Otherwise it returns true if an earlier attempt,
+// whose response was lost, has written the records, or else adopts the present revisions of the records for the next attempt.
 func (r *runner) resolveConflict(t *kvstore.Txn, writes []shard.JobWrite, current []kvstore.KV) bool {
 	currentByKey := map[string]kvstore.KV{}
 	for _, kv := range current {
 		currentByKey[kv.Key] = kv
 	}
-	for _, p := range t.Puts {
-		if kv, ok := currentByKey[p.Key]; ok && string(kv.Value) == string(p.Value) && kv.ModRevision != 0 {
-			r.applyWritten(writes, kv.ModRevision)
-			return true
-		}
-	}
 	if kv, ok := currentByKey[ownerKey(r.shard)]; ok && kv.ModRevision != t.Guards[0].Revision {
 		r.log.WithFields(logrus.Fields{"decision": "not_owner", "revision": kv.ModRevision, "expected": t.Guards[0].Revision}).
 			Warn("job records not written: this host has lost ownership of the shard")
 		r.host.ownedShards.wakeElection()
 		return false
 	}
+	if revision, ok := writtenRevision(*t, currentByKey); ok {
+		r.applyWritten(writes, revision)
+		return true
+	}
 	for i, g := range t.Guards[1:] {
 		if kv, ok := currentByKey[g.Key]; ok {
 			r.log.WithFields(logrus.Fields{"key": g.Key, "revision": kv.ModRevision, "expected": g.Revision}).
@@ -258,6 +256,28 @@
 	return false
 }
 
+// writtenRevision returns the revision at which a transaction has taken effect, and whether it has. All of its guarded puts must be
+// in the store, and at one revision: other transactions may have written some of the same records. The unguarded puts were then
+// written with them.
+func writtenRevision(t kvstore.Txn, current map[string]kvstore.KV) (int64, bool) {
+	guarded := map[string]bool{}
+	for _, g := range t.Guards {
+		guarded[g.Key] = true
+	}
+	revision := int64(0)
+	for _, p := range t.Puts {
+		if !guarded[p.Key] {
+			continue
+		}
+		kv := current[p.Key]
+		if string(kv.Value) != string(p.Value) || revision != 0 && kv.ModRevision != revision {
+			return 0, false
+		}
+		revision = kv.ModRevision
+	}
+	return revision, revision != 0
+}
+
 // applyWritten updates the runner's state after the writes took effect at a store revision.
 func (r *runner) applyWritten(writes []shard.JobWrite, revision int64) {
 	r.mu.Lock()
