Wait for hosts that register after an outage before the layout is written

The limit of 5 s on the wait for further hosts counted from the creation of the host. A host that could not read the store for so long wrote the number of shards as soon as it could, from the hosts that had registered by then; the number never changes. The same happened if the store went down after the first read: neither the limit nor the time without a change of the number of hosts stopped meanwhile.

Both times begin when the host has a valid lease and sees that there is no layout, and begin anew when it has lost its lease. A host without a lease writes no layout. Reads of the simulated store end after 1 s, as in the platform's client; they did not return after an outage before.

--- a/internal/entry/exportlayout_test.go
+++ b/internal/entry/exportlayout_test.go
@@ -18,8 +18,11 @@
 	h.directory.put(kvstore.KV{Key: hostPrefix + name, Value: workflow.Encode(record), ModRevision: 1})
 }
 
-// CreateLayout does what an election round does while there is no layout.
-func (h *Host) CreateLayout(ctx context.Context) { h.createLayout(ctx) }
+// CreateLayout does what an election round of a host with a valid lease does while there is no layout.
+func (h *Host) CreateLayout(ctx context.Context) {
+	h.session.setLease(1, h.now())
+	h.createLayout(ctx)
+}
 
 // LayoutShards returns the number of shards in an encoded layout.
 func LayoutShards(data []byte) (int, error) {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -23,19 +23,19 @@
 	// hostCount is the number of live hosts at the last round without a layout, and hostCountSince when it last changed.
 	hostCount      int
 	hostCountSince time.Time
-	locations      *locationCache
-	loads          *loadCache
-	log            *logrus.Entry
-	now            func() time.Time
-	ownedShards    *ownedShards
-	pending        *pendingCache
-	platform       Platform
-	pool           *peer.Pool
-	self           hostRecord
-	session        *session
-	settings       settings.Settings
-	// started is when the host was created.
-	started time.Time
+	// layoutWaitSince is when this host, with a valid lease, first saw that there is no layout.
+	layoutWaitSince time.Time
+	locations       *locationCache
+	loads           *loadCache
+	log             *logrus.Entry
+	now             func() time.Time
+	ownedShards     *ownedShards
+	pending         *pendingCache
+	platform        Platform
+	pool            *peer.Pool
+	self            hostRecord
+	session         *session
+	settings        settings.Settings
 }
 
 // New returns a host that uses the given platform.
@@ -54,7 +54,6 @@
 			Strength: s.Platform.Strength, Zone: s.Zone,
 		},
 		settings: s,
-		started:  time.Now(),
 	}
 	h.pool = peer.NewPool(entry, h.handlePeerMessage)
 	h.ownedShards = newOwnedShards(h)
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -49,12 +49,21 @@
 }
 
 // observeHostCount returns whether the layout may be written: in the calls during the last layoutDelay the number of live hosts was
-// the same, or maxLayoutDelay has passed since this host was created. Only election rounds call it, so it needs no lock.
+// the same, or maxLayoutDelay has passed since the first call. Without a valid lease it starts anew: other hosts may have lost their
+// leases too, and the directory may be out of date. Only election rounds call it, so it needs no lock.
 func (h *Host) observeHostCount() bool {
+	now := time.Now()
+	if lease, expires := h.session.currentLease(); lease == 0 || !h.now().Before(expires) {
+		h.hostCount, h.layoutWaitSince = 0, time.Time{}
+		return false
+	}
+	if h.layoutWaitSince.IsZero() {
+		h.layoutWaitSince = now
+	}
 	if n := len(h.directory.strengths(h.self)); n != h.hostCount {
-		h.hostCount, h.hostCountSince = n, time.Now()
+		h.hostCount, h.hostCountSince = n, now
 	}
-	return time.Since(h.hostCountSince) >= layoutDelay || time.Since(h.started) >= maxLayoutDelay
+	return now.Sub(h.hostCountSince) >= layoutDelay || now.Sub(h.layoutWaitSince) >= maxLayoutDelay
 }
 
 func (h *Host) countWorkers(ctx context.Context) (int, error) {
--- a/internal/entry/layout_test.go
+++ b/internal/entry/layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,3 +49,43 @@
 		})
 	}
 }
+
+// Guards against a number of shards that is derived from the few hosts that register first after an outage of the store: neither the
+// time in which a host could not read the store, nor a number of hosts that was seen before, shows that all hosts have started.
+func TestLayoutWaitsForHostsThatRegisterAfterOutage(t *testing.T) {
+	const outageEnd = 6 * time.Second
+	for name, outageStart := range map[string]time.Duration{
+		"store down from the start": 0, "store down after the first read": 500 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimulatedFleet(t, 1, 1, 60)
+				key, _ := entry.LayoutRecord(1, nil)
+				_, err := f.store.txn(kvstore.Txn{Deletes: []string{key}})
+				assert.NilError(t, err)
+				f.store.setDown(outageStart == 0)
+				f.start("self", 0.08)
+				time.Sleep(outageStart)
+				f.store.setDown(true)
+				time.Sleep(outageEnd - outageStart)
+				f.store.setDown(false)
+				for i, strength := range []float64{0.08, 1, 1, 1} {
+					time.Sleep(600 * time.Millisecond)
+					f.start(fmt.Sprint("host-", i), strength)
+				}
+				started := time.Now()
+				kvs, _ := f.store.readRange(key)
+				for len(kvs) == 0 && time.Since(started) < 3*time.Second {
+					time.Sleep(entry.ElectionInterval)
+					kvs, _ = f.store.readRange(key)
+				}
+				assert.Equal(t, len(kvs), 1, "no layout 3 s after the start of the last host")
+				shards, err := entry.LayoutShards(kvs[0].Value)
+				assert.NilError(t, err)
+				assert.Check(t, shards == 1, "%d shards", shards)
+				f.kill(f.names()...)
+				time.Sleep(contactTime) // background calls of the hosts end
+			})
+		})
+	}
+}
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -10,6 +10,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
+// rangeTimeout bounds a read of keys, as in the platform's client.
+const rangeTimeout = time.Second
+
 // memoryStore is an in-memory store with leases and watches, for synctest bubbles.
 type memoryStore struct {
 	mu        sync.Mutex
@@ -212,7 +215,9 @@
 			return h.callStore(ctx, kvstore.ErrUnavailable, func() error { return s.keepAlive(id) })
 		},
 		Range: func(ctx context.Context, prefix string) (kvs []kvstore.KV, revision int64, err error) {
-			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { kvs, revision = s.readRange(prefix); return nil })
+			callCtx, cancel := context.WithTimeout(ctx, rangeTimeout)
+			defer cancel()
+			err = h.callStore(callCtx, kvstore.ErrUnavailable, func() error { kvs, revision = s.readRange(prefix); return nil })
 			h.use(ctx, time.Duration(len(kvs))*recordCost)
 			return kvs, revision, err
 		},
