Hand active shards over while another shard is not loaded

A shard that is not loaded, or for which a worker has fenced its host, kept all other shards of the host from being handed over. A store that does not let a host load one shard, or a fenced host that keeps its key, so left idle hosts without any.

Such a shard counts as owned and is not handed over itself: its jobs are not known, or the host does not act for it. The others may be handed over. The stable time of an owner begins when it took a shard or loaded it, whichever came last, so a shard that is being loaded still delays the others after it was taken.

TestInactiveShardDoesNotKeepOthersFromBeingHandedOver (whole hosts in virtual time, a host with three shards beside two that register later, one shard can't be loaded or is fenced): before, the host keeps all three for the 7 s in both cases; now each host has one after 7 s, and the inactive shard stays. internal/entry with -race passes, 66 s on a busy machine.

--- a/internal/election/rebalance.go
+++ b/internal/election/rebalance.go
@@ -39,8 +39,8 @@
 	Shard    int
 }
 
-// Rebalance decides whether self hands one of the shards that it owns to one of the other live hosts, none of which is
-// draining. It does if a host would be clearly less loaded with the shard than self is now. Of such hosts, self leaves the least
+// Rebalance decides whether self hands one of owned, the shards that it owns and may hand over, to one of the other live hosts,
+// none of which is draining. It does if a host would be clearly less loaded with the shard than self is now. Of such hosts, self leaves the least
 // loaded ones to the owners that are more loaded than self, one to each, so that all of them can hand over at the same time. While
 // self is handing over another shard, it hands over a further one only if no other owner needs relief: the handovers of others are
 // not seen until they are done. With a steady membership, the sum over all hosts of the loads at which they took each of their
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -205,32 +205,33 @@
 	}
 }
 
-// nextHandover decides whether to hand a further shard over. Handovers under way count as done.
+// nextHandover decides whether to hand a further shard over. Handovers under way count as done. Shards that are not loaded, or whose
+// workers have fenced this host, count as owned and stay: the state of the store or of a worker must not keep the others here.
 func (o *ownedShards) nextHandover() (election.Handover, bool) {
 	h := o.host
 	receivers := o.handovers.pendingReceivers(h.directory)
-	var owned []int
-	var takenAt time.Time
+	var active []int
+	owned, changedAt := 0, time.Time{}
 	for _, r := range o.allRunners() {
 		if _, isGiven := receivers[r.shard]; isGiven {
 			continue
 		}
-		loadedAt, isLoaded := r.loadTime()
-		if !isLoaded {
-			return election.Handover{}, false
+		owned++
+		at, isActive := r.stability()
+		if at.After(changedAt) {
+			changedAt = at
 		}
-		if loadedAt.After(takenAt) {
-			takenAt = loadedAt
+		if isActive {
+			active = append(active, r.shard)
 		}
-		owned = append(owned, r.shard)
 	}
 	self, others, ok := h.directory.rebalancingView(h.self, receivers)
-	if !ok || len(owned) == 0 || self.Shards != len(owned) {
+	if !ok || len(active) == 0 || self.Shards != owned {
 		return election.Handover{}, false
 	}
 	// A shard that this host has handed over is no sign of instability: each one would keep the next one waiting.
-	self.StableFor = h.now().Sub(takenAt)
-	return election.Rebalance(self, owned, others)
+	self.StableFor = h.now().Sub(changedAt)
+	return election.Rebalance(self, active, others)
 }
 
 // handOver carries out the decision to hand a shard over.
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -68,7 +68,7 @@
 			r.owner.Cancel(now, id)
 		}
 		if !r.loaded {
-			r.loaded, r.loadedAt = true, now
+			r.loaded, r.changedAt = true, now
 		}
 		r.log.WithFields(logrus.Fields{"decision": "load", "jobs": jobs, "records": len(recorded), "revision": r.ownerKeyRevision}).
 			Info("shard loaded")
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -23,6 +23,8 @@
 	lastLease int64
 	leases    map[int64]*memoryLease
 	revision  int64
+	// unreadablePrefix, if set, is a prefix that can't be read.
+	unreadablePrefix string
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -217,7 +219,13 @@
 		Range: func(ctx context.Context, prefix string) (kvs []kvstore.KV, revision int64, err error) {
 			callCtx, cancel := context.WithTimeout(ctx, rangeTimeout)
 			defer cancel()
-			err = h.callStore(callCtx, kvstore.ErrUnavailable, func() error { kvs, revision = s.readRange(prefix); return nil })
+			err = h.callStore(callCtx, kvstore.ErrUnavailable, func() error {
+				if prefix == s.unreadablePrefix {
+					return kvstore.ErrUnavailable
+				}
+				kvs, revision = s.readRange(prefix)
+				return nil
+			})
 			h.use(ctx, time.Duration(len(kvs))*recordCost)
 			return kvs, revision, err
 		},
--- a/internal/entry/rebalancingview_test.go
+++ b/internal/entry/rebalancingview_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,31 @@
 	})
 }
 
+// Guards against a host that keeps all its shards since it does not act for one of them: the store does not let it load the shard, or
+// a worker has fenced it. The others may be handed over, and this one still counts as the host's load.
+func TestInactiveShardDoesNotKeepOthersFromBeingHandedOver(t *testing.T) {
+	for name, deactivate := range map[string]func(*simulatedFleet){
+		"not loaded": func(f *simulatedFleet) { f.store.unreadablePrefix = entry.JobPrefix + "2/" },
+		"fenced":     func(f *simulatedFleet) { f.workers["servers/w2-0"].token = 1 << 50 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runView(t, 3, func(f *simulatedFleet) {
+				deactivate(f)
+				f.start("self", strongHost)
+				time.Sleep(5 * time.Second)
+				assert.Equal(f.t, f.owners()["self"], 3)
+				began := time.Now()
+				f.start("host-1", strongHost)
+				f.start("host-2", strongHost)
+				time.Sleep(contactTime + restartWindow)
+				history := f.ownerHistory(began)
+				assert.Check(f.t, f.ownershipFault() == "", "%s; owners: %s", f.ownershipFault(), history)
+				assert.Check(f.t, !strings.Contains(history, " 2:"), "the inactive shard was handed over; owners: %s", history)
+			})
+		})
+	}
+}
+
 // Guards against an owner that hands a further shard to a host which has just taken one, before the load that comes with it can
 // be seen and while the host may be taking others.
 func TestHostThatTookShardReceivesNextAfterStableTime(t *testing.T) {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -40,13 +40,13 @@
 	host          *Host
 	// lease is the lease of the shard's owner key.
 	lease int64
-	// loaded is set once the shard's jobs have been read from the store. loadedAt is the time of that, or the time at which the shard
-	// was taken again later.
-	loaded   bool
-	loadedAt time.Time
-	log      *logrus.Entry
-	mu       sync.Mutex
-	owner    *shard.Owner
+	// changedAt is when the shard was taken, its jobs were read or it was taken again, whichever came last.
+	changedAt time.Time
+	// loaded is set once the shard's jobs have been read from the store.
+	loaded bool
+	log    *logrus.Entry
+	mu     sync.Mutex
+	owner  *shard.Owner
 	// progressRevisions maps job ids to the revisions of their progress records.
 	progressRevisions map[string]int64
 	// cancellations is the set of jobs with a recorded cancellation.
@@ -72,7 +72,8 @@
 	log := h.log.WithField("shard", n)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &runner{
-		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, epochKeyRevision: revision, host: h, lease: lease, log: log,
+		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: h.now(), epochKeyRevision: revision, host: h,
+		lease: lease, log: log,
 		owner: shard.NewOwner(revision, h.now(), shard.WithLog(log), shard.WithTiming(h.timing()),
 			shard.WithStartObserver(startWait.Observe)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
@@ -114,12 +115,12 @@
 	return r.ownerKeyRevision
 }
 
-// loadTime returns when the shard's jobs were read or the shard was taken again later, and whether the jobs have been read and this
-// host has not been fenced.
-func (r *runner) loadTime() (time.Time, bool) {
+// stability returns when the shard was taken, its jobs were read or it was taken again, whichever came last, and whether the jobs
+// have been read and this host has not been fenced.
+func (r *runner) stability() (changedAt time.Time, isActive bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loadedAt, r.loaded && !r.deposed
+	return r.changedAt, r.loaded && !r.deposed
 }
 
 func (r *runner) epochRevision() int64 {
@@ -141,9 +142,7 @@
 	r.mu.Lock()
 	r.ownerKeyRevision, r.epochKeyRevision, r.lease = revision, revision, lease
 	r.owner.SetToken(revision)
-	if r.loaded {
-		r.loadedAt = r.host.now()
-	}
+	r.changedAt = r.host.now()
 	r.mu.Unlock()
 	r.wakeLoop()
 }
