--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -10,6 +10,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
+// rangeTimeout bounds a read of keys, as in the platform's client.
+const rangeTimeout = time.Second
+
 // memoryStore is an in-memory store with leases and watches, for synctest bubbles.
 type memoryStore struct {
 	mu        sync.Mutex
@@ -22,6 +25,8 @@
 	revision  int64
 	// txnFault, if set, returns what happens to a transaction of a host.
 	txnFault func(host string, t kvstore.Txn) txnFault
+	// unreadablePrefix, if set, is a prefix that can't be read.
+	unreadablePrefix string
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -238,7 +243,15 @@
 			return h.callStore(ctx, kvstore.ErrUnavailable, func() error { return s.keepAlive(id) })
 		},
 		Range: func(ctx context.Context, prefix string) (kvs []kvstore.KV, revision int64, err error) {
-			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { kvs, revision = s.readRange(prefix); return nil })
+			callCtx, cancel := context.WithTimeout(ctx, rangeTimeout)
+			defer cancel()
+			err = h.callStore(callCtx, kvstore.ErrUnavailable, func() error {
+				if prefix == s.unreadablePrefix {
+					return kvstore.ErrUnavailable
+				}
+				kvs, revision = s.readRange(prefix)
+				return nil
+			})
 			h.use(ctx, time.Duration(len(kvs))*recordCost)
 			return kvs, revision, err
 		},
