Keep the histories of owners when all keys are read again

When the store has dropped the history that a watch needs, the directory reads all keys again. It forgot the known hosts and owners before, so each owner counted as new: its stable time began again, and claims were paced as if all hosts had just joined. A host that has shards receives no further one if this happens more often than once in its stable time: 1.5 s, up to 24 s after returns. Compactions some minutes apart only delay a handover once. The stable time of the giving owner was not affected.

Hosts and owners stay known over such a read; those whose keys are gone are removed as if their deletion had been seen.

TestReadingAllKeysAgainIsNoChangeOfOwner (virtual time, the history is dropped each 0.7 s): before, no handover in 5.6 s; now the owner hands a shard over. TestReadingAllKeysAgainFindsDeletedOnes passes before and after; without the removal of missing keys it fails, a shard whose owner's key was deleted in the gap gets no owner. internal/entry with -race passes, 66 s on a busy machine.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -79,8 +79,8 @@
 func (d *directory) run(ctx context.Context, s kvstore.Store) {
 	watchPrefix(ctx, s, d.log, controlPrefix, func(kvs []kvstore.KV) {
 		d.mu.Lock()
-		d.epochs, d.hosts = map[int]int64{}, map[string]hostRecord{}
-		d.owners, d.successors = map[int]ownerRecord{}, map[int]ownerRecord{}
+		d.removeMissing(kvs)
+		d.epochs, d.successors = map[int]int64{}, map[int]ownerRecord{}
 		for _, kv := range kvs {
 			d.put(kv)
 		}
@@ -201,6 +201,25 @@
 	}
 }
 
+// removeMissing removes the hosts and owners whose keys are not among all keys that were read again. The others stay, so that a read
+// after a lost history does not count as a change of each of them. The caller holds d.mu.
+func (d *directory) removeMissing(kvs []kvstore.KV) {
+	present := map[string]bool{}
+	for _, kv := range kvs {
+		present[kv.Key] = true
+	}
+	for n := range d.owners {
+		if key := ownerKey(n); !present[key] {
+			d.remove(key)
+		}
+	}
+	for key := range d.hosts {
+		if !present[key] {
+			d.remove(key)
+		}
+	}
+}
+
 // recordOwnershipChange notes that the shards of a host have changed; the caller holds d.mu.
 func (d *directory) recordOwnershipChange(host string) {
 	if h, ok := d.histories[host]; ok {
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -15,14 +15,16 @@
 
 // memoryStore is an in-memory store with leases and watches, for synctest bubbles.
 type memoryStore struct {
-	mu        sync.Mutex
-	changed   chan struct{}
-	downSince time.Time
-	events    []storeEvent
-	items     map[string]kvstore.KV
-	lastLease int64
-	leases    map[int64]*memoryLease
-	revision  int64
+	mu      sync.Mutex
+	changed chan struct{}
+	// compactions is the number of times at which the history was dropped, which ends watches.
+	compactions int
+	downSince   time.Time
+	events      []storeEvent
+	items       map[string]kvstore.KV
+	lastLease   int64
+	leases      map[int64]*memoryLease
+	revision    int64
 	// unreadablePrefix, if set, is a prefix that can't be read.
 	unreadablePrefix string
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
@@ -192,6 +194,20 @@
 	return kvstore.TxnResult{Revision: s.revision}, nil
 }
 
+// compact drops the history that watches need to continue.
+func (s *memoryStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compactions++
+	s.notify()
+}
+
+func (s *memoryStore) compactionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compactions
+}
+
 // eventsAfter returns the events of a prefix after a revision, and a channel that is closed at the next change.
 func (s *memoryStore) eventsAfter(prefix string, revision int64) ([]kvstore.Event, <-chan struct{}) {
 	s.mu.Lock()
@@ -238,9 +254,13 @@
 			return res, err
 		},
 		Watch: func(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
+			compactions := s.compactionCount()
 			for ctx.Err() == nil {
-				if s.isDown() || h.isCut.Load() {
+				switch {
+				case s.isDown() || h.isCut.Load():
 					return kvstore.ErrUnavailable
+				case s.compactionCount() != compactions:
+					return kvstore.ErrCompacted
 				}
 				events, changed := s.eventsAfter(prefix, since)
 				if len(events) > 0 {
--- a/internal/entry/rebalancingview_test.go
+++ b/internal/entry/rebalancingview_test.go
@@ -100,3 +100,39 @@
 		assert.Check(f.t, gap >= 1500*time.Millisecond && gap < 2*time.Second, "next shard after %s; owners: %s", gap, f.ownerHistory(began))
 	})
 }
+
+// Guards against owners that receive no shard since each reading of all keys, after the store dropped its history, counts as a change
+// of their shards.
+func TestReadingAllKeysAgainIsNoChangeOfOwner(t *testing.T) {
+	runView(t, 4, func(f *simulatedFleet) {
+		f.store.put(entry.HostRecord("receiver", strongHost))
+		f.takeShard(3, "receiver")
+		f.start("self", strongHost)
+		began := time.Now()
+		for range 8 {
+			time.Sleep(700 * time.Millisecond)
+			f.store.compact()
+		}
+		assert.Check(f.t, len(f.ownerDeletions()) > 0, "no handover in %s", time.Since(began))
+	})
+}
+
+// Guards against hosts and owners that stay known although their keys were deleted in the gap before all keys were read again.
+func TestReadingAllKeysAgainFindsDeletedOnes(t *testing.T) {
+	runView(t, 3, func(f *simulatedFleet) {
+		f.store.put(entry.HostRecord("other", strongHost))
+		f.takeShard(2, "other")
+		f.start("self", strongHost)
+		time.Sleep(4 * time.Second)
+		f.store.put(entry.HostRecord("idle", strongHost))
+		time.Sleep(time.Second)
+		f.store.compact()
+		idle, _ := entry.HostRecord("idle", strongHost)
+		other, _ := entry.HostRecord("other", strongHost)
+		_, err := f.store.txn(kvstore.Txn{Deletes: []string{idle, other, entry.OwnerPrefix + "2"}})
+		assert.NilError(f.t, err)
+		time.Sleep(4 * time.Second)
+		assert.Check(f.t, f.owners()["self"] == 3, "owners: %s", f.ownerHistory(time.Now().Add(-5*time.Second)))
+		assert.Check(f.t, len(f.ownerDeletions()) == 1, "owners: %s", f.ownerHistory(time.Now().Add(-5*time.Second)))
+	})
+}
