--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -25,6 +25,8 @@
 	lastLease   int64
 	leases      map[int64]*memoryLease
 	revision    int64
+	// txnFault, if set, returns what happens to a transaction of a host.
+	txnFault func(host string, t kvstore.Txn) txnFault
 	// unreadablePrefix, if set, is a prefix that can't be read.
 	unreadablePrefix string
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
@@ -36,6 +38,13 @@
 	at time.Time
 }
 
+// txnFault is a fault of the store in a transaction; the zero value means that there is none.
+type txnFault struct {
+	isRefused bool
+	// delay, if set, is after what time the transaction is executed, without an answer.
+	delay time.Duration
+}
+
 type memoryLease struct {
 	end   time.Time
 	timer *time.Timer
@@ -208,6 +217,23 @@
 	return s.compactions
 }
 
+// callTxn executes a transaction of a host unless there is a fault.
+func (s *memoryStore) callTxn(ctx context.Context, host string, t kvstore.Txn) (kvstore.TxnResult, error) {
+	var fault txnFault
+	if s.txnFault != nil {
+		fault = s.txnFault(host, t)
+	}
+	switch {
+	case fault.isRefused:
+		return kvstore.TxnResult{}, kvstore.ErrUnavailable
+	case fault.delay > 0:
+		time.AfterFunc(fault.delay, func() { _, _ = s.txn(t) })
+		<-ctx.Done()
+		return kvstore.TxnResult{}, kvstore.ErrUnknownOutcome
+	}
+	return s.txn(t)
+}
+
 // eventsAfter returns the events of a prefix after a revision, and a channel that is closed at the next change.
 func (s *memoryStore) eventsAfter(prefix string, revision int64) ([]kvstore.Event, <-chan struct{}) {
 	s.mu.Lock()
@@ -250,7 +276,7 @@
 		},
 		Txn: func(ctx context.Context, t kvstore.Txn) (res kvstore.TxnResult, err error) {
 			h.use(ctx, time.Duration(t.Size())*recordCost)
-			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.txn(t); return err })
+			err = h.callStore(ctx, kvstore.ErrUnknownOutcome, func() (err error) { res, err = s.callTxn(ctx, h.name, t); return err })
 			return res, err
 		},
 		Watch: func(ctx context.Context, prefix string, since int64, each func([]kvstore.Event)) error {
