Leave restarts most of the room beside overdue changes

Cause: with 20 places of a commit for overdue starts and final states and 8 for overdue progress, restarts of long-running tasks had only 12 if all of a backlog is overdue. An owner with 1,600 such tasks that fail once a minute has 27 restarts a second.

Change: 8 places are kept for either kind, and 24 go to restarts first. Up to 12 more overdue starts and final states follow them.

The longest wait for an acknowledgement with 250 jobs that start tasks all the time stays at 3.9 s.

--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -12,11 +12,13 @@
 	maxRecordAge = 1500 * time.Millisecond
 	// overdueProgressPerCommit and overdueCallersPerCommit are the shares of a commit that are kept for overdue changes that
 	// nobody waits for, and for overdue starts and final states. Each share takes the oldest of its changes, so that with n such
-	// jobs a change is written after maxRecordAge and n / share further commits, whatever else is waiting. The rest goes by
-	// urgency. If all of a slow owner's backlog is overdue, what callers wait for still has most of each commit. With 250 jobs that
-	// start tasks all the time, the longest wait for an acknowledgement was 5.0 s with a share of 10 for callers, 3.9 s with 20.
+	// jobs a change is written after maxRecordAge and n / share further commits, whatever else is waiting. The larger rest goes
+	// by urgency, so that restarts and what callers wait for have most of each commit if all of a slow owner's backlog is overdue.
 	overdueProgressPerCommit = 8
-	overdueCallersPerCommit  = 20
+	overdueCallersPerCommit  = 8
+	// overdueCallersAfterRestarts is how many more overdue starts and final states come before others if restarts leave room.
+	// With 250 jobs that start tasks all the time, the longest wait for an acknowledgement was 5.0 s with 10 in all, 3.9 s with 20.
+	overdueCallersAfterRestarts = 12
 )
 
 // urgency ranks changed jobs by who waits for their record. Lower values are written first.
@@ -27,6 +29,8 @@
 	urgencyOverdue urgency = iota
 	// urgencyRestart: a long-running task that ran before has a new attempt. It is interrupted until it runs again.
 	urgencyRestart
+	// urgencyOverdueCaller: as urgencyCaller, but overdue, beyond the share of such changes.
+	urgencyOverdueCaller
 	// urgencyCaller: a task with a worker waits for its start, or a caller for the final state. Both rank the same, since both
 	// delay the completion of a job.
 	urgencyCaller
@@ -51,17 +55,24 @@
 // sortForCommit sorts changed jobs by urgency, after the shares of overdue changes. Jobs that callers wait for are sorted as in
 // the backlog; otherwise, and among equals, the oldest change comes first. The jobs must be given in the order of their changes.
 func sortForCommit(now time.Time, jobs []*job) {
-	shares := map[urgency]int{urgencyCaller: overdueCallersPerCommit, urgencyProgress: overdueProgressPerCommit}
+	progress, callers := 0, 0
 	urgencies := make(map[*job]urgency, len(jobs))
 	for _, j := range jobs {
 		u := j.urgency()
-		share := u
-		if u == urgencyCancel {
-			share = urgencyProgress
-		}
-		if shares[share] > 0 && now.Sub(j.dirtySince) > maxRecordAge {
-			shares[share]--
-			u = urgencyOverdue
+		switch {
+		case now.Sub(j.dirtySince) <= maxRecordAge:
+		case u == urgencyCaller:
+			callers++
+			if callers <= overdueCallersPerCommit {
+				u = urgencyOverdue
+			} else if callers <= overdueCallersPerCommit+overdueCallersAfterRestarts {
+				u = urgencyOverdueCaller
+			}
+		case u == urgencyCancel, u == urgencyProgress:
+			progress++
+			if progress <= overdueProgressPerCommit {
+				u = urgencyOverdue
+			}
 		}
 		urgencies[j] = u
 	}
