Poll idle workers with an old lease before their first start

The lapse had a use: the owner then polled a worker that had been idle for longer than a lease, and dropped its attempts if the worker had fallen silent. Without it the start went to the silent worker, and the task waited until the lease of that start was over.

Change: if the lease of a worker with only unsent attempts is over, the worker has to answer a poll with the present token before a start is sent; its attempts are dropped if the poll fails. The token is not raised, and nothing is logged as lapsed.

The harness of the tests has a worker that answers neither polls nor starts for this.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -223,12 +223,11 @@
 	}
 }
 
-// expireLeases removes the attempts on workers whose lease expired. Without attempts that were sent there is nothing that a lease
-// could end: such workers are not polled, and a start renews the lease.
+// expireLeases removes the attempts on workers whose lease expired. A worker without attempts that were sent has nothing that a
+// lease could end. It was not polled, so it has to answer a poll before it is sent a start.
 func (o *Owner) expireLeases(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
-		sent := w.sentAttempts()
-		if len(sent) == 0 {
+		if len(w.attempts) == 0 {
 			continue
 		}
 		expiry := w.leaseExpiry(o.timing)
@@ -236,6 +235,13 @@
 			a.wakeAt(expiry)
 			continue
 		}
+		sent := w.sentAttempts()
+		if len(sent) == 0 {
+			if w.fenced {
+				w.fenced, w.nextPollAt = false, time.Time{}
+			}
+			continue
+		}
 		reason := "worker did not answer until its lease expired; its runs count as ended"
 		if w.pollFailures == 0 {
 			reason = "lease of the worker was not renewed in time; its runs count as ended"
--- a/internal/shard/plannedlease_test.go
+++ b/internal/shard/plannedlease_test.go
@@ -66,3 +66,16 @@
 	assert.Equal(t, c.starts[1].Run, 1)
 	assert.Equal(t, len(c.store.received), commits, "nothing was recorded again")
 }
+
+// Guards against a task that is started on a worker that fell silent while it had nothing to run and was not polled. The task would
+// wait until the lease of its start is over.
+func TestTaskLeavesIdleWorkerThatFellSilent(t *testing.T) {
+	for _, silent := range []string{"a0", "b1"} {
+		c := newFleetHarness(t, 2)
+		c.run(20 * time.Second)
+		c.silent = silent
+		c.add(workflow.Job{ID: "0000000000000002", Queue: "q", Steps: []workflow.Step{smallStep}})
+		c.run(time.Second)
+		assert.Equal(t, len(c.running), 1, "the task runs on the other worker than %s", silent)
+	}
+}
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -33,6 +33,8 @@
 	longestUnacknowledged time.Duration
 	// endsListed counts the ends in all listings.
 	endsListed int
+	// silent is a worker that answers neither polls nor starts.
+	silent string
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
@@ -60,6 +62,10 @@
 	a := c.owner.Step(c.now)
 	c.store.step(c.simulation, a.Commit)
 	for _, s := range a.Starts {
+		if s.Worker == c.silent {
+			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeUnknown})
+			continue
+		}
 		c.starts, c.running = append(c.starts, s), append(c.running, s)
 		c.startedAt[c.name(s)] = c.now
 		c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: c.clock(c.worker(s.Worker))})
@@ -78,6 +84,10 @@
 	}
 	c.endRunsWhere(c.endCause)
 	for _, poll := range a.Polls {
+		if poll.Worker == c.silent {
+			c.owner.PollFailed(c.now, poll, shard.OutcomeUnknown)
+			continue
+		}
 		f := c.worker(poll.Worker)
 		c.acknowledge(poll)
 		list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
