Keep more of a commit for overdue progress

Cause: on one overloaded host with every shard, ends that only make progress had 8 of the 40 places of a commit once they were overdue. Ends were acknowledged later than with the order before the shares, and workers listed them again more often. Change: 16 places are kept for overdue progress, 8 for overdue starts and final states, 16 go by urgency. The tests of the order pass with the new shares, and fail with a share of 0 for either kind.

--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -12,9 +12,9 @@
 	maxRecordAge = 1500 * time.Millisecond
 	// overdueProgressPerCommit and overdueCallersPerCommit are the shares of a commit that are kept for overdue changes that
 	// nobody waits for, and for overdue starts and final states. Each share takes the oldest of its changes, so that with n such
-	// jobs a change is written after maxRecordAge and n / share further commits, whatever else is waiting. The larger rest goes
-	// by urgency, so that restarts and what callers wait for have most of each commit if all of a slow owner's backlog is overdue.
-	overdueProgressPerCommit = 8
+	// jobs a change is written after maxRecordAge and n / share further commits, whatever else is waiting. The rest goes by
+	// urgency, restarts first. Progress includes ends that wait for their acknowledgement, so its share is the larger one.
+	overdueProgressPerCommit = 16
 	overdueCallersPerCommit  = 8
 	// overdueCallersAfterRestarts is how many more overdue starts and final states come before other ones if restarts leave room.
 	overdueCallersAfterRestarts = 12
