--- a/internal/election/claim_test.go
+++ b/internal/election/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 				s.hosts[i].Shards++
 			}
 		}
-		if !containsUnowned(s.owners) {
+		if !slices.Contains(s.owners, -1) {
 			return now
 		}
 	}
@@ -47,15 +48,6 @@
 	return 0
 }
 
-func containsUnowned(owners []int) bool {
-	for _, owner := range owners {
-		if owner < 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Guards against the first of many hosts that start at the same moment taking every shard, because it ranks itself before
 // the others have registered.
 func TestHostsThatStartTogetherShareTheShards(t *testing.T) {
--- a/internal/election/history.go
+++ b/internal/election/history.go
@@ -16,15 +16,15 @@
 type History struct {
 	// changedAt is when the host came or the shards that it owns changed last.
 	changedAt time.Time
+	// earlierRejoins is the number of rejoins before the last return, which was at returnedAt.
+	earlierRejoins int
 	// hasMissedHandover is set if the host did not take a shard that was handed to it since it joined.
 	hasMissedHandover bool
 	incarnation       string
 	isGone            bool
 	joinedAt          time.Time
 	rejoins           int
-	// earlierRejoins is the number of rejoins before the last return, which was at returnedAt.
-	earlierRejoins int
-	returnedAt     time.Time
+	returnedAt        time.Time
 }
 
 // WithRecord returns the history after the record of a process of the host was seen.
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -9,8 +9,8 @@
 const (
 	// joinSettleTime is the time without a new host after which the directory is taken to know all hosts that are starting.
 	joinSettleTime = time.Second
-	// successorDelay is how long other hosts leave a shard that was handed over to its successor, ten times as long as it
-	// usually needs to take it.
+	// successorDelay is how long other hosts leave a shard that was handed over to its successor. It is ten times as long as
+	// the successor usually needs to take the shard.
 	successorDelay = 400 * time.Millisecond
 )
 
--- a/internal/ledger/checkpoint_test.go
+++ b/internal/ledger/checkpoint_test.go
@@ -11,7 +11,7 @@
 
 // Guards against checkpoints of a store outage that are queued one by one, so that after the outage bindings wait until all of
 // them are committed, four batches a second.
-func TestBindingsWaitForCheckpointsOfOutage(t *testing.T) {
+func TestBindingsDoNotWaitForCheckpointsOfOutage(t *testing.T) {
 	b := newOwnerFixture(t, ledger.State{}, 1, "w1", "w2")
 	b.respond("w1", "boot", true)
 	b.acceptAndBind(batchJob("job", 2, 1), "w1")
