--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -16,9 +16,9 @@
 )
 
 // ClaimDelay returns how long self waits before it claims a shard without an owner. Candidates claim in the order of their
-// scores, rankDelay apart. If isIncomplete is set, hosts may be about to register, such as one as strong as the strongest of
-// formerStrengths, those of the last owners, and a candidate that would be more loaded than a host of that strength with one shard waits longer. Those
-// behind it wait as well, so that the order stays the same.
+// scores, rankDelay apart. If isIncomplete is set, hosts may be about to register, such as one as strong as the strongest of the
+// last owners, whose strengths are formerStrengths. A candidate that would be more loaded than a host of that strength with one
+// shard then waits longer, and so do those behind it, so that the order stays the same.
 func ClaimDelay(self Candidate, others []Candidate, shard int, isIncomplete bool, formerStrengths ...float64) time.Duration {
 	delay := -rankDelay
 	for _, c := range append(preferred(self, others, shard), self) {
