Keep claims of shards going on a busy host

After the loss of an owner, the host that was left took the last of its shards up to 4.5 s after the lease had ended.

Cause: a claim was given up after 0.4 s and made again in a later round. On a host whose calls wait longer for the processor, each attempt loses its turn, as each attempt to delete an owner key did. Claims of several shards also waited for each other.

Change: each shard is claimed on its own, and an attempt without a response goes on while another follows, so that the first one keeps its turn; the guards let one of them take effect. A claim that conflicts with an earlier attempt of the same host is not taken for one of another host. Claims under way count as owned shards, so pacing is as before.

--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// claims tracks the shards that this host is trying to take.
+type claims struct {
+	// cancels ends the claim of a shard, by shard.
+	cancels map[int]context.CancelFunc
+	// isClosed is set once no further claim may begin.
+	isClosed bool
+	mu       sync.Mutex
+	running  sync.WaitGroup
+}
+
+func newClaims() *claims { return &claims{cancels: map[int]context.CancelFunc{}} }
+
+// begin marks a shard as being claimed and returns the context of the claim. It returns false if the shard is being claimed already,
+// or if no claim may begin.
+func (c *claims) begin(ctx context.Context, shard int) (context.Context, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed || c.cancels[shard] != nil {
+		return nil, false
+	}
+	ctx, c.cancels[shard] = context.WithCancel(ctx)
+	c.running.Add(1)
+	return ctx, true
+}
+
+func (c *claims) end(shard int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancels[shard]()
+	delete(c.cancels, shard)
+	c.running.Done()
+}
+
+func (c *claims) isActive(shard int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancels[shard] != nil
+}
+
+// countExcept returns the number of claims of shards for which this host has no runner.
+func (c *claims) countExcept(runners map[int]*runner) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for shard := range c.cancels {
+		if runners[shard] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// finish lets no further claim begin, and waits until none is under way. Claims that take longer than a timeout are given up.
+func (c *claims) finish(timeout time.Duration) {
+	c.mu.Lock()
+	c.isClosed = true
+	c.mu.Unlock()
+	stop := time.AfterFunc(timeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, cancel := range c.cancels {
+			cancel()
+		}
+	})
+	defer stop.Stop()
+	c.running.Wait()
+}
+
+// txnOutcome is what a transaction of an attempt returned.
+type txnOutcome struct {
+	err    error
+	result kvstore.TxnResult
+}
+
+// attemptTxn makes one attempt to carry out a transaction and sends its outcome.
+func (o *ownedShards) attemptTxn(ctx context.Context, t kvstore.Txn, outcome chan<- txnOutcome) {
+	callCtx, cancel := context.WithTimeout(ctx, sessionTTL)
+	defer cancel()
+	result, err := o.host.platform.Store.Txn(callCtx, t)
+	select {
+	case outcome <- txnOutcome{err: err, result: result}:
+	case <-ctx.Done():
+	}
+}
+
+// ownershipTxn returns the transaction with which this host takes a shard without an owner.
+func (o *ownedShards) ownershipTxn(n int, lease, epoch int64) kvstore.Txn {
+	record := workflow.Encode(o.host.self)
+	return kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
+		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
+	}
+}
+
+// claim tries to make this host the owner of a shard without one. If r is not nil, this host owned the shard before, and r
+// resumes with its state in memory unless another host has owned the shard since. An attempt without a response after
+// storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt before its
+// turn comes, and the others bound the time that a lost response costs. The guards make repeated attempts harmless. If the
+// response to an attempt that was carried out is lost, the next election round sees the owner key.
+func (o *ownedShards) claim(ctx context.Context, n int, lease int64, r *runner) {
+	h := o.host
+	epoch := h.directory.epoch(n)
+	if r != nil {
+		epoch = r.epochRevision()
+	}
+	log := h.log.WithFields(logrus.Fields{
+		"decision": "own", "shard": n, "epoch": epoch, "hosts": h.directory.hostCount(), "lease": lease,
+		"owned": len(o.allRunners()),
+	})
+	t, outcomes := o.ownershipTxn(n, lease, epoch), make(chan txnOutcome)
+	for ctx.Err() == nil {
+		go o.attemptTxn(ctx, t, outcomes)
+		outcome := txnOutcome{err: kvstore.ErrUnknownOutcome}
+		select {
+		case outcome = <-outcomes:
+		case <-ctx.Done():
+			return
+		case <-time.After(storeCallTimeout):
+		}
+		if !errors.Is(outcome.err, kvstore.ErrUnknownOutcome) {
+			o.applyClaim(n, lease, r, outcome, log)
+			return
+		}
+		if _, ok := h.directory.owner(n); ok {
+			return // an attempt was carried out, or another host was faster
+		}
+		if current, expires := h.session.currentLease(); current != lease || !h.now().Before(expires) {
+			log.WithError(outcome.err).Warn("failed to take ownership of the shard before the host's lease expired")
+			return
+		}
+		log.WithError(outcome.err).Warn("claim of the shard got no response; repeating it")
+		retry.Sleep(ctx, minWriteBackoff)
+	}
+}
+
+// applyClaim acts on the outcome of a claim.
+func (o *ownedShards) applyClaim(n int, lease int64, r *runner, outcome txnOutcome, log *logrus.Entry) {
+	log = log.WithField("revision", outcome.result.Revision)
+	switch {
+	case outcome.err == nil && r != nil:
+		log.Info("took ownership of the shard again")
+		ownerChanges.Add("taken_again", 1)
+		r.resume(outcome.result.Revision, lease)
+	case outcome.err == nil:
+		log.Info("took ownership of the shard")
+		o.startRunner(n, outcome.result.Revision, lease)
+	case errors.Is(outcome.err, kvstore.ErrConflict) && r != nil:
+		if o.isTakenByOther(n, r, outcome.result.Current) {
+			o.stopRunner(r, "another host owned the shard meanwhile")
+		}
+	case errors.Is(outcome.err, kvstore.ErrConflict):
+		o.forgetOwnerless(n)
+	default:
+		log.WithError(outcome.err).Warn("failed to take ownership of the shard; retrying in a later election round")
+	}
+}
+
+// isTakenByOther reports whether the present state of the guarded keys shows that another host has owned the shard since r did. A
+// change of the epoch key may also come from an attempt of this host whose response was lost.
+func (o *ownedShards) isTakenByOther(n int, r *runner, current []kvstore.KV) bool {
+	for _, kv := range current {
+		if kv.Key != epochKey(n) || kv.ModRevision == r.epochRevision() {
+			continue
+		}
+		owner, err := workflow.Decode[hostRecord](kv.Value)
+		return err != nil || owner.Incarnation != o.host.self.Incarnation
+	}
+	return false
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -153,13 +153,14 @@
 	h := o.host
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error)
+	outcomes := make(chan txnOutcome)
 	began, isTakingBack := h.now(), false
 	for {
-		go o.attemptTxn(attemptCtx, t, results)
+		go o.attemptTxn(attemptCtx, t, outcomes)
 		err := kvstore.ErrUnknownOutcome
 		select {
-		case err = <-results:
+		case outcome := <-outcomes:
+			err = outcome.err
 			countWrite(err)
 		case <-ctx.Done():
 		case <-time.After(storeCallTimeout):
@@ -187,17 +188,6 @@
 	}
 }
 
-// attemptTxn makes one attempt to carry out a transaction and sends its outcome.
-func (o *ownedShards) attemptTxn(ctx context.Context, t kvstore.Txn, outcome chan<- error) {
-	callCtx, cancel := context.WithTimeout(ctx, sessionTTL)
-	defer cancel()
-	_, err := o.host.platform.Store.Txn(callCtx, t)
-	select {
-	case outcome <- err:
-	case <-ctx.Done():
-	}
-}
-
 // takeBackTxn returns a transaction that writes the owner key of a shard again under the same lease. An attempt to delete the key
 // may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
 // starts a runner.
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -20,6 +18,7 @@
 
 // ownedShards holds the runners of the shards that this host owns.
 type ownedShards struct {
+	claims    *claims
 	handovers *handovers
 	host      *Host
 	mu        sync.Mutex
@@ -32,7 +31,7 @@
 
 func newOwnedShards(h *Host) *ownedShards {
 	return &ownedShards{
-		handovers: newHandovers(), host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{},
+		claims: newClaims(), handovers: newHandovers(), host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{},
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -60,6 +59,29 @@
 	return out
 }
 
+// countWithClaims returns the number of shards that this host owns or is trying to take.
+func (o *ownedShards) countWithClaims() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.runners) + o.claims.countExcept(o.runners)
+}
+
+// noteOwnerless returns when this host first saw that a shard has no owner, which is now unless it was noted before.
+func (o *ownedShards) noteOwnerless(n int, now time.Time) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.ownerlessSince[n]; !ok {
+		o.ownerlessSince[n] = now
+	}
+	return o.ownerlessSince[n]
+}
+
+func (o *ownedShards) forgetOwnerless(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.ownerlessSince, n)
+}
+
 func (o *ownedShards) configChanged(c workflow.Config) {
 	for _, r := range o.allRunners() {
 		r.setConfig(c)
@@ -118,6 +140,7 @@
 		}
 		t.Stop()
 	}
+	o.claims.finish(0)
 	o.handovers.finish()
 	for _, r := range o.allRunners() {
 		o.stopRunner(r, "the host stops")
@@ -149,17 +172,20 @@
 // that another host owns. It returns the rest of the delay, or 0 if there is nothing to wait for.
 func (o *ownedShards) checkShard(ctx context.Context, n int) time.Duration {
 	h := o.host
+	if o.claims.isActive(n) {
+		return 0 // the outcome of the claim decides
+	}
 	current, owned := h.directory.owner(n)
 	r := o.runner(n)
 	if owned {
-		delete(o.ownerlessSince, n)
+		o.forgetOwnerless(n)
 		switch {
 		case current.Incarnation != h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			o.stopRunner(r, "another host owns the shard")
 		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load() && !o.handovers.isGivenUp(n, current.revision):
 			// This host's write of the owner key took effect, but the response was lost; or it took back a shard that it could not hand
 			// over.
-			o.startRunner(n, current.revision)
+			o.startRunner(n, current.revision, current.lease)
 		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
 			o.resumeRunner(r, current)
@@ -175,63 +201,25 @@
 		return 0
 	}
 	if r == nil {
-		since, ok := o.ownerlessSince[n]
-		if !ok {
-			o.ownerlessSince[n], since = now, now
-		}
-		if wait := since.Add(h.directory.claimDelay(h.self, n, len(o.allRunners()))).Sub(now); wait > 0 {
+		if wait := o.noteOwnerless(n, now).Add(h.directory.claimDelay(h.self, n, o.countWithClaims())).Sub(now); wait > 0 {
 			return wait
 		}
 	} else if !r.mayReacquire(lease) {
 		return 0
 	}
-	o.acquire(ctx, n, lease, r)
-	return 0
-}
-
-// acquire tries to make this host the owner of a shard. If r is not nil, this host owned the shard before, and r resumes
-// with its state in memory unless another host has owned the shard since.
-func (o *ownedShards) acquire(ctx context.Context, n int, lease int64, r *runner) {
-	h := o.host
-	epoch := h.directory.epoch(n)
-	if r != nil {
-		epoch = r.epochRevision()
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	res, err := h.platform.Store.Txn(ctx, o.ownershipTxn(n, lease, epoch))
-	fields := logrus.Fields{
-		"decision": "own", "shard": n, "epoch": epoch, "hosts": h.directory.hostCount(), "lease": lease,
-		"owned": len(o.allRunners()),
+	claimCtx, ok := o.claims.begin(ctx, n)
+	if !ok {
+		return 0
 	}
-	switch {
-	case err == nil && r != nil:
-		h.log.WithFields(fields).WithField("revision", res.Revision).Info("took ownership of the shard again")
-		ownerChanges.Add("taken_again", 1)
-		r.resume(res.Revision, lease)
-	case err == nil:
-		h.log.WithFields(fields).WithField("revision", res.Revision).Info("took ownership of the shard")
-		o.startRunner(n, res.Revision)
-	case errors.Is(err, kvstore.ErrConflict) && r != nil:
-		for _, kv := range res.Current {
-			if kv.Key == epochKey(n) && kv.ModRevision != epoch {
-				o.stopRunner(r, "another host owned the shard meanwhile")
-			}
+	go func() {
+		o.claim(claimCtx, n, lease, r)
+		o.claims.end(n)
+		// The owner may have been seen while the claim was under way. Without an owner, an early round would only repeat the claim.
+		if _, ok := h.directory.owner(n); ok {
+			o.wakeElection()
 		}
-	case errors.Is(err, kvstore.ErrConflict):
-		delete(o.ownerlessSince, n)
-	default:
-		h.log.WithError(err).WithFields(fields).Warn("failed to take ownership of the shard; retrying in a later election round")
-	}
-}
-
-// ownershipTxn returns the transaction with which this host takes a shard without an owner.
-func (o *ownedShards) ownershipTxn(n int, lease, epoch int64) kvstore.Txn {
-	record := workflow.Encode(o.host.self)
-	return kvstore.Txn{
-		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
-		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
-	}
+	}()
+	return 0
 }
 
 // resumeRunner continues with the state in memory under an owner key that this host has written, unless the lease of the key has
@@ -247,8 +235,7 @@
 	r.resume(current.revision, current.lease)
 }
 
-func (o *ownedShards) startRunner(n int, revision int64) {
-	lease, _ := o.host.session.currentLease()
+func (o *ownedShards) startRunner(n int, revision, lease int64) {
 	r := newRunner(o.host, n, revision, lease)
 	o.mu.Lock()
 	o.runners[n] = r
--- /dev/null
+++ b/internal/entry/slowclaim_test.go
@@ -0,0 +1,83 @@
+package entry_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+)
+
+// storeCallTimeout is how long a host waits for a response of the store before it makes another attempt.
+const storeCallTimeout = 400 * time.Millisecond
+
+// Guards against shards of a lost host that stay without an owner, since the host that is left gives up each claim just before the
+// claim gets processor time beside the calls for the shards that it has.
+func TestHostClaimsShardsOfLostHostInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		runFleet(t, seed, 5, func(f *simulatedFleet) {
+			f.startMixed(2, 0)
+			time.Sleep(5 * time.Second)
+			began := time.Now()
+			f.kill("strong-0")
+			time.Sleep(contactTime)
+			assert.Check(t, f.ownershipFault() == "", "seed %d: %s; owners: %s", seed, f.ownershipFault(), f.ownerHistory(began))
+		})
+	}
+}
+
+// Guards against an owner that drops its state and reads the shard anew, because it takes its own claim, whose response was lost, for
+// one of another host; and against an owner that does not act because each response is lost.
+func TestOwnerKeepsItsStateWhenItsClaimHasNoResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		lost  int64
+	}{
+		"first response":                  {100 * time.Millisecond, 1},
+		"carried out at the next attempt": {storeCallTimeout - storeLatency/2, 1},
+		"all responses":                   {100 * time.Millisecond, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			disowned := &messageCounter{message: "gave up the shard"}
+			runFleet(t, 1, 1, func(f *simulatedFleet) {
+				var left atomic.Int64
+				f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
+					if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" && left.Add(-1) >= 0 {
+						return txnFault{delay: c.delay}
+					}
+					return txnFault{}
+				}
+				f.logHook = disowned
+				f.start("strong", strongHost)
+				time.Sleep(2 * time.Second)
+				began := time.Now()
+				f.store.setDown(true)
+				time.Sleep(3 * time.Second)
+				left.Store(c.lost)
+				f.store.setDown(false)
+				f.checkCalm("the store is back")
+				assert.Check(t, disowned.count.Load() == 0, "the shard was given up %d times; owners: %s", disowned.count.Load(),
+					f.ownerHistory(began))
+			})
+		})
+	}
+}
+
+// messageCounter is a hook that counts the log entries with a message.
+type messageCounter struct {
+	count   atomic.Int64
+	message string
+}
+
+func (*messageCounter) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (c *messageCounter) Fire(e *logrus.Entry) error {
+	if e.Message == c.message {
+		c.count.Add(1)
+	}
+	return nil
+}
