Wait for claims of shards that are under way in a drain

What callers would see: jobs of a shard do not run for up to 2.5 s, because a host that drains takes the shard after it has given up its others, and keeps it until its lease ends.

Cause: a drain gave up the shards that the host had at that moment. A claim in flight was not among them.

Change: a drain lets no further claim begin and waits for those under way, 0.4 s at most, before it gives up the shards.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -197,8 +197,10 @@
 	return t
 }
 
-// handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards.
+// handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards. It waits for claims that are
+// under way first: nobody would act for a shard that this host takes afterwards.
 func (o *ownedShards) handOverAll(ctx context.Context) {
+	o.claims.finish(storeCallTimeout)
 	for _, r := range o.allRunners() {
 		if !o.handovers.begin(r.shard, "") {
 			continue // a handover for rebalancing is under way
--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -30,6 +30,26 @@
 	}
 }
 
+// Guards against a draining host that takes a shard after it has given up the others, and keeps it until its lease ends.
+func TestDrainWaitsForClaimUnderWay(t *testing.T) {
+	runFleet(t, 1, 1, func(f *simulatedFleet) {
+		claimed := make(chan struct{})
+		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
+			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" {
+				close(claimed)
+				time.Sleep(storeCallTimeout - 2*storeLatency)
+			}
+			return txnFault{}
+		}
+		began := time.Now()
+		host := f.start("draining", strongHost)
+		<-claimed
+		host.daemon.DrainShards(f.t.Context())
+		time.Sleep(time.Second)
+		assert.Check(t, len(f.owners()) == 0, "owners: %s", f.ownerHistory(began))
+	})
+}
+
 // Guards against an owner that drops its state and reads the shard anew, because it takes its own claim, whose response was lost, for
 // one of another host; and against an owner that does not act because each response is lost.
 func TestOwnerKeepsItsStateWhenItsClaimHasNoResponse(t *testing.T) {
