Go on with a handover while the host does not rely on its lease

A host that hands a shard over stops its work on it, then deletes its key. If it did not rely on its lease any more by then, since renewals were answered late, it gave up: the key was to expire with the lease. But the lease may go on, since the store has renewed it or the next renewal succeeds. The host then kept the lease, and with it a shard for which nobody acted, until the host stopped: the shard has an owner, so no other host claims it, and its key is marked as given up, so its owner does not act either.

The attempts go on as long as the lease is the present one. They are bounded as before: after 2.5 s the host takes the shard back, if that fails it abandons the lease. The guard on the key's revision makes attempts harmless whatever becomes of the lease.

TestShardIsServedAfterAnswersToItsOwnerWereLate (virtual time, a host of three shards hands one over; its deletions and the answers to its renewals are lost for 2 s or 5 s) before: a long-running task had nothing running for 21 and 22 s, which is all the time of the observation, and one host kept all shards beside one without any.

In an outage of the store of 3.5 s and more, a handover that is under way now ends with the lease abandoned. Shards that a store with paused leases would have left to the host are then claimed anew.

--- a/internal/entry/failedhandover_test.go
+++ b/internal/entry/failedhandover_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -108,3 +109,35 @@
 		})
 	}
 }
+
+// Guards against a shard that nobody serves because its owner stops trying to give it up once it does not rely on its lease any more,
+// although the lease goes on: the store has renewed it, or the host's next renewal succeeds.
+func TestShardIsServedAfterAnswersToItsOwnerWereLate(t *testing.T) {
+	for _, silence := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			runFaultyFleet(t, txnFault{delay: time.Hour}, deletesOwner, func(f *simulatedFleet, setFaulty func(bool)) {
+				var isSilent atomic.Bool
+				f.store.setRenewalFault(func(ctx context.Context, h *simulatedHost, lease int64) error {
+					err := h.callStore(ctx, kvstore.ErrUnavailable, func() error { return f.store.keepAlive(lease) })
+					if h.name == "one" && isSilent.Load() {
+						<-ctx.Done()
+						return kvstore.ErrUnavailable
+					}
+					return err
+				})
+				f.start("two", strongHost)
+				begin := time.Now()
+				time.Sleep(1600 * time.Millisecond) // the first handover is under way
+				setFaulty(true)
+				isSilent.Store(true)
+				time.Sleep(silence)
+				isSilent.Store(false)
+				setFaulty(false)
+				f.tasks.calm()
+				time.Sleep(20 * time.Second)
+				f.checkIdle(restartGrace+restartWindow, begin)
+				assert.Check(f.t, f.ownershipFault() == "", "%s; owners: %s", f.ownershipFault(), f.ownerHistory(begin))
+			})
+		})
+	}
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -170,7 +170,8 @@
 		if isDone && !(isTakingBack && isDraining) {
 			return nil
 		}
-		if lease, expires := h.session.currentLease(); ctx.Err() != nil || lease != r.lease || !h.now().Before(expires) {
+		// A lease on which the host does not rely at the moment may go on: its next renewal may succeed.
+		if lease, _ := h.session.currentLease(); ctx.Err() != nil || lease != r.lease {
 			return err
 		}
 		elapsed := h.now().Sub(began)
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -25,6 +25,8 @@
 	lastLease   int64
 	leases      map[int64]*memoryLease
 	revision    int64
+	// renewalFault, if set, replaces the renewal of a lease.
+	renewalFault func(ctx context.Context, h *simulatedHost, lease int64) error
 	// txnFault, if set, returns what happens to a transaction of a host.
 	txnFault func(host string, t kvstore.Txn) txnFault
 	// unreadablePrefix, if set, is a prefix that can't be read.
@@ -55,6 +57,13 @@
 	return &memoryStore{changed: make(chan struct{}), items: map[string]kvstore.KV{}, leases: map[int64]*memoryLease{}, revision: 10}
 }
 
+// setRenewalFault replaces renewals of leases.
+func (s *memoryStore) setRenewalFault(renew func(ctx context.Context, h *simulatedHost, lease int64) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewalFault = renew
+}
+
 // setDown ends all answers, or lets the store answer again. Leases run on meanwhile; those that are over end with the outage.
 func (s *memoryStore) setDown(isDown bool) {
 	s.mu.Lock()
@@ -256,6 +265,12 @@
 			return id, err
 		},
 		KeepAlive: func(ctx context.Context, id int64) error {
+			s.mu.Lock()
+			renew := s.renewalFault
+			s.mu.Unlock()
+			if renew != nil {
+				return renew(ctx, h, id)
+			}
 			return h.callStore(ctx, kvstore.ErrUnavailable, func() error { return s.keepAlive(id) })
 		},
 		Range: func(ctx context.Context, prefix string) (kvs []kvstore.KV, revision int64, err error) {
