Let renewals of a host's lease go on while others are made

A renewal was given up after 0.7 s and a new one begun. On a host that is short of processor time each attempt lost its turn, or its answer was not read, before the next one; the lease of 1.6 s lapsed although the store answers in 4 ms. Then all shards of the host had no owner at once. If only the answers waited, the store kept the lease, and with it the shards, for a host that did not rely on it and did nothing for them. A host that was busy for this reason also took the store for unreachable, which keeps it from handing shards over.

A renewal without an answer after 0.4 s goes on while another one is made. Each ends after 1.5 s, when its answer is of no use any more, so at most four are in flight; and a host whose calls all take longer loses its lease instead of keeping shards for which it can't act. The lease counts from when the renewal that succeeded was sent. A success extends the present lease only, and never shortens it; a conflict is final whatever the order, as a lease that has ended does not come back. The store counts as unreachable as before: when it refuses a renewal, or has answered none for 0.7 s. That wait is prolonged by late timers. A lost answer followed by another one does not count any more. A renewal begins 0.4 s after the answer to the one before, as until now, 0.1 s after a refusal; without answers it is now one each 0.4 s instead of one each 0.8 s. Requests for a new lease are still made one at a time.

TestAbandonedLeaseIsNotRenewed got a mutex, since renewals run in goroutines of their own.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -42,6 +42,12 @@
 	return h.session.abandon(ctx, lease)
 }
 
+// Lease returns the present lease and until when the host relies on it.
+func (h *Host) Lease() (int64, time.Time) { return h.session.currentLease() }
+
+// IsHealthy reports whether the host takes the store for reachable.
+func (h *Host) IsHealthy() bool { return h.session.isHealthy() }
+
 // DrainShards marks the host as draining and gives up its shards.
 func (h *Host) DrainShards(ctx context.Context) {
 	h.draining.Store(true)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -60,7 +60,6 @@
 	h.config = &configSource{decode: p.DecodeConfig, key: p.ConfigKey, log: entry, onChange: h.ownedShards.configChanged}
 	h.session = &session{
 		log: entry, now: h.now, onLease: func(int64) { h.ownedShards.wakeElection() }, record: h.self, store: p.Store,
-		wake: make(chan struct{}, 1),
 	}
 	return h
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -19,14 +19,13 @@
 	sessionTTL           = 1600 * time.Millisecond
 	sessionRenewInterval = 400 * time.Millisecond
 	sessionRetryInterval = 100 * time.Millisecond
-	sessionCallTimeout   = 700 * time.Millisecond
-	sessionExpiryMargin  = 100 * time.Millisecond
+	// sessionCallTimeout is after what time without an answer the store counts as unreachable.
+	sessionCallTimeout  = 700 * time.Millisecond
+	sessionExpiryMargin = 100 * time.Millisecond
 )
 
 // session keeps the host's lease and record in the store.
 type session struct {
-	// abandoned is the lease that was abandoned last.
-	abandoned int64
 	// expires is when this host stops relying on the lease: sessionExpiryMargin before the store can end it.
 	expires time.Time
 	healthy atomic.Bool
@@ -38,7 +37,6 @@
 	onLease func(lease int64)
 	record  hostRecord
 	store   kvstore.Store
-	wake    chan struct{}
 }
 
 // currentLease returns the lease, 0 if there is none, and the time until which it can be relied on.
@@ -48,66 +46,52 @@
 	return s.lease, s.expires
 }
 
-// isHealthy reports whether the last renewal of the lease succeeded.
+// isHealthy reports whether the newest outcome of a renewal was a success, and renewals are not without an answer for too long.
 func (s *session) isHealthy() bool { return s.healthy.Load() }
 
+// setHealthy records the outcome of a renewal or a request for a lease.
+func (s *session) setHealthy(err error) {
+	ok := err == nil
+	if s.healthy.Swap(ok) == ok {
+		return
+	}
+	lease, _ := s.currentLease()
+	entry := s.log.WithFields(logrus.Fields{"decision": "store_health", "lease": lease, "healthy": ok})
+	if ok {
+		entry.Info("lease renewal succeeded; the store is reachable")
+	} else {
+		entry.WithError(err).Warn("failed to renew or request the host's lease")
+	}
+}
+
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := s.renew(ctx)
-		if ok := err == nil; s.healthy.Swap(ok) != ok {
-			lease, _ := s.currentLease()
-			entry := s.log.WithFields(logrus.Fields{"decision": "store_health", "lease": lease, "healthy": ok})
-			if ok {
-				entry.Info("lease renewal succeeded; the store is reachable")
-			} else {
-				entry.WithError(err).Warn("failed to renew or request the host's lease")
-			}
-		}
-		pause := sessionRenewInterval
+		lease, err := s.request(ctx)
+		s.setHealthy(err)
 		if err != nil {
-			pause = sessionRetryInterval
-		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-s.wake:
-		case <-t.C:
+			retry.Sleep(ctx, sessionRetryInterval)
+			continue
 		}
-		t.Stop()
+		s.keep(ctx, lease)
 	}
 }
 
-// renew extends the lease. If there is none or it has expired, it requests a new one and writes the host's record under it.
-func (s *session) renew(ctx context.Context) error {
+// request requests a lease and writes the host's record under it. Only one request is made at a time, since a record that is written
+// under an earlier lease would end with it.
+func (s *session) request(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
-	lease, _ := s.currentLease()
 	sent := s.now()
-	if lease != 0 {
-		err := s.store.KeepAlive(ctx, lease)
-		if err == nil {
-			s.setLease(lease, sent)
-			return nil
-		}
-		if !errors.Is(err, kvstore.ErrConflict) {
-			return err
-		}
-		leasesLost.Add(1)
-		s.log.WithFields(logrus.Fields{"decision": "lease_ended", "lease": lease}).
-			Warn("host's lease has expired; requesting a new one")
-		s.setLease(0, sent)
-	}
-	sent = s.now()
 	lease, err := s.store.Grant(ctx, sessionTTL)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if err := s.writeRecord(ctx, lease); err != nil {
-		return err
+		return 0, err
 	}
 	s.setLease(lease, sent)
 	s.onLease(lease)
-	return nil
+	return lease, nil
 }
 
 func (s *session) writeRecord(ctx context.Context, lease int64) error {
@@ -118,17 +102,11 @@
 	return err
 }
 
+// setLease replaces the lease by one that was requested at a time.
 func (s *session) setLease(lease int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if lease != 0 && lease == s.abandoned {
-		return // the renewal was under way
-	}
-	s.lease = lease
-	s.expires = sent.Add(sessionTTL - sessionExpiryMargin)
-	if lease == 0 {
-		s.expires = time.Time{}
-	}
+	s.lease, s.expires = lease, sent.Add(sessionTTL-sessionExpiryMargin)
 }
 
 // markDraining marks the host's record as draining, so that other hosts stop choosing this one. It makes one attempt only, since
@@ -156,7 +134,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	s.abandoned, s.lease, s.expires = lease, 0, time.Time{}
+	s.lease, s.expires = 0, time.Time{}
 	s.mu.Unlock()
 	s.log.WithFields(logrus.Fields{"decision": "lease_abandoned", "lease": lease}).
 		Warn("abandoning the host's lease, since the store does not carry out the handover of a shard")
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,9 @@
 // the lease: the shards that the host could not hand over would stay without an acting owner.
 func TestAbandonedLeaseIsNotRenewed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lease, renewals := int64(0), map[int64]int{}
+		lease := int64(0)
+		var mu sync.Mutex // renewals run in goroutines of their own
+		renewals := map[int64]int{}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		h := entry.NewInVirtualTime(settings.Default(), entry.Platform{Store: kvstore.Store{
@@ -28,7 +31,9 @@
 				return lease, nil
 			},
 			KeepAlive: func(_ context.Context, id int64) error {
+				mu.Lock()
 				renewals[id]++
+				mu.Unlock()
 				time.Sleep(300 * time.Millisecond)
 				return nil
 			},
@@ -47,6 +52,8 @@
 		cancel()
 		<-done
 		time.Sleep(time.Second) // background timers end
+		mu.Lock()
+		defer mu.Unlock()
 		assert.Equal(t, lease, int64(2))
 		assert.Equal(t, renewals[1], 1)
 		assert.Assert(t, renewals[2] > 2, "the new lease was renewed %d times", renewals[2])
