Give the request for a lease and the host's record a deadline each

The request for a lease and the write of the host's record, one after the other, shared a deadline of 0.7 s. A host whose calls wait for 0.35 s or more for processor time so never got a lease, as long as it was that busy: it owns nothing, and other hosts do not see it. The deadline was also a plain timer, which a pause of the host uses up.

Each call has 0.7 s, prolonged by late timers. The lease counts from when it was requested, and lasts for 1.5 s.

TestBusyHostGetsLease (virtual time, calls that take 0.5 s each): no lease in 6 s before; now it has one after 1 s and keeps the store for reachable. 30 of 30 runs under the race detector. The prolonging by late timers has no test here: virtual time has no pauses.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -77,16 +77,19 @@
 }
 
 // request requests a lease and writes the host's record under it. Only one request is made at a time, since a record that is written
-// under an earlier lease would end with it.
+// under an earlier lease would end with it. Both calls wait for processor time on a busy host, so each has its own deadline; the
+// lease lasts for both.
 func (s *session) request(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
+	callCtx, cancel := withTimeout(ctx, sessionCallTimeout)
 	defer cancel()
 	sent := s.now()
-	lease, err := s.store.Grant(ctx, sessionTTL)
+	lease, err := s.store.Grant(callCtx, sessionTTL)
 	if err != nil {
 		return 0, err
 	}
-	if err := s.writeRecord(ctx, lease); err != nil {
+	recordCtx, cancelRecord := withTimeout(ctx, sessionCallTimeout)
+	defer cancelRecord()
+	if err := s.writeRecord(recordCtx, lease); err != nil {
 		return 0, err
 	}
 	s.setLease(lease, sent)
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -59,3 +59,32 @@
 		assert.Assert(t, renewals[2] > 2, "the new lease was renewed %d times", renewals[2])
 	})
 }
+
+// Guards against a host that never gets a lease while each of its calls waits for less than a call may take, because the request for
+// the lease and the write of the host's record share one deadline.
+func TestBusyHostGetsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 500 * time.Millisecond
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		h := entry.NewInVirtualTime(settings.Default(), entry.Platform{Store: kvstore.Store{
+			Grant:     func(ctx context.Context, _ time.Duration) (int64, error) { return 1, answerAfter(ctx, wait, nil) },
+			KeepAlive: func(ctx context.Context, _ int64) error { return answerAfter(ctx, wait, nil) },
+			Txn: func(ctx context.Context, _ kvstore.Txn) (kvstore.TxnResult, error) {
+				return kvstore.TxnResult{}, answerAfter(ctx, wait, nil)
+			},
+		}}, log)
+		began := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.RunSession(ctx)
+		time.Sleep(2*wait + 100*time.Millisecond)
+		lease, expires := h.Lease()
+		assert.Check(t, lease == 1)
+		assert.Check(t, expires.Equal(began.Add(leaseReliance)), "relies on the lease until %s after its request", expires.Sub(began))
+		time.Sleep(5 * time.Second)
+		_, expires = h.Lease()
+		assert.Check(t, h.IsHealthy() && expires.After(time.Now()))
+		cancel()
+		time.Sleep(time.Second) // background timers end
+	})
+}
