Don't take a host's own delay for a late answer of a peer

Deadlines of requests to peers were plain timers. When a host goes on after a pause, timers that have expired fire beside the answers that arrived meanwhile. The host then reported a job as running that its owner knows to have completed, counted pending jobs in the store, or did not know the outcome of a submission that a peer had recorded. It also took the connection for dead and closed it, so that all other requests on it failed, although the peer had answered.

Queries of states and pending jobs, relayed requests, notices to owners and polls for the config have deadlines that end with ten waits of 20 ms, like calls to the store. Such a context has no deadline, so the pool takes the cause of its end and the time since the request as a timeout; else a dead connection would stay in use until no request has had a reply for 1 s. Errors of the pool match the cause. Load queries keep their 60 ms: an earlier load is used instead.

TestDeadConnectionIsReplaced has a case without deadline, which fails without the change of the pool. Deadlines of busy hosts become longer by ten times the lag of their timers.

--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -99,7 +99,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, configPollInterval)
+	ctx, cancel := withTimeout(ctx, configPollInterval)
 	defer cancel()
 	p := peers[h.random(len(peers))]
 	reply, err := h.pool.Request(ctx, p.PeerAddress, peer.Message{
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -95,7 +95,7 @@
 	if !ok || o.Incarnation == h.self.Incarnation {
 		return "", false
 	}
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	ctx, cancel := withTimeout(ctx, queryTimeout)
 	defer cancel()
 	m, err := h.pool.Request(ctx, o.PeerAddress, peer.Message{JobQuery: &peer.JobQuery{ID: id, Shard: shard}})
 	if err != nil || m.JobReply == nil || Outcome(m.JobReply.Outcome) != OutcomeAccepted {
@@ -243,7 +243,7 @@
 	if !found || o.Incarnation == h.self.Incarnation {
 		return 0, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	ctx, cancel := withTimeout(ctx, queryTimeout)
 	defer cancel()
 	m, err := h.pool.Request(ctx, o.PeerAddress, peer.Message{PendingQuery: &peer.PendingQuery{Queue: k.queue, Shard: k.shard}})
 	if err != nil || m.PendingReply == nil || !m.PendingReply.Known {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -189,7 +189,7 @@
 	}
 	err := error(peer.ErrNotConnected)
 	for _, address := range candidates {
-		callCtx, cancel := context.WithTimeout(ctx, relayTimeout+storeCallTimeout)
+		callCtx, cancel := withTimeout(ctx, relayTimeout+storeCallTimeout)
 		var m peer.Message
 		m, err = h.pool.Request(callCtx, address, msg)
 		cancel()
@@ -213,7 +213,7 @@
 	if !ok || o.Incarnation == h.self.Incarnation {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	ctx, cancel := withTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	if _, err := h.pool.Request(ctx, o.PeerAddress, msg); err != nil {
 		h.log.WithError(err).WithFields(logrus.Fields{"shard": shard, "owner": o.Host}).
--- a/internal/entry/timeout.go
+++ b/internal/entry/timeout.go
@@ -11,11 +11,11 @@
 	timeoutTicks = 10
 )
 
-// withTimeout returns a context for a call to the store or a worker. It ends after the timeout, which must be at least timeoutTicks
-// times timeoutTick, and later if this host lacks processor time: when a host runs again after a pause, expired timers fire before
-// it reads the answers that have arrived meanwhile, and a call that was answered would be repeated. Each wait of the last part
-// starts when the one before has fired, so a pause uses up one wait only, and late timers prolong each wait. The context reports
-// no deadline.
+// withTimeout returns a context for a call to the store, a worker or a peer. It ends after the timeout, which must be at least
+// timeoutTicks times timeoutTick, and later if this host lacks processor time: when a host runs again after a pause, expired
+// timers fire before it reads the answers that have arrived meanwhile, and a call that was answered would be repeated. Each
+// wait of the last part starts when the one before has fired, so a pause uses up one wait only, and late timers prolong each
+// wait. The context reports no deadline.
 func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var tick func(left int)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -65,9 +65,10 @@
 func WithSilenceLimit(d time.Duration) PoolOption { return func(p *Pool) { p.silenceLimit = d } }
 
 // Request sends a message to a host:port address and waits for the reply. Errors match ErrNotConnected if nothing was
-// sent, ErrRefused, or the error of ctx; an error that matches none of them means that the connection ended before the
-// reply. If the timeout of ctx passes and nothing at all was read since the request, the connection may be dead without an
-// error, so it is closed; after a timeout below minTrustedTimeout only if no request got a reply within the silence limit.
+// sent, ErrRefused, or the cause of the end of ctx; an error that matches none of them means that the connection ended before
+// the reply. If the timeout of ctx passes and nothing at all was read since the request, the connection may be dead without an
+// error, so it is closed; after a timeout below minTrustedTimeout only if no request got a reply within the silence limit. A context
+// without a deadline has timed out if the cause of its end matches context.DeadlineExceeded.
 func (p *Pool) Request(ctx context.Context, address string, msg Message) (Message, error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
@@ -93,7 +94,7 @@
 		if p.isUnresponsive(ctx, c, sentAt) {
 			p.closeUnresponsive(address, c)
 		}
-		return Message{}, eris.Wrapf(ctx.Err(), "asking %s", address)
+		return Message{}, eris.Wrapf(context.Cause(ctx), "asking %s", address)
 	}
 }
 
@@ -197,8 +198,11 @@
 	if !time.Unix(0, c.lastRead.Load()).Before(sentAt) {
 		return false
 	}
-	deadline, ok := ctx.Deadline()
-	if ok && errors.Is(ctx.Err(), context.DeadlineExceeded) && deadline.Sub(sentAt) >= minTrustedTimeout {
+	timeout := time.Since(sentAt)
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, deadline.Sub(sentAt))
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && timeout >= minTrustedTimeout {
 		return true
 	}
 	since := c.unansweredSince.Load()
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -63,14 +63,26 @@
 	assert.NilError(t, <-submitted)
 }
 
+// timeoutWithoutDeadline returns a context that times out and reports no deadline.
+func timeoutWithoutDeadline(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // Guards against a connection that is dead without an error and stays in use: neither a request with a long timeout nor one
 // that ends after the silence limit may be followed by requests on the same connection.
 func TestDeadConnectionIsReplaced(t *testing.T) {
 	for name, tc := range map[string]struct {
 		limit, timeout time.Duration
+		withTimeout    func(context.Context, time.Duration) (context.Context, context.CancelFunc)
 	}{
-		"long timeout":                     {time.Hour, 400 * time.Millisecond},
-		"short timeout after long silence": {0, 30 * time.Millisecond},
+		"long timeout":                     {time.Hour, 400 * time.Millisecond, context.WithTimeout},
+		"long timeout without deadline":    {time.Hour, 400 * time.Millisecond, timeoutWithoutDeadline},
+		"short timeout after long silence": {0, 30 * time.Millisecond, context.WithTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, address := newPool(t, func(context.Context, peer.Message) (peer.Message, error) {
@@ -84,7 +96,7 @@
 			_, err = client.Request(t.Context(), proxy.Address(), query)
 			assert.NilError(t, err)
 			proxy.Blackhole() // the open connection goes silent; new ones work
-			ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
+			ctx, cancel := tc.withTimeout(t.Context(), tc.timeout)
 			defer cancel()
 			_, err = client.Request(ctx, proxy.Address(), query)
 			assert.ErrorIs(t, err, context.DeadlineExceeded)
