Guard the write of a host's record by its revision

One host keeps every shard beside idle hosts, or a strong host never gets one.

Cause: the record was written without a guard. A write under a first lease that got no answer may be executed seconds later, after the write under the second lease. The record then hangs on the first lease, which nobody renews, and is deleted with it; nobody writes it again as long as the second lease is renewed. Other hosts don't know the host, and it hands nothing over, since it does not see itself among the hosts.

Evidence: TestLateRegistrationDoesNotRemoveHost, where the first write is executed after 1.2 s, failed: no record with a valid lease, and one host owned both shards for a minute beside one without any.

Change: the write names the revision of the record that it replaces. A conflict returns the present revision, and the write is repeated with that; one that is executed late conflicts and does nothing.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,9 @@
 	// onLease is called after each new lease.
 	onLease func(lease int64)
 	record  hostRecord
-	store   kvstore.Store
+	// recordRevision is the revision of the host's record in the store, as far as this process knows.
+	recordRevision int64
+	store          kvstore.Store
 }
 
 // currentLease returns the lease, 0 if there is none, and the time until which it can be relied on.
@@ -97,12 +100,28 @@
 	return lease, nil
 }
 
+// writeRecord writes the host's record under a lease. The guard keeps a write whose response was lost from being executed after a later
+// one: the record would end with the lease of the earlier one, and nobody would write it again.
 func (s *session) writeRecord(ctx context.Context, lease int64) error {
 	s.mu.Lock()
-	value := workflow.Encode(s.record)
+	value, revision := workflow.Encode(s.record), s.recordRevision
 	s.mu.Unlock()
-	_, err := s.store.Txn(ctx, kvstore.Txn{Puts: []kvstore.Put{{Key: hostPrefix + s.record.Host, Lease: lease, Value: value}}})
-	return err
+	key := hostPrefix + s.record.Host
+	for {
+		result, err := s.store.Txn(ctx, kvstore.Txn{
+			Guards: []kvstore.Guard{{Key: key, Revision: revision}}, Puts: []kvstore.Put{{Key: key, Lease: lease, Value: value}},
+		})
+		if err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.recordRevision = result.Revision
+			return nil
+		}
+		if !errors.Is(err, kvstore.ErrConflict) || len(result.Current) != 1 || result.Current[0].ModRevision == revision {
+			return err
+		}
+		revision = result.Current[0].ModRevision
+	}
 }
 
 // setLease replaces the lease by one that was requested at a time.
