Stop the simulated hosts of a test that fails half-way

Cause: assert.Assert and t.Fatal end the main goroutine of a synctest bubble. The hosts of a simulated fleet were stopped at the end of the scenario, which is not reached then, so their goroutines stayed and the bubble ended with the panic "deadlock: main bubble goroutine has exited". It ends the test binary: the other tests of the package do not run, and the message of the failure is easy to miss. Change: the fleet stops its hosts in a cleanup function, which runs inside the bubble after a failure too. TestAbandonedLeaseIsNotRenewed checks the result of its call after the session has ended. No check is changed.

--- a/internal/entry/layout_test.go
+++ b/internal/entry/layout_test.go
@@ -83,8 +83,6 @@
 				shards, err := entry.LayoutShards(kvs[0].Value)
 				assert.NilError(t, err)
 				assert.Check(t, shards == 1, "%d shards", shards)
-				f.kill(f.names()...)
-				time.Sleep(contactTime) // background calls of the hosts end
 			})
 		})
 	}
--- a/internal/entry/missedhandover_test.go
+++ b/internal/entry/missedhandover_test.go
@@ -24,8 +24,6 @@
 				f := newSimulatedFleet(t, 1, shards, simulatedWorkers)
 				f.store.writeOrder = order
 				scenario(f)
-				f.kill(f.names()...)
-				time.Sleep(contactTime) // background calls of the hosts end
 			})
 		})
 	}
--- a/internal/entry/rebalancingview_test.go
+++ b/internal/entry/rebalancingview_test.go
@@ -18,8 +18,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, 1, shards, simulatedWorkers)
 		scenario(f)
-		f.kill(f.names()...)
-		time.Sleep(contactTime) // background calls of the hosts end
 	})
 }
 
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -42,11 +42,12 @@
 			close(done)
 		}()
 		time.Sleep(500 * time.Millisecond) // the first renewal is under way
-		assert.ErrorIs(t, h.AbandonLease(t.Context()), kvstore.ErrUnavailable)
+		err := h.AbandonLease(t.Context())
 		time.Sleep(3 * time.Second)
 		cancel()
 		<-done
 		time.Sleep(time.Second) // background timers end
+		assert.ErrorIs(t, err, kvstore.ErrUnavailable)
 		assert.Equal(t, lease, int64(2))
 		assert.Equal(t, renewals[1], 1)
 		assert.Assert(t, renewals[2] > 2, "the new lease was renewed %d times", renewals[2])
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -120,7 +120,9 @@
 	workers      map[string]*simulatedWorker
 }
 
-// newSimulatedFleet returns a fleet without hosts, whose shards have the same number of workers each.
+// newSimulatedFleet returns a fleet without hosts, whose shards have the same number of workers each. Hosts that run when the test
+// ends are stopped: a test that fails half-way would otherwise leave goroutines, and the panic of its bubble would end the other
+// tests of the package.
 func newSimulatedFleet(t *testing.T, seed uint64, shards, workersPerShard int) *simulatedFleet {
 	f := &simulatedFleet{
 		callCost: callCost * modelledWorkers / time.Duration(workersPerShard),
@@ -139,6 +141,10 @@
 	f.store.put("op/config", nil)
 	key, value := entry.LayoutRecord(shards, racks)
 	f.store.put(key, value)
+	t.Cleanup(func() {
+		f.kill(f.names()...)
+		time.Sleep(contactTime) // background calls of the hosts end
+	})
 	return f
 }
 
