--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -29,6 +29,8 @@
 	txnFault func(host string, t kvstore.Txn) txnFault
 	// unreadablePrefix, if set, is a prefix that can't be read.
 	unreadablePrefix string
+	// watchDelay, if set, returns how much longer the next response of a host's watch takes.
+	watchDelay func(host string) time.Duration
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -248,6 +250,23 @@
 	return out, s.changed
 }
 
+// setWatchDelay makes later responses of watches take longer than usual.
+func (s *memoryStore) setWatchDelay(delay func(host string) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchDelay = delay
+}
+
+// watchLag returns how much longer than usual the next response of a host's watch takes.
+func (s *memoryStore) watchLag(host string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watchDelay == nil {
+		return 0
+	}
+	return s.watchDelay(host)
+}
+
 // client returns the store as a host sees it.
 func (s *memoryStore) client(h *simulatedHost) kvstore.Store {
 	return kvstore.Store{
@@ -291,7 +310,7 @@
 				events, changed := s.eventsAfter(prefix, since)
 				if len(events) > 0 {
 					since = events[len(events)-1].KV.ModRevision
-					sleep(ctx, storeLatency)
+					sleep(ctx, storeLatency+s.watchLag(h.name))
 					h.use(ctx, time.Duration(len(events))*recordCost/4)
 					if ctx.Err() == nil {
 						each(events)
