--- a/internal/entry/rebalancingview_test.go
+++ b/internal/entry/rebalancingview_test.go
@@ -28,6 +28,22 @@
 	assert.NilError(f.t, err)
 }
 
+// Guards against a host that takes several shards at once while hosts are about to register. Without other work on the host no claim is
+// late by more than the variation of the store's latency, 2 ms.
+func TestClaimsAreApartWhileHostsJoin(t *testing.T) {
+	runView(t, 3, func(f *simulatedFleet) {
+		f.callCost = 0
+		f.start("self", strongHost)
+		time.Sleep(2 * time.Second)
+		claims := f.ownerWrites("self", time.Time{})
+		assert.Equal(f.t, len(claims), 3)
+		for i, at := range claims[1:] {
+			gap := at.Sub(claims[i])
+			assert.Check(f.t, gap >= 148*time.Millisecond && gap < 200*time.Millisecond, "%s between two claims", gap)
+		}
+	})
+}
+
 // Guards against a shard that is handed to a host which is about to claim another one that has lost its owner: the host would
 // have two shards beside idle hosts.
 func TestNoShardIsHandedOverWhileAnotherHasNoOwner(t *testing.T) {
