Keep the lease of an idle worker whose ends wait for a record

Callers: an end that a worker has listed does not count as acknowledged if the worker's lease lapsed before; that can't be mended later. No run is repeated and no token rises by it: the owner keeps the end in its books, and the lease of a worker without runs ends nothing. Cause: a worker was polled for its runs or for ends that are recorded. One with nothing but unrecorded ends got no poll until the record was written, and its lease of 7 s was not renewed. Change: such a worker is polled 3 s before its lease ends, which leaves time for two polls without an answer (0.9 s each, and the pauses). A new owner, which has granted no lease, renews at its second poll. Remains: a poll after a pause of more than 0.6 s acknowledges nothing, so the acknowledgement comes with the second poll after the record, 0.15 s later, as before.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -140,3 +140,10 @@
 	}
 	return b
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -13,14 +13,22 @@
 const maxAckGap = 600 * time.Millisecond
 
 // duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, or if
-// this owner does not know its state yet.
+// this owner does not know its state yet. A worker that only waits until its ends are recorded is polled when its lease has to be
+// renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
-		if w.pollInFlight || w.Address == "" || !o.needsPoll(w) {
+		if w.pollInFlight || w.Address == "" {
 			continue
 		}
-		if now.Before(w.nextPollAt) {
-			a.wakeAt(w.nextPollAt)
+		due := w.nextPollAt
+		if !o.needsPoll(w) {
+			if len(w.unrecordedEnds) == 0 {
+				continue
+			}
+			due = maxTime(due, w.idleRenewalAt(o.timing))
+		}
+		if now.Before(due) {
+			a.wakeAt(due)
 			continue
 		}
 		o.seq++
@@ -102,7 +110,7 @@
 			w.nextPollAt = now // renew the lease at once, as the worker's clock is now known
 		}
 	}
-	if regained && len(w.attempts) > 0 {
+	if regained && (len(w.attempts) > 0 || len(w.unrecordedEnds) > 0) {
 		w.nextPollAt = now // the lease was not renewed while the worker did not answer
 	}
 	if w.lastEnd > 0 {
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -98,6 +98,9 @@
 // acknowledge removes the ends that a poll acknowledges.
 func (c *fleetHarness) acknowledge(p shard.Poll) {
 	c.endedByWorker[p.Worker] = slices.DeleteFunc(c.endedByWorker[p.Worker], func(e shard.EndRow) bool {
+		if e.Number <= p.LastSeen && e.Number <= c.worker(p.Worker).lastEndBeforeExpiry {
+			c.voidedEnds++
+		}
 		return e.Number <= p.LastSeen
 	})
 	for n, at := range c.listedAt[p.Worker] {
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -33,8 +33,12 @@
 	longestUnacknowledged time.Duration
 	// endsListed counts the ends in all listings.
 	endsListed int
-	// silent is a worker that answers neither polls nor starts.
-	silent string
+	// silent is a worker that answers neither polls nor starts. The owner learns that a poll got no answer after pollTimeout.
+	silent      string
+	pollTimeout time.Duration
+	// polls counts the polls by worker, and voidedEnds the acknowledged ends before which the lease of their worker expired.
+	polls      map[string]int
+	voidedEnds int
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
@@ -42,7 +46,7 @@
 	return &fleetHarness{
 		simulation: newSimulation(t, 1, workers), endedByWorker: map[string][]shard.EndRow{}, lastEndNumber: map[string]int64{},
 		startedAt: map[string]time.Time{}, listedAt: map[string]map[int64]time.Time{}, measurement: func(shard.Start) float64 { return 1000 },
-		endCause: func(shard.Start) shard.EndCause { return "" },
+		endCause: func(shard.Start) shard.EndCause { return "" }, polls: map[string]int{},
 	}
 }
 
@@ -59,6 +63,12 @@
 
 func (c *fleetHarness) step() {
 	c.now = c.now.Add(simulationStep)
+	for _, f := range c.workers {
+		if c.clock(f) > f.leaseEnd {
+			f.lastEndBeforeExpiry = c.lastEndNumber[f.ID]
+		}
+	}
+	c.deliver()
 	a := c.owner.Step(c.now)
 	c.store.step(c.simulation, a.Commit)
 	for _, s := range a.Starts {
@@ -68,6 +78,7 @@
 		}
 		c.starts, c.running = append(c.starts, s), append(c.running, s)
 		c.startedAt[c.name(s)] = c.now
+		c.renew(c.worker(s.Worker), s.Until)
 		c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: c.clock(c.worker(s.Worker))})
 	}
 	for _, s := range a.Stops {
@@ -84,11 +95,15 @@
 	}
 	c.endRunsWhere(c.endCause)
 	for _, poll := range a.Polls {
+		c.polls[poll.Worker]++
 		if poll.Worker == c.silent {
-			c.owner.PollFailed(c.now, poll, shard.OutcomeUnknown)
+			c.calls = append(c.calls, &call{deliverAt: c.now.Add(c.pollTimeout), onTimer: func(bool) {
+				c.owner.PollFailed(c.now, poll, shard.OutcomeUnknown)
+			}})
 			continue
 		}
 		f := c.worker(poll.Worker)
+		c.renew(f, poll.Until)
 		c.acknowledge(poll)
 		list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
 		for _, s := range c.running {
@@ -99,6 +114,7 @@
 		c.list(poll.Worker, list.Ended)
 		c.owner.Polled(c.now, poll, c.now, list)
 	}
+	c.deliver()
 }
 
 // endRunsWhere ends the runs for which endCause returns a cause.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -232,6 +232,15 @@
 	return expiry
 }
 
+// idleRenewalAt returns when the lease of a worker without runs is to be renewed, on a clock as fast as the owner's. If polls got no
+// answer, or this owner has not granted a lease yet, that is at once.
+func (w *worker) idleRenewalAt(t Timing) time.Time {
+	if w.pollFailures > 0 || w.leaseEnd == 0 {
+		return time.Time{}
+	}
+	return w.clockAt.Add(time.Duration(w.leaseEnd-w.clock)*time.Millisecond - t.IdleRenewalMargin)
+}
+
 // renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not
 // answer is not extended, so that it expires and the tasks can be started elsewhere.
 func (w *worker) renewLease(now time.Time, t Timing) int64 {
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -10,6 +10,9 @@
 	CommitGap time.Duration
 	// EvaluationGap extends the pause after a placement round for each (task, worker) pair that the round evaluated.
 	EvaluationGap time.Duration
+	// IdleRenewalMargin is how long before its end the lease of a worker without runs is renewed while ends of the worker
+	// wait for their record. It covers two polls without an answer, 0.9 s each, with the pauses after them.
+	IdleRenewalMargin time.Duration
 	// LeaseMargin is added to the lease expiry to allow for scheduling delays and rounding before the worker's tasks
 	// count as ended.
 	LeaseMargin time.Duration
@@ -42,6 +45,7 @@
 		ClockDrift:             0.02,
 		CommitGap:              15 * time.Millisecond,
 		EvaluationGap:          10 * time.Microsecond,
+		IdleRenewalMargin:      3 * time.Second,
 		LeaseMargin:            300 * time.Millisecond,
 		PollInterval:           150 * time.Millisecond,
 		PollRetryDelay:         200 * time.Millisecond,
