Poll a worker that did not answer until it answers

Callers: tasks wait although a worker is free. A worker that missed one poll while its member of a gang ended got no tasks for the rest of the ownership. Cause: no task is placed on a worker whose last poll failed, and only an answered poll changes that. The end of a gang is learned from any of its members and removes the attempts on all workers, after which the silent worker had nothing for which it was polled. Evidence: in TestWorkerThatWasSilentAtEndOfGangGetsTasks the worker is silent for 0.5 s and runs nothing in the 20 s after it, with a task waiting that fits; the end of its member is not listed either. The random test has no gangs. Change: a registered worker whose last poll failed is polled, with the present pauses of 0.2 to 0.8 s. Result: both workers run a task and all ends are acknowledged.

--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -12,8 +12,8 @@
 // restarted in between counts its ends from 1 again, and would drop ends that are not recorded.
 const maxAckGap = 600 * time.Millisecond
 
-// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, or if
-// this owner does not know its state yet. A worker that only waits until its ends are recorded is polled when its lease has to be
+// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, if
+// this owner does not know its state yet, or if it did not answer the last poll: it gets no tasks until it answers. A worker that only waits until its ends are recorded is polled when its lease has to be
 // renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
@@ -75,7 +75,7 @@
 	if !w.fenced {
 		return w.registered || len(w.attempts) > 0
 	}
-	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || w.hasSentAttempts()
+	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || w.pollFailures > 0 && w.registered || w.hasSentAttempts()
 }
 
 // Polled handles a worker's answer to a poll that was sent at sent.
