Place restarts between the rounds for all tasks

Callers: a failed long-running task stays interrupted although workers have room for it. Cause: after a round of placement the owner pauses for 10 us for each (task, worker) pair that it evaluated, so that placement takes a bounded share of the processor. Tasks that fit nowhere are evaluated in each round, and restarts waited for the next round. Change: while long-running tasks that ran before wait, they are also placed between the rounds, with a pause of their own for the pairs that this takes. The pause for all other tasks is unchanged; placement may take up to twice its share while restarts fit nowhere. Remains: first starts still wait for the pause after the round.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -23,17 +23,22 @@
 	config     workflow.Config
 	dirty      []*job
 	ended      endedJobs
-	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated.
-	evaluatedPairs int
+	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
+	// number of those that placeRestarts evaluated last.
+	evaluatedPairs, evaluatedRestartPairs int
+	// hasInterrupted is false only if no task waits that placeRestarts would place.
+	hasInterrupted bool
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
 	heldWorkers int
 	// isHandingOver is set once the shard is handed over to another owner.
-	isHandingOver   bool
-	jobs            map[string]*job
-	lastCommit      time.Time
-	lastPlace       time.Time
-	backlogSortedAt time.Time
-	log             *logrus.Entry
+	isHandingOver bool
+	jobs          map[string]*job
+	lastCommit    time.Time
+	lastPlace     time.Time
+	// lastRestartPlace is when long-running tasks that ran before were last placed.
+	lastRestartPlace time.Time
+	backlogSortedAt  time.Time
+	log              *logrus.Entry
 	// observeStart is called with the time from the plan of an attempt to its confirmed start.
 	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
@@ -268,6 +273,7 @@
 			break
 		}
 	}
+	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
 	if at.isSent() {
 		if reason != string(EndDone) {
 			o.log.WithFields(logrus.Fields{
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -20,8 +20,9 @@
 
 // place assigns the waiting tasks to workers.
 func (o *Owner) place(now time.Time, a *Actions) {
-	if due := o.lastPlace.Add(minPlaceInterval + time.Duration(o.evaluatedPairs)*o.timing.EvaluationGap); now.Before(due) {
+	if due := o.lastPlace.Add(o.placePause(o.evaluatedPairs)); now.Before(due) {
 		a.wakeAt(due)
+		o.placeRestartsBetweenRounds(now, a)
 		return
 	}
 	o.lastPlace = now
@@ -57,9 +58,33 @@
 	o.logPlaced(now)
 }
 
+// placePause returns the pause after a round that evaluated the given number of (task, worker) pairs.
+func (o *Owner) placePause(pairs int) time.Duration {
+	return minPlaceInterval + time.Duration(pairs)*o.timing.EvaluationGap
+}
+
+// placeRestartsBetweenRounds places the long-running tasks that ran before without waiting for the next round. The pause before it
+// can be seconds long if many tasks wait that fit nowhere.
+func (o *Owner) placeRestartsBetweenRounds(now time.Time, a *Actions) {
+	if !o.hasInterrupted {
+		return
+	}
+	if due := o.lastRestartPlace.Add(o.placePause(o.evaluatedRestartPairs)); now.Before(due) {
+		a.wakeAt(due)
+		return
+	}
+	pairs := o.evaluatedPairs
+	o.evaluatedPairs, o.heldWorkers = 0, 0
+	clear(o.mostlyIdle)
+	o.placeRestarts(now, map[taskClass]bool{})
+	o.evaluatedPairs = pairs
+	o.logPlaced(now)
+}
+
 // placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
 // lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
+	o.hasInterrupted = false
 	for _, j := range o.backlog {
 		if j.final != "" || !j.IsLongRunning() {
 			continue
@@ -67,11 +92,14 @@
 		for _, occ := range j.openOccurrences() {
 			for s, tasks := range occ.tasks {
 				if occ.ready[s] && !j.Steps[s].Gang {
-					o.placeTasks(now, interruptedTasks(tasks), unplaceable)
+					interrupted := interruptedTasks(tasks)
+					o.placeTasks(now, interrupted, unplaceable)
+					o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(interrupted, (*task).isWaiting)
 				}
 			}
 		}
 	}
+	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
 }
 
 func interruptedTasks(tasks []*task) []*task {
