Place tasks elsewhere if their worker falls silent before the start

Callers: a task waits for the end of the lease of a silent worker, 7 s and more, although other workers have room. It was never sent there when the owner learned of the silence. Cause: a worker is chosen when the attempt is planned. Once the attempt was recorded, its start was sent even if polls had failed meanwhile, and from then on the run had to be presumed until the lease was over. Only a worker without runs, which has to answer a poll before, was left. Change: no start is sent while the last poll failed. After two polls without an answer, attempts that were not sent are dropped, those of a gang together, and the tasks are placed before the next commit, so that one record has both. Remains: a start of a worker whose last poll was lost by chance waits for the repeated poll, 0.2 s and a round trip; members of a gang on other workers don't wait for it.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -30,7 +30,7 @@
 					o.markDirty(at.task.job)
 					continue
 				}
-				if !w.fenced {
+				if !w.fenced || w.pollFailures > 0 {
 					continue // the answer to a poll that is in flight or due decides
 				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -149,6 +149,27 @@
 			"decision": "worker_lost", "worker": w.ID, "outcome": outcome.String(), "runs": len(w.attempts),
 			"lease_over_in": w.leaseExpiry(o.timing).Sub(now).String(),
 		}).Warn("worker did not answer a poll")
+		return
+	}
+	o.dropUnsent(w)
+}
+
+// dropUnsent removes the attempts on a worker that were not sent yet, so that their tasks are placed elsewhere. A single poll without
+// an answer is no reason for that: a recorded attempt would have to be recorded again. The members of a gang are placed together.
+func (o *Owner) dropUnsent(w *worker) {
+	for _, at := range w.attempts {
+		if at.isSent() {
+			continue
+		}
+		dropped := []*attempt{at}
+		if at.task.step.Gang {
+			dropped = at.task.job.unsentAttempts(at.task.key)
+		}
+		for _, other := range dropped {
+			o.removeAttempt(other, "worker does not answer")
+		}
+		o.markDirty(at.task.job)
+		o.lastPlace = time.Time{} // a commit before the next placement would delay the record of the new plan
 	}
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -148,6 +148,19 @@
 	return out
 }
 
+// unsentAttempts returns the attempts of all tasks of a step that were not sent yet.
+func (j *job) unsentAttempts(k workflow.TaskKey) []*attempt {
+	var out []*attempt
+	for _, t := range j.occurrences[k.Occurrence].tasks[k.Step] {
+		for _, at := range t.attempts {
+			if !at.isSent() {
+				out = append(out, at)
+			}
+		}
+	}
+	return out
+}
+
 // readyTasks returns the tasks of the job that don't wait for other steps, or none if the job has a final state.
 func (j *job) readyTasks() []*task {
 	if j.final != "" {
