Copy a hung run again if its copy failed

Cause: a run that was replaced once was marked as overdue and never considered again, whatever became of its copy. Evidence: in TestHungRunIsCopiedAgainAfterFailedCopy, where the copy fails once, the job was not completed within 20 s. Change: the mark is removed. A run that is being stopped, a task with two attempts, and one with two runs given up (maxCopies) were and are left alone, so that copies stay limited.

--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -63,7 +63,7 @@
 	o.overdueCheckedAt = now
 	for _, w := range o.sortedWorkers() {
 		for _, at := range w.attempts {
-			if at.phase != phaseRunning || at.overdue || at.pace < fullPace || at.confirmedAt.IsZero() {
+			if at.phase != phaseRunning || at.pace < fullPace || at.confirmedAt.IsZero() {
 				continue
 			}
 			limit := at.overdueLimit()
@@ -83,7 +83,6 @@
 	if other == nil || other == at.worker || t.job.final != "" {
 		return
 	}
-	at.overdue = true
 	t.copies++
 	o.log.WithFields(logrus.Fields{
 		"decision": "overdue", "job": t.job.ID, "task": t.key.String(), "run": at.run, "worker": at.worker.ID,
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -37,8 +37,6 @@
 	measurement float64
 	// inFlight is true while an order for the attempt is unanswered.
 	inFlight bool
-	// overdue is set once the run took so much longer than its siblings that it was replaced.
-	overdue bool
 	// overTargetSince is the start of the period in which every listing has shown the run above its latency target.
 	overTargetSince time.Time
 	// pace is the percentage of full speed that was requested last: 100 after a start, -1 if unknown.
