Move serving tasks off a stalled worker that is in quarantine

Callers: a long-running task with a latency target stays on a worker that stands still, at 40 times its target and more. Cause: a worker in quarantine was taken for one whose runs had been moved already. That holds after a stall, but not after failed runs, which a worker in trouble has first. Evidence: TestServingTaskIsMovedOffStalledWorkerInQuarantine: after failed runs the task left the stalled worker after 1.81 s, when the quarantine of 2 s was over. A quarantine lasts 16 s at most, after repeated failures (that was not run). Change: the end of the quarantine for a stall is kept by itself, and only that one spares the runs. A stall does not shorten a longer quarantine for failed runs. Result: the task leaves after 0.02 s (the workers of the test answer polls at once).

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -25,6 +25,8 @@
 	quarantine time.Duration
 	// probation is set if no run has succeeded since the quarantine began.
 	probation bool
+	// stalledUntil is when the quarantine for the last stall ends.
+	stalledUntil time.Time
 	// until is when the last quarantine ends.
 	until time.Time
 }
@@ -40,10 +42,11 @@
 	return true
 }
 
-// quarantineStalled puts a stalled worker into quarantine.
+// quarantineStalled puts a stalled worker into quarantine. A longer quarantine for failed runs stays.
 func (h *health) quarantineStalled(now time.Time) {
-	h.quarantine = stalledQuarantine
-	h.until, h.probation, h.failures = now.Add(h.quarantine), true, 0
+	h.quarantine = max(h.quarantine, stalledQuarantine)
+	h.stalledUntil = now.Add(stalledQuarantine)
+	h.until, h.probation, h.failures = maxTime(h.until, h.stalledUntil), true, 0
 }
 
 func (h *health) succeeded() { *h = health{} }
--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -98,9 +98,9 @@
 	o.stopRun(at, "overdue")
 }
 
-// evacuateStalled stops all runs on a stalled worker and quarantines it.
+// evacuateStalled stops all runs on a stalled worker and quarantines it, also if it is in quarantine for failed runs.
 func (o *Owner) evacuateStalled(now time.Time, w *worker, tail float64) {
-	if tail < stalledTail || !w.health.accepts(now) {
+	if tail < stalledTail || now.Before(w.health.stalledUntil) {
 		return
 	}
 	w.health.quarantineStalled(now)
