Follow the config with the objectives of jobs

Callers: a job that reached its owner before the config that has its queue is placed behind all jobs that can meet their objective, also behind later ones. Cause: the time after which a job counts as late was computed once, when the job was added, without the queue's stretch and target latency if the queue was unknown. Only the queue's other settings followed the config. Evidence: in TestObjectiveFollowsQueueThatBecomesKnown a job of 10 s waits for the only worker; a job of the same kind that was accepted 1 s later, after the config, gets it. How often a job precedes its config was not measured. Change: the objective is computed with the queue's settings, from the time of acceptance, and again with each config. Result: the job that was accepted first runs first. Objectives of jobs whose queue does not change are the same as before.

--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -80,11 +80,9 @@
 }
 
 func (o *Owner) newJob(now time.Time, j workflow.Job) *job {
-	n := &job{Job: j, occurrences: map[int]*occurrence{}}
-	o.applyQueue(n)
 	age := max(o.wallClock().UnixMilli()-j.AcceptedAt, 0)
-	chain := time.Duration(float64(j.CriticalPath()) * max(n.queue.Stretch, 1))
-	n.objective = now.Add(chain + n.queue.TargetLatency - time.Duration(age)*time.Millisecond)
+	n := &job{Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{}}
+	o.applyQueue(n)
 	if j.Occurrences == 0 {
 		o.occurrence(n, 0)
 	}
@@ -96,6 +94,8 @@
 	if q, ok := o.config.Queue(j.Queue); ok {
 		j.queue, j.priority = q, q.Priority
 	}
+	chain := time.Duration(float64(j.CriticalPath()) * max(j.queue.Stretch, 1))
+	j.objective = j.acceptedAt.Add(chain + j.queue.TargetLatency)
 }
 
 // Cancel stops a job whose cancellation has been recorded.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -112,8 +112,10 @@
 // job is an accepted job whose final state is not recorded yet, or which still has runs that have not ended.
 type job struct {
 	workflow.Job
-	cancelled bool
-	dirty     bool
+	// acceptedAt is AcceptedAt on the owner's clock.
+	acceptedAt time.Time
+	cancelled  bool
+	dirty      bool
 	// dirtySince is when the job changed first since its last write; it is valid while the job is dirty.
 	dirtySince  time.Time
 	doneThrough int
