Wake the owner for tasks that become placeable by time

Callers: on a shard with few events a failed task runs again late, tasks wait on after the quarantine of the only worker that suits them, and a refused request for placement advice is repeated late; each up to 1 s. Cause: the owner is called after events and at the time that it asked for, at the latest 1 s later. A round of placement did not ask for the end of a restart delay, of a quarantine, or of the pause after refused advice. Tests called the owner each 10 ms. Change: a round asks for the earliest of these times among the tasks and workers that it meets. Remains: the waits of best-effort tasks (1.5 and 20 s), the end of a hold and of a ticket, and the search for overdue runs still wait for an event or 1 s.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -77,7 +77,11 @@
 // requestAdvice requests advice on the workers that could take the task, the best first. The service handles a host's
 // requests one at a time, so only one is sent at a time.
 func (o *Owner) requestAdvice(now time.Time, t *task) {
-	if o.adviceInFlight || now.Before(o.nextAdviceAt) {
+	if o.adviceInFlight {
+		return
+	}
+	if now.Before(o.nextAdviceAt) {
+		o.waitUntil(o.nextAdviceAt)
 		return
 	}
 	var candidates []*worker
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -56,6 +56,14 @@
 	return !now.Before(h.until) && (!h.probation || !now.Before(h.nextProbe))
 }
 
+// acceptsAt returns the earliest time at which the worker may be given a run.
+func (h *health) acceptsAt() time.Time {
+	if h.probation {
+		return maxTime(h.until, h.nextProbe)
+	}
+	return h.until
+}
+
 // assigned updates the probation when a run is assigned to the worker. Long-running tasks never complete, so a worker
 // is also considered healthy once it has had no failure for longer than its quarantine lasted.
 func (h *health) assigned(now time.Time) {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -49,6 +49,9 @@
 	now              time.Time
 	overdueCheckedAt time.Time
 	paceOrders       []Pace
+	// placeableAt is when the first of the tasks that wait may become placeable without an event, as far as the current placement
+	// round has found.
+	placeableAt time.Time
 	// placed collects the tasks that the current placement round assigned, for the log.
 	placed map[*job][]string
 	// pressure is the learned model of how much the images of best-effort tasks slow down those of serving tasks.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -29,6 +29,7 @@
 	o.sortJobs(now)
 	// unplaceable holds the classes of tasks for which no worker was found in this round.
 	unplaceable := map[taskClass]bool{}
+	o.placeableAt = a.Wake
 	free := o.maxFreeCPU(now)
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
@@ -55,69 +56,28 @@
 			}
 		}
 	}
+	a.wakeAt(o.placeableAt)
 	o.logPlaced(now)
 }
 
+// waitUntil makes the owner wake for a task that can't be placed before a time.
+func (o *Owner) waitUntil(t time.Time) { o.placeableAt = minTime(o.placeableAt, t) }
+
 // placePause returns the pause after a round that evaluated the given number of (task, worker) pairs.
 func (o *Owner) placePause(pairs int) time.Duration {
 	return minPlaceInterval + time.Duration(pairs)*o.timing.EvaluationGap
 }
 
-// placeRestartsBetweenRounds places the long-running tasks that ran before without waiting for the next round. The pause before it
-// can be seconds long if many tasks wait that fit nowhere.
-func (o *Owner) placeRestartsBetweenRounds(now time.Time, a *Actions) {
-	if !o.hasInterrupted {
-		return
-	}
-	if due := o.lastRestartPlace.Add(o.placePause(o.evaluatedRestartPairs)); now.Before(due) {
-		a.wakeAt(due)
-		return
-	}
-	pairs := o.evaluatedPairs
-	o.evaluatedPairs, o.heldWorkers = 0, 0
-	clear(o.mostlyIdle)
-	o.placeRestarts(now, map[taskClass]bool{})
-	o.evaluatedPairs = pairs
-	o.logPlaced(now)
-}
-
-// placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
-// lasts until they run again.
-func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
-	o.hasInterrupted = false
-	for _, j := range o.backlog {
-		if j.final != "" || !j.IsLongRunning() {
-			continue
-		}
-		for _, occ := range j.openOccurrences() {
-			for s, tasks := range occ.tasks {
-				if occ.ready[s] && !j.Steps[s].Gang {
-					interrupted := interruptedTasks(tasks)
-					o.placeTasks(now, interrupted, unplaceable)
-					o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(interrupted, (*task).isWaiting)
-				}
-			}
-		}
-	}
-	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
-}
-
-func interruptedTasks(tasks []*task) []*task {
-	var out []*task
-	for _, t := range tasks {
-		if t.isInterrupted() {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // placeTasks assigns those of a step's tasks to workers that wait and may start. All tasks of a step have the same requirements:
 // once one can't be placed, only those with a worker held for them are still tried.
 func (o *Owner) placeTasks(now time.Time, tasks []*task, unplaceable map[taskClass]bool) {
 	isFull := false
 	for _, t := range tasks {
-		if t.isWaiting() && !now.Before(t.notBefore) && (!isFull || t.hasHold(now)) {
+		switch {
+		case !t.isWaiting():
+		case now.Before(t.notBefore):
+			o.waitUntil(t.notBefore)
+		case !isFull, t.hasHold(now):
 			isFull = !o.placeTask(now, t, unplaceable) || isFull
 		}
 	}
@@ -147,6 +107,8 @@
 	for _, w := range o.sortedWorkers() {
 		if w.takesTasks(now) {
 			free[w.Service] = max(free[w.Service], w.Capacity.CPUMilli-w.reserved.CPUMilli)
+		} else if !w.health.accepts(now) {
+			o.waitUntil(w.health.acceptsAt())
 		}
 	}
 	return free
@@ -282,7 +244,11 @@
 func (o *Owner) placeGang(now time.Time, tasks []*task) {
 	run := 0
 	for _, t := range tasks {
-		if !t.isWaiting() || now.Before(t.notBefore) {
+		if !t.isWaiting() {
+			return
+		}
+		if now.Before(t.notBefore) {
+			o.waitUntil(t.notBefore)
 			return
 		}
 		run = max(run, t.run)
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -39,6 +39,7 @@
 	// polls counts the polls by worker, and voidedEnds the acknowledged ends before which the lease of their worker expired.
 	polls      map[string]int
 	voidedEnds int
+	wakeTimer
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
@@ -69,7 +70,11 @@
 		}
 	}
 	c.deliver()
-	a := c.owner.Step(c.now)
+	var a shard.Actions
+	if c.isDue(c.now) {
+		a = c.owner.Step(c.now)
+		c.wakeTimer.set(a)
+	}
 	c.store.step(c.simulation, a.Commit)
 	for _, s := range a.Starts {
 		if s.Worker == c.silent {
@@ -105,18 +110,29 @@
 		f := c.worker(poll.Worker)
 		c.renew(f, poll.Until)
 		c.acknowledge(poll)
-		list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
-		for _, s := range c.running {
-			if s.Worker == poll.Worker {
-				list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Measurement: c.measurement(s)})
-			}
+		if c.stepsOnWake && len(c.endedByWorker[poll.Worker]) == 0 {
+			c.longPolls = append(c.longPolls, longPoll{Poll: poll, sent: c.now})
+			continue
 		}
-		c.list(poll.Worker, list.Ended)
-		c.owner.Polled(c.now, poll, c.now, list)
+		c.answer(poll, c.now)
 	}
+	c.answerLongPolls()
 	c.deliver()
 }
 
+// answer answers a poll that was sent at sent.
+func (c *fleetHarness) answer(poll shard.Poll, sent time.Time) {
+	f := c.worker(poll.Worker)
+	list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
+	for _, s := range c.running {
+		if s.Worker == poll.Worker {
+			list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Measurement: c.measurement(s)})
+		}
+	}
+	c.list(poll.Worker, list.Ended)
+	c.owner.Polled(c.now, poll, sent, list)
+}
+
 // endRunsWhere ends the runs for which endCause returns a cause.
 func (c *fleetHarness) endRunsWhere(endCause func(shard.Start) shard.EndCause) {
 	var left []shard.Start
