Record a failure together with the next run of its task

Callers: at a slow store a failed task runs again one commit later than it could. Cause: a failed task is placed again after 50 ms. Its failure was committed at once, though nobody waits for that record, and the record of the next run, which decides when the task runs again, waited for that commit. Evidence: TestFailureIsRecordedWithNextRun (one long-running task, nothing else): with records that take 10, 50 and 200 ms the task ran again after 80, 140 and 440 ms, with two commits. Change: the record of a failure waits until the next run is planned, 65 ms at most. Older changes of the job, planned starts and final states are not delayed. Result: 80, 120 and 270 ms, with one commit. Without room for the next run the failure is recorded and its end acknowledged by itself (TestFailureIsRecordedWithoutNextRun, which passed before too).

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -21,12 +21,16 @@
 		a.wakeAt(due)
 		return nil
 	}
-	n := min(len(o.dirty), maxJobsPerCommit)
-	if n < len(o.dirty) {
-		sortForCommit(now, o.dirty)
+	ready, delayed := o.splitDelayed(now, a)
+	if len(ready) == 0 {
+		return nil
+	}
+	n := min(len(ready), maxJobsPerCommit)
+	if n < len(ready) {
+		sortForCommit(now, ready)
 	}
 	c := &Commit{oldest: now}
-	for _, j := range o.dirty[:n] {
+	for _, j := range ready[:n] {
 		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
 		j.restartPlanned, j.startPlanned = false, false
 		w := JobWrite{Job: j.ID, Final: j.final, version: j.version}
@@ -35,12 +39,25 @@
 		}
 		c.Writes = append(c.Writes, w)
 	}
-	o.dirty = append([]*job(nil), o.dirty[n:]...)
+	o.dirty = slices.Concat(ready[n:], delayed)
 	slices.SortStableFunc(o.dirty, func(a, b *job) int { return a.dirtySince.Compare(b.dirtySince) })
 	o.committing, o.lastCommit = c, now
 	return c
 }
 
+// splitDelayed splits the changed jobs into those that may be written now and those whose restart is planned in a moment.
+func (o *Owner) splitDelayed(now time.Time, a *Actions) (ready, delayed []*job) {
+	for _, j := range o.dirty {
+		if j.final == "" && now.Before(j.recordNotBefore) {
+			a.wakeAt(j.recordNotBefore)
+			delayed = append(delayed, j)
+		} else {
+			ready = append(ready, j)
+		}
+	}
+	return ready, delayed
+}
+
 // uncommitted returns the number of jobs with changes that are not recorded yet, and when the first of these changes was
 // made. The time is now if there are none.
 func (o *Owner) uncommitted(now time.Time) (jobs int, oldest time.Time) {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -216,7 +216,7 @@
 	if t.isInterrupted() {
 		t.job.restartPlanned = true
 	}
-	t.job.startPlanned = true
+	t.job.startPlanned, t.job.recordNotBefore = true, time.Time{}
 	t.releaseHold(o.now)
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -273,6 +273,10 @@
 	t.notBefore = now.Add(restartDelay)
 	w.holdForRestart(now, t)
 	o.markDirty(t.job)
+	if !t.job.startPlanned && t.job.dirtySince.Equal(now) {
+		// The next run would otherwise wait for the commit of the failure. Older changes of the job are not delayed.
+		t.job.recordNotBefore = t.notBefore.Add(minPlaceInterval)
+	}
 	if w.health.failed(now) {
 		o.logQuarantine(w)
 	}
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -20,6 +20,8 @@
 	// received lists all commits.
 	received   []*shard.Commit
 	unanswered []unansweredCommit
+	// answered counts the answers.
+	answered int
 }
 
 type unansweredCommit struct {
@@ -54,6 +56,7 @@
 	for _, u := range due {
 		sim.owner.Committed(sim.now, u.Commit)
 	}
+	s.answered += len(due)
 }
 
 // transactions returns the number of transactions that a commit takes: one has 32 entries at most, of which one guards the
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -75,7 +75,9 @@
 		a = c.owner.Step(c.now)
 		c.wakeTimer.set(a)
 	}
+	answered := c.store.answered
 	c.store.step(c.simulation, a.Commit)
+	c.hasEvent = c.hasEvent || c.store.answered > answered
 	for _, s := range a.Starts {
 		if s.Worker == c.silent {
 			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeUnknown})
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -129,6 +129,8 @@
 	occurrences map[int]*occurrence
 	priority    int
 	queue       workflow.Queue
+	// recordNotBefore delays the record of a failed run until the task's next run is planned.
+	recordNotBefore time.Time
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
 	// long-running task that ran before.
 	startPlanned, restartPlanned bool
--- a/internal/shard/wake_test.go
+++ b/internal/shard/wake_test.go
@@ -116,3 +116,43 @@
 	t.Logf("%d requests in %s", len(sent), c.now.Sub(asked))
 	assert.Assert(t, len(sent) >= 15, "%d requests in %s", len(sent), c.now.Sub(asked))
 }
+
+// Guards against the next run of a failed task that waits for the record of the failure before its own record is written.
+func TestFailureIsRecordedWithNextRun(t *testing.T) {
+	const job = "0000000000000001"
+	for _, written := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond} {
+		c := newFleetHarness(t, 2)
+		c.stepsOnWake = true
+		longRunning := smallStep
+		longRunning.LongRunning = true
+		c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunning}})
+		c.run(2 * time.Second)
+		c.store.answerTime = func() time.Duration { return written }
+		received := len(c.store.received)
+		took := c.failLongRunning(job, 0, 10*time.Second)
+		c.run(time.Second)
+		t.Logf("records take %s: runs again after %s, %d commits", written, took, len(c.store.received)-received)
+		assert.Check(t, took <= written+100*time.Millisecond, "runs again after %s", took)
+		assert.Check(t, len(c.store.received)-received == 1, "%d commits", len(c.store.received)-received)
+		for worker, ends := range c.listedAt {
+			assert.Equal(t, len(ends), 0, "ends of worker %s that are not acknowledged", worker)
+		}
+	}
+}
+
+// Guards against a failure that is not recorded because no worker has room for the next run.
+func TestFailureIsRecordedWithoutNextRun(t *testing.T) {
+	const job = "0000000000000001"
+	c := newFleetHarness(t, 1)
+	c.stepsOnWake = true
+	longRunning := smallStep
+	longRunning.LongRunning = true
+	c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunning}})
+	c.run(time.Second)
+	c.workers[0].Draining, c.workers[0].Remaining = true, time.Minute
+	c.endRunsWhere(func(shard.Start) shard.EndCause { return shard.EndFailed })
+	c.register()
+	c.run(time.Second)
+	assert.Equal(t, len(c.running), 0)
+	assert.Equal(t, len(c.endedByWorker["a0"]), 0, "ends that are not acknowledged")
+}
