Hold workers for large tasks of queues with placement advice

Callers: a long-running task of a queue with placement advice never starts, or never again, in a shard that smaller batch tasks keep full. Cause: advice is requested only about workers with room, and the branch for such queues returned before a worker was held for the task. So room came free in pieces and went to the batch tasks each time. Evidence: in TestLargeTaskWithAdviceIsPlacedAmongSmallBatchTasks (2 workers of 8 cores, one of them allowed, a task of 6 cores, 4 batch tasks each 0.1 s) the task did not run in the 8 s of load; the same task without advice does. Change: a worker is held as for other long-running tasks, unless the advice has excluded it. Result: the task runs within that time.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -67,6 +67,12 @@
 	return p.ticket
 }
 
+// isAdvisedAgainst reports whether the worker is known not to be allowed to run the step of a task.
+func (t *task) isAdvisedAgainst(w *worker) bool {
+	p, ok := t.job.occurrences[t.key.Occurrence].advice[t.key.Step][w.ID]
+	return ok && !p.allowed
+}
+
 // lacksAdvice reports whether the advice on a worker is missing or has expired. A negative answer does not expire,
 // since the set of workers that may run a step never changes.
 func (o *Owner) lacksAdvice(now time.Time, w *worker, t *task) bool {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -144,6 +144,7 @@
 	}
 	if w == nil && t.job.queue.Advice != nil {
 		o.requestAdvice(now, t)
+		o.hold(now, t)
 		return false
 	}
 	if w == nil {
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -78,6 +78,9 @@
 	answered := c.store.answered
 	c.store.step(c.simulation, a.Commit)
 	c.hasEvent = c.hasEvent || c.store.answered > answered
+	for _, advise := range a.AdviceRequests {
+		c.advise(advise)
+	}
 	for _, s := range a.Starts {
 		if s.Worker == c.silent {
 			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeUnknown})
