Renew tickets that expire while their attempt waits for its record

Callers: jobs of queues with placement advice never start while records take longer than a ticket is valid, and each refused start is charged. Cause: the ticket was chosen when the attempt was planned, and sent with the start whatever its age. The worker refused it, the run was stopped, and the task was placed and recorded again with a ticket that expired in the same way. Evidence: TestTicketIsRenewedWhileAttemptWaitsForRecord (tickets valid for 2 s, 3 tasks): with records that take 3 s no task had started after 20 s and 9 starts were refused. Change: the ticket of a recorded attempt is checked before the start. If it is too old, a newer one is taken, or requested before placement requests advice for other tasks. An attempt that the advice excludes is dropped. Remains: a start that is sent again because its answer was lost carries its first ticket.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -33,6 +33,13 @@
 				if !w.fenced || w.pollFailures > 0 {
 					continue // the answer to a poll that is in flight or due decides
 				}
+				if !o.refreshTicket(now, at) {
+					if at.task.isAdvisedAgainst(w) {
+						o.removeAttempt(at, "placement advice excludes the worker")
+						o.markDirty(at.task.job)
+					}
+					continue // renewTickets requests a new one
+				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseSent:
 				if w.pollFailures > 0 {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -215,6 +215,7 @@
 	o.stopOnDrainingWorkers(now, &a)
 	if !o.isHandingOver {
 		o.replaceOverdue(now)
+		o.renewTickets(now, &a)
 		o.place(now, &a)
 		a.Commit = o.nextCommit(now, &a)
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -211,9 +211,7 @@
 // number.
 func (o *Owner) assign(t *task, w *worker, run int) {
 	at := &attempt{phase: phasePlanned, plannedAt: o.now, run: run, task: t, worker: w, pace: fullPace}
-	if t.job.queue.Advice != nil {
-		at.ticket = o.ticket(o.now, w, t)
-	}
+	o.refreshTicket(o.now, at)
 	if t.isInterrupted() {
 		t.job.restartPlanned = true
 	}
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -39,6 +39,8 @@
 	// polls counts the polls by worker, and voidedEnds the acknowledged ends before which the lease of their worker expired.
 	polls      map[string]int
 	voidedEnds int
+	// refusedTickets counts the starts that are refused since their ticket is not valid.
+	refusedTickets int
 	wakeTimer
 }
 
@@ -86,6 +88,11 @@
 			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeUnknown})
 			continue
 		}
+		if c.jobs[s.Job].Queue == "advised" && !c.hasTicket(c.worker(s.Worker), s) {
+			c.refusedTickets++
+			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeNoTicket, Clock: c.clock(c.worker(s.Worker))})
+			continue
+		}
 		c.starts, c.running = append(c.starts, s), append(c.running, s)
 		c.startedAt[c.name(s)] = c.now
 		c.renew(c.worker(s.Worker), s.Until)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -52,7 +52,9 @@
 	stopCause string
 	task      *task
 	ticket    string
-	worker    *worker
+	// ticketUntil is when the ticket is too old for a start.
+	ticketUntil time.Time
+	worker      *worker
 }
 
 // isSent reports whether the worker may know about the attempt.
