Evaluate equal tasks that fit nowhere once in a round

Callers: a new job that workers have room for starts late. Cause: a round of placement remembers the requirements for which it found no worker, but not for steps with a limit of tasks per worker: each of them was evaluated against all workers in each round, and the pause after the round grows with the evaluated pairs. Change: a step without attempts can use the same workers as one without the limit, so both are remembered together. Long-running steps are left out: a worker is held for each of them. Remains: waiting tasks with different requirements, or with placement advice, are still evaluated one by one.

--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -248,16 +248,19 @@
 
 // hasAttempts reports whether any task of the occurrence has an attempt.
 func (occ *occurrence) hasAttempts() bool {
-	for _, tasks := range occ.tasks {
-		for _, t := range tasks {
-			if len(t.attempts) > 0 {
-				return true
-			}
+	for s := range occ.tasks {
+		if occ.stepHasAttempts(s) {
+			return true
 		}
 	}
 	return false
 }
 
+// stepHasAttempts reports whether any task of a step of the occurrence has an attempt.
+func (occ *occurrence) stepHasAttempts(step int) bool {
+	return slices.ContainsFunc(occ.tasks[step], func(t *task) bool { return len(t.attempts) > 0 })
+}
+
 // hasAttempts reports whether any task of the job has an attempt.
 func (j *job) hasAttempts() bool {
 	for _, occ := range j.occurrences {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -96,7 +96,9 @@
 	label     string
 	resources fleet.Resources
 	service   string
-	// step and occurrence are set for steps that limit the number of their tasks on a worker.
+	// step and occurrence are set for steps that limit the number of their tasks on a worker and have attempts. A step without
+	// attempts can use the same workers as one without a limit. They are also set for long-running steps with a limit, so that a
+	// worker is held for each such step.
 	occurrence int
 	step       *workflow.Step
 }
@@ -132,7 +134,7 @@
 		// A task with skipsWait set may be placed while other tasks of its image still wait.
 		class.skipsWait = now.Sub(t.waitingSince) > maxIdleWait && !t.job.hasAttempts() && o.isMostlyIdle(class.service)
 	}
-	if t.step.PerWorker > 0 {
+	if t.step.PerWorker > 0 && (t.step.LongRunning || t.job.occurrences[t.key.Occurrence].stepHasAttempts(t.key.Step)) {
 		class.step, class.occurrence = t.step, t.key.Occurrence
 	}
 	if unplaceable[class] && !t.hasHold(now) {
--- a/internal/shard/wake_test.go
+++ b/internal/shard/wake_test.go
@@ -64,6 +64,7 @@
 		c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunning}})
 		c.run(time.Second)
 		for i := range unplaceable {
+			other.Resources.MemoryMiB = int64(10 + i) // all differ, so each is evaluated
 			c.add(workflow.Job{ID: fmt.Sprintf("0000000000001%03x", i), Queue: "q", Steps: []workflow.Step{other}})
 		}
 		for range 4 {
