--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -30,9 +30,16 @@
 					o.markDirty(at.task.job)
 					continue
 				}
-				if !w.fenced {
+				if !w.fenced || w.pollFailures > 0 {
 					continue // the answer to a poll that is in flight or due decides
 				}
+				if !o.refreshTicket(now, at) {
+					if at.task.isAdvisedAgainst(w) {
+						o.removeAttempt(at, "placement advice excludes the worker")
+						o.markDirty(at.task.job)
+					}
+					continue // renewTickets requests a new one
+				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseSent:
 				if w.pollFailures > 0 {
@@ -140,3 +147,10 @@
 	}
 	return b
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -20,14 +20,16 @@
 
 // place assigns the waiting tasks to workers.
 func (o *Owner) place(now time.Time, a *Actions) {
-	if due := o.lastPlace.Add(minPlaceInterval + time.Duration(o.evaluatedPairs)*o.timing.EvaluationGap); now.Before(due) {
+	if due := o.lastPlace.Add(o.placePause(o.evaluatedPairs)); now.Before(due) {
 		a.wakeAt(due)
+		o.placeRestartsBetweenRounds(now, a)
 		return
 	}
 	o.lastPlace = now
 	o.sortJobs(now)
 	// unplaceable holds the classes of tasks for which no worker was found in this round.
 	unplaceable := map[taskClass]bool{}
+	o.placeableAt = a.Wake
 	free := o.maxFreeCPU(now)
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
@@ -54,34 +56,16 @@
 			}
 		}
 	}
+	a.wakeAt(o.placeableAt)
 	o.logPlaced(now)
 }
 
-// placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
-// lasts until they run again.
-func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
-	for _, j := range o.backlog {
-		if j.final != "" || !j.IsLongRunning() {
-			continue
-		}
-		for _, occ := range j.openOccurrences() {
-			for s, tasks := range occ.tasks {
-				if occ.ready[s] && !j.Steps[s].Gang {
-					o.placeTasks(now, interruptedTasks(tasks), unplaceable)
-				}
-			}
-		}
-	}
-}
+// waitUntil makes the owner wake for a task that can't be placed before a time.
+func (o *Owner) waitUntil(t time.Time) { o.placeableAt = minTime(o.placeableAt, t) }
 
-func interruptedTasks(tasks []*task) []*task {
-	var out []*task
-	for _, t := range tasks {
-		if t.isInterrupted() {
-			out = append(out, t)
-		}
-	}
-	return out
+// placePause returns the pause after a round that evaluated the given number of (task, worker) pairs.
+func (o *Owner) placePause(pairs int) time.Duration {
+	return minPlaceInterval + time.Duration(pairs)*o.timing.EvaluationGap
 }
 
 // placeTasks assigns those of a step's tasks to workers that wait and may start. All tasks of a step have the same requirements:
@@ -89,7 +73,11 @@
 func (o *Owner) placeTasks(now time.Time, tasks []*task, unplaceable map[taskClass]bool) {
 	isFull := false
 	for _, t := range tasks {
-		if t.isWaiting() && !now.Before(t.notBefore) && (!isFull || t.hasHold(now)) {
+		switch {
+		case !t.isWaiting():
+		case now.Before(t.notBefore):
+			o.waitUntil(t.notBefore)
+		case !isFull, t.hasHold(now):
 			isFull = !o.placeTask(now, t, unplaceable) || isFull
 		}
 	}
@@ -108,7 +96,9 @@
 	label     string
 	resources fleet.Resources
 	service   string
-	// step and occurrence are set for steps that limit the number of their tasks on a worker.
+	// step and occurrence are set for steps that limit the number of their tasks on a worker and have attempts. A step without
+	// attempts can use the same workers as one without a limit. They are also set for long-running steps with a limit, so that a
+	// worker is held for each such step.
 	occurrence int
 	step       *workflow.Step
 }
@@ -119,6 +109,8 @@
 	for _, w := range o.sortedWorkers() {
 		if w.takesTasks(now) {
 			free[w.Service] = max(free[w.Service], w.Capacity.CPUMilli-w.reserved.CPUMilli)
+		} else if !w.health.accepts(now) {
+			o.waitUntil(w.health.acceptsAt())
 		}
 	}
 	return free
@@ -142,7 +134,7 @@
 		// A task with skipsWait set may be placed while other tasks of its image still wait.
 		class.skipsWait = now.Sub(t.waitingSince) > maxIdleWait && !t.job.hasAttempts() && o.isMostlyIdle(class.service)
 	}
-	if t.step.PerWorker > 0 {
+	if t.step.PerWorker > 0 && (t.step.LongRunning || t.job.occurrences[t.key.Occurrence].stepHasAttempts(t.key.Step)) {
 		class.step, class.occurrence = t.step, t.key.Occurrence
 	}
 	if unplaceable[class] && !t.hasHold(now) {
@@ -154,6 +146,7 @@
 	}
 	if w == nil && t.job.queue.Advice != nil {
 		o.requestAdvice(now, t)
+		o.hold(now, t)
 		return false
 	}
 	if w == nil {
@@ -220,13 +213,11 @@
 // number.
 func (o *Owner) assign(t *task, w *worker, run int) {
 	at := &attempt{phase: phasePlanned, plannedAt: o.now, run: run, task: t, worker: w, pace: fullPace}
-	if t.job.queue.Advice != nil {
-		at.ticket = o.ticket(o.now, w, t)
-	}
+	o.refreshTicket(o.now, at)
 	if t.isInterrupted() {
 		t.job.restartPlanned = true
 	}
-	t.job.startPlanned = true
+	t.job.startPlanned, t.job.recordNotBefore = true, time.Time{}
 	t.releaseHold(o.now)
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
@@ -254,7 +245,11 @@
 func (o *Owner) placeGang(now time.Time, tasks []*task) {
 	run := 0
 	for _, t := range tasks {
-		if !t.isWaiting() || now.Before(t.notBefore) {
+		if !t.isWaiting() {
+			return
+		}
+		if now.Before(t.notBefore) {
+			o.waitUntil(t.notBefore)
 			return
 		}
 		run = max(run, t.run)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -12,15 +12,23 @@
 // restarted in between counts its ends from 1 again, and would drop ends that are not recorded.
 const maxAckGap = 600 * time.Millisecond
 
-// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, or if
-// this owner does not know its state yet.
+// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, if
+// this owner does not know its state yet, or if it did not answer the last poll: it gets no tasks until it answers. A worker that only waits until its ends are recorded is polled when its lease has to be
+// renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
-		if w.pollInFlight || w.Address == "" || !o.needsPoll(w) {
+		if w.pollInFlight || w.Address == "" {
 			continue
 		}
-		if now.Before(w.nextPollAt) {
-			a.wakeAt(w.nextPollAt)
+		due := w.nextPollAt
+		if !o.needsPoll(w) {
+			if len(w.unrecordedEnds) == 0 {
+				continue
+			}
+			due = maxTime(due, w.idleRenewalAt(o.timing))
+		}
+		if now.Before(due) {
+			a.wakeAt(due)
 			continue
 		}
 		o.seq++
@@ -67,7 +75,7 @@
 	if !w.fenced {
 		return w.registered || len(w.attempts) > 0
 	}
-	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || w.hasSentAttempts()
+	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || w.pollFailures > 0 && w.registered || w.hasSentAttempts()
 }
 
 // Polled handles a worker's answer to a poll that was sent at sent.
@@ -102,7 +110,7 @@
 			w.nextPollAt = now // renew the lease at once, as the worker's clock is now known
 		}
 	}
-	if regained && len(w.attempts) > 0 {
+	if regained && (len(w.attempts) > 0 || len(w.unrecordedEnds) > 0) {
 		w.nextPollAt = now // the lease was not renewed while the worker did not answer
 	}
 	if w.lastEnd > 0 {
@@ -141,6 +149,27 @@
 			"decision": "worker_lost", "worker": w.ID, "outcome": outcome.String(), "runs": len(w.attempts),
 			"lease_over_in": w.leaseExpiry(o.timing).Sub(now).String(),
 		}).Warn("worker did not answer a poll")
+		return
+	}
+	o.dropUnsent(w)
+}
+
+// dropUnsent removes the attempts on a worker that were not sent yet, so that their tasks are placed elsewhere. A single poll without
+// an answer is no reason for that: a recorded attempt would have to be recorded again. The members of a gang are placed together.
+func (o *Owner) dropUnsent(w *worker) {
+	for _, at := range w.attempts {
+		if at.isSent() {
+			continue
+		}
+		dropped := []*attempt{at}
+		if at.task.step.Gang {
+			dropped = at.task.job.unsentAttempts(at.task.key)
+		}
+		for _, other := range dropped {
+			o.removeAttempt(other, "worker does not answer")
+		}
+		o.markDirty(at.task.job)
+		o.lastPlace = time.Time{} // a commit before the next placement would delay the record of the new plan
 	}
 }
 
@@ -244,6 +273,10 @@
 	t.notBefore = now.Add(restartDelay)
 	w.holdForRestart(now, t)
 	o.markDirty(t.job)
+	if !t.job.startPlanned && t.job.dirtySince.Equal(now) {
+		// The next run would otherwise wait for the commit of the failure. Older changes of the job are not delayed.
+		t.job.recordNotBefore = t.notBefore.Add(minPlaceInterval)
+	}
 	if w.health.failed(now) {
 		o.logQuarantine(w)
 	}
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -20,6 +20,8 @@
 	// received lists all commits.
 	received   []*shard.Commit
 	unanswered []unansweredCommit
+	// answered counts the answers.
+	answered int
 }
 
 type unansweredCommit struct {
@@ -54,6 +56,7 @@
 	for _, u := range due {
 		sim.owner.Committed(sim.now, u.Commit)
 	}
+	s.answered += len(due)
 }
 
 // transactions returns the number of transactions that a commit takes: one has 32 entries at most, of which one guards the
@@ -98,6 +101,9 @@
 // acknowledge removes the ends that a poll acknowledges.
 func (c *fleetHarness) acknowledge(p shard.Poll) {
 	c.endedByWorker[p.Worker] = slices.DeleteFunc(c.endedByWorker[p.Worker], func(e shard.EndRow) bool {
+		if e.Number <= p.LastSeen && e.Number <= c.worker(p.Worker).lastEndBeforeExpiry {
+			c.voidedEnds++
+		}
 		return e.Number <= p.LastSeen
 	})
 	for n, at := range c.listedAt[p.Worker] {
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -33,8 +33,15 @@
 	longestUnacknowledged time.Duration
 	// endsListed counts the ends in all listings.
 	endsListed int
-	// silent is a worker that answers neither polls nor starts.
-	silent string
+	// silent is a worker that answers neither polls nor starts. The owner learns that a poll got no answer after pollTimeout.
+	silent      string
+	pollTimeout time.Duration
+	// polls counts the polls by worker, and voidedEnds the acknowledged ends before which the lease of their worker expired.
+	polls      map[string]int
+	voidedEnds int
+	// refusedTickets counts the starts that are refused since their ticket is not valid.
+	refusedTickets int
+	wakeTimer
 }
 
 func newFleetHarness(t *testing.T, workers int) *fleetHarness {
@@ -42,7 +49,7 @@
 	return &fleetHarness{
 		simulation: newSimulation(t, 1, workers), endedByWorker: map[string][]shard.EndRow{}, lastEndNumber: map[string]int64{},
 		startedAt: map[string]time.Time{}, listedAt: map[string]map[int64]time.Time{}, measurement: func(shard.Start) float64 { return 1000 },
-		endCause: func(shard.Start) shard.EndCause { return "" },
+		endCause: func(shard.Start) shard.EndCause { return "" }, polls: map[string]int{},
 	}
 }
 
@@ -59,15 +66,36 @@
 
 func (c *fleetHarness) step() {
 	c.now = c.now.Add(simulationStep)
-	a := c.owner.Step(c.now)
+	for _, f := range c.workers {
+		if c.clock(f) > f.leaseEnd {
+			f.lastEndBeforeExpiry = c.lastEndNumber[f.ID]
+		}
+	}
+	c.deliver()
+	var a shard.Actions
+	if c.isDue(c.now) {
+		a = c.owner.Step(c.now)
+		c.wakeTimer.set(a)
+	}
+	answered := c.store.answered
 	c.store.step(c.simulation, a.Commit)
+	c.hasEvent = c.hasEvent || c.store.answered > answered
+	for _, advise := range a.AdviceRequests {
+		c.advise(advise)
+	}
 	for _, s := range a.Starts {
 		if s.Worker == c.silent {
 			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeUnknown})
 			continue
 		}
+		if c.jobs[s.Job].Queue == "advised" && !c.hasTicket(c.worker(s.Worker), s) {
+			c.refusedTickets++
+			c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeNoTicket, Clock: c.clock(c.worker(s.Worker))})
+			continue
+		}
 		c.starts, c.running = append(c.starts, s), append(c.running, s)
 		c.startedAt[c.name(s)] = c.now
+		c.renew(c.worker(s.Worker), s.Until)
 		c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: c.clock(c.worker(s.Worker))})
 	}
 	for _, s := range a.Stops {
@@ -84,21 +112,37 @@
 	}
 	c.endRunsWhere(c.endCause)
 	for _, poll := range a.Polls {
+		c.polls[poll.Worker]++
 		if poll.Worker == c.silent {
-			c.owner.PollFailed(c.now, poll, shard.OutcomeUnknown)
+			c.calls = append(c.calls, &call{deliverAt: c.now.Add(c.pollTimeout), onTimer: func(bool) {
+				c.owner.PollFailed(c.now, poll, shard.OutcomeUnknown)
+			}})
 			continue
 		}
 		f := c.worker(poll.Worker)
+		c.renew(f, poll.Until)
 		c.acknowledge(poll)
-		list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
-		for _, s := range c.running {
-			if s.Worker == poll.Worker {
-				list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Measurement: c.measurement(s)})
-			}
+		if c.stepsOnWake && len(c.endedByWorker[poll.Worker]) == 0 {
+			c.longPolls = append(c.longPolls, longPoll{Poll: poll, sent: c.now})
+			continue
+		}
+		c.answer(poll, c.now)
+	}
+	c.answerLongPolls()
+	c.deliver()
+}
+
+// answer answers a poll that was sent at sent.
+func (c *fleetHarness) answer(poll shard.Poll, sent time.Time) {
+	f := c.worker(poll.Worker)
+	list := shard.Listing{Born: f.incarnation, Clock: c.clock(f), Ended: c.endedByWorker[poll.Worker]}
+	for _, s := range c.running {
+		if s.Worker == poll.Worker {
+			list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Run: s.Run, Percent: 100, Measurement: c.measurement(s)})
 		}
-		c.list(poll.Worker, list.Ended)
-		c.owner.Polled(c.now, poll, c.now, list)
 	}
+	c.list(poll.Worker, list.Ended)
+	c.owner.Polled(c.now, poll, sent, list)
 }
 
 // endRunsWhere ends the runs for which endCause returns a cause.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -37,8 +37,6 @@
 	measurement float64
 	// inFlight is true while an order for the attempt is unanswered.
 	inFlight bool
-	// overdue is set once the run took so much longer than its siblings that it was replaced.
-	overdue bool
 	// overTargetSince is the start of the period in which every listing has shown the run above its latency target.
 	overTargetSince time.Time
 	// pace is the percentage of full speed that was requested last: 100 after a start, -1 if unknown.
@@ -54,7 +52,9 @@
 	stopCause string
 	task      *task
 	ticket    string
-	worker    *worker
+	// ticketUntil is when the ticket is too old for a start.
+	ticketUntil time.Time
+	worker      *worker
 }
 
 // isSent reports whether the worker may know about the attempt.
@@ -114,8 +114,10 @@
 // job is an accepted job whose final state is not recorded yet, or which still has runs that have not ended.
 type job struct {
 	workflow.Job
-	cancelled bool
-	dirty     bool
+	// acceptedAt is AcceptedAt on the owner's clock.
+	acceptedAt time.Time
+	cancelled  bool
+	dirty      bool
 	// dirtySince is when the job changed first since its last write; it is valid while the job is dirty.
 	dirtySince  time.Time
 	doneThrough int
@@ -129,6 +131,8 @@
 	occurrences map[int]*occurrence
 	priority    int
 	queue       workflow.Queue
+	// recordNotBefore delays the record of a failed run until the task's next run is planned.
+	recordNotBefore time.Time
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
 	// long-running task that ran before.
 	startPlanned, restartPlanned bool
@@ -148,6 +152,19 @@
 	return out
 }
 
+// unsentAttempts returns the attempts of all tasks of a step that were not sent yet.
+func (j *job) unsentAttempts(k workflow.TaskKey) []*attempt {
+	var out []*attempt
+	for _, t := range j.occurrences[k.Occurrence].tasks[k.Step] {
+		for _, at := range t.attempts {
+			if !at.isSent() {
+				out = append(out, at)
+			}
+		}
+	}
+	return out
+}
+
 // readyTasks returns the tasks of the job that don't wait for other steps, or none if the job has a final state.
 func (j *job) readyTasks() []*task {
 	if j.final != "" {
@@ -232,6 +249,15 @@
 	return expiry
 }
 
+// idleRenewalAt returns when the lease of a worker without runs is to be renewed, on a clock as fast as the owner's. If polls got no
+// answer, or this owner has not granted a lease yet, that is at once.
+func (w *worker) idleRenewalAt(t Timing) time.Time {
+	if w.pollFailures > 0 || w.leaseEnd == 0 {
+		return time.Time{}
+	}
+	return w.clockAt.Add(time.Duration(w.leaseEnd-w.clock)*time.Millisecond - t.IdleRenewalMargin)
+}
+
 // renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not
 // answer is not extended, so that it expires and the tasks can be started elsewhere.
 func (w *worker) renewLease(now time.Time, t Timing) int64 {
