Let peers write records for owners that the store refuses

Callers would see: an accepted long-running task that failed is not started again, and no job of its shard starts or completes, for as long as the store renews the lease of the shard's owner and refuses its transactions.

Cause: only the owner writes the records of its jobs, and a start waits for its record. The owner repeated the write itself for as long as it had the shard, and only a handover under way made it give the shard up.

Change: from the third attempt at a transaction on, a peer makes every second attempt, in turn, or the one that wrote last. The guards on the owner's key and on the records are the same, so that an attempt that is carried out late or twice has no effect, as with an own attempt whose response is lost. Ownership does not move, also if the store refuses all hosts; a peer's attempt takes the place of an own one, so the store gets no more calls.

The simulated hosts now have peers, whose messages are encoded and decoded.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -33,6 +34,25 @@
 	running.Wait()
 }
 
+// SetRequest sets the function that sends messages to peers.
+func (h *Host) SetRequest(f func(ctx context.Context, address string, m peer.Message) (peer.Message, error)) {
+	h.request = f
+}
+
+// HandlePeerMessage answers a request of another host.
+func (h *Host) HandlePeerMessage(ctx context.Context, m peer.Message) (peer.Message, error) {
+	return h.handlePeerMessage(ctx, m)
+}
+
+// SeeHost adds a host, whose name is also its address, to the hosts that this one knows.
+func (h *Host) SeeHost(name string) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	h.directory.put(kvstore.KV{
+		Key: hostPrefix + name, Value: workflow.Encode(hostRecord{Host: name, Incarnation: name, PeerAddress: name}),
+	})
+}
+
 // RunSession keeps a lease until ctx ends.
 func (h *Host) RunSession(ctx context.Context) { h.session.run(ctx) }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -17,9 +17,10 @@
 
 // Host is the daemon of an entry host.
 type Host struct {
-	config    *configSource
-	directory *directory
-	draining  atomic.Bool
+	commitRelay commitRelay
+	config      *configSource
+	directory   *directory
+	draining    atomic.Bool
 	// hostCount is the number of live hosts at the last round without a layout, and hostCountSince when it last changed.
 	hostCount      int
 	hostCountSince time.Time
@@ -33,22 +34,25 @@
 	pending         *pendingCache
 	platform        Platform
 	pool            *peer.Pool
-	self            hostRecord
-	session         *session
-	settings        settings.Settings
+	// request sends a message to a peer and returns its reply.
+	request  func(ctx context.Context, address string, m peer.Message) (peer.Message, error)
+	self     hostRecord
+	session  *session
+	settings settings.Settings
 }
 
 // New returns a host that uses the given platform.
 func New(s settings.Settings, p Platform, log *logrus.Logger) *Host {
 	entry := log.WithField("host", s.Host)
 	h := &Host{
-		directory: newDirectory(entry, BootTime),
-		locations: newLocationCache(),
-		loads:     &loadCache{loads: map[loadKey]cachedLoad{}},
-		log:       entry,
-		now:       BootTime,
-		pending:   newPendingCache(),
-		platform:  p,
+		commitRelay: commitRelay{turn: rand.IntN(1 << 16)},
+		directory:   newDirectory(entry, BootTime),
+		locations:   newLocationCache(),
+		loads:       &loadCache{loads: map[loadKey]cachedLoad{}},
+		log:         entry,
+		now:         BootTime,
+		pending:     newPendingCache(),
+		platform:    p,
 		self: hostRecord{
 			Host: s.Host, PeerAddress: s.Listen.Peer, Incarnation: fmt.Sprintf("%s#%016x", s.Host, rand.Uint64()),
 			Strength: s.Platform.Strength, Zone: s.Zone,
@@ -56,6 +60,7 @@
 		settings: s,
 	}
 	h.pool = peer.NewPool(entry, h.handlePeerMessage)
+	h.request = h.pool.Request
 	h.ownedShards = newOwnedShards(h)
 	h.config = &configSource{decode: p.DecodeConfig, key: p.ConfigKey, log: entry, onChange: h.ownedShards.configChanged}
 	h.session = &session{
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,6 +9,7 @@
 // Metrics of an entry host, served at the debug address. Histogram values are in milliseconds.
 var (
 	answers            = expvar.NewMap("entry_answers")
+	commitRelays       = expvar.NewMap("entry_commit_relays")
 	commitTime         = metrics.NewHistogram("entry_commit_ms")
 	leasesLost         = expvar.NewInt("entry_lease_losses")
 	pollTimeBeyondWait = metrics.NewHistogram("entry_look_beyond_wait_ms")
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,6 +19,8 @@
 		return h.handleSubmit(ctx, *m.JobSubmit)
 	case m.JobCancel != nil:
 		return h.handleCancel(ctx, *m.JobCancel), nil
+	case m.RecordsWrite != nil:
+		return h.handleRecordsWrite(ctx, *m.RecordsWrite)
 	case m.JobQuery != nil:
 		return h.handleQuery(ctx, *m.JobQuery), nil
 	case m.PendingQuery != nil:
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -199,16 +199,13 @@
 // writeRecords retries a transaction of records until it is known to have taken effect. It returns false if the runner
 // stops first.
 func (r *runner) writeRecords(t kvstore.Txn, writes []shard.JobWrite) bool {
-	pause := minWriteBackoff
+	pause, failures := minWriteBackoff, 0
 	for r.ctx.Err() == nil {
 		r.mu.Lock()
 		t.Guards[0].Revision = r.ownerKeyRevision
 		r.mu.Unlock()
-		ctx, cancel := withTimeout(r.ctx, storeCallTimeout)
 		sent := time.Now()
-		res, err := r.host.platform.Store.Txn(ctx, t)
-		cancel()
-		countWrite(err)
+		res, err := r.attemptWrite(t, failures)
 		commitTime.Observe(time.Since(sent))
 		switch {
 		case err == nil:
@@ -219,6 +216,7 @@
 				return true
 			}
 		default:
+			failures++
 			r.log.WithError(err).WithFields(logrus.Fields{"decision": "commit_retry", "jobs": len(writes)}).
 				Warn("failed to write job records; retrying")
 		}
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -189,7 +189,7 @@
 func (f *simulatedFleet) start(name string, strength float64) *simulatedHost {
 	h := &simulatedHost{done: make(chan struct{}), fleet: f, name: name, processor: make(chan struct{}, 1), strength: strength}
 	s := settings.Default()
-	s.Host, s.Zone, s.Platform.Strength = name, "z", strength
+	s.Host, s.Listen.Peer, s.Zone, s.Platform.Strength = name, name, "z", strength
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
@@ -197,9 +197,12 @@
 		log.AddHook(f.logHook)
 	}
 	h.daemon = entry.NewInVirtualTime(s, f.platform(h), log)
+	h.daemon.SetRequest(h.requestPeer)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	h.cancel = cancel
+	f.mu.Lock()
 	f.hosts[name] = h
+	f.mu.Unlock()
 	go func() {
 		h.daemon.RunWithoutListeners(ctx)
 		close(h.done)
@@ -215,7 +218,9 @@
 	}
 	for _, name := range names {
 		<-f.hosts[name].done
+		f.mu.Lock()
 		delete(f.hosts, name)
+		f.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/internal/entry/simulatedpeers_test.go
@@ -0,0 +1,50 @@
+package entry_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+)
+
+const (
+	// messageCost is the processor time that a message to a peer takes on each of the two hosts.
+	messageCost = 200 * time.Microsecond
+	peerLatency = 4 * time.Millisecond
+)
+
+// encodeAndDecode returns a message as the receiver decodes it.
+func (f *simulatedFleet) encodeAndDecode(m peer.Message) peer.Message {
+	frame, err := cbor.Marshal(m)
+	assert.Check(f.t, err == nil, "%v", err)
+	out, err := peer.Decode(frame)
+	assert.Check(f.t, err == nil, "%v", err)
+	return out
+}
+
+// requestPeer sends a message to the host that has the address as its name. A host that is cut off does not reply.
+func (h *simulatedHost) requestPeer(ctx context.Context, address string, m peer.Message) (peer.Message, error) {
+	h.use(ctx, messageCost)
+	if ctx.Err() != nil {
+		return peer.Message{}, ctx.Err()
+	}
+	sleep(ctx, peerLatency/2)
+	h.fleet.mu.Lock()
+	to := h.fleet.hosts[address]
+	h.fleet.mu.Unlock()
+	if to == nil || to.isCut.Load() || h.isCut.Load() {
+		<-ctx.Done()
+		return peer.Message{}, ctx.Err()
+	}
+	to.use(ctx, messageCost)
+	reply, err := to.daemon.HandlePeerMessage(ctx, h.fleet.encodeAndDecode(m))
+	reply = h.fleet.encodeAndDecode(reply)
+	sleep(ctx, peerLatency/2)
+	if ctx.Err() != nil {
+		return peer.Message{}, ctx.Err()
+	}
+	return reply, err
+}
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -99,3 +100,10 @@
 	}
 	return l.longest, l.longestOf
 }
+
+// idle returns when the last run of each expected task ended that has nothing running.
+func (l *taskLog) idle() map[string]time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.idleSince)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -142,6 +142,29 @@
 	State   string `json:"state,omitempty"`
 }
 
+// Record is a key of the store with its revision or its value, or both.
+type Record struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision,omitempty"`
+	Value    []byte `json:"value,omitempty"`
+}
+
+// RecordsWrite requests a transaction for the owner of a shard, for which the store does not carry it out. Each guard is a key and
+// the revision that it must have, 0 if it must be absent.
+type RecordsWrite struct {
+	Deletes []string `json:"deletes,omitempty"`
+	Guards  []Record `json:"guards"`
+	Puts    []Record `json:"puts,omitempty"`
+}
+
+// RecordsReply is the reply to RecordsWrite. Outcome holds a value of entry.Outcome. Revision is that of the writes; if a guard did
+// not hold, Current holds the guarded keys as they are.
+type RecordsReply struct {
+	Current  []Record `json:"current,omitempty"`
+	Outcome  string   `json:"outcome"`
+	Revision int64    `json:"revision,omitempty"`
+}
+
 // PendingQuery requests from the owner of a shard the number of jobs of a queue that have not started.
 type PendingQuery struct {
 	Queue string `json:"queue"`
@@ -204,6 +227,8 @@
 	NotesReply    *NotesReply     `json:"notes_reply,omitempty"`
 	PendingQuery  *PendingQuery   `json:"pq,omitempty"`
 	PendingReply  *PendingReply   `json:"pr,omitempty"`
+	RecordsReply  *RecordsReply   `json:"rr,omitempty"`
+	RecordsWrite  *RecordsWrite   `json:"rw,omitempty"`
 	RefusedReason string          `json:"refused_reason,omitempty"`
 	// RelayTo names another entry host to which the receiver must forward the request.
 	RelayTo     string         `json:"relay_to,omitempty"`
