Do not run an ended job again after a late notification

What callers would see: each task of a job that has ended runs once more, which breaks the rule that a task runs once.

Cause: the host that accepts a job notifies the owner of its shard after the record is written. A retried submission finds the record without a final state, or a host is paused between the write and the notification; meanwhile the owner ends the job and another host takes the shard. Only the owner that recorded the end remembered it, in memory. The next one had never heard of the job and added it.

Change: the notification, and the reply to a relayed submission, carry the store revision of the job's record. An owner knows the revision up to which it has read or followed the job records of its shard. It adds a notified job only if the record is newer. An older record has been read, so a job that the owner does not have has ended; only the present owner can record an end. A notification without a revision, from a host of an older build, is ignored, and so is one that arrives before the records are read: the watch or the read shows the record. An owner of an older build ignores the new field, and keeps the fault.

With all notifications ignored, TestNotifiedJobStartsWhileWatchIsLate fails. During an update, jobs from hosts of the older build reach a new owner by its watch only; what that costs was not measured.

--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -39,7 +39,7 @@
 }
 
 func (c *configSource) run(ctx context.Context, s kvstore.Store) {
-	watchPrefix(ctx, s, c.log, c.key, func(kvs []kvstore.KV) {
+	watchPrefix(ctx, s, c.log, c.key, func(kvs []kvstore.KV, _ int64) {
 		for _, kv := range kvs {
 			c.activateIfNewer(kv.Key, kv.Value, "store")
 		}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -77,7 +77,7 @@
 }
 
 func (d *directory) run(ctx context.Context, s kvstore.Store) {
-	watchPrefix(ctx, s, d.log, controlPrefix, func(kvs []kvstore.KV) {
+	watchPrefix(ctx, s, d.log, controlPrefix, func(kvs []kvstore.KV, _ int64) {
 		d.mu.Lock()
 		d.removeMissing(kvs)
 		d.epochs, d.successors = map[int]int64{}, map[int]ownerRecord{}
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -39,9 +39,9 @@
 	return nil
 }
 
-// loadJobs restores the shard's jobs with their recorded progress. Called again after a gap in the watch history, it adds
-// the jobs that were missed.
-func (r *runner) loadJobs(kvs []kvstore.KV, recorded map[string]workflow.Progress) {
+// loadJobs restores the shard's jobs, which were read at a store revision or later, with their recorded progress. Called again
+// after a gap in the watch history, it adds the jobs that were missed.
+func (r *runner) loadJobs(kvs []kvstore.KV, revision int64, recorded map[string]workflow.Progress) {
 	r.updateOwner(func(now time.Time) {
 		for _, kv := range kvs {
 			if id, cancelled := parseJobKey(kv.Key, r.shard); cancelled {
@@ -70,6 +70,7 @@
 		if !r.loaded {
 			r.loaded, r.changedAt = true, now
 		}
+		r.appliedJobs = max(r.appliedJobs, revision)
 		r.log.WithFields(logrus.Fields{"decision": "load", "jobs": jobs, "records": len(recorded), "revision": r.ownerKeyRevision}).
 			Info("shard loaded")
 	})
@@ -78,6 +79,7 @@
 func (r *runner) applyJobEvents(events []kvstore.Event) {
 	r.updateOwner(func(now time.Time) {
 		for _, ev := range events {
+			r.appliedJobs = max(r.appliedJobs, ev.KV.ModRevision)
 			if ev.Deleted {
 				continue
 			}
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -29,6 +29,8 @@
 	txnFault func(host string, t kvstore.Txn) txnFault
 	// unreadablePrefix, if set, is a prefix that can't be read.
 	unreadablePrefix string
+	// unwatchedPrefix, if set, is a prefix whose changes reach no watch. They follow once it is unset.
+	unwatchedPrefix string
 	// writeOrder compares the keys that a transaction writes; their events come in this order. If it is nil, they come as written.
 	writeOrder func(a, b string) int
 }
@@ -78,6 +80,13 @@
 	return !s.downSince.IsZero()
 }
 
+func (s *memoryStore) setUnwatched(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unwatchedPrefix = prefix
+	s.notify()
+}
+
 func (s *memoryStore) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -238,6 +247,9 @@
 func (s *memoryStore) eventsAfter(prefix string, revision int64) ([]kvstore.Event, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if prefix == s.unwatchedPrefix {
+		return nil, s.changed
+	}
 	first, _ := slices.BinarySearchFunc(s.events, revision+1, func(e storeEvent, r int64) int { return int(e.KV.ModRevision - r) })
 	var out []kvstore.Event
 	for _, e := range s.events[first:] {
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -88,10 +88,11 @@
 	}
 }
 
-// addJob passes a recorded job to the shard's runner. It returns false if this host does not own the shard.
-func (o *ownedShards) addJob(n int, j workflow.Job) bool {
+// addJob passes a job that was recorded at a store revision to the shard's runner. It returns false if this host does not own the
+// shard.
+func (o *ownedShards) addJob(n int, j workflow.Job, revision int64) bool {
 	r := o.runner(n)
-	return r != nil && r.add(j)
+	return r != nil && r.add(j, revision)
 }
 
 func (o *ownedShards) cancelJob(n int, id string) bool {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,18 +43,20 @@
 		return peer.Message{}, err
 	}
 	if s.Accepted {
-		h.ownedShards.addJob(s.Shard, j)
+		h.ownedShards.addJob(s.Shard, j, s.Revision)
 		return jobReply(OutcomeAccepted, s.Shard, ""), nil
 	}
 	if !h.session.isHealthy() {
 		return jobReply(OutcomeRefused, s.Shard, ""), nil
 	}
-	a, location := h.recordJob(ctx, j, s.Shard, acceptTimeout)
-	if a.Outcome == OutcomeAccepted && location.State == "" {
-		h.ownedShards.addJob(location.Shard, j)
+	a, record := h.recordJob(ctx, j, s.Shard, acceptTimeout)
+	if a.Outcome == OutcomeAccepted && record.State == "" {
+		h.ownedShards.addJob(record.Shard, j, record.revision)
 	}
 	h.logAnswer("submit_for_peer", j.ID, j.Queue, a)
-	return jobReply(a.Outcome, location.Shard, location.State), nil
+	reply := jobReply(a.Outcome, record.Shard, record.State)
+	reply.JobReply.Revision = record.revision
+	return reply, nil
 }
 
 func (h *Host) handleCancel(ctx context.Context, c peer.JobCancel) peer.Message {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -25,6 +25,8 @@
 // runner executes the decisions of a shard's owner: it follows the records of the shard, calls workers and writes progress to
 // the store.
 type runner struct {
+	// appliedJobs is the store revision up to which the job records of the shard have been read or followed.
+	appliedJobs int64
 	// appliedLayout is the revision of the layout by which the owner's workers were chosen; 0 until the registry is read.
 	appliedLayout int64
 	ctx           context.Context
@@ -93,8 +95,8 @@
 		if r.ctx.Err() != nil {
 			return
 		}
-		watchPrefix(r.ctx, r.host.platform.Store, r.log, shardJobsPrefix(r.shard), func(kvs []kvstore.KV) {
-			r.loadJobs(kvs, recorded)
+		watchPrefix(r.ctx, r.host.platform.Store, r.log, shardJobsPrefix(r.shard), func(kvs []kvstore.KV, revision int64) {
+			r.loadJobs(kvs, revision, recorded)
 			recorded = nil
 		}, r.applyJobEvents)
 	}()
@@ -229,13 +231,19 @@
 	r.updateOwner(func(time.Time) { r.owner.SetConfig(c) })
 }
 
-// add passes a recorded job to the owner. It returns false if the shard's jobs are not loaded yet.
-func (r *runner) add(j workflow.Job) bool {
+// add passes a job that was recorded at a store revision to the owner. It returns false if the shard's jobs are not loaded yet.
+// A job whose record this runner has already read or followed is not added: if the owner does not have it, it has ended, perhaps
+// under an earlier owner. That includes revision 0, which means that the sender, a host of an older build, does not name the
+// revision: such a job is added when the watch shows its record.
+func (r *runner) add(j workflow.Job, revision int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded {
 		return false
 	}
+	if revision <= r.appliedJobs {
+		return true
+	}
 	r.owner.Add(r.host.now(), j)
 	r.wakeLoop()
 	return true
@@ -288,7 +296,7 @@
 	return r.owner.Load(service), true
 }
 
-func (r *runner) loadRegistry(kvs []kvstore.KV) {
+func (r *runner) loadRegistry(kvs []kvstore.KV, _ int64) {
 	r.mu.Lock()
 	r.registry = map[string]shard.Worker{}
 	for _, kv := range kvs {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -30,6 +30,13 @@
 	maxWriteBackoff = 200 * time.Millisecond
 )
 
+// jobRecord is the location of a recorded job with the store revision of its record; the revision is 0 if it is not known. While
+// the job has no final state, its location and the job itself are at the same revision, since one transaction wrote both.
+type jobRecord struct {
+	workflow.JobLocation
+	revision int64
+}
+
 // Submit records a job and notifies the owner of its shard.
 func (h *Host) Submit(ctx context.Context, j workflow.Job) Answer {
 	if err := j.Check(); err != nil {
@@ -46,15 +53,15 @@
 	}
 	started := time.Now()
 	j.AcceptedAt = started.UnixMilli()
-	a, location := h.recordOrRelay(ctx, j, shard)
+	a, record := h.recordOrRelay(ctx, j, shard)
 	submitRecordTime.Observe(time.Since(started))
 	if a.Outcome == OutcomeAccepted {
-		h.locations.put(j.ID, location)
-		if location.State == "" {
-			go h.notifyOwner(location.Shard, peer.Message{
-				JobSubmit: &peer.JobSubmit{Accepted: true, Job: workflow.Encode(j), Shard: location.Shard},
+		h.locations.put(j.ID, record.JobLocation)
+		if record.State == "" {
+			go h.notifyOwner(record.Shard, peer.Message{
+				JobSubmit: &peer.JobSubmit{Accepted: true, Job: workflow.Encode(j), Revision: record.revision, Shard: record.Shard},
 			}, func() bool {
-				return h.ownedShards.addJob(location.Shard, j)
+				return h.ownedShards.addJob(record.Shard, j, record.revision)
 			})
 		}
 	}
@@ -64,63 +71,63 @@
 // recordOrRelay records a job, through a peer if this host can't write its records. All hosts write under the same guard, so a
 // delayed write of this host has no effect once a peer has recorded the job. After a write with an unknown outcome the
 // answer is accepted or unknown, never refused.
-func (h *Host) recordOrRelay(ctx context.Context, j workflow.Job, shard int) (Answer, workflow.JobLocation) {
+func (h *Host) recordOrRelay(ctx context.Context, j workflow.Job, shard int) (Answer, jobRecord) {
 	unknown := false
-	a, location := Answer{
+	a, record := Answer{
 		Outcome: OutcomeRefused, Reason: "the store does not answer", RetryAfter: retryAfter,
-	}, workflow.JobLocation{Shard: shard}
-	for _, attempt := range []func() (Answer, workflow.JobLocation){
-		func() (Answer, workflow.JobLocation) {
+	}, jobRecord{JobLocation: workflow.JobLocation{Shard: shard}}
+	for _, attempt := range []func() (Answer, jobRecord){
+		func() (Answer, jobRecord) {
 			if !h.session.isHealthy() {
-				return a, location
+				return a, record
 			}
 			return h.recordJob(ctx, j, shard, acceptTimeout)
 		},
-		func() (Answer, workflow.JobLocation) { return h.relaySubmit(ctx, j, shard, a) },
-		func() (Answer, workflow.JobLocation) {
+		func() (Answer, jobRecord) { return h.relaySubmit(ctx, j, shard, a) },
+		func() (Answer, jobRecord) {
 			if !unknown {
-				return a, location
+				return a, record
 			}
 			return h.recordJob(ctx, j, shard, resolveTimeout)
 		},
 	} {
-		a, location = attempt()
+		a, record = attempt()
 		if a.Outcome == OutcomeAccepted {
-			return a, location
+			return a, record
 		}
 		unknown = unknown || a.Outcome == OutcomeUnknown
 	}
 	if unknown {
 		a.Outcome = OutcomeUnknown
 	}
-	return a, location
+	return a, record
 }
 
 // recordJob writes the records of a job unless they exist. A refusal means that the write will never take effect.
-func (h *Host) recordJob(ctx context.Context, j workflow.Job, shard int, limit time.Duration) (Answer, workflow.JobLocation) {
-	location := workflow.JobLocation{Shard: shard}
+func (h *Host) recordJob(ctx context.Context, j workflow.Job, shard int, limit time.Duration) (Answer, jobRecord) {
+	record := jobRecord{JobLocation: workflow.JobLocation{Shard: shard}}
 	t := kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: locationKey(j.ID)}},
 		Puts: []kvstore.Put{
-			{Key: locationKey(j.ID), Value: workflow.Encode(location)},
+			{Key: locationKey(j.ID), Value: workflow.Encode(record.JobLocation)},
 			{Key: jobKey(shard, j.ID), Value: workflow.Encode(j)},
 		},
 	}
 	res, err := h.writeWithRetry(ctx, t, limit)
 	switch {
 	case err == nil:
-		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}, location
+		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}, jobRecord{record.JobLocation, res.Revision}
 	case errors.Is(err, kvstore.ErrConflict):
 		for _, kv := range res.Current {
 			if existing, err := workflow.Decode[workflow.JobLocation](kv.Value); err == nil && kv.ModRevision != 0 {
-				return Answer{Outcome: OutcomeAccepted, Reason: "on record", State: existing.State}, existing
+				return Answer{Outcome: OutcomeAccepted, Reason: "on record", State: existing.State}, jobRecord{existing, kv.ModRevision}
 			}
 		}
-		return Answer{Outcome: OutcomeUnknown, Reason: "record can't be read"}, location
+		return Answer{Outcome: OutcomeUnknown, Reason: "record can't be read"}, record
 	case errors.Is(err, kvstore.ErrUnknownOutcome):
-		return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}, location
+		return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}, record
 	}
-	return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}, location
+	return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}, record
 }
 
 // writeWithRetry repeats a transaction until its outcome is known or the limit has passed. The transaction must be
@@ -160,21 +167,20 @@
 
 // relaySubmit asks another host to record a job, because the store refuses this host or can't be reached from it. It
 // returns refusal if no other host could be asked.
-func (h *Host) relaySubmit(ctx context.Context, j workflow.Job, shard int, refusal Answer) (Answer, workflow.JobLocation) {
-	location := workflow.JobLocation{Shard: shard}
+func (h *Host) relaySubmit(ctx context.Context, j workflow.Job, shard int, refusal Answer) (Answer, jobRecord) {
+	record := jobRecord{JobLocation: workflow.JobLocation{Shard: shard}}
 	reply, err := h.relay(ctx, shard, peer.Message{JobSubmit: &peer.JobSubmit{Job: workflow.Encode(j), Shard: shard}})
 	switch {
 	case err != nil && errors.Is(err, peer.ErrNotConnected):
-		return refusal, location
+		return refusal, record
 	case err != nil:
-		return Answer{Outcome: OutcomeUnknown, Reason: "relay: " + err.Error()}, location
+		return Answer{Outcome: OutcomeUnknown, Reason: "relay: " + err.Error()}, record
 	}
 	a := Answer{Outcome: Outcome(reply.Outcome), Reason: "relayed", State: workflow.State(reply.State)}
 	if a.Outcome == OutcomeRefused {
 		a.RetryAfter = retryAfter
 	}
-	location.Shard, location.State = reply.Shard, a.State
-	return a, location
+	return a, jobRecord{workflow.JobLocation{Shard: reply.Shard, State: a.State}, reply.Revision}
 }
 
 // relay sends a request to the owner of the shard, or to another host if the owner is unknown or not connected. An
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -17,10 +17,10 @@
 	maxWatchRetryDelay = time.Second
 )
 
-// watchPrefix calls onSnapshot with all keys of a prefix and then onEvents with their changes, until ctx ends. If the watch
-// falls behind the history that the store keeps, it starts again with a snapshot.
+// watchPrefix calls onSnapshot with all keys of a prefix and the revision at which they were read, and then onEvents with their
+// changes, until ctx ends. If the watch falls behind the history that the store keeps, it starts again with a snapshot.
 func watchPrefix(ctx context.Context, s kvstore.Store, log *logrus.Entry, prefix string,
-	onSnapshot func([]kvstore.KV), onEvents func([]kvstore.Event),
+	onSnapshot func(kvs []kvstore.KV, revision int64), onEvents func([]kvstore.Event),
 ) {
 	backoff := retry.NewBackoff(watchRetryDelay, maxWatchRetryDelay, uint64(time.Now().UnixNano()))
 	failures := 0
@@ -38,7 +38,7 @@
 			log.WithField("prefix", prefix).WithField("revision", revision).Info("watched keys are readable again")
 		}
 		failures = 0
-		onSnapshot(kvs)
+		onSnapshot(kvs, revision)
 		for ctx.Err() == nil {
 			err := s.Watch(ctx, prefix, revision, func(events []kvstore.Event) {
 				revision = max(revision, events[len(events)-1].KV.ModRevision)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -117,7 +117,9 @@
 type JobSubmit struct {
 	Accepted bool   `json:"accepted,omitempty"`
 	Job      []byte `json:"job"`
-	Shard    int    `json:"shard"`
+	// Revision is the store revision of the job's record if Accepted is true; 0 from hosts of older builds.
+	Revision int64 `json:"revision,omitempty"`
+	Shard    int   `json:"shard"`
 }
 
 // JobCancel sends the cancellation of a job. If Recorded is true, it is already in the store, as with
@@ -138,8 +140,10 @@
 // JobReply is the reply to JobSubmit, JobCancel and JobQuery. Outcome holds a value of entry.Outcome.
 type JobReply struct {
 	Outcome string `json:"outcome"`
-	Shard   int    `json:"shard"`
-	State   string `json:"state,omitempty"`
+	// Revision is the store revision of the record of a submitted job; 0 from hosts of older builds.
+	Revision int64  `json:"revision,omitempty"`
+	Shard    int    `json:"shard"`
+	State    string `json:"state,omitempty"`
 }
 
 // PendingQuery requests from the owner of a shard the number of jobs of a queue that have not started.
