Leave submissions on a connection to a peer that is late

What callers would see: a submission through a host that relays it to the owner ends with an unknown outcome, a 504, although the owner records it 0.6 s later.

Cause: a request without a reply within 350 ms or more, during which nothing was read, counted as proof that the connection is dead. Notifications (0.4 s) and state queries (0.5 s) have such timeouts, and nobody waits for a notification. A dead connection was closed at once, with all requests that waited on it. So an owner that was 0.4 s late broke relayed submissions, which may take 0.9 s.

Change: such a connection is replaced. Later requests dial a new one, from the same moment as before; those that wait on the old one may still get their replies or end by their own timeouts. It is closed with its last request. The same holds after the silence limit. A request that has chosen a connection just before it is closed reports that it was not sent.

A relayed submission on a connection that is really dead now waits for its own 0.9 s; before, another request could end it sooner.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -20,9 +20,11 @@
 	done          <-chan struct{}
 	hello         Hello
 	lastHeartbeat time.Time
-	lastRead      atomic.Int64 // unix nanoseconds
-	mu            sync.Mutex
-	sendQueue     chan []byte
+	// isReplaced is set once a Pool sends new requests on another connection. The connection is closed when no request waits on it.
+	isReplaced bool
+	lastRead   atomic.Int64 // unix nanoseconds
+	mu         sync.Mutex
+	sendQueue  chan []byte
 	// pending holds the channels for the replies to outstanding requests, by message id.
 	pending map[uint64]chan Message
 	// unansweredSince is when a Pool sent the first request after the last frame was read, in Unix nanoseconds; 0 if none.
@@ -85,6 +87,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.pending, id)
+	if c.isReplaced && len(c.pending) == 0 {
+		c.cancel()
+	}
+}
+
+// markReplaced closes the connection as soon as no request waits on it. It returns false if the connection was marked before.
+func (c *conn) markReplaced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isFirst := !c.isReplaced
+	c.isReplaced = true
+	if len(c.pending) == 0 {
+		c.cancel()
+	}
+	return isFirst
 }
 
 func (c *conn) read() (Message, error) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -16,8 +16,8 @@
 const (
 	// poolDialTimeout allows for two round trips between zones and the retransmission of a lost packet.
 	poolDialTimeout = 600 * time.Millisecond
-	// minTrustedTimeout is the shortest timeout whose expiry shows that a silent connection is dead. A shorter one also
-	// expires when a packet is lost, which TCP resends after 200 ms, or when the peer is slow.
+	// minTrustedTimeout is the shortest timeout whose expiry suggests that a silent connection is dead. A shorter one also
+	// expires when a packet is lost, which TCP resends after 200 ms.
 	minTrustedTimeout = 350 * time.Millisecond
 	// defaultSilenceLimit is how long requests with shorter timeouts may stay without any reply.
 	defaultSilenceLimit = time.Second
@@ -32,7 +32,7 @@
 	mu        sync.Mutex
 	nextID    atomic.Uint64
 	onRequest func(ctx context.Context, m Message) (Message, error)
-	// silenceLimit is the time without a frame from the peer after which any unanswered request closes the connection.
+	// silenceLimit is the time without a frame from the peer after which any unanswered request replaces the connection.
 	silenceLimit time.Duration
 }
 
@@ -60,14 +60,15 @@
 	return p
 }
 
-// WithSilenceLimit sets how long requests with short timeouts may stay without any reply before the connection is closed;
+// WithSilenceLimit sets how long requests with short timeouts may stay without any reply before the connection is replaced;
 // the default is 1 s.
 func WithSilenceLimit(d time.Duration) PoolOption { return func(p *Pool) { p.silenceLimit = d } }
 
 // Request sends a message to a host:port address and waits for the reply. Errors match ErrNotConnected if nothing was
 // sent, ErrRefused, or the error of ctx; an error that matches none of them means that the connection ended before the
 // reply. If the timeout of ctx passes and nothing at all was read since the request, the connection may be dead without an
-// error, so it is closed; after a timeout below minTrustedTimeout only if no request got a reply within the silence limit.
+// error, so later requests use a new one; after a timeout below minTrustedTimeout only if no request got a reply within the silence
+// limit. Requests that wait on the old connection may still get their replies, since the peer may only be slow.
 func (p *Pool) Request(ctx context.Context, address string, msg Message) (Message, error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
@@ -76,6 +77,9 @@
 	msg.ID = p.nextID.Add(1)
 	reply := c.addPending(msg.ID)
 	defer c.removePending(msg.ID)
+	if c.ctx.Err() != nil {
+		return Message{}, eris.Wrapf(ErrNotConnected, "%s: connection ended before the request", address)
+	}
 	sentAt := time.Now()
 	c.unansweredSince.CompareAndSwap(0, sentAt.UnixNano())
 	if err := c.send(msg); err != nil {
@@ -91,7 +95,7 @@
 		return Message{}, eris.Errorf("connection to %s ended before the reply", address)
 	case <-ctx.Done():
 		if p.isUnresponsive(ctx, c, sentAt) {
-			p.closeUnresponsive(address, c)
+			p.replace(address, c)
 		}
 		return Message{}, eris.Wrapf(ctx.Err(), "asking %s", address)
 	}
@@ -107,7 +111,7 @@
 	p.readLoop(newConn(context.Background(), ws))
 }
 
-// Close closes all connections that the pool dialled.
+// Close closes all connections that the pool dialled, except for replaced ones on which requests still wait.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,8 +195,8 @@
 	close(attempt.done)
 }
 
-// isUnresponsive reports whether a connection is to be closed because a request that was sent at sentAt got no reply
-// before ctx ended. Closing it fails all other requests that wait on it.
+// isUnresponsive reports whether a connection is to be replaced because a request that was sent at sentAt got no reply
+// before ctx ended.
 func (p *Pool) isUnresponsive(ctx context.Context, c *conn, sentAt time.Time) bool {
 	if !time.Unix(0, c.lastRead.Load()).Before(sentAt) {
 		return false
@@ -205,12 +209,15 @@
 	return since != 0 && time.Since(time.Unix(0, since)) >= p.silenceLimit
 }
 
-func (p *Pool) closeUnresponsive(address string, c *conn) {
-	silentConnsClosed.Add(1)
-	c.cancel()
+// replace makes later requests to an address dial a new connection. The old one is closed when no request waits on it: a peer that
+// is late by more than the shortest timeout would otherwise fail requests whose callers still wait, such as submissions.
+func (p *Pool) replace(address string, c *conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.conns[address] == c {
 		delete(p.conns, address)
 	}
+	p.mu.Unlock()
+	if c.markReplaced() {
+		silentConnsClosed.Add(1)
+	}
 }
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -64,16 +64,24 @@
 }
 
 // Guards against a connection that is dead without an error and stays in use: neither a request with a long timeout nor one
-// that ends after the silence limit may be followed by requests on the same connection.
+// that ends after the silence limit may be followed by requests on the same connection, also while another request waits on it.
 func TestDeadConnectionIsReplaced(t *testing.T) {
 	for name, tc := range map[string]struct {
 		limit, timeout time.Duration
+		hasWaiting     bool
 	}{
-		"long timeout":                     {time.Hour, 400 * time.Millisecond},
-		"short timeout after long silence": {0, 30 * time.Millisecond},
+		"long timeout":                     {time.Hour, 400 * time.Millisecond, false},
+		"long timeout, another waits":      {time.Hour, 400 * time.Millisecond, true},
+		"short timeout after long silence": {0, 30 * time.Millisecond, false},
+		"short timeout, another waits":     {0, 30 * time.Millisecond, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, address := newPool(t, func(context.Context, peer.Message) (peer.Message, error) {
+			received := make(chan struct{})
+			_, address := newPool(t, func(ctx context.Context, m peer.Message) (peer.Message, error) {
+				if m.JobSubmit != nil {
+					close(received)
+					<-ctx.Done()
+				}
 				return peer.Message{LoadReply: &peer.LoadReply{}}, nil
 			})
 			proxy, err := fake.NewProxy(address, 1)
@@ -83,6 +91,12 @@
 			query := peer.Message{LoadQuery: &peer.LoadQuery{}}
 			_, err = client.Request(t.Context(), proxy.Address(), query)
 			assert.NilError(t, err)
+			if tc.hasWaiting {
+				go func() {
+					_, _ = client.Request(t.Context(), proxy.Address(), peer.Message{JobSubmit: &peer.JobSubmit{}})
+				}()
+				<-received
+			}
 			proxy.Blackhole() // the open connection goes silent; new ones work
 			ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
 			defer cancel()
