Acknowledge ends though the owner's rounds are far apart

What callers would see: a task that has ended may run again after a lapsed lease, and workers list all their ends in each poll, as long as the owner lacks processor time.

Cause: a poll acknowledges ends only within 0.6 s (maxAckGap) of the worker's last answer, since a worker that restarted in between counts its ends from 1 again and would drop ends that are not recorded. The time of the answer was compared with that of the next round. An owner whose rounds are 0.7 s apart has only answers that are too old.

Change: after the answer to a poll that had to leave the acknowledgement out, another poll follows at once, between two rounds, with the acknowledgement. Its limit is the same 0.6 s, counted from the sending of the answered poll, so that an answer that the owner handles late does not count as fresh contact. maxAckGap is unchanged. Not taken: to acknowledge after any time if no start was sent since the last answer, so that a new lifetime has no ends.

An owner that handles answers 0.6 s late itself still acknowledges nothing; a check that is safe then was not found.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -96,7 +96,7 @@
 }
 
 // poll asks a worker for its runs and passes the listing or the failure to the owner. The worker may delay the answer for up
-// to l.Wait (long poll).
+// to l.Wait (long poll). If the owner has an acknowledgement that the poll could not carry, another poll follows at once.
 func (r *runner) poll(l shard.Poll) {
 	ctx, cancel := withTimeout(r.ctx, l.Wait+pollTimeoutMargin)
 	defer cancel()
@@ -109,9 +109,14 @@
 	if r.ctx.Err() != nil {
 		return
 	}
+	var next shard.Poll
+	hasNext := false
 	r.updateOwner(func(now time.Time) {
 		if outcome == shard.OutcomeDone {
 			r.owner.Polled(now, l, sent, list)
+			if r.mayAct(now) {
+				next, hasNext = r.owner.Acknowledgement(now, l, sent)
+			}
 		} else {
 			pollsFailed.Add(1)
 			r.owner.PollFailed(now, l, outcome)
@@ -120,6 +125,9 @@
 	if outcome == shard.OutcomeFenced {
 		r.handleFenced(l.Order)
 	}
+	if hasNext {
+		r.poll(next)
+	}
 }
 
 // advise asks the placement advice service which workers may run a step.
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -86,6 +86,8 @@
 	Until int64
 	// Wait is how long the worker may delay its answer until a task ends.
 	Wait time.Duration
+	// omitsAcknowledgement is set if LastSeen leaves out recorded ends because the worker's last answer is too old.
+	omitsAcknowledgement bool
 }
 
 // RunningRow is a running run in a worker's listing.
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -9,7 +9,8 @@
 )
 
 // maxAckGap is the longest time since a worker's last answer after which its ends are still acknowledged. A worker that
-// restarted in between counts its ends from 1 again, and would drop ends that are not recorded.
+// restarted in between counts its ends from 1 again, and would drop ends that are not recorded. A poll after a longer time is
+// followed by one that acknowledges them, see Acknowledgement.
 const maxAckGap = 600 * time.Millisecond
 
 // duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, or if
@@ -28,6 +29,8 @@
 		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.timing)}
 		if now.Sub(w.answeredAt) < maxAckGap {
 			p.LastSeen = w.recordedEnd
+		} else {
+			p.omitsAcknowledgement = w.ackedEnd < w.recordedEnd
 		}
 		if w.fenced && len(w.attempts) > 0 && w.recordedEnd == w.lastEnd {
 			p.Wait = o.timing.PollWait
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -225,6 +225,9 @@
 		return func() {
 			if owner == sim.owner {
 				owner.Polled(sim.now, p, sent, list)
+				if next, ok := owner.Acknowledgement(sim.now, p, sent); ok {
+					sim.poll(next)
+				}
 			}
 		}
 	}, func(bool) { failed(shard.OutcomeUnknown) })
