Leave shards that their owner can't load to other hosts

What callers would see: a long-running task has nothing running and jobs of a shard do not start, for as long as the shard's owner can't read its records, although another host could. Rebalancing also handed shards that were served to such a host.

Cause: an owner reads the records of its shard until it succeeds, and keeps the shard meanwhile since it renews its lease. A host whose shard is not loaded looked like any other to the rest.

Change: an owner that has not loaded a shard 3 s after it took it, although its lease is renewed, and failed to read its records meanwhile, leaves the shard to a host that has been known for 1.5 s. 3 s are what the leases of workers leave (4.6 s) less 1.6 s for the next owner. The successor's key says that the load failed. All hosts count that like a missed handover, the host claims behind all others for a minute, and each further host in turn has twice the time, up to 48 s, since the store is then the probable cause. A load without failed reads goes on, however long it takes.

TestInactiveShardDoesNotKeepOthersFromBeingHandedOver demanded that a shard which nobody can load stays. It now demands that it is left exactly once in that time, that a fenced one stays, and that another shard is handed over.

In TestHostThatCouldNotLoadShardClaimsItLast, a shard that its owner can't read is left 1.6 s after another host came.

What remains: other hosts learn that a host can't load a shard when it has left it. Until then, 3 s, they may hand it a further one (by reading). The host is tried again after 3, 6, 12 and then each 24 s while it is less loaded than others, and the shard is not served for 3 s then.

--- a/internal/election/history.go
+++ b/internal/election/history.go
@@ -85,6 +85,10 @@
 	return h
 }
 
+// WithFailedLoad returns the history after the host gave a shard up because it could not load it. It counts like a rejoin, so that the
+// host is not given shards over and over that nobody serves meanwhile.
+func (h History) WithFailedLoad(now time.Time) History { return h.WithFailedHandover(now) }
+
 // IsForgettable reports whether the host is gone and its return would not count as a rejoin.
 func (h History) IsForgettable(now time.Time) bool {
 	return h.isGone && now.Sub(h.joinedAt) >= rejoinMemory
@@ -92,7 +96,7 @@
 
 // Member returns the host with this history as a member.
 func (h History) Member(now time.Time, c Candidate) Member {
-	m := Member{Candidate: c, StableFor: now.Sub(h.changedAt)}
+	m := Member{Candidate: c, KnownFor: now.Sub(h.joinedAt), StableFor: now.Sub(h.changedAt)}
 	if now.Sub(h.joinedAt) < rejoinMemory {
 		m.Rejoins = h.rejoins
 	}
--- a/internal/election/rebalance.go
+++ b/internal/election/rebalance.go
@@ -26,6 +26,8 @@
 	Candidate
 	// Giving is the number of shards that the host is handing over at present. They do not count as its Shards any more.
 	Giving int
+	// KnownFor is how long the host has been known, or since it last failed to take, hand over or load a shard.
+	KnownFor time.Duration
 	// Rejoins is how often the host has come back recently.
 	Rejoins int
 	// StableFor is how long the host has been known without a change in the shards that it owns. A host does not count the shards
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -48,6 +48,8 @@
 	changed chan struct{}
 	// epochs holds the store revision of each shard's epoch key, by shard.
 	epochs map[int]int64
+	// failedLoads holds the shards whose last owner gave them up because it could not load them.
+	failedLoads map[int]failedLoad
 	// formerOwners holds the last owner of each shard, from the epoch keys. It may not be alive.
 	formerOwners map[int]hostRecord
 	// histories holds what is remembered of each host, by name.
@@ -71,8 +73,8 @@
 
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
-		changed: make(chan struct{}), epochs: map[int]int64{}, formerOwners: map[int]hostRecord{}, histories: map[string]election.History{},
-		hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{}, successors: map[int]ownerRecord{},
+		changed: make(chan struct{}), epochs: map[int]int64{}, failedLoads: map[int]failedLoad{}, formerOwners: map[int]hostRecord{},
+		histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{}, successors: map[int]ownerRecord{},
 	}
 }
 
@@ -154,8 +156,8 @@
 		d.owners[n] = ownerRecord{hostRecord: h, lease: kv.Lease, revision: kv.ModRevision}
 	case strings.HasPrefix(kv.Key, successorPrefix):
 		n, ok := parseShardKey(kv.Key, successorPrefix)
-		if h, err := workflow.Decode[hostRecord](kv.Value); ok && err == nil {
-			d.successors[n] = ownerRecord{hostRecord: h, revision: kv.ModRevision}
+		if s, err := workflow.Decode[successorRecord](kv.Value); ok && err == nil {
+			d.putSuccessor(n, s, kv.ModRevision)
 		}
 	case strings.HasPrefix(kv.Key, epochPrefix):
 		if n, ok := parseShardKey(kv.Key, epochPrefix); ok {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -129,7 +129,7 @@
 // giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
 // key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
 // processor time would not get the deletion done beside its other work, and would keep the shard because of its load.
-func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *hostRecord, reason string) error {
+func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *successorRecord, reason string) error {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.beginHandover(waitCtx)
 	cancelWait()
@@ -239,6 +239,7 @@
 
 // nextHandover decides whether to hand a further shard over. Handovers under way count as done. Shards that are not loaded, or whose
 // workers have fenced this host, count as owned and stay: the state of the store or of a worker must not keep the others here.
+// giveUpUnloaded decides on the former.
 func (o *ownedShards) nextHandover() (election.Handover, bool) {
 	h := o.host
 	receivers := o.handovers.pendingReceivers(h.directory)
@@ -279,7 +280,7 @@
 		return
 	}
 	log.Info("handing the shard over")
-	if err := o.giveUp(ctx, r, &successor, "handed over to a less loaded host"); err != nil {
+	if err := o.giveUp(ctx, r, &successorRecord{hostRecord: successor}, "handed over to a less loaded host"); err != nil {
 		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
 }
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -13,9 +13,9 @@
 
 // readProgress reads the shard's progress records. It retries until it succeeds or the runner stops. The store bounds the read of
 // each page; a bound for all would keep a shard with many records from being loaded while the store is slow.
-func (r *runner) readProgress() map[string]workflow.Progress {
+func (r *runner) readProgress(s kvstore.Store) map[string]workflow.Progress {
 	for r.ctx.Err() == nil {
-		kvs, _, err := r.host.platform.Store.Range(r.ctx, shardProgressPrefix(r.shard))
+		kvs, _, err := s.Range(r.ctx, shardProgressPrefix(r.shard))
 		if err != nil {
 			r.log.WithError(err).Warn("failed to read progress records; retrying")
 			retry.Sleep(r.ctx, watchRetryDelay)
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -20,9 +20,11 @@
 type ownedShards struct {
 	claims    *claims
 	handovers *handovers
-	host      *Host
-	mu        sync.Mutex
-	runners   map[int]*runner
+	// lastUnhealthy is when an election round last saw that the host's lease was not renewed.
+	lastUnhealthy time.Time
+	host          *Host
+	mu            sync.Mutex
+	runners       map[int]*runner
 	// ownerlessSince holds the time at which this host first saw that a shard has no owner, by shard.
 	ownerlessSince map[int]time.Time
 	// wake starts an election round early.
@@ -164,6 +166,7 @@
 			pause = min(pause, wait)
 		}
 	}
+	o.giveUpUnloaded(ctx)
 	o.rebalance(ctx)
 	return pause
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -42,6 +42,8 @@
 	lease int64
 	// changedAt is when the shard was taken, its jobs were read or it was taken again, whichever came last.
 	changedAt time.Time
+	// failedReadAt is when a read of the shard's records last failed.
+	failedReadAt time.Time
 	// loaded is set once the shard's jobs have been read from the store.
 	loaded bool
 	log    *logrus.Entry
@@ -89,11 +91,12 @@
 	go r.followLayout()
 	go watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
 	go func() {
-		recorded := r.readProgress()
+		store := r.loadStore()
+		recorded := r.readProgress(store)
 		if r.ctx.Err() != nil {
 			return
 		}
-		watchPrefix(r.ctx, r.host.platform.Store, r.log, shardJobsPrefix(r.shard), func(kvs []kvstore.KV) {
+		watchPrefix(r.ctx, store, r.log, shardJobsPrefix(r.shard), func(kvs []kvstore.KV) {
 			r.loadJobs(kvs, recorded)
 			recorded = nil
 		}, r.applyJobEvents)
