Decide the number of shards when all workers have registered

What callers would see: after an outage of the store before the first layout, one shard for 600 workers where three are meant, for ever, as the number never changes: its owner falls behind. And no job is accepted at all while the store takes 0.1 s for an answer.

Cause: the number of workers had to be the same twice within 0.2 s. Entries that expired in an outage are back about 2 s after its end. Both reads, the pause and the write shared one deadline of 0.4 s, and each attempt began anew.

Change: workers are counted each 0.5 s from the first round with a lease, beside the hosts. The layout is written once the registry could be read for 2.5 s and the count was the same for 1 s, at the latest after 5 s, as for hosts. Two failed reads in a row start that anew; one may be a lost response. Reads end with the deadline of a page, the write has the time of a renewal of the lease.

What remains: the number of shards is still never corrected. Entries that come later than 2.5 s after the first ones, or after 5 s of steady registrations, do not count.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -17,25 +17,21 @@
 
 // Host is the daemon of an entry host.
 type Host struct {
-	config    *configSource
-	directory *directory
-	draining  atomic.Bool
-	// hostCount is the number of live hosts at the last round without a layout, and hostCountSince when it last changed.
-	hostCount      int
-	hostCountSince time.Time
-	// layoutWaitSince is when this host, with a valid lease, first saw that there is no layout.
-	layoutWaitSince time.Time
-	locations       *locationCache
-	loads           *loadCache
-	log             *logrus.Entry
-	now             func() time.Time
-	ownedShards     *ownedShards
-	pending         *pendingCache
-	platform        Platform
-	pool            *peer.Pool
-	self            hostRecord
-	session         *session
-	settings        settings.Settings
+	config      *configSource
+	directory   *directory
+	draining    atomic.Bool
+	layoutWait  layoutWait
+	locations   *locationCache
+	loads       *loadCache
+	log         *logrus.Entry
+	now         func() time.Time
+	ownedShards *ownedShards
+	pending     *pendingCache
+	platform    Platform
+	pool        *peer.Pool
+	self        hostRecord
+	session     *session
+	settings    settings.Settings
 }
 
 // New returns a host that uses the given platform.
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -8,69 +8,30 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/election"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
-	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-const (
-	// layoutDelay is how long the number of hosts must stay the same before one of them writes the layout. The number of
-	// shards depends on the strength of all hosts and never changes afterwards.
-	layoutDelay = time.Second
-	// maxLayoutDelay bounds the wait for hosts that start one after the other, since no job is accepted without a layout.
-	maxLayoutDelay = 5 * time.Second
-	// layoutRetryDelay is how long an owner waits before it looks again at racks that the layout does not assign.
-	layoutRetryDelay = time.Second
-)
+// layoutRetryDelay is how long an owner waits before it looks again at racks that the layout does not assign.
+const layoutRetryDelay = time.Second
 
 // createLayout decides the number of shards once the numbers of hosts and of registered workers are stable. The first host to
-// write the layout wins.
+// write the layout wins. The write has as much time as the renewal of the lease, which this host needs anyway.
 func (h *Host) createLayout(ctx context.Context) {
-	if !h.observeHostCount() {
+	if !h.observeFleet(ctx) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	workers := h.layoutWait.workers.n
+	l := layout{Shards: election.Shards(workers, h.directory.strengths(h.self))}
+	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
-	before, err := h.countWorkers(ctx)
-	if err != nil || before == 0 {
-		return // no workers yet, or the store can't be read: the next election round retries
-	}
-	retry.Sleep(ctx, electionInterval)
-	count, err := h.countWorkers(ctx)
-	if err != nil || count != before {
-		return // workers are still registering
-	}
-	l := layout{Shards: election.Shards(count, h.directory.strengths(h.self))}
-	_, err = h.platform.Store.Txn(ctx, kvstore.Txn{
+	_, err := h.platform.Store.Txn(ctx, kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: layoutKey}}, Puts: []kvstore.Put{{Key: layoutKey, Value: workflow.Encode(l)}},
 	})
-	h.log.WithFields(logrus.Fields{"decision": "layout", "shards": l.Shards, "workers": count}).WithError(err).
+	h.log.WithFields(logrus.Fields{"decision": "layout", "shards": l.Shards, "workers": workers}).WithError(err).
 		Info("tried to write the initial layout")
 }
 
-// observeHostCount returns whether the layout may be written: in the calls during the last layoutDelay the number of live hosts was
-// the same, or maxLayoutDelay has passed since the first call. Without a valid lease it starts anew: other hosts may have lost their
-// leases too, and the directory may be out of date. Only election rounds call it, so it needs no lock.
-func (h *Host) observeHostCount() bool {
-	now := time.Now()
-	if lease, expires := h.session.currentLease(); lease == 0 || !h.now().Before(expires) {
-		h.hostCount, h.layoutWaitSince = 0, time.Time{}
-		return false
-	}
-	if h.layoutWaitSince.IsZero() {
-		h.layoutWaitSince = now
-	}
-	if n := len(h.directory.strengths(h.self)); n != h.hostCount {
-		h.hostCount, h.hostCountSince = n, now
-	}
-	return now.Sub(h.hostCountSince) >= layoutDelay || now.Sub(h.layoutWaitSince) >= maxLayoutDelay
-}
-
-func (h *Host) countWorkers(ctx context.Context) (int, error) {
-	kvs, _, err := h.platform.Store.Range(ctx, h.platform.WorkerPrefix)
-	return len(kvs), err
-}
-
 // shardOf returns the shard of a worker. It returns false while the layout does not assign the worker's rack.
 func (l layout) shardOf(w shard.Worker) (int, bool) {
 	if l.Shards <= 1 {
