--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -21,19 +21,15 @@
 	config      *configSource
 	directory   *directory
 	draining    atomic.Bool
-	// hostCount is the number of live hosts at the last round without a layout, and hostCountSince when it last changed.
-	hostCount      int
-	hostCountSince time.Time
-	// layoutWaitSince is when this host, with a valid lease, first saw that there is no layout.
-	layoutWaitSince time.Time
-	locations       *locationCache
-	loads           *loadCache
-	log             *logrus.Entry
-	now             func() time.Time
-	ownedShards     *ownedShards
-	pending         *pendingCache
-	platform        Platform
-	pool            *peer.Pool
+	layoutWait  layoutWait
+	locations   *locationCache
+	loads       *loadCache
+	log         *logrus.Entry
+	now         func() time.Time
+	ownedShards *ownedShards
+	pending     *pendingCache
+	platform    Platform
+	pool        *peer.Pool
 	// request sends a message to a peer and returns its reply.
 	request  func(ctx context.Context, address string, m peer.Message) (peer.Message, error)
 	self     hostRecord
