Check that a host that can't load shards receives them seldom

What callers would see without it: a shard that is served goes each 4.6 s to an idle host that can't load it, and jobs of the shard do not start for 3 s each time.

--- a/internal/entry/unloadedshard_test.go
+++ b/internal/entry/unloadedshard_test.go
@@ -71,6 +71,29 @@
 	})
 }
 
+// Guards against an idle host that gets a shard back as soon as it has left it, because its load is less than that of the owner that
+// serves the shard: nobody serves the shard each time until the host leaves it again. Each wait is stableTime, doubled for each failed
+// load, after 3 s of trying.
+func TestHostThatCannotLoadShardsReceivesThemSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 1, 2, simulatedWorkers)
+		f.store.unreadableJobsFor = "unable"
+		f.start("able", strongHost)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		f.start("unable", strongHost)
+		time.Sleep(time.Minute)
+		at := f.ownershipsOf("unable")
+		assert.Check(t, len(at) > 1, "the host received %d shards: %s", len(at), f.ownerHistory(began))
+		for i := range at[1:] {
+			least := 3*time.Second + min(3*time.Second<<i, 24*time.Second)
+			assert.Check(t, at[i+1].Sub(at[i]) >= least, "received again after %s: %s", at[i+1].Sub(at[i]), f.ownerHistory(began))
+		}
+		f.kill(f.names()...)
+		time.Sleep(contactTime) // background calls of the hosts end
+	})
+}
+
 // Guards against a shard that is left to another host because its records take long to read, although no read fails: the next host
 // would have to begin anew.
 func TestShardThatLoadsSlowlyStays(t *testing.T) {
@@ -115,6 +138,22 @@
 	})
 }
 
+// ownershipsOf returns when a host took shards.
+func (f *simulatedFleet) ownershipsOf(host string) []time.Time {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var out []time.Time
+	for _, e := range f.store.events {
+		if e.Deleted || !strings.HasPrefix(e.KV.Key, entry.OwnerPrefix) {
+			continue
+		}
+		if name, err := entry.RecordedHost(e.KV.Value); err == nil && name == host {
+			out = append(out, e.at)
+		}
+	}
+	return out
+}
+
 // isUnreadable reports whether a host can't read the keys of a prefix.
 func (s *memoryStore) isUnreadable(host, prefix string) bool {
 	s.mu.Lock()
