Test that an acknowledgement follows an answer at once

Cause: the poll that acknowledges ends after an answer was tested in internal/shard only. A runner that does not send it, or does not ask for it, passed all tests.

--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -23,10 +23,18 @@
 	highestEnded map[string]int
 	leaseEnd     time.Time
 	mu           sync.Mutex
-	runs         map[string]shard.Start
-	started      time.Time
-	tasks        *taskLog
-	token        int64
+	// polls lists the polls that the worker accepted.
+	polls   []acceptedPoll
+	runs    map[string]shard.Start
+	started time.Time
+	tasks   *taskLog
+	token   int64
+}
+
+// acceptedPoll is a poll with the time of its arrival.
+type acceptedPoll struct {
+	shard.Poll
+	at time.Time
 }
 
 func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
@@ -121,6 +129,7 @@
 	if !w.accept(p.Token, p.Until) {
 		return shard.Listing{}, shard.OutcomeFenced
 	}
+	w.polls = append(w.polls, acceptedPoll{p, time.Now()})
 	w.ended = slices.DeleteFunc(w.ended, func(e shard.EndRow) bool { return e.Number <= p.LastSeen })
 	if len(w.ended) == 0 {
 		changed := w.changed
