--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -74,7 +74,8 @@
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
 		changed: make(chan struct{}), epochs: map[int]int64{}, failedLoads: map[int]failedLoad{}, formerOwners: map[int]hostRecord{},
-		histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{}, successors: map[int]ownerRecord{},
+		histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{},
+		successors: map[int]ownerRecord{},
 	}
 }
 
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -13,9 +13,9 @@
 // followed by one that acknowledges them, see Acknowledgement.
 const maxAckGap = 600 * time.Millisecond
 
-// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, if
-// this owner does not know its state yet, or if it did not answer the last poll: it gets no tasks until it answers. A worker that only waits until its ends are recorded is polled when its lease has to be
-// renewed: an end does not count if the lease expires before the end is acknowledged.
+// duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, if this owner does not
+// know its state yet, or if it did not answer the last poll: it gets no tasks until it answers. A worker that only waits until its ends
+// are recorded is polled when its lease has to be renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
 		if w.pollInFlight || w.Address == "" {
