--- a/internal/shard/commitorder_test.go
+++ b/internal/shard/commitorder_test.go
@@ -80,6 +80,43 @@
 	checkOrderOfFirstWrites(t, c.store.received[received:], kinds, 5*jobsPerKind)
 }
 
+// Guards against restarts of long-running tasks whose records wait behind first starts of jobs with a higher priority: tasks of a low
+// priority would stay interrupted for as long as such starts go on.
+func TestRestartIsRecordedBeforeStartsOfHigherPriority(t *testing.T) {
+	const restarts, starts = 8, 60
+	c := newFleetHarness(t, 40) // so that no worker is quarantined for several failures
+	q, _ := c.config.Queue("q")
+	low := q
+	low.Name, low.Priority = "low", q.Priority+1
+	c.owner.SetConfig(workflow.NewConfig(2, []workflow.Queue{q, low}, nil, workflow.Limits{}))
+	kinds := map[string]string{}
+	add := func(n int, kind, queue string, s workflow.Step) {
+		for i := range n {
+			id := fmt.Sprintf("%012x%04x", kind[:3], i)
+			kinds[id] = kind
+			c.add(workflow.Job{ID: id, Queue: queue, Steps: []workflow.Step{s}})
+		}
+	}
+	longRunning := smallStep
+	longRunning.LongRunning = true
+	add(restarts, "restart", "low", longRunning)
+	c.run(2 * time.Second)
+	c.blockCommits()
+	add(starts, "start", "q", smallStep)
+	c.run(300 * time.Millisecond)
+	c.endRunsWhere(func(s shard.Start) shard.EndCause {
+		if kinds[s.Job] == "restart" {
+			return shard.EndFailed
+		}
+		return ""
+	})
+	c.run(300 * time.Millisecond)
+	received := len(c.store.received)
+	c.release()
+	c.run(600 * time.Millisecond)
+	checkOrderOfFirstWrites(t, c.store.received[received:], kinds, restarts+starts)
+}
+
 // checkOrderOfFirstWrites checks that each of n jobs, whose kinds are given by id, is written, and that no job is first written
 // after one that is less urgent.
 func checkOrderOfFirstWrites(t *testing.T, commits []*shard.Commit, kinds map[string]string, n int) {
