Write the record of a host whose old record is gone without relying on the store to list absent keys

What callers would see: a host that never gets a lease again, if the store answers a failed guard with the present keys only.

Cause: the guarded write of the record took a conflict without the key in its list for a final one. Found by a reviewer by reading; the stand-ins list absent keys.

Change: a key that is not listed counts as absent. A lease that has ended gives the same conflict twice and ends the attempts.

Result: TestLateRegistrationDoesNotRemoveHost passes ten of ten times with the race detector.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -117,10 +117,14 @@
 			s.recordRevision = result.Revision
 			return nil
 		}
-		if !errors.Is(err, kvstore.ErrConflict) || len(result.Current) != 1 || result.Current[0].ModRevision == revision {
+		current := int64(0) // a key that is absent need not be listed
+		for _, kv := range result.Current {
+			current = kv.ModRevision
+		}
+		if !errors.Is(err, kvstore.ErrConflict) || current == revision {
 			return err
 		}
-		revision = result.Current[0].ModRevision
+		revision = current
 	}
 }
 
