Guard further claims by the epoch of an own claim without a response

What callers would see: a shard without an acting owner, for ever if no other host is alive.

If the lease of that claim had ended before its owner key was seen, each later claim conflicted.

Change: the conflict shows the epoch of the own claim, and later claims are guarded by it. No other host can have owned the shard in between, since the claim itself was guarded by the epoch before. The lease of a runner is read under its mutex, as claims now write it in goroutines of their own.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -160,9 +160,7 @@
 		log.Info("took ownership of the shard")
 		o.startRunner(n, outcome.result.Revision, lease)
 	case errors.Is(outcome.err, kvstore.ErrConflict) && r != nil:
-		if o.isTakenByOther(n, r, outcome.result.Current) {
-			o.stopRunner(r, "another host owned the shard meanwhile")
-		}
+		o.applyEpochConflict(n, r, outcome.result.Current)
 	case errors.Is(outcome.err, kvstore.ErrConflict):
 		o.forgetOwnerless(n)
 	default:
@@ -170,15 +168,18 @@
 	}
 }
 
-// isTakenByOther reports whether the present state of the guarded keys shows that another host has owned the shard since r did. A
-// change of the epoch key may also come from an attempt of this host whose response was lost.
-func (o *ownedShards) isTakenByOther(n int, r *runner, current []kvstore.KV) bool {
+// applyEpochConflict acts on a conflict of a claim of a shard that this host owned before, by the present state of the guarded keys. The
+// epoch key may have been changed by an attempt of this host whose response was lost: then no other host has owned the shard since,
+// and later claims are guarded by the new epoch.
+func (o *ownedShards) applyEpochConflict(n int, r *runner, current []kvstore.KV) {
 	for _, kv := range current {
 		if kv.Key != epochKey(n) || kv.ModRevision == r.epochRevision() {
 			continue
 		}
-		owner, err := workflow.Decode[hostRecord](kv.Value)
-		return err != nil || owner.Incarnation != o.host.self.Incarnation
+		if owner, err := workflow.Decode[hostRecord](kv.Value); err != nil || owner.Incarnation != o.host.self.Incarnation {
+			o.stopRunner(r, "another host owned the shard meanwhile")
+			return
+		}
+		r.setEpochRevision(kv.ModRevision)
 	}
-	return false
 }
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -172,13 +172,13 @@
 			return nil
 		}
 		// A lease on which the host does not rely at the moment may go on: its next renewal may succeed.
-		if lease, _ := h.session.currentLease(); ctx.Err() != nil || lease != r.lease {
+		if lease, _ := h.session.currentLease(); ctx.Err() != nil || lease != r.ownerLease() {
 			return err
 		}
 		elapsed := h.now().Sub(began)
 		switch {
 		case isDraining && (isTakingBack || elapsed >= drainDeletionTimeout), isTakingBack && elapsed >= takeBackTimeout:
-			return errors.Join(err, h.session.abandon(ctx, r.lease))
+			return errors.Join(err, h.session.abandon(ctx, r.ownerLease()))
 		case !isTakingBack && elapsed >= deletionTimeout:
 			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
 				Warn("failed to delete the owner key of the shard; taking the shard back")
@@ -193,7 +193,7 @@
 // may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
 // starts a runner.
 func (o *ownedShards) takeBackTxn(r *runner) kvstore.Txn {
-	t := o.ownershipTxn(r.shard, r.lease, r.epochRevision())
+	t := o.ownershipTxn(r.shard, r.ownerLease(), r.epochRevision())
 	t.Guards[0].Revision = r.ownerRevision()
 	return t
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -134,6 +134,20 @@
 	return r.epochKeyRevision
 }
 
+// setEpochRevision notes a change of the epoch key by a claim of this host whose response was lost and whose lease has ended since.
+func (r *runner) setEpochRevision(revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epochKeyRevision = revision
+}
+
+// ownerLease returns the lease under which this host wrote the owner key.
+func (r *runner) ownerLease() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease
+}
+
 // mayReacquire reports whether this host may try to become the shard's owner again under its current lease: it has one, and no
 // worker has rejected its token as outdated.
 func (r *runner) mayReacquire(currentLease int64) bool {
--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -101,3 +101,34 @@
 	}
 	return nil
 }
+
+// Guards against an owner that waits for ever for a shard without an owner, since each of its claims is guarded by the epoch before its
+// own claim, whose response was lost and whose lease has ended.
+func TestOwnerTakesShardAgainAfterClaimThatItNeverSaw(t *testing.T) {
+	runFleet(t, 1, 1, func(f *simulatedFleet) {
+		var left atomic.Int64
+		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
+			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" && left.Add(-1) >= 0 {
+				return txnFault{delay: 100 * time.Millisecond}
+			}
+			return txnFault{}
+		}
+		f.start("strong", strongHost)
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		f.store.setDown(true)
+		time.Sleep(3 * time.Second)
+		left.Store(1)
+		f.store.setWatchDelay(func(string) time.Duration { return 3 * time.Second })
+		f.store.setDown(false)
+		for len(f.ownerWrites("strong", began)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.store.setDown(true)
+		time.Sleep(3 * time.Second)
+		f.store.setWatchDelay(nil)
+		f.store.setDown(false)
+		f.checkCalm("the store is back")
+		assert.Check(t, f.owners()["strong"] == 1, "owners: %s", f.ownerHistory(began))
+	})
+}
