Give up shards in a drain whose claim had no response

What callers would see: a shard that nobody serves for up to 5 s, until a draining host ends its lease.

Cause: a claim that the store had carried out without a response left an owner key and no runner. A draining host starts no runner for it, and gave up only the shards that had one.

Evidence: TestDrainGivesUpShardOfClaimWithoutResponse failed: the key was in the store 1.9 s after the claim.

Change: a draining host deletes an owner key of its own for which it has no runner.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -217,6 +217,22 @@
 	o.handovers.finish()
 }
 
+// dropOwnerKey deletes the owner key of a shard for which this host has no runner: it drains, and learned only now that its claim was
+// carried out.
+func (o *ownedShards) dropOwnerKey(ctx context.Context, n int, current ownerRecord) {
+	log := o.host.log.WithFields(logrus.Fields{"decision": "disown", "shard": n, "reason": "the host drains", "revision": current.revision})
+	log.Info("giving up a shard that was taken without a response")
+	o.handovers.recordGivenUp(n, current.revision)
+	r := newRunner(o.host, n, current.revision, current.lease)
+	t := kvstore.Txn{Deletes: []string{ownerKey(n)}, Guards: []kvstore.Guard{{Key: ownerKey(n), Revision: current.revision}}}
+	go func() {
+		defer r.close()
+		if err := o.deleteOwnerKey(ctx, r, t); err != nil {
+			log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
+		}
+	}()
+}
+
 // rebalance hands shards over as long as election.Rebalance decides so. Nothing is handed over while this host drains, may lose its
 // lease before the handover is done, or does not see its shards as the store has them.
 func (o *ownedShards) rebalance(ctx context.Context) {
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -190,6 +190,8 @@
 			// This host's write of the owner key took effect, but the response was lost; or it took back a shard that it could not hand
 			// over.
 			o.startRunner(n, current.revision, current.lease)
+		case current.Incarnation == h.self.Incarnation && r == nil && !o.handovers.isGivenUp(n, current.revision):
+			o.dropOwnerKey(ctx, n, current)
 		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
 			o.resumeRunner(r, current)
--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -132,3 +132,23 @@
 		assert.Check(t, f.owners()["strong"] == 1, "owners: %s", f.ownerHistory(began))
 	})
 }
+
+// Guards against a shard that nobody serves during a drain, since the host learns late that its claim was carried out.
+func TestDrainGivesUpShardOfClaimWithoutResponse(t *testing.T) {
+	runFleet(t, 1, 1, func(f *simulatedFleet) {
+		claimed := make(chan struct{})
+		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
+			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" {
+				close(claimed)
+				return txnFault{delay: 100 * time.Millisecond}
+			}
+			return txnFault{}
+		}
+		began := time.Now()
+		host := f.start("draining", strongHost)
+		<-claimed
+		host.daemon.DrainShards(f.t.Context())
+		time.Sleep(time.Second)
+		assert.Check(t, len(f.owners()) == 0, "owners: %s", f.ownerHistory(began))
+	})
+}
