--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -191,7 +191,7 @@
 			// over.
 			o.startRunner(n, current.revision, current.lease)
 		case current.Incarnation == h.self.Incarnation && r == nil && !o.handovers.isGivenUp(n, current.revision):
-			o.dropOwnerKey(ctx, n, current)
+			o.dropOwnerKey(ctx, n, current) // the same, while this host drains
 		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
 			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
 			o.resumeRunner(r, current)
