Share the attempts at transactions and the tracking of shards

Claims and deletions of owner keys each had the loop that begins an attempt and waits for the next outcome, and claims and handovers each tracked the shards for which something is under way. The transaction that deletes an owner key and the warning if that fails were written out four times; deleteOwnerKey has them. The cases of checkShard for a shard with an owner are followOwner, where each condition stands once.

Behaviour is unchanged, but for one detail: claims share one context, which ends when the host stops its elections or a drain gives them up, instead of one for each shard.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,41 +14,22 @@
 
 // claims tracks the shards that this host is trying to take.
 type claims struct {
-	// cancels ends the claim of a shard, by shard.
-	cancels map[int]context.CancelFunc
-	// isClosed is set once no further claim may begin.
-	isClosed bool
-	mu       sync.Mutex
-	running  sync.WaitGroup
+	shardSet
+	cancel context.CancelFunc
+	// ctx ends when claims that are under way are given up.
+	ctx context.Context
 }
 
-func newClaims() *claims { return &claims{cancels: map[int]context.CancelFunc{}} }
-
-// begin marks a shard as being claimed and returns the context of the claim. It returns false if the shard is being claimed already,
-// or if no claim may begin.
-func (c *claims) begin(ctx context.Context, shard int) (context.Context, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.isClosed || c.cancels[shard] != nil {
-		return nil, false
-	}
-	ctx, c.cancels[shard] = context.WithCancel(ctx)
-	c.running.Add(1)
-	return ctx, true
+func newClaims() *claims {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &claims{shardSet: newShardSet(), cancel: cancel, ctx: ctx}
 }
 
-func (c *claims) end(shard int) {
+// begin marks a shard as being claimed. It returns false if it is already, or if no claim may begin.
+func (c *claims) begin(shard int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancels[shard]()
-	delete(c.cancels, shard)
-	c.running.Done()
-}
-
-func (c *claims) isActive(shard int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cancels[shard] != nil
+	return c.add(shard)
 }
 
 // countExcept returns the number of claims of shards for which this host has no runner.
@@ -57,7 +37,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for shard := range c.cancels {
+	for shard := range c.active {
 		if runners[shard] == nil {
 			n++
 		}
@@ -65,37 +45,10 @@
 	return n
 }
 
-// finish lets no further claim begin, and waits until none is under way. Claims that take longer than a timeout are given up.
-func (c *claims) finish(timeout time.Duration) {
-	c.mu.Lock()
-	c.isClosed = true
-	c.mu.Unlock()
-	stop := time.AfterFunc(timeout, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for _, cancel := range c.cancels {
-			cancel()
-		}
-	})
-	defer stop.Stop()
-	c.running.Wait()
-}
-
-// txnOutcome is what a transaction of an attempt returned.
-type txnOutcome struct {
-	err    error
-	result kvstore.TxnResult
-}
-
-// attemptTxn makes one attempt to carry out a transaction and sends its outcome.
-func (o *ownedShards) attemptTxn(ctx context.Context, t kvstore.Txn, outcome chan<- txnOutcome) {
-	callCtx, cancel := context.WithTimeout(ctx, sessionTTL)
-	defer cancel()
-	result, err := o.host.platform.Store.Txn(callCtx, t)
-	select {
-	case outcome <- txnOutcome{err: err, result: result}:
-	case <-ctx.Done():
-	}
+// finishWithin lets no further claim begin, and waits until none is under way. Claims that take longer than a timeout are given up.
+func (c *claims) finishWithin(timeout time.Duration) {
+	defer time.AfterFunc(timeout, c.cancel).Stop()
+	c.finish()
 }
 
 // ownershipTxn returns the transaction with which this host takes a shard without an owner.
@@ -108,12 +61,12 @@
 }
 
 // claim tries to make this host the owner of a shard without one. If r is not nil, this host owned the shard before, and r
-// resumes with its state in memory unless another host has owned the shard since. An attempt without a response after
-// storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt before its
-// turn comes, and the others bound the time that a lost response costs. The guards make repeated attempts harmless. If the
+// resumes with its state in memory unless another host has owned the shard since. The guards make repeated attempts harmless. If the
 // response to an attempt that was carried out is lost, the next election round sees the owner key.
-func (o *ownedShards) claim(ctx context.Context, n int, lease int64, r *runner) {
+func (o *ownedShards) claim(n int, lease int64, r *runner) {
 	h := o.host
+	ctx, cancel := context.WithCancel(o.claims.ctx)
+	defer cancel()
 	epoch := h.directory.epoch(n)
 	if r != nil {
 		epoch = r.epochRevision()
@@ -124,13 +77,9 @@
 	})
 	t, outcomes := o.ownershipTxn(n, lease, epoch), make(chan txnOutcome)
 	for ctx.Err() == nil {
-		go o.attemptTxn(ctx, t, outcomes)
-		outcome := txnOutcome{err: kvstore.ErrUnknownOutcome}
-		select {
-		case outcome = <-outcomes:
-		case <-ctx.Done():
+		outcome, hasResponse := h.attemptTxn(ctx, t, outcomes)
+		if !hasResponse && ctx.Err() != nil {
 			return
-		case <-time.After(storeCallTimeout):
 		}
 		if !errors.Is(outcome.err, kvstore.ErrUnknownOutcome) {
 			o.applyClaim(n, lease, r, outcome, log)
--- a/internal/entry/failedload.go
+++ b/internal/entry/failedload.go
@@ -156,8 +156,5 @@
 func (o *ownedShards) leaveUnloaded(ctx context.Context, r *runner, successor *successorRecord) {
 	defer o.wakeElection()
 	defer o.handovers.end(r.shard)
-	if err := o.giveUp(ctx, r, successor, "this host can't load the shard"); err != nil {
-		o.host.log.WithError(err).WithField("shard", r.shard).
-			Warn("failed to delete the owner key of the shard; it expires with the host's lease")
-	}
+	o.giveUp(ctx, r, successor, "this host can't load the shard", o.host.log.WithField("shard", r.shard))
 }
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,59 +33,31 @@
 
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
-	mu sync.Mutex
-	// active is the set of shards whose handover is under way.
-	active map[int]bool
-	// isClosed is set once no further handover may begin.
-	isClosed bool
+	shardSet
 	// receivers holds the hosts to which shards are handed over, by shard, until the directory shows the next owner.
 	receivers map[int]string
 	// revisions holds, by shard, the revision of the last owner key that this host gave up. The directory still shows such a
 	// key until the deletion is seen.
 	revisions map[int]int64
-	running   sync.WaitGroup
 }
 
 func newHandovers() *handovers {
-	return &handovers{active: map[int]bool{}, receivers: map[int]string{}, revisions: map[int]int64{}}
+	return &handovers{shardSet: newShardSet(), receivers: map[int]string{}, revisions: map[int]int64{}}
 }
 
 // begin marks a shard as being handed over, to a host if to is not empty. It returns false if it is already, or if no handover may begin.
 func (h *handovers) begin(shard int, to string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.isClosed || h.active[shard] {
+	if !h.add(shard) {
 		return false
 	}
-	h.active[shard] = true
 	if to != "" {
 		h.receivers[shard] = to
 	}
-	h.running.Add(1)
 	return true
 }
 
-// finish lets no further handover begin and waits until none is under way.
-func (h *handovers) finish() {
-	h.mu.Lock()
-	h.isClosed = true
-	h.mu.Unlock()
-	h.running.Wait()
-}
-
-func (h *handovers) end(shard int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.active, shard)
-	h.running.Done()
-}
-
-func (h *handovers) isActive(shard int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.active[shard]
-}
-
 // pendingReceivers returns the hosts to which shards are handed over, by shard, while the directory does not show the next owner.
 func (h *handovers) pendingReceivers(d *directory) map[int]string {
 	h.mu.Lock()
@@ -127,43 +98,44 @@
 }
 
 // giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
-// key. It names the successor in the same transaction if there is one. The runner stops first: an owner that is short of
-// processor time would not get the deletion done beside its other work, and would keep the shard because of its load.
-func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *successorRecord, reason string) error {
+// key. The runner stops first: an owner that is short of processor time would not get the deletion done beside its other work, and
+// would keep the shard because of its load.
+func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *successorRecord, reason string, log *logrus.Entry) {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.beginHandover(waitCtx)
 	cancelWait()
 	revision := r.ownerRevision()
 	o.handovers.recordGivenUp(r.shard, revision)
 	o.stopRunner(r, reason)
+	o.deleteOwnerKey(ctx, r, revision, successor, log)
+}
+
+// deleteOwnerKey deletes the owner key of a runner that has stopped, and names the successor in the same transaction if there is one.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, revision int64, successor *successorRecord, log *logrus.Entry) {
 	t := kvstore.Txn{Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: revision}}}
 	if successor != nil {
 		t.Puts = []kvstore.Put{{Key: successorKey(r.shard), Value: workflow.Encode(*successor)}}
 	}
-	return o.deleteOwnerKey(ctx, r, t)
+	if err := o.deleteOrTakeBack(ctx, r, t); err != nil {
+		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
+	}
 }
 
-// deleteOwnerKey carries out the transaction that deletes the owner key of a runner that has stopped. An attempt without an answer
-// after storeCallTimeout goes on while another one is made: a host that is short of processor time would give up each attempt
-// before its turn comes, and the others bound the time that a lost response costs. The guard makes repeated attempts harmless.
+// deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guard makes repeated attempts harmless.
 // After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves.
 // If that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx
 // ends.
-func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, t kvstore.Txn) error {
+func (o *ownedShards) deleteOrTakeBack(ctx context.Context, r *runner, t kvstore.Txn) error {
 	h := o.host
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan txnOutcome)
 	began, isTakingBack := h.now(), false
 	for {
-		go o.attemptTxn(attemptCtx, t, outcomes)
-		err := kvstore.ErrUnknownOutcome
-		select {
-		case outcome := <-outcomes:
-			err = outcome.err
+		outcome, hasResponse := h.attemptTxn(attemptCtx, t, outcomes)
+		err := outcome.err
+		if hasResponse {
 			countWrite(err)
-		case <-ctx.Done():
-		case <-time.After(storeCallTimeout):
 		}
 		isDraining := h.draining.Load()
 		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
@@ -201,17 +173,14 @@
 // handOverAll gives up all shards, at the same time so that a drain takes no longer with several shards. It waits for claims that are
 // under way first: nobody would act for a shard that this host takes afterwards.
 func (o *ownedShards) handOverAll(ctx context.Context) {
-	o.claims.finish(storeCallTimeout)
+	o.claims.finishWithin(storeCallTimeout)
 	for _, r := range o.allRunners() {
 		if !o.handovers.begin(r.shard, "") {
 			continue // a handover for rebalancing is under way
 		}
 		go func() {
 			defer o.handovers.end(r.shard)
-			if err := o.giveUp(ctx, r, nil, "the host drains"); err != nil {
-				o.host.log.WithError(err).WithField("shard", r.shard).
-					Warn("failed to delete the owner key of the shard; it expires with the host's lease")
-			}
+			o.giveUp(ctx, r, nil, "the host drains", o.host.log.WithField("shard", r.shard))
 		}()
 	}
 	o.handovers.finish()
@@ -224,12 +193,9 @@
 	log.Info("giving up a shard that was taken without a response")
 	o.handovers.recordGivenUp(n, current.revision)
 	r := newRunner(o.host, n, current.revision, current.lease)
-	t := kvstore.Txn{Deletes: []string{ownerKey(n)}, Guards: []kvstore.Guard{{Key: ownerKey(n), Revision: current.revision}}}
 	go func() {
 		defer r.close()
-		if err := o.deleteOwnerKey(ctx, r, t); err != nil {
-			log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
-		}
+		o.deleteOwnerKey(ctx, r, current.revision, nil, log)
 	}()
 }
 
@@ -297,7 +263,5 @@
 		return
 	}
 	log.Info("handing the shard over")
-	if err := o.giveUp(ctx, r, &successorRecord{hostRecord: successor}, "handed over to a less loaded host"); err != nil {
-		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
-	}
+	o.giveUp(ctx, r, &successorRecord{hostRecord: successor}, "handed over to a less loaded host", log)
 }
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -143,7 +143,7 @@
 		}
 		t.Stop()
 	}
-	o.claims.finish(0)
+	o.claims.finishWithin(0)
 	o.handovers.finish()
 	for _, r := range o.allRunners() {
 		o.stopRunner(r, "the host stops")
@@ -183,19 +183,7 @@
 	r := o.runner(n)
 	if owned {
 		o.forgetOwnerless(n)
-		switch {
-		case current.Incarnation != h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
-			o.stopRunner(r, "another host owns the shard")
-		case current.Incarnation == h.self.Incarnation && r == nil && !h.draining.Load() && !o.handovers.isGivenUp(n, current.revision):
-			// This host's write of the owner key took effect, but the response was lost; or it took back a shard that it could not hand
-			// over.
-			o.startRunner(n, current.revision, current.lease)
-		case current.Incarnation == h.self.Incarnation && r == nil && !o.handovers.isGivenUp(n, current.revision):
-			o.dropOwnerKey(ctx, n, current) // the same, while this host drains
-		case current.Incarnation == h.self.Incarnation && r != nil && current.revision > r.ownerRevision():
-			// The same, when it took the shard again. The guard on the epoch key means that no other host has owned it since.
-			o.resumeRunner(r, current)
-		}
+		o.followOwner(ctx, n, r, current)
 		return 0
 	}
 	if o.handovers.isActive(n) {
@@ -213,12 +201,11 @@
 	} else if !r.mayReacquire(lease) {
 		return 0
 	}
-	claimCtx, ok := o.claims.begin(ctx, n)
-	if !ok {
+	if !o.claims.begin(n) {
 		return 0
 	}
 	go func() {
-		o.claim(claimCtx, n, lease, r)
+		o.claim(n, lease, r)
 		o.claims.end(n)
 		// The owner may have been seen while the claim was under way. Without an owner, an early round would only repeat the claim.
 		if _, ok := h.directory.owner(n); ok {
@@ -228,6 +215,28 @@
 	return 0
 }
 
+// followOwner acts on the owner key of a shard, for which this host has runner r if that is not nil.
+func (o *ownedShards) followOwner(ctx context.Context, n int, r *runner, current ownerRecord) {
+	h := o.host
+	isNew := r != nil && current.revision > r.ownerRevision()
+	switch {
+	case current.Incarnation != h.self.Incarnation:
+		if isNew {
+			o.stopRunner(r, "another host owns the shard")
+		}
+	case isNew:
+		// A response to the claim with which this host took the shard again was lost. The guard on the epoch key means that no other
+		// host has owned the shard since.
+		o.resumeRunner(r, current)
+	case r != nil, o.handovers.isGivenUp(n, current.revision):
+	case h.draining.Load():
+		o.dropOwnerKey(ctx, n, current)
+	default:
+		// The response to the claim was lost, or this host took back a shard that it could not hand over.
+		o.startRunner(n, current.revision, current.lease)
+	}
+}
+
 // resumeRunner continues with the state in memory under an owner key that this host has written, unless the lease of the key has
 // ended or a worker knows a later owner.
 func (o *ownedShards) resumeRunner(r *runner, current ownerRecord) {
