Use one function for the size of records and one seam for requests to peers

The sizes of a relayed transaction and of its reply were counted by two functions of the same shape, and only one of seven requests to peers went through the seam Host.request. The tests of claims share the check for the claim of a shard. Two comments are clearer. Behaviour is unchanged.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -91,7 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	m, err := h.pool.Request(ctx, o.PeerAddress, peer.Message{LoadQuery: &peer.LoadQuery{Service: k.service, Shard: k.shard}})
+	m, err := h.request(ctx, o.PeerAddress, peer.Message{LoadQuery: &peer.LoadQuery{Service: k.service, Shard: k.shard}})
 	if err != nil || m.LoadReply == nil || !m.LoadReply.Known {
 		return last
 	}
--- a/internal/entry/commitrelay.go
+++ b/internal/entry/commitrelay.go
@@ -65,8 +65,9 @@
 // two hosts, which delays the first write when the store is back.
 func (r *runner) attemptWrite(t kvstore.Txn, failures int) (kvstore.TxnResult, error) {
 	if failures >= ownAttempts && (failures-ownAttempts)%2 == 0 {
-		if peers := r.host.directory.peers(r.host.self); len(peers) > 0 && valueBytes(t) <= maxRelayedBytes {
-			return r.writeThroughPeer(t, r.host.commitRelay.next(peers))
+		w := encodeRecords(t)
+		if peers := r.host.directory.peers(r.host.self); len(peers) > 0 && valueBytes(w.Puts) <= maxRelayedBytes {
+			return r.writeThroughPeer(w, r.host.commitRelay.next(peers))
 		}
 	}
 	ctx, cancel := withTimeout(r.ctx, storeCallTimeout)
@@ -76,20 +77,20 @@
 	return res, err
 }
 
-func valueBytes(t kvstore.Txn) int {
+func valueBytes(records []peer.Record) int {
 	n := 0
-	for _, p := range t.Puts {
-		n += len(p.Value)
+	for _, r := range records {
+		n += len(r.Value)
 	}
 	return n
 }
 
 // writeThroughPeer asks a peer to carry out a transaction of records. The guard on the owner key makes it harmless if it is carried
 // out late or twice, as it does for an own attempt whose response is lost.
-func (r *runner) writeThroughPeer(t kvstore.Txn, p hostRecord) (kvstore.TxnResult, error) {
+func (r *runner) writeThroughPeer(w *peer.RecordsWrite, p hostRecord) (kvstore.TxnResult, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, relayTimeout)
 	defer cancel()
-	reply, err := r.host.request(ctx, p.PeerAddress, peer.Message{RecordsWrite: encodeRecords(t)})
+	reply, err := r.host.request(ctx, p.PeerAddress, peer.Message{RecordsWrite: w})
 	outcome, res := OutcomeUnknown, kvstore.TxnResult{}
 	switch {
 	case errors.Is(err, peer.ErrNotConnected), errors.Is(err, peer.ErrRefused):
@@ -100,7 +101,7 @@
 	commitRelays.Add(string(outcome), 1)
 	r.host.commitRelay.record(p.PeerAddress, outcome == OutcomeAccepted || outcome == outcomeConflict)
 	entry := r.log.WithFields(logrus.Fields{
-		"decision": "commit_relay", "peer": p.Host, "outcome": string(outcome), "records": len(t.Puts),
+		"decision": "commit_relay", "peer": p.Host, "outcome": string(outcome), "records": len(w.Puts),
 	})
 	switch outcome {
 	case OutcomeAccepted:
@@ -132,7 +133,7 @@
 	switch {
 	case err == nil:
 		reply.Outcome = string(OutcomeAccepted)
-	case errors.Is(err, kvstore.ErrConflict) && replyBytes(reply) <= maxRelayedBytes:
+	case errors.Is(err, kvstore.ErrConflict) && valueBytes(reply.Current) <= maxRelayedBytes:
 		reply.Outcome = string(outcomeConflict)
 	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		reply = &peer.RecordsReply{Outcome: string(OutcomeUnknown)}
@@ -142,14 +143,6 @@
 	return peer.Message{RecordsReply: reply}, nil
 }
 
-func replyBytes(r *peer.RecordsReply) int {
-	n := 0
-	for _, kv := range r.Current {
-		n += len(kv.Value)
-	}
-	return n
-}
-
 func encodeRecords(t kvstore.Txn) *peer.RecordsWrite {
 	w := &peer.RecordsWrite{Deletes: t.Deletes}
 	for _, g := range t.Guards {
--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -102,7 +102,7 @@
 	ctx, cancel := withTimeout(ctx, configPollInterval)
 	defer cancel()
 	p := peers[h.random(len(peers))]
-	reply, err := h.pool.Request(ctx, p.PeerAddress, peer.Message{
+	reply, err := h.request(ctx, p.PeerAddress, peer.Message{
 		ConfigQuery: &peer.ConfigQuery{Version: h.config.config().Version},
 	})
 	if err != nil || reply.ConfigReply == nil {
--- a/internal/entry/layoutwait.go
+++ b/internal/entry/layoutwait.go
@@ -16,9 +16,9 @@
 	registrationTime = 2500 * time.Millisecond
 	// workerCountInterval is the time between two counts of the workers.
 	workerCountInterval = 500 * time.Millisecond
-	// outageReads is the number of reads of the registry that fail one after the other from which entries of workers may have expired. They
-	// do 4.5 s after the worker's last report, so 3 s or more of an outage, in which reads without an answer end after 1 s each. A single
-	// failed read is no sign of an outage: its response may have been lost.
+	// outageReads is how many reads of the registry fail in a row until the entries of workers may have expired. Entries expire 4.5 s
+	// after the worker's last report, 3 s or more into an outage, and a read without an answer ends after 1 s. A single failed read is
+	// no sign of an outage: its response may have been lost.
 	outageReads = 2
 )
 
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -97,7 +97,7 @@
 	}
 	ctx, cancel := withTimeout(ctx, queryTimeout)
 	defer cancel()
-	m, err := h.pool.Request(ctx, o.PeerAddress, peer.Message{JobQuery: &peer.JobQuery{ID: id, Shard: shard}})
+	m, err := h.request(ctx, o.PeerAddress, peer.Message{JobQuery: &peer.JobQuery{ID: id, Shard: shard}})
 	if err != nil || m.JobReply == nil || Outcome(m.JobReply.Outcome) != OutcomeAccepted {
 		return "", false
 	}
@@ -245,7 +245,7 @@
 	}
 	ctx, cancel := withTimeout(ctx, queryTimeout)
 	defer cancel()
-	m, err := h.pool.Request(ctx, o.PeerAddress, peer.Message{PendingQuery: &peer.PendingQuery{Queue: k.queue, Shard: k.shard}})
+	m, err := h.request(ctx, o.PeerAddress, peer.Message{PendingQuery: &peer.PendingQuery{Queue: k.queue, Shard: k.shard}})
 	if err != nil || m.PendingReply == nil || !m.PendingReply.Known {
 		return 0, false
 	}
--- a/internal/entry/renewal.go
+++ b/internal/entry/renewal.go
@@ -112,7 +112,7 @@
 	r.silence = nil
 }
 
-// renewalPause returns the time from the outcome of a renewal, or of a request for a lease, to the next one.
+// renewalPause returns the time from the outcome of a renewal to the next one.
 func renewalPause(err error) time.Duration {
 	if err != nil {
 		return sessionRetryInterval
--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -15,6 +15,9 @@
 // storeCallTimeout is how long a host waits for a response of the store before it makes another attempt.
 const storeCallTimeout = 400 * time.Millisecond
 
+// takesFirstShard reports whether a transaction makes a host the owner of shard 0.
+func takesFirstShard(t kvstore.Txn) bool { return len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" }
+
 // Guards against shards of a lost host that stay without an owner, since the host that is left gives up each claim just before the
 // claim gets processor time beside the calls for the shards that it has.
 func TestHostClaimsShardsOfLostHostInTime(t *testing.T) {
@@ -35,7 +38,7 @@
 	runFleet(t, 1, 1, func(f *simulatedFleet) {
 		claimed := make(chan struct{})
 		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
-			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" {
+			if takesFirstShard(t) {
 				close(claimed)
 				time.Sleep(storeCallTimeout - 2*storeLatency)
 			}
@@ -66,7 +69,7 @@
 			runFleet(t, 1, 1, func(f *simulatedFleet) {
 				var left atomic.Int64
 				f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
-					if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" && left.Add(-1) >= 0 {
+					if takesFirstShard(t) && left.Add(-1) >= 0 {
 						return txnFault{delay: c.delay}
 					}
 					return txnFault{}
@@ -108,7 +111,7 @@
 	runFleet(t, 1, 1, func(f *simulatedFleet) {
 		var left atomic.Int64
 		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
-			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" && left.Add(-1) >= 0 {
+			if takesFirstShard(t) && left.Add(-1) >= 0 {
 				return txnFault{delay: 100 * time.Millisecond}
 			}
 			return txnFault{}
@@ -138,7 +141,7 @@
 	runFleet(t, 1, 1, func(f *simulatedFleet) {
 		claimed := make(chan struct{})
 		f.store.txnFault = func(_ string, t kvstore.Txn) txnFault {
-			if len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" {
+			if takesFirstShard(t) {
 				close(claimed)
 				return txnFault{delay: 100 * time.Millisecond}
 			}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -197,7 +197,7 @@
 	for _, address := range candidates {
 		callCtx, cancel := withTimeout(ctx, relayTimeout+storeCallTimeout)
 		var m peer.Message
-		m, err = h.pool.Request(callCtx, address, msg)
+		m, err = h.request(callCtx, address, msg)
 		cancel()
 		if err == nil && m.JobReply != nil {
 			return *m.JobReply, nil
@@ -221,7 +221,7 @@
 	}
 	ctx, cancel := withTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	if _, err := h.pool.Request(ctx, o.PeerAddress, msg); err != nil {
+	if _, err := h.request(ctx, o.PeerAddress, msg); err != nil {
 		h.log.WithError(err).WithFields(logrus.Fields{"shard": shard, "owner": o.Host}).
 			Debug("failed to notify the shard's owner; it will see the record through its watch")
 	}
