--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -16,7 +16,9 @@
 const storeCallTimeout = 400 * time.Millisecond
 
 // takesFirstShard reports whether a transaction makes a host the owner of shard 0.
-func takesFirstShard(t kvstore.Txn) bool { return len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0" }
+func takesFirstShard(t kvstore.Txn) bool {
+	return len(t.Puts) > 0 && t.Puts[0].Key == entry.OwnerPrefix+"0"
+}
 
 // Guards against shards of a lost host that stay without an owner, since the host that is left gives up each claim just before the
 // claim gets processor time beside the calls for the shards that it has.
