Keep room for short tasks beside long-running tasks that never ran

Cause: long-running tasks come first in the backlog, and each keeps its room for minutes.

Change: a long-running task that never ran leaves as much CPU free as the short tasks of the same or a more urgent priority asked for at most in the recent past, up to a quarter of the service's CPU. Free CPU on a worker counts from half of the mean size of the short tasks that arrived. Tasks that ran before are not held back. The shard's summary in the log shows the room and its target.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -234,11 +234,13 @@
 		shardGauges.Set(strconv.Itoa(r.shard)+"_"+name, v)
 	}
 	r.log.WithFields(logrus.Fields{
-		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
+		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "headroom_milli": s.HeadroomAvailable,
+		"headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
 		"serving": s.Serving, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
-		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort, "workers": s.Workers,
+		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort,
+		"waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
 	}).Info("shard summary")
 	r.owner.ReportWaits(now)
 	r.maxTimerLag = 0
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -28,6 +28,8 @@
 	evaluatedPairs, evaluatedRestartPairs int
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
+	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
+	headrooms map[shortTasks]*headroom
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
 	heldWorkers int
 	// isHandingOver is set once the shard is handed over to another owner.
@@ -58,6 +60,9 @@
 	pressure        *interference.PressureModel
 	backlogUnsorted bool
 	seq             int64
+	// shortDemand is the remembered demand of short tasks; it was last updated at shortDemandAt.
+	shortDemand   map[shortTasks]shortDemand
+	shortDemandAt time.Time
 	// sortedByID holds the workers sorted by ID; nil after a change. Every decision iterates over the workers in this
 	// order, so that the same events lead to the same decisions.
 	sortedByID  []*worker
@@ -92,12 +97,14 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
+		headrooms:    map[shortTasks]*headroom{},
 		jobs:         map[string]*job{},
 		mostlyIdle:   map[string]bool{},
 		placed:       map[*job][]string{},
 		pressure:     interference.NewPressureModel(),
 		log:          logrus.NewEntry(logrus.StandardLogger()),
 		observeStart: func(time.Duration) {},
+		shortDemand:  map[shortTasks]shortDemand{},
 		acquiredAt:   now,
 		timing:       DefaultTiming(),
 		token:        token,
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -33,6 +33,8 @@
 	free := o.maxFreeCPU(now)
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
+	clear(o.headrooms)
+	o.observeShortDemand(now)
 	o.placeRestarts(now, unplaceable)
 	for _, j := range o.backlog {
 		if j.final != "" {
@@ -87,6 +89,8 @@
 // either, unless it is held for one.
 type taskClass struct {
 	bestEffort bool
+	// headroom is set for long-running tasks that never ran.
+	headroom *headroom
 	// skipsWait is set if the task has waited longer than maxIdleWait while its job has no runs and its service is
 	// mostly idle. The task is then placed on any worker.
 	skipsWait bool
@@ -124,7 +128,8 @@
 // placeTask assigns a task to the best worker. It returns false if no worker can take the task now.
 func (o *Owner) placeTask(now time.Time, t *task, unplaceable map[taskClass]bool) bool {
 	class := taskClass{
-		bestEffort: t.step.BestEffort, label: t.step.Label, resources: t.step.Resources, service: t.job.queue.Service,
+		bestEffort: t.step.BestEffort, headroom: o.headroomFor(now, t), label: t.step.Label, resources: t.step.Resources,
+		service: t.job.queue.Service,
 	}
 	if t.step.BestEffort {
 		class.image, class.resources.CPUMilli = t.step.Image, 0
@@ -221,6 +226,9 @@
 	t.releaseHold(o.now)
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
+	if t.step.LongRunning {
+		o.recordLongRunning(w, t)
+	}
 	w.add(at)
 	w.health.assigned(o.now)
 	o.markDirty(t.job)
@@ -330,7 +338,7 @@
 	s := t.step
 	o.evaluatedPairs++
 	return (s.BestEffort || s.Resources.CPUMilli <= w.Capacity.CPUMilli-w.reserved.CPUMilli) && !w.isHeldFrom(now, t) &&
-		w.suitsStep(now, t) && w.reserved.Add(reservation(s)).FitsIn(w.Capacity)
+		w.suitsStep(now, t) && w.reserved.Add(reservation(s)).FitsIn(w.Capacity) && o.headroomFor(now, t).allows(w, t)
 }
 
 // suitsStep reports whether a worker could take a task, regardless of its free resources and of placement advice.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -229,6 +229,8 @@
 	orphans int
 	// leaseEnd is the end of the lease that was sent last, on the worker's clock.
 	leaseEnd int64
+	// longRunningCPU is the part of the reserved CPU that long-running tasks reserve, in thousandths of a core.
+	longRunningCPU int64
 	// uses is the recent CPU use by image of best-effort tasks, smoothed to match the delay of measured tails.
 	uses   interference.CPUUsage
 	usesAt time.Time
@@ -282,6 +284,9 @@
 	w.attempts = append(w.attempts, a)
 	w.view = nil
 	w.reserved = w.reserved.Add(reservation(a.task.step))
+	if a.task.step.LongRunning {
+		w.longRunningCPU += reservation(a.task.step).CPUMilli
+	}
 }
 
 func (w *worker) remove(a *attempt) {
@@ -290,6 +295,9 @@
 		w.attempts = slices.Concat(w.attempts[:i], w.attempts[i+1:])
 		w.view = nil
 		w.reserved = w.reserved.Sub(reservation(a.task.step))
+		if a.task.step.LongRunning {
+			w.longRunningCPU -= reservation(a.task.step).CPUMilli
+		}
 	}
 }
 
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -7,7 +7,11 @@
 	// BestEffortPace is the mean pace of the best-effort tasks, in percent.
 	BestEffortPace int
 	BestEffort     int
-	Jobs           int
+	// HeadroomAvailable is the CPU that short tasks can use, and HeadroomTarget the part of it that is kept free of long-running
+	// tasks which have never run, in thousandths of a core. They are 0 if the last placement round needed no headroom. With several
+	// services or priorities, those of the smallest remainder are given.
+	HeadroomAvailable, HeadroomTarget int64
+	Jobs                              int
 	// OldestUncommitted and OldestUnstarted are the ages of the oldest change that is not recorded yet, and of the oldest
 	// planned attempt whose start the worker has not confirmed.
 	OldestUncommitted time.Duration
@@ -25,7 +29,9 @@
 	// also counted by themselves.
 	Waiting           int
 	WaitingBestEffort int
-	Workers           int
+	// WaitingLongRunning counts the long-running tasks among the waiting ones.
+	WaitingLongRunning int
+	Workers            int
 }
 
 // Summary returns the counts and ages at now.
@@ -64,11 +70,20 @@
 		for _, t := range j.readyTasks() {
 			if t.isWaiting() {
 				s.Waiting++
-				if t.step.BestEffort {
+				switch {
+				case t.step.BestEffort:
 					s.WaitingBestEffort++
+				case t.step.LongRunning:
+					s.WaitingLongRunning++
 				}
 			}
 		}
 	}
+	isFirst := true
+	for _, h := range o.headrooms {
+		if h != nil && (isFirst || h.available-h.target < s.HeadroomAvailable-s.HeadroomTarget) {
+			s.HeadroomAvailable, s.HeadroomTarget, isFirst = h.available, h.target, false
+		}
+	}
 	return s
 }
