Spread bursts of jobs evenly, and lend the room for short tasks when interrupted tasks wait

Cause: a shard was chosen by loads that are up to 50 ms old and don't show jobs that are on their way to the store.

Change: the host that chose a shard announces the job to its owner, which counts it in the load until it comes (0.85 s at most). Loads are asked anew for each job. The more is expected, the less a difference decides. A host counts its own announcements at once. A log line gives the loads that decided. An owner that holds long-running tasks back asks the others each 0.5 s for interrupted tasks that wait; while there are some, it lends its room.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -17,8 +20,6 @@
 	shardChoices = 2
 	// loadTimeout bounds a load query: two round trips between zones.
 	loadTimeout = 60 * time.Millisecond
-	// maxLoadAge is how long a reported load is reused: about the time until a new job shows in the load that the owner reports.
-	maxLoadAge = 50 * time.Millisecond
 	// maxUnansweredLoadAge is how long a reported load is used while the owner does not answer, which allows for a lost packet. An
 	// owner that is silent for longer is probably overloaded, so its shard counts as full.
 	maxUnansweredLoadAge = 500 * time.Millisecond
@@ -38,6 +39,12 @@
 type loadCache struct {
 	loads map[loadKey]cachedLoad
 	mu    sync.Mutex
+	// unacknowledged is the demand of the jobs that were announced to the owners without an acknowledgement yet.
+	unacknowledged map[loadKey]shard.Load
+}
+
+func newLoadCache() *loadCache {
+	return &loadCache{loads: map[loadKey]cachedLoad{}, unacknowledged: map[loadKey]shard.Load{}}
 }
 
 // chooseShard returns the shard for a new job: the shard of the first assigned rack that a step names, otherwise the one of
@@ -53,24 +60,66 @@
 		}
 	}
 	q, _ := h.config.config().Queue(j.Queue)
-	candidates := rand.Perm(l.Shards)[:min(shardChoices, l.Shards)]
+	candidates := rand.Perm(l.Shards)[:shardChoices]
 	loads := make([]cachedLoad, len(candidates))
 	var queries sync.WaitGroup
 	for i, n := range candidates {
 		queries.Go(func() { loads[i] = h.shardLoad(ctx, loadKey{q.Service, n}) })
 	}
 	queries.Wait()
+	best := h.choose(j, q.Service, candidates, loads)
+	h.logChoice(j, candidates, loads, candidates[best])
+	return candidates[best], true
+}
+
+// choose draws one of two shards by their loads and announces the job to its owner. The loads are extended by the jobs that this host
+// has chosen the shards for without an acknowledgement of their owners.
+func (h *Host) choose(j workflow.Job, service string, candidates []int, loads []cachedLoad) int {
+	demand := shard.Load{}.WithJob(j)
+	h.loads.mu.Lock()
+	for i, n := range candidates {
+		loads[i].Load = loads[i].WithExpected(h.loads.unacknowledged[loadKey{service, n}])
+	}
 	best := 0
-	for i := range candidates {
-		if loads[i].Suitability(j) > loads[best].Suitability(j) {
-			best = i
+	if rand.Float64() >= loads[0].Preference(loads[1].Load, j) {
+		best = 1
+	}
+	k := loadKey{service, candidates[best]}
+	h.loads.unacknowledged[k] = h.loads.unacknowledged[k].WithExpected(demand)
+	h.loads.mu.Unlock()
+	go func() {
+		h.announceJob(j, k, demand)
+		h.loads.mu.Lock()
+		defer h.loads.mu.Unlock()
+		h.loads.unacknowledged[k] = h.loads.unacknowledged[k].WithExpected(shard.Load{Fill: -demand.Fill, Free: -demand.Free})
+	}()
+	return best
+}
+
+// logChoice logs the choice of a shard with the loads that decided it: of each candidate the free CPU, the CPU left to best-effort
+// tasks, the room and the age of these figures.
+func (h *Host) logChoice(j workflow.Job, candidates []int, loads []cachedLoad, chosen int) {
+	considered := make([]string, len(candidates))
+	for i, n := range candidates {
+		considered[i] = fmt.Sprintf("%d: owner unknown or silent", n)
+		if l := loads[i]; l.Room > 0 {
+			considered[i] = fmt.Sprintf("%d: free %d, left %d, expected %d, room %d, age %s", n, l.Free, l.Left-l.Fill, l.Expected, l.Room,
+				time.Since(l.receivedAt).Round(time.Millisecond))
 		}
 	}
-	return candidates[best], true
+	h.log.WithFields(logrus.Fields{"decision": "choose_shard", "candidates": considered, "job": j.ID, "queue": j.Queue, "shard": chosen}).
+		Info("chose the shard of a new job")
 }
 
-// shardLoad returns a shard's load: the last one reported if that is younger than maxLoadAge, else the owner's answer. If the owner
-// does not answer, it is the last one reported if that is younger than maxUnansweredLoadAge, else a load without room.
+// announceJob tells the owner of the chosen shard to expect a job, so that it counts for the hosts that choose next.
+func (h *Host) announceJob(j workflow.Job, k loadKey, demand shard.Load) {
+	h.notifyOwner(k.shard, peer.Message{
+		JobExpected: &peer.JobExpected{Fill: demand.Fill, Free: demand.Free, ID: j.ID, Service: k.service, Shard: k.shard},
+	}, func() bool { return h.ownedShards.expectJob(k.shard, j.ID, k.service, demand) })
+}
+
+// shardLoad returns a shard's load: the owner's answer, or if there is none the last one if that is younger than
+// maxUnansweredLoadAge, else a load without room.
 func (h *Host) shardLoad(ctx context.Context, k loadKey) cachedLoad {
 	if l, ok := h.ownedShards.serviceLoad(k.shard, k.service); ok {
 		return cachedLoad{receivedAt: time.Now(), Load: l}
@@ -78,11 +127,7 @@
 	h.loads.mu.Lock()
 	last := h.loads.loads[k]
 	h.loads.mu.Unlock()
-	age := time.Since(last.receivedAt)
-	if age < maxLoadAge {
-		return last
-	}
-	if age > maxUnansweredLoadAge {
+	if time.Since(last.receivedAt) > maxUnansweredLoadAge {
 		last = cachedLoad{}
 	}
 	o, ok := h.directory.owner(k.shard)
@@ -96,7 +141,8 @@
 		return last
 	}
 	last = cachedLoad{receivedAt: time.Now(), Load: shard.Load{
-		Fill: m.LoadReply.Fill, Free: m.LoadReply.Free, Left: m.LoadReply.Left, Room: m.LoadReply.Room,
+		Expected: m.LoadReply.Expected, Fill: m.LoadReply.Fill, Free: m.LoadReply.Free, Interrupted: m.LoadReply.Interrupted,
+		Left: m.LoadReply.Left, Room: m.LoadReply.Room,
 	}}
 	h.loads.mu.Lock()
 	defer h.loads.mu.Unlock()
--- a/internal/entry/exportchoose_test.go
+++ b/internal/entry/exportchoose_test.go
@@ -18,3 +18,11 @@
 func (h *Host) KnowsLoad(ctx context.Context, shard int) bool {
 	return h.shardLoad(ctx, loadKey{shard: shard}).Room > 0
 }
+
+// ExpectationTime is how long an owner expects a job for which a host has chosen its shard.
+const ExpectationTime = expectationTime
+
+// InterruptedElsewhere returns the number of interrupted tasks of service "" that wait in the shards other than own.
+func (h *Host) InterruptedElsewhere(ctx context.Context, own int) int {
+	return h.interruptedElsewhere(ctx, own, "")
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -44,7 +44,7 @@
 		commitRelay: commitRelay{turn: rand.IntN(1 << 16)},
 		directory:   newDirectory(entry, BootTime),
 		locations:   newLocationCache(),
-		loads:       &loadCache{loads: map[loadKey]cachedLoad{}},
+		loads:       newLoadCache(),
 		log:         entry,
 		now:         BootTime,
 		pending:     newPendingCache(),
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -128,6 +128,15 @@
 	return r.serviceLoad(service)
 }
 
+// expectJob passes on that a host has chosen a shard for a job. It returns false if this host does not own the shard.
+func (o *ownedShards) expectJob(n int, id, service string, demand shard.Load) bool {
+	r := o.runner(n)
+	if r != nil {
+		r.expectJob(id, service, demand)
+	}
+	return r != nil
+}
+
 // runElection takes over shards without an owner and hands shards over to less loaded hosts until ctx ends, then stops all
 // runners.
 func (o *ownedShards) runElection(ctx context.Context) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -26,9 +27,15 @@
 	case m.PendingQuery != nil:
 		n, known := h.ownedShards.pending(m.PendingQuery.Shard, m.PendingQuery.Queue)
 		return peer.Message{PendingReply: &peer.PendingReply{Count: n, Known: known}}, nil
+	case m.JobExpected != nil:
+		e := *m.JobExpected
+		h.ownedShards.expectJob(e.Shard, e.ID, e.Service, shard.Load{Fill: e.Fill, Free: e.Free})
+		return peer.Message{}, nil
 	case m.LoadQuery != nil:
 		l, known := h.ownedShards.serviceLoad(m.LoadQuery.Shard, m.LoadQuery.Service)
-		return peer.Message{LoadReply: &peer.LoadReply{Fill: l.Fill, Free: l.Free, Known: known, Left: l.Left, Room: l.Room}}, nil
+		return peer.Message{LoadReply: &peer.LoadReply{
+			Expected: l.Expected, Fill: l.Fill, Free: l.Free, Interrupted: l.Interrupted, Known: known, Left: l.Left, Room: l.Room,
+		}}, nil
 	case m.ConfigQuery != nil:
 		reply := &peer.ConfigReply{}
 		if active := h.config.current.Load(); active != nil && active.config.Version > m.ConfigQuery.Version {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -35,6 +35,8 @@
 	deposed bool
 	// endedJobs lists the jobs whose final state this owner has recorded and not yet deleted, the oldest first.
 	endedJobs []endedJob
+	// expected holds the jobs for which hosts have chosen this shard.
+	expected expectedJobs
 	// epochKeyRevision is the revision of the shard's epoch key as this host wrote it. The next acquisition is guarded by it.
 	epochKeyRevision int64
 	// hasUnassigned is set while the layout assigns no shard to the rack of a worker.
@@ -76,8 +78,8 @@
 	log := h.log.WithField("shard", n)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &runner{
-		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: h.now(), epochKeyRevision: revision, host: h,
-		lease: lease, log: log,
+		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: h.now(), epochKeyRevision: revision,
+		expected: expectedJobs{}, host: h, lease: lease, log: log,
 		owner: shard.NewOwner(revision, h.now(), shard.WithLog(log), shard.WithTiming(h.timing()),
 			shard.WithStartObserver(startWait.Observe)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
@@ -91,6 +93,7 @@
 	go r.deleteExpiredStates()
 	go r.syncWeights()
 	go r.followLayout()
+	go r.lendHeadroom()
 	go watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
 	go func() {
 		store := r.loadStore()
@@ -312,7 +315,18 @@
 	if !r.loaded || r.deposed {
 		return shard.Load{}, false
 	}
-	return r.owner.Load(service), true
+	expected := r.expected.demand(r.host.now(), service, func(id string) bool {
+		_, ok := r.owner.State(id)
+		return ok
+	})
+	return r.owner.Load(service).WithExpected(expected), true
+}
+
+// expectJob notes that a host has chosen this shard for a job, which it has not recorded yet.
+func (r *runner) expectJob(id, service string, demand shard.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected.add(r.host.now(), id, service, demand)
 }
 
 func (r *runner) loadRegistry(kvs []kvstore.KV, _ int64) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -190,11 +190,24 @@
 // LoadReply is the reply to LoadQuery: the fields of shard.Load, in thousandths of a core. Known is false if the
 // replying host does not own the shard.
 type LoadReply struct {
-	Fill  int64 `json:"fill"`
-	Free  int64 `json:"free"`
-	Known bool  `json:"known"`
-	Left  int64 `json:"left"`
-	Room  int64 `json:"room"`
+	Expected int64 `json:"expected,omitempty"`
+	Fill     int64 `json:"fill"`
+	Free     int64 `json:"free"`
+	// Interrupted is the number of long-running tasks that ran before and wait for a worker.
+	Interrupted int   `json:"interrupted,omitempty"`
+	Known       bool  `json:"known"`
+	Left        int64 `json:"left"`
+	Room        int64 `json:"room"`
+}
+
+// JobExpected tells the owner of a shard that a host has chosen the shard for a job, which it will record. Fill and Free are those of
+// shard.Load for a shard that has nothing but the job. Its reply is empty.
+type JobExpected struct {
+	Fill    int64  `json:"fill"`
+	Free    int64  `json:"free"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Shard   int    `json:"shard"`
 }
 
 // ConfigQuery requests a config newer than Version.
@@ -221,6 +234,7 @@
 	Handover      *Handover       `json:"handover,omitempty"`
 	ID            uint64          `json:"id,omitempty"`
 	JobCancel     *JobCancel      `json:"jc,omitempty"`
+	JobExpected   *JobExpected    `json:"je,omitempty"`
 	JobQuery      *JobQuery       `json:"jq,omitempty"`
 	JobReply      *JobReply       `json:"jr,omitempty"`
 	JobSubmit     *JobSubmit      `json:"js,omitempty"`
--- a/internal/shard/headroom.go
+++ b/internal/shard/headroom.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -96,10 +98,17 @@
 
 func isShort(s *workflow.Step) bool { return !s.LongRunning && !s.BestEffort }
 
+// HeldBack returns the services with long-running tasks that wait because of the headroom only, as of the last placement round.
+func (o *Owner) HeldBack() []string { return slices.Sorted(maps.Keys(o.heldBack)) }
+
+// LendHeadroom lets long-running tasks of a service use the room that is kept for short ones until a time. It is called while tasks
+// whose interruption lasts until they run again find no room in another shard: the service as a whole has none to keep then.
+func (o *Owner) LendHeadroom(service string, until time.Time) { o.lentUntil[service] = until }
+
 // headroomFor returns the headroom that a task has to leave, or nil if there is none: a task that is not long-running, or one that
 // ran before and whose interruption lasts until it runs again.
 func (o *Owner) headroomFor(now time.Time, t *task) *headroom {
-	if !t.step.LongRunning || t.step.BestEffort || t.run > 0 {
+	if !t.step.LongRunning || t.step.BestEffort || t.run > 0 || now.Before(o.lentUntil[t.job.queue.Service]) {
 		return nil
 	}
 	class := shortTasks{t.job.priority, t.job.queue.Service}
--- a/internal/shard/headroom_test.go
+++ b/internal/shard/headroom_test.go
@@ -68,3 +68,78 @@
 	assert.Check(t, inTime >= shortCount*9/10, "%d of %d short jobs were done in time", inTime, shortCount)
 	assert.Check(t, longCPU >= capacity*3/4, "long-running tasks use %d of %d", longCPU, capacity)
 }
+
+// fillWithLongRunning adds long-running jobs until the headroom holds one back, after short jobs have shown their demand.
+func (c *fleetHarness) fillWithLongRunning(t *testing.T, long workflow.Step) (heldBack string) {
+	t.Helper()
+	c.endCause = func(s shard.Start) shard.EndCause {
+		if s.Job[0] == 's' && c.age(s) > 500*time.Millisecond {
+			return shard.EndDone
+		}
+		return ""
+	}
+	short := workflow.Step{Count: 6, Resources: fleet.Resources{CPUMilli: 2000, MemoryMiB: 100}, Estimate: 500 * time.Millisecond}
+	for i := range 40 {
+		c.add(workflow.Job{ID: fmt.Sprintf("s%015x", i), Queue: "q", Steps: []workflow.Step{short}})
+		id := fmt.Sprintf("l%015x", i)
+		c.add(workflow.Job{ID: id, Queue: "q", Steps: []workflow.Step{long}})
+		c.run(250 * time.Millisecond)
+		if len(c.owner.HeldBack()) > 0 {
+			return id
+		}
+	}
+	t.Fatal("no long-running task is held back")
+	return ""
+}
+
+// Guards against room that stays empty for short tasks while long-running tasks that ran before find none in another shard.
+func TestLentHeadroomIsUsedByLongRunningTasks(t *testing.T) {
+	c := newFleetHarness(t, 10)
+	long := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 2000, MemoryMiB: 100}, LongRunning: true}
+	job := c.fillWithLongRunning(t, long)
+	c.run(time.Second)
+	assert.Assert(t, len(c.workersOf(job)) < long.Count, "the job is held back")
+	c.owner.LendHeadroom("s", c.now.Add(2*time.Second))
+	c.run(2 * time.Second)
+	running := 0
+	for _, n := range c.workersOf(job) {
+		running += n
+	}
+	assert.Equal(t, running, long.Count)
+}
+
+// Guards against a headroom that holds back a long-running task which ran before.
+func TestInterruptedTaskUsesHeadroom(t *testing.T) {
+	c := newFleetHarness(t, 10)
+	long := workflow.Step{Count: 4, Resources: fleet.Resources{CPUMilli: 2000, MemoryMiB: 100}, LongRunning: true}
+	c.fillWithLongRunning(t, long)
+	first := fmt.Sprintf("l%015x", 0)
+	c.endRunsWhere(func(s shard.Start) shard.EndCause {
+		if s.Job == first {
+			return shard.EndFailed
+		}
+		return ""
+	})
+	c.run(time.Second)
+	running := 0
+	for _, n := range c.workersOf(first) {
+		running += n
+	}
+	assert.Equal(t, running, long.Count)
+	assert.Equal(t, c.owner.Load("s").Interrupted, 0)
+}
+
+// Guards against owners of other shards that don't learn of a long-running task which waits for its next run.
+func TestLoadCountsInterruptedTasks(t *testing.T) {
+	c := newFleetHarness(t, 1)
+	c.add(workflow.Job{ID: "l000000000000001", Queue: "q", Steps: []workflow.Step{
+		{Count: 1, Resources: fleet.Resources{CPUMilli: 8000, MemoryMiB: 100}, LongRunning: true},
+	}})
+	c.run(time.Second)
+	assert.Equal(t, c.owner.Load("s").Interrupted, 0)
+	c.workers[0].Draining, c.workers[0].Remaining = true, 20*time.Second
+	c.register()
+	c.run(2 * time.Second)
+	assert.Equal(t, len(c.workersOf("l000000000000001")), 0)
+	assert.Equal(t, c.owner.Load("s").Interrupted, 1)
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -30,6 +30,8 @@
 	hasInterrupted bool
 	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
 	headrooms map[shortTasks]*headroom
+	// heldBack holds the services with tasks that the last placement round did not place because of the headroom.
+	heldBack map[string]bool
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
 	heldWorkers int
 	// isHandingOver is set once the shard is handed over to another owner.
@@ -40,7 +42,9 @@
 	// lastRestartPlace is when long-running tasks that ran before were last placed.
 	lastRestartPlace time.Time
 	backlogSortedAt  time.Time
-	log              *logrus.Entry
+	// lentUntil is when the headroom of a service is kept again.
+	lentUntil map[string]time.Time
+	log       *logrus.Entry
 	// observeStart is called with the time from the plan of an attempt to its confirmed start.
 	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
@@ -98,10 +102,12 @@
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
 		headrooms:    map[shortTasks]*headroom{},
+		heldBack:     map[string]bool{},
 		jobs:         map[string]*job{},
 		mostlyIdle:   map[string]bool{},
 		placed:       map[*job][]string{},
 		pressure:     interference.NewPressureModel(),
+		lentUntil:    map[string]time.Time{},
 		log:          logrus.NewEntry(logrus.StandardLogger()),
 		observeStart: func(time.Duration) {},
 		shortDemand:  map[shortTasks]shortDemand{},
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -34,6 +34,7 @@
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
 	clear(o.headrooms)
+	clear(o.heldBack)
 	o.observeShortDemand(now)
 	o.placeRestarts(now, unplaceable)
 	for _, j := range o.backlog {
@@ -131,11 +132,11 @@
 		bestEffort: t.step.BestEffort, headroom: o.headroomFor(now, t), label: t.step.Label, resources: t.step.Resources,
 		service: t.job.queue.Service,
 	}
+	if t.waitingSince.IsZero() && (t.step.BestEffort || t.isInterrupted()) {
+		t.waitingSince = now
+	}
 	if t.step.BestEffort {
 		class.image, class.resources.CPUMilli = t.step.Image, 0
-		if t.waitingSince.IsZero() {
-			t.waitingSince = now
-		}
 		// A task with skipsWait set may be placed while other tasks of its image still wait.
 		class.skipsWait = now.Sub(t.waitingSince) > maxIdleWait && !t.job.hasAttempts() && o.isMostlyIdle(class.service)
 	}
@@ -155,6 +156,9 @@
 		return false
 	}
 	if w == nil {
+		if class.headroom != nil {
+			o.heldBack[class.service] = true
+		}
 		o.hold(now, t)
 		unplaceable[class] = true
 		return false
