Wait until the process is stopped before its peer answers

SIGSTOP takes effect after kill returns. On a busy machine the process got its last answer before and exited, and SIGCONT failed.

Change: the answer is sent once the process is shown as stopped, so it always arrives during the stop.

--- a/internal/entry/stoppedhost_test.go
+++ b/internal/entry/stoppedhost_test.go
@@ -40,6 +40,7 @@
 		}
 		<-started
 		assert.Check(t, host.Process.Signal(syscall.SIGSTOP))
+		waitUntilStopped(t, host.Process.Pid)
 		resumes.Go(func() {
 			time.Sleep(stop)
 			assert.Check(t, host.Process.Signal(syscall.SIGCONT))
@@ -56,6 +57,19 @@
 	assert.Equal(t, strings.Count(out.String(), "the job is completed"), stateQueries, "%s", &out)
 }
 
+// waitUntilStopped waits until a process is stopped. The signal takes effect some time after it was sent, and on a busy machine the
+// process would otherwise get an answer and exit before.
+func waitUntilStopped(t *testing.T, pid int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if !assert.Check(t, err) || strings.Contains(string(status), "T (stopped)") {
+			return
+		}
+	}
+	assert.Check(t, false, "the process is not stopped")
+}
+
 // TestHostProcessThatAsksOwner asks the owner of a shard for the state of a job, in a process that another test stops.
 func TestHostProcessThatAsksOwner(t *testing.T) {
 	address := os.Getenv(ownerAddressEnv)
