Contain panics in one request, entry, watch or shard

Cause: nothing recovered from a panic but net/http for callers. A malformed registry entry whose decoding panics, an unexpected state in the handling of one peer message, of one watch event or in one shard ended the process with its lease and all its shards, and the same input did so on the next owner.

Change: a panic while a peer's request is answered refuses that request. Decoders of registry entries and configs return an error instead, so that the entry is skipped and counted like other malformed ones. After a panic in a watch the keys are read anew. The process, its lease and its other shards go on. Each is logged with the stack and counted (entry_panics, peer_request_panics).

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -81,31 +81,40 @@
 
 func (d *directory) run(ctx context.Context, s kvstore.Store) {
 	watchPrefix(ctx, s, d.log, controlPrefix, func(kvs []kvstore.KV, _ int64) {
-		d.mu.Lock()
-		d.removeMissing(kvs)
-		d.epochs, d.successors = map[int]int64{}, map[int]ownerRecord{}
-		for _, kv := range kvs {
-			d.put(kv)
-		}
-		maps.DeleteFunc(d.successors, func(n int, s ownerRecord) bool { return s.revision <= d.epochs[n] })
-		d.loaded = true
-		d.mu.Unlock()
+		d.replaceAll(kvs)
 		d.notifyWatchers()
 	}, func(events []kvstore.Event) {
-		d.mu.Lock()
-		for _, ev := range events {
-			if ev.Deleted {
-				d.remove(ev.KV.Key)
-			} else {
-				d.recordMissedHandover(ev.KV)
-				d.put(ev.KV)
-			}
-		}
-		d.mu.Unlock()
+		d.apply(events)
 		d.notifyWatchers()
 	})
 }
 
+// replaceAll applies all keys as they were read.
+func (d *directory) replaceAll(kvs []kvstore.KV) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removeMissing(kvs)
+	d.epochs, d.successors = map[int]int64{}, map[int]ownerRecord{}
+	for _, kv := range kvs {
+		d.put(kv)
+	}
+	maps.DeleteFunc(d.successors, func(n int, s ownerRecord) bool { return s.revision <= d.epochs[n] })
+	d.loaded = true
+}
+
+func (d *directory) apply(events []kvstore.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ev := range events {
+		if ev.Deleted {
+			d.remove(ev.KV.Key)
+		} else {
+			d.recordMissedHandover(ev.KV)
+			d.put(ev.KV)
+		}
+	}
+}
+
 func (d *directory) notifyWatchers() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -40,6 +40,8 @@
 // New returns a host that uses the given platform.
 func New(s settings.Settings, p Platform, log *logrus.Logger) *Host {
 	entry := log.WithField("host", s.Host)
+	p.DecodeConfig = safeDecoder(entry, "config", p.DecodeConfig)
+	p.DecodeWorker = safeDecoder(entry, "worker_entry", p.DecodeWorker)
 	h := &Host{
 		commitRelay: commitRelay{turn: rand.IntN(1 << 16)},
 		directory:   newDirectory(entry, BootTime),
--- a/internal/entry/lendheadroom_test.go
+++ b/internal/entry/lendheadroom_test.go
@@ -19,7 +19,7 @@
 		waiting := map[string]int{"0": 5, "1": 0, "2": 3}
 		h := newHost(1, kvstore.Store{})
 		h.SetOwners("0", "1", "2")
-		h.SetRequest(func(ctx context.Context, owner string, m peer.Message) (peer.Message, error) {
+		h.SetRequest(func(ctx context.Context, owner string, _ peer.Message) (peer.Message, error) {
 			if waiting[owner] < 0 {
 				<-ctx.Done()
 				return peer.Message{}, ctx.Err()
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -22,18 +22,18 @@
 			continue
 		}
 		out := make(map[string]workflow.Progress, len(kvs))
-		r.mu.Lock()
-		for _, kv := range kvs {
-			id := strings.TrimPrefix(kv.Key, shardProgressPrefix(r.shard))
-			r.progressRevisions[id] = kv.ModRevision
-			p, err := workflow.Decode[workflow.Progress](kv.Value)
-			if err != nil {
-				r.log.WithError(err).WithField("job", id).Error("ignoring malformed progress record")
-				continue
+		r.locked(func() {
+			for _, kv := range kvs {
+				id := strings.TrimPrefix(kv.Key, shardProgressPrefix(r.shard))
+				r.progressRevisions[id] = kv.ModRevision
+				p, err := workflow.Decode[workflow.Progress](kv.Value)
+				if err != nil {
+					r.log.WithError(err).WithField("job", id).Error("ignoring malformed progress record")
+					continue
+				}
+				out[id] = p
 			}
-			out[id] = p
-		}
-		r.mu.Unlock()
+		})
 		return out
 	}
 	return nil
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,6 +18,7 @@
 	workerCallOutcomes = expvar.NewMap("entry_orders")
 	workerCallTime     = metrics.NewHistogram("entry_order_ms")
 	ownerChanges       = expvar.NewMap("entry_owner_changes")
+	panics             = expvar.NewMap("entry_panics")
 	ownersFenced       = expvar.NewInt("entry_owners_fenced")
 	startWait          = metrics.NewHistogram("entry_start_wait_ms")
 	submitRecordTime   = metrics.NewHistogram("entry_submit_record_ms")
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -268,8 +268,8 @@
 	r.start()
 }
 
-// stopRunner ends the runner of a shard unless it has been stopped before.
-func (o *ownedShards) stopRunner(r *runner, reason string) {
+// stopRunner ends the runner of a shard. It returns false if it has been stopped before.
+func (o *ownedShards) stopRunner(r *runner, reason string) bool {
 	o.mu.Lock()
 	isRunning := o.runners[r.shard] == r
 	if isRunning {
@@ -277,10 +277,11 @@
 	}
 	o.mu.Unlock()
 	if !isRunning {
-		return
+		return false
 	}
 	o.host.log.WithFields(logrus.Fields{"decision": "disown", "shard": r.shard, "reason": reason, "revision": r.ownerRevision()}).
 		Info("gave up the shard")
 	ownerChanges.Add("given_up", 1)
 	r.close()
+	return true
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -89,13 +89,13 @@
 
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
-	go r.loop()
-	go r.deleteExpiredStates()
-	go r.syncWeights()
-	go r.followLayout()
-	go r.lendHeadroom()
-	go watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
-	go func() {
+	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom} {
+		r.run(task)
+	}
+	r.run(func() {
+		watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
+	})
+	r.run(func() {
 		store := r.loadStore()
 		recorded := r.readProgress(store)
 		if r.ctx.Err() != nil {
@@ -105,7 +105,7 @@
 			r.loadJobs(kvs, revision, recorded)
 			recorded = nil
 		}, r.applyJobEvents)
-	}()
+	})
 }
 
 func (r *runner) close() { r.cancel() }
@@ -178,9 +178,7 @@
 
 // updateOwner runs f with the owner locked and then wakes the scheduling loop.
 func (r *runner) updateOwner(f func(now time.Time)) {
-	r.mu.Lock()
-	f(r.host.now())
-	r.mu.Unlock()
+	r.locked(func() { f(r.host.now()) })
 	r.wakeLoop()
 }
 
@@ -196,16 +194,15 @@
 		case <-r.wake:
 		case <-timer.C:
 		}
-		r.mu.Lock()
-		now := r.host.now()
 		pause := electionInterval
-		if r.mayAct(now) {
-			r.reportSummary(now)
-			a := r.owner.Step(now)
-			pause = max(a.Wake.Sub(now), minStepInterval)
-			r.dispatch(a)
-		}
-		r.mu.Unlock()
+		r.locked(func() {
+			if now := r.host.now(); r.mayAct(now) {
+				r.reportSummary(now)
+				a := r.owner.Step(now)
+				pause = max(a.Wake.Sub(now), minStepInterval)
+				r.dispatch(a)
+			}
+		})
 		slept := time.Now()
 		retry.Sleep(r.ctx, minStepInterval)
 		r.observeTimerLag(time.Since(slept) - minStepInterval)
@@ -330,25 +327,25 @@
 }
 
 func (r *runner) loadRegistry(kvs []kvstore.KV, _ int64) {
-	r.mu.Lock()
-	r.registry = map[string]shard.Worker{}
-	for _, kv := range kvs {
-		r.setRegistryEntry(kv)
-	}
-	r.mu.Unlock()
+	r.locked(func() {
+		r.registry = map[string]shard.Worker{}
+		for _, kv := range kvs {
+			r.setRegistryEntry(kv)
+		}
+	})
 	r.updateWorkers()
 }
 
 func (r *runner) applyRegistryEvents(events []kvstore.Event) {
-	r.mu.Lock()
-	for _, ev := range events {
-		if ev.Deleted {
-			delete(r.registry, ev.KV.Key)
-		} else {
-			r.setRegistryEntry(ev.KV)
+	r.locked(func() {
+		for _, ev := range events {
+			if ev.Deleted {
+				delete(r.registry, ev.KV.Key)
+			} else {
+				r.setRegistryEntry(ev.KV)
+			}
 		}
-	}
-	r.mu.Unlock()
+	})
 	r.updateWorkers()
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -33,25 +33,31 @@
 // dispatch starts the actions in the background and later passes their results to the owner. The caller holds r.mu.
 func (r *runner) dispatch(a shard.Actions) {
 	for _, l := range a.Polls {
-		go r.poll(l)
+		r.run(func() { r.poll(l) })
 	}
 	for _, s := range a.Stops {
-		go r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Stop(ctx, s) },
-			func(now time.Time, reply shard.Reply) { r.owner.Stopped(now, s, reply) })
+		r.run(func() {
+			r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Stop(ctx, s) },
+				func(now time.Time, reply shard.Reply) { r.owner.Stopped(now, s, reply) })
+		})
 	}
 	for _, s := range a.Starts {
-		go r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Start(ctx, s) },
-			func(now time.Time, reply shard.Reply) { r.owner.Started(now, s, reply) })
+		r.run(func() {
+			r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Start(ctx, s) },
+				func(now time.Time, reply shard.Reply) { r.owner.Started(now, s, reply) })
+		})
 	}
 	for _, p := range a.Paces {
-		go r.callWorker(p.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Pace(ctx, p) },
-			func(now time.Time, reply shard.Reply) { r.owner.Paced(now, p, reply) })
+		r.run(func() {
+			r.callWorker(p.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Pace(ctx, p) },
+				func(now time.Time, reply shard.Reply) { r.owner.Paced(now, p, reply) })
+		})
 	}
 	for _, advise := range a.AdviceRequests {
-		go r.advise(advise)
+		r.run(func() { r.advise(advise) })
 	}
 	if a.Commit != nil {
-		go r.commit(a.Commit)
+		r.run(func() { r.commit(a.Commit) })
 	}
 }
 
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -106,8 +106,10 @@
 // simulatedFleet is a store, workers and hosts in a synctest bubble.
 type simulatedFleet struct {
 	callCost time.Duration
-	hosts    map[string]*simulatedHost
-	log      io.Writer
+	// changePlatform, if set, changes the platform of the hosts that are started.
+	changePlatform func(*entry.Platform)
+	hosts          map[string]*simulatedHost
+	log            io.Writer
 	// logHook, if set, receives the log entries of the hosts that are started.
 	logHook logrus.Hook
 	mu      sync.Mutex
@@ -204,7 +206,11 @@
 	if f.logHook != nil {
 		log.AddHook(f.logHook)
 	}
-	h.daemon = entry.NewInVirtualTime(s, f.platform(h), log)
+	p := f.platform(h)
+	if f.changePlatform != nil {
+		f.changePlatform(&p)
+	}
+	h.daemon = entry.NewInVirtualTime(s, p, log)
 	h.daemon.SetRequest(h.requestPeer)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	h.cancel = cancel
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -18,7 +18,8 @@
 )
 
 // watchPrefix calls onSnapshot with all keys of a prefix and the revision at which they were read, and then onEvents with their
-// changes, until ctx ends. If the watch falls behind the history that the store keeps, it starts again with a snapshot.
+// changes, until ctx ends. If the watch falls behind the history that the store keeps, or a function panics, it starts again with a
+// snapshot.
 func watchPrefix(ctx context.Context, s kvstore.Store, log *logrus.Entry, prefix string,
 	onSnapshot func(kvs []kvstore.KV, revision int64), onEvents func([]kvstore.Event),
 ) {
@@ -38,12 +39,16 @@
 			log.WithField("prefix", prefix).WithField("revision", revision).Info("watched keys are readable again")
 		}
 		failures = 0
-		onSnapshot(kvs, revision)
-		for ctx.Err() == nil {
-			err := s.Watch(ctx, prefix, revision, func(events []kvstore.Event) {
+		isApplied := runSafely(log, prefix, func() { onSnapshot(kvs, revision) })
+		for isApplied && ctx.Err() == nil {
+			watchCtx, stopWatch := context.WithCancel(ctx)
+			err := s.Watch(watchCtx, prefix, revision, func(events []kvstore.Event) {
 				revision = max(revision, events[len(events)-1].KV.ModRevision)
-				onEvents(events)
+				if isApplied = isApplied && runSafely(log, prefix, func() { onEvents(events) }); !isApplied {
+					stopWatch()
+				}
 			})
+			stopWatch()
 			if errors.Is(err, kvstore.ErrCompacted) {
 				log.WithField("prefix", prefix).WithField("revision", revision).
 					Info("store no longer keeps the watch history; reading all keys again")
@@ -53,5 +58,19 @@
 			retry.Sleep(ctx, backoff.Pause(failures, 0))
 		}
 		failures = 0
+		if !isApplied {
+			retry.Sleep(ctx, maxWatchRetryDelay)
+		}
 	}
 }
+
+// runSafely runs f and returns false if it panics.
+func runSafely(log *logrus.Entry, prefix string, f func()) (ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			logPanic(log.WithField("prefix", prefix), "watch", v)
+		}
+	}()
+	f()
+	return true
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -43,6 +43,7 @@
 var (
 	bytesIn           = expvar.NewInt("peer_bytes_in")
 	bytesOut          = expvar.NewInt("peer_bytes_out")
+	requestPanics     = expvar.NewInt("peer_request_panics")
 	silentConnsClosed = expvar.NewInt("peer_silent_connections_closed")
 )
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,7 +142,7 @@
 }
 
 func (p *Pool) handleRequest(c *conn, msg Message) {
-	reply, err := p.onRequest(c.ctx, msg)
+	reply, err := p.answer(c.ctx, msg)
 	if err != nil {
 		reply = Message{RefusedReason: err.Error()}
 	}
@@ -151,6 +152,20 @@
 	}
 }
 
+// answer calls onRequest. A request on which that panics is refused; the connection and the process go on.
+func (p *Pool) answer(ctx context.Context, msg Message) (reply Message, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			requestPanics.Add(1)
+			p.log.WithFields(logrus.Fields{
+				"decision": "panic_recovered", "in": "peer_request", "id": msg.ID, "panic": v, "stack": string(debug.Stack()),
+			}).Error("recovered from a panic while answering a peer")
+			err = eris.Wrapf(ErrRefused, "internal error")
+		}
+	}()
+	return p.onRequest(ctx, msg)
+}
+
 // conn returns the open connection to an address, or dials one. Concurrent calls for the same address share the attempt.
 func (p *Pool) conn(ctx context.Context, address string) (*conn, error) {
 	p.mu.Lock()
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -119,3 +119,20 @@
 		})
 	}
 }
+
+// Guards against a request whose handling panics and ends the process, or the connection on which others wait.
+func TestPanicRefusesOneRequest(t *testing.T) {
+	_, address := newPool(t, func(_ context.Context, m peer.Message) (peer.Message, error) {
+		if m.JobSubmit != nil {
+			panic("unexpected state")
+		}
+		return peer.Message{LoadReply: &peer.LoadReply{}}, nil
+	})
+	client, _ := newPool(t, refuseAll)
+	for range 2 {
+		_, err := client.Request(t.Context(), address, peer.Message{JobSubmit: &peer.JobSubmit{}})
+		assert.ErrorIs(t, err, peer.ErrRefused)
+		_, err = client.Request(t.Context(), address, peer.Message{LoadQuery: &peer.LoadQuery{}})
+		assert.NilError(t, err)
+	}
+}
