--- /dev/null
+++ b/internal/entry/exportwatch_test.go
@@ -0,0 +1,4 @@
+package entry
+
+// WatchPrefix follows the keys of a prefix.
+var WatchPrefix = watchPrefix
--- a/internal/entry/panics_test.go
+++ b/internal/entry/panics_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
@@ -91,6 +92,49 @@
 	})
 }
 
+// Guards against an event or a snapshot whose handling panics and ends the process, or after which the watch stands still.
+func TestPanicInWatchReadsKeysAnew(t *testing.T) {
+	for name, panicAt := range map[string]int{"in the snapshot": 1, "in an event": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				reads, handled, events := 0, 0, 0
+				store := kvstore.Store{
+					Range: func(context.Context, string) ([]kvstore.KV, int64, error) {
+						reads++
+						return nil, 1, nil
+					},
+					Watch: func(ctx context.Context, _ string, _ int64, onEvents func([]kvstore.Event)) error {
+						time.Sleep(time.Second)
+						onEvents([]kvstore.Event{{}})
+						<-ctx.Done()
+						return ctx.Err()
+					},
+				}
+				handle := func() {
+					if handled++; handled == panicAt {
+						panic("unexpected state")
+					}
+				}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					entry.WatchPrefix(ctx, store, logrus.NewEntry(discardingLogger()), "p/", func([]kvstore.KV, int64) { handle() },
+						func([]kvstore.Event) {
+							handle()
+							events++
+						})
+				}()
+				time.Sleep(5 * time.Second)
+				cancel()
+				<-done
+				assert.Equal(t, reads, 2)
+				assert.Check(t, events >= 1, "no event after the panic")
+			})
+		})
+	}
+}
+
 // ownerRevisions returns the revisions of the owner keys by shard.
 func (f *simulatedFleet) ownerRevisions() map[int]int64 {
 	out := map[int]int64{}
