--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -28,6 +28,10 @@
 	evaluatedPairs, evaluatedRestartPairs int
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
+	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
+	headrooms map[shortTasks]*headroom
+	// heldBack holds the services with tasks that the last placement round did not place because of the headroom.
+	heldBack map[string]bool
 	// heldWorkers is the number of workers that the last placement round held for long-running tasks.
 	heldWorkers int
 	// isHandingOver is set once the shard is handed over to another owner.
@@ -38,7 +42,9 @@
 	// lastRestartPlace is when long-running tasks that ran before were last placed.
 	lastRestartPlace time.Time
 	backlogSortedAt  time.Time
-	log              *logrus.Entry
+	// lentUntil is when the headroom of a service is kept again.
+	lentUntil map[string]time.Time
+	log       *logrus.Entry
 	// observeStart is called with the time from the plan of an attempt to its confirmed start.
 	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
@@ -58,6 +64,9 @@
 	pressure        *interference.PressureModel
 	backlogUnsorted bool
 	seq             int64
+	// shortDemand is the remembered demand of short tasks; it was last updated at shortDemandAt.
+	shortDemand   map[shortTasks]shortDemand
+	shortDemandAt time.Time
 	// sortedByID holds the workers sorted by ID; nil after a change. Every decision iterates over the workers in this
 	// order, so that the same events lead to the same decisions.
 	sortedByID  []*worker
@@ -92,12 +101,16 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
+		headrooms:    map[shortTasks]*headroom{},
+		heldBack:     map[string]bool{},
 		jobs:         map[string]*job{},
 		mostlyIdle:   map[string]bool{},
 		placed:       map[*job][]string{},
 		pressure:     interference.NewPressureModel(),
+		lentUntil:    map[string]time.Time{},
 		log:          logrus.NewEntry(logrus.StandardLogger()),
 		observeStart: func(time.Duration) {},
+		shortDemand:  map[shortTasks]shortDemand{},
 		acquiredAt:   now,
 		timing:       DefaultTiming(),
 		token:        token,
