--- a/internal/entry/expectedjobs.go
+++ b/internal/entry/expectedjobs.go
@@ -6,8 +6,8 @@
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 )
 
-// expectationTime is how long a shard's owner expects a job after a host has chosen the shard for it. The job is recorded within
-// acceptTimeout and added by a notification within notifyTimeout, or else not for this host's reason.
+// expectationTime is how long a shard's owner expects a job after a host has chosen the shard for it: the time to record the job and to
+// notify the owner. A job that has not come by then was most likely refused.
 const expectationTime = acceptTimeout + notifyTimeout
 
 // expectedJobs are the jobs for which hosts have chosen a shard and which its owner does not have yet. They count in the load that the
