Log which runs wait for the lease of a silent worker, and from what it counts

Cause: no line of the log named a long-running task whose last run is on record on a worker that does not answer, nor the event from which the bound for the lease counts. Change: wait_lease lines beside wait lines; counts_from in wait_lease, worker_lost and lease_over; silent_runs in summary and entry_shard. No decision changes.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -226,8 +226,8 @@
 	r.lastSummary = now
 	s := r.owner.Summary(now)
 	for name, n := range map[string]int{
-		"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "uncommitted": s.Uncommitted,
-		"unstarted": s.Unstarted, "waiting": s.Waiting,
+		"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
+		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting,
 	} {
 		v := new(expvar.Int)
 		v.Set(int64(n))
@@ -236,7 +236,7 @@
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "headroom_milli": s.HeadroomAvailable,
 		"headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
-		"serving": s.Serving, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
+		"serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
 		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort,
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -209,9 +209,8 @@
 func (o *Owner) workerByID(id string) *worker {
 	w := o.workers[id]
 	if w == nil {
-		// Upper bound for a lease that an earlier owner renewed just before this owner acquired the shard.
-		inherited := o.acquiredAt.Add(o.timing.onSlowestClock(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
-		w = &worker{Worker: Worker{ID: id}, inheritedLeaseEnd: inherited, uses: interference.CPUUsage{}}
+		inherited := o.timing.longestLeaseFrom(o.acquiredAt, leaseFromTakeover)
+		w = &worker{Worker: Worker{ID: id}, inheritedLease: inherited, uses: interference.CPUUsage{}}
 		o.workers[id] = w
 		o.sortedByID = nil
 	}
@@ -252,9 +251,9 @@
 		if len(w.attempts) == 0 {
 			continue
 		}
-		expiry := w.leaseExpiry(o.timing)
-		if now.Before(expiry) {
-			a.wakeAt(expiry)
+		bound := w.leaseBound(o.timing)
+		if now.Before(bound.end) {
+			a.wakeAt(bound.end)
 			continue
 		}
 		sent := w.sentAttempts()
@@ -270,7 +269,7 @@
 		}
 		o.log.WithFields(logrus.Fields{
 			"decision": "lease_over", "worker": w.ID, "runs": len(sent), "clock_age": now.Sub(w.clockAt).String(),
-			"poll_failures": w.pollFailures, "registered": w.registered,
+			"poll_failures": w.pollFailures, "registered": w.registered, "counts_from": string(bound.origin),
 		}).Warn(reason)
 		for _, at := range sent {
 			o.removeAttempt(at, "lease over")
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -148,9 +148,10 @@
 	w.pollFailures++
 	w.nextPollAt = now.Add(o.timing.PollRetryDelay * time.Duration(min(w.pollFailures, 4)))
 	if w.pollFailures == 1 {
+		bound := w.leaseBound(o.timing)
 		o.log.WithFields(logrus.Fields{
 			"decision": "worker_lost", "worker": w.ID, "outcome": outcome.String(), "runs": len(w.attempts),
-			"lease_over_in": w.leaseExpiry(o.timing).Sub(now).String(),
+			"lease_over_in": bound.end.Sub(now).String(), "counts_from": string(bound.origin),
 		}).Warn("worker did not answer a poll")
 		return
 	}
@@ -186,7 +187,7 @@
 	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.nextPollAt = time.Time{}
 	w.health = health{}
-	w.inheritedLeaseEnd = now.Add(o.timing.onSlowestClock(o.timing.MaxWorkerLease) + o.timing.LeaseMargin)
+	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
 	for _, at := range w.attempts {
 		// A start may have reached the new lifetime before this owner learned of the restart, so the next listing
 		// decides whether the run exists.
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -53,21 +53,26 @@
 			sim.commit(owner, c)
 			return
 		}
-		for _, write := range c.Writes {
-			if write.Final != "" {
-				sim.final[write.Job] = write.Final
-				continue
-			}
-			p, err := workflow.Decode[workflow.Progress](write.Progress)
-			if err != nil {
-				sim.t.Fatal(err)
-			}
-			sim.storedProgress[write.Job] = p
-		}
+		sim.storeWrites(c)
 		owner.Committed(sim.now, c)
 	}})
 }
 
+// storeWrites puts the records of a commit into the store.
+func (sim *simulation) storeWrites(c *shard.Commit) {
+	for _, write := range c.Writes {
+		if write.Final != "" {
+			sim.final[write.Job] = write.Final
+			continue
+		}
+		p, err := workflow.Decode[workflow.Progress](write.Progress)
+		if err != nil {
+			sim.t.Fatal(err)
+		}
+		sim.storedProgress[write.Job] = p
+	}
+}
+
 // injectFault randomly injects a fault, clears one, or cancels a job.
 func (sim *simulation) injectFault() {
 	f := sim.workers[sim.random.IntN(len(sim.workers))]
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -208,12 +208,12 @@
 	// The worker is held for the task heldFor until heldUntil.
 	heldUntil time.Time
 	heldFor   *task
-	// inheritedLeaseEnd is the latest time at which a lease that an earlier owner granted can expire.
-	inheritedLeaseEnd time.Time
-	nextPollAt        time.Time
-	pollFailures      int
-	pollInFlight      bool
-	pollSeq           int64
+	// inheritedLease bounds the leases that earlier owners granted.
+	inheritedLease leaseBound
+	nextPollAt     time.Time
+	pollFailures   int
+	pollInFlight   bool
+	pollSeq        int64
 	// lastEnd is the number of the newest end that the worker listed, recordedEnd that of the newest end that is
 	// durably recorded, and ackedEnd that of the newest end acknowledged to the worker, which may forget ends up to it.
 	recordedEnd, ackedEnd int64
@@ -238,19 +238,6 @@
 	view *view
 }
 
-// leaseExpiry returns the time by which everything on the worker has certainly ended, provided that nothing more is
-// sent. Calls that are executed late don't extend it, since the lease end that they carry is absolute.
-func (w *worker) leaseExpiry(t Timing) time.Time {
-	expiry := w.inheritedLeaseEnd
-	if w.leaseEnd > 0 {
-		left := time.Duration(w.leaseEnd-w.clock) * time.Millisecond
-		if own := w.clockAt.Add(t.onSlowestClock(left) + t.LeaseMargin); own.After(expiry) {
-			expiry = own
-		}
-	}
-	return expiry
-}
-
 // idleRenewalAt returns when the lease of a worker without runs is to be renewed, on a clock as fast as the owner's. If polls got no
 // answer, or this owner has not granted a lease yet, that is at once.
 func (w *worker) idleRenewalAt(t Timing) time.Time {
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -20,6 +20,8 @@
 	OverTarget int
 	Runs       int
 	Serving    int
+	// SilentRuns is the number of runs on record on workers that have not answered the last poll of this owner, or none yet.
+	SilentRuns int
 	Stopping   int
 	// Uncommitted is the number of jobs with changes that are not recorded yet.
 	Uncommitted int
@@ -45,6 +47,9 @@
 		if w.registered {
 			s.Workers++
 		}
+		if w.isSilent() {
+			s.SilentRuns += len(w.sentAttempts())
+		}
 		for _, at := range w.attempts {
 			s.Runs++
 			if at.isUnstarted() {
--- a/internal/shard/wait_test.go
+++ b/internal/shard/wait_test.go
@@ -7,6 +7,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
 // Guards against a failed long-running task that does not run again without a sign in the log of what it waits for.
@@ -40,3 +42,35 @@
 	assert.NilError(t, err)
 	assert.Assert(t, waited >= 2*time.Second && waited < 3*time.Second, waited)
 }
+
+// Guards against a long-running task that has nothing running without a sign in the log that it waits for the lease of a silent worker,
+// and from what that lease counts.
+func TestWaitForLeaseIsLoggedWithItsOrigin(t *testing.T) {
+	const job = "0000000000000001"
+	for origin, takeover := range map[string]bool{"grant": false, "takeover": true} {
+		c := newFleetHarness(t, 2)
+		c.pollTimeout = 900 * time.Millisecond
+		c.run(11 * time.Second)
+		c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+		c.run(time.Second)
+		c.silent = c.running[0].Worker
+		if takeover {
+			c.takeOver()
+		}
+		hook := test.NewLocal(c.log)
+		for range 40 {
+			c.run(100 * time.Millisecond)
+			c.owner.ReportWaits(c.now)
+		}
+		var waits []*logrus.Entry
+		for _, e := range hook.AllEntries() {
+			if e.Data["decision"] == "wait_lease" {
+				waits = append(waits, e)
+			}
+		}
+		assert.Equal(t, len(waits), 1, origin)
+		assert.Equal(t, waits[0].Data["worker"], c.silent, origin)
+		assert.Equal(t, waits[0].Data["counts_from"], origin)
+		assert.Equal(t, c.owner.Summary(c.now).SilentRuns, 1, origin)
+	}
+}
