Show that takeovers in series prolong the wait for a lease

Cause: a new owner assumes that its predecessor granted each worker the longest lease just before the takeover. A run on record on a worker that has left counts as ended that time after the last takeover, however often the owner changes.

--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -126,6 +126,20 @@
 	s.notify()
 }
 
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(kvstore.Event{Deleted: true, KV: kvstore.KV{Key: key}})
+	s.notify()
+}
+
+func (s *memoryStore) get(key string) kvstore.KV {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key]
+}
+
 func (s *memoryStore) endLease(id int64) {
 	s.leases[id].timer.Stop()
 	delete(s.leases, id)
@@ -296,6 +310,10 @@
 // client returns the store as a host sees it.
 func (s *memoryStore) client(h *simulatedHost) kvstore.Store {
 	return kvstore.Store{
+		Get: func(ctx context.Context, key string) (kv kvstore.KV, err error) {
+			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { kv = s.get(key); return nil })
+			return kv, err
+		},
 		Grant: func(ctx context.Context, ttl time.Duration) (id int64, err error) {
 			err = h.callStore(ctx, kvstore.ErrUnavailable, func() error { id = s.grant(ttl); return nil })
 			return id, err
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -52,7 +52,9 @@
 	done   chan struct{}
 	fleet  *simulatedFleet
 	isCut  atomic.Bool
-	name   string
+	// isStopping is set once the host is to be stopped.
+	isStopping atomic.Bool
+	name       string
 	// processor is held while the host computes.
 	processor chan struct{}
 	// slowdown is the factor by which the host is slower than its strength; 0 counts as 1.
@@ -110,6 +112,8 @@
 	changePlatform func(*entry.Platform)
 	hosts          map[string]*simulatedHost
 	log            io.Writer
+	// maxLease is the longest lease of workers that hosts are told; 0 stands for the default.
+	maxLease time.Duration
 	// logHook, if set, receives the log entries of the hosts that are started.
 	logHook logrus.Hook
 	mu      sync.Mutex
@@ -200,6 +204,7 @@
 	h := &simulatedHost{done: make(chan struct{}), fleet: f, name: name, processor: make(chan struct{}, 1), strength: strength}
 	s := settings.Default()
 	s.Host, s.Listen.Peer, s.Zone, s.Platform.Strength = name, name, "z", strength
+	s.Worker.MaxLease.Duration = f.maxLease
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
@@ -227,17 +232,24 @@
 // kill ends the process of a host. Its lease stays until it expires.
 func (f *simulatedFleet) kill(names ...string) {
 	for _, name := range names {
-		f.hosts[name].isCut.Store(true)
-		f.hosts[name].cancel()
+		h := f.host(name)
+		h.isCut.Store(true)
+		h.cancel()
 	}
 	for _, name := range names {
-		<-f.hosts[name].done
+		<-f.host(name).done
 		f.mu.Lock()
 		delete(f.hosts, name)
 		f.mu.Unlock()
 	}
 }
 
+func (f *simulatedFleet) host(name string) *simulatedHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[name]
+}
+
 func (f *simulatedFleet) names() []string {
 	var out []string
 	for name := range f.hosts {
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -21,8 +21,10 @@
 	endCount     int64
 	ended        []shard.EndRow
 	highestEnded map[string]int
-	leaseEnd     time.Time
-	mu           sync.Mutex
+	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call.
+	hasLeft  bool
+	leaseEnd time.Time
+	mu       sync.Mutex
 	// polls lists the polls that the worker accepted.
 	polls   []acceptedPoll
 	runs    map[string]shard.Start
@@ -74,6 +76,8 @@
 	defer w.mu.Unlock()
 	name := s.Key.Name(s.Job)
 	switch {
+	case w.hasLeft:
+		return shard.Reply{Outcome: shard.OutcomeUnknown}
 	case !w.accept(s.Token, s.Until):
 		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
 	case w.runs[name].Run == s.Run:
@@ -109,9 +113,22 @@
 	w.changed = make(chan struct{})
 }
 
+// leave ends the worker for good, and with it all its runs.
+func (w *simulatedWorker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hasLeft = true
+	for name := range w.runs {
+		w.end(name, shard.EndFailed)
+	}
+}
+
 func (w *simulatedWorker) stop(s shard.Stop) shard.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.hasLeft {
+		return shard.Reply{Outcome: shard.OutcomeUnknown}
+	}
 	if !w.accept(s.Token, 0) {
 		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
 	}
@@ -126,6 +143,12 @@
 func (w *simulatedWorker) poll(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.hasLeft {
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return shard.Listing{}, shard.OutcomeUnknown
+	}
 	if !w.accept(p.Token, p.Until) {
 		return shard.Listing{}, shard.OutcomeFenced
 	}
@@ -141,7 +164,7 @@
 		}
 		w.mu.Lock()
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || w.hasLeft {
 		return shard.Listing{}, shard.OutcomeUnknown
 	}
 	list := shard.Listing{Born: w.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -24,8 +24,14 @@
 // runFleet runs a scenario on a fleet whose shards have long-running tasks that fail and short jobs. A strong host can own one of
 // these shards, a weak one lacks processor time for it.
 func runFleet(t *testing.T, seed uint64, shards int, scenario func(*simulatedFleet)) {
+	runFleetWithLease(t, seed, shards, 0, scenario)
+}
+
+// runFleetWithLease is runFleet with hosts that are told the longest lease of workers.
+func runFleetWithLease(t *testing.T, seed uint64, shards int, maxLease time.Duration, scenario func(*simulatedFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, seed, shards, simulatedWorkers)
+		f.maxLease = maxLease
 		f.tasks.failAfter = func() time.Duration { return time.Duration(500+f.int(15_000)) * time.Millisecond }
 		f.addLongRunning(20)
 		ctx, stopLoad := context.WithCancel(t.Context())
