Count the time until a draining worker leaves from its notice, not from the takeover

What callers saw: short tasks on a draining worker ended with it, so that their tasks waited for the lease of the worker. Cause: each new owner counted the remaining time of a draining worker from its own takeover, and stopped the runs too late. Change: the handover says for how long each worker has been draining. It applies to the same lifetime of the worker only. Result: TestRunsLeaveDrainingWorkerInTimeDespiteHandovers, handovers 0.6 s apart: before, the run was still on the worker when it could leave; now it is stopped in time.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -19,7 +19,9 @@
 	_ struct{} `cbor:",toarray"`
 	// Born identifies the worker's lifetime.
 	Born int64
-	ID   string
+	// Draining is how long the worker has been draining; 0 if it is not.
+	Draining time.Duration
+	ID       string
 	// Left is the longest time until everything on the worker has ended, on the owners' clocks.
 	Left time.Duration
 }
@@ -28,9 +30,13 @@
 func (h Handover) WithAge(age time.Duration) Handover {
 	var out Handover
 	for _, w := range h.Workers {
-		if w.Left -= age; w.Left > 0 {
-			out.Workers = append(out.Workers, w)
+		if w.Left -= age; w.Left <= 0 {
+			continue
 		}
+		if w.Draining > 0 {
+			w.Draining += age
+		}
+		out.Workers = append(out.Workers, w)
 	}
 	return out
 }
@@ -40,7 +46,11 @@
 	var h Handover
 	for _, w := range o.sortedWorkers() {
 		if left := w.leaseExpiry(o.timing).Sub(now); left > 0 {
-			h.Workers = append(h.Workers, WorkerLease{Born: w.Born, ID: w.ID, Left: left})
+			lease := WorkerLease{Born: w.Born, ID: w.ID, Left: left}
+			if w.Draining {
+				lease.Draining = now.Sub(w.drainingSince)
+			}
+			h.Workers = append(h.Workers, lease)
 		}
 	}
 	return h
@@ -54,6 +64,9 @@
 		if w.inheritedLease.origin == leaseFromTakeover {
 			w.inheritedLease = o.inheritedLease(w.ID)
 		}
+		if w.Draining {
+			w.drainingSince = minTime(w.drainingSince, o.inheritedDrainStart(w.Worker))
+		}
 	}
 	o.log.WithFields(logrus.Fields{"decision": "inherit", "leases": len(h.Workers)}).
 		Info("adopting what the last owner knew of the workers")
@@ -73,6 +86,16 @@
 	return leaseBound{end: minTime(bound.end, o.acquiredAt.Add(left)), origin: leaseFromHandover}
 }
 
+// inheritedDrainStart returns when a draining worker began to drain as far as the last owner knew, or now.
+func (o *Owner) inheritedDrainStart(w Worker) time.Time {
+	if o.inherited != nil {
+		if i := o.inherited.indexOf(w.ID); i >= 0 && o.inherited.Workers[i].Born == w.Born {
+			return o.acquiredAt.Add(-o.inherited.Workers[i].Draining)
+		}
+	}
+	return o.now
+}
+
 func (h Handover) indexOf(worker string) int {
 	return slices.IndexFunc(h.Workers, func(w WorkerLease) bool { return w.ID == worker })
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -162,6 +162,7 @@
 
 // SetWorkers replaces the list of the shard's workers with the registry's current one.
 func (o *Owner) SetWorkers(now time.Time, list []Worker) {
+	o.now = now
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
 		listed[entry.ID] = true
@@ -170,7 +171,7 @@
 			w.nextPollAt = time.Time{}
 		}
 		if entry.Draining && !w.Draining {
-			w.drainingSince = now
+			w.drainingSince = minTime(now, o.inheritedDrainStart(entry))
 			o.log.WithFields(logrus.Fields{
 				"decision": "drain_worker", "worker": entry.ID, "remaining": entry.Remaining.String(),
 				"runs": len(w.attempts),
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -77,3 +77,26 @@
 		assert.Equal(t, c.workersOf(job)[silent], 1)
 	}
 }
+
+// Guards against runs that end with their draining worker, so that their tasks wait for its lease, because each new owner counts the
+// time until the worker leaves from its takeover.
+func TestRunsLeaveDrainingWorkerInTimeDespiteHandovers(t *testing.T) {
+	const job = "0000000000000001"
+	const remaining = 3 * time.Second
+	c := newFleetHarness(t, 2)
+	c.run(11 * time.Second)
+	c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{smallStep}})
+	c.run(time.Second)
+	w := c.worker(c.running[0].Worker)
+	w.Draining, w.Remaining = true, remaining
+	c.register()
+	began := c.now
+	for c.now.Sub(began) < remaining {
+		c.run(600 * time.Millisecond)
+		c.handOver()
+		if c.workersOf(job)[w.ID] == 0 {
+			return
+		}
+	}
+	t.Errorf("the run is still on the worker when it may leave")
+}
