Let the next owner of a shard send the starts that were recorded and not sent

What callers saw: after a change of the owner a task waited for the lease of a silent worker to which its start had never gone, and elsewhere for a second plan and its record. Cause: a recorded attempt counts as running until its worker has answered, since the next owner can't know whether its start was sent. Change: the handover names the attempts that were not sent. The next owner takes them as its own: it sends them, or drops them after two polls without an answer. Such an attempt is not dropped before the registry is read.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -25,7 +25,7 @@
 			}
 			switch at.phase {
 			case phaseReady:
-				if !w.registered || w.Draining || !w.fenced && w.pollFailures > 0 || at.task.job.final != "" {
+				if !w.registered && o.isRegistryRead || w.Draining || !w.fenced && w.pollFailures > 0 || at.task.job.final != "" {
 					o.removeAttempt(at, "worker can no longer take it")
 					o.markDirty(at.task.job)
 					continue
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -5,11 +5,15 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Handover is what an owner that gives its shard up knows about workers that the records of jobs do not tell the next
+// Handover is what an owner that gives its shard up knows about workers and attempts that the records of jobs do not tell the next
 // one. Its durations count from the moment at which the owner sent its last order.
 type Handover struct {
+	// Unsent holds the attempts that may be on record and were never sent.
+	Unsent []UnsentAttempt `cbor:"1,keyasint,omitempty"`
 	// Workers holds the workers whose leases may not have expired. All other workers of the shard have none.
 	Workers []WorkerLease `cbor:"2,keyasint,omitempty"`
 }
@@ -26,9 +30,17 @@
 	Left time.Duration
 }
 
+// UnsentAttempt identifies an attempt that was never sent to its worker.
+type UnsentAttempt struct {
+	_   struct{} `cbor:",toarray"`
+	Job string
+	Key workflow.TaskKey
+	Run int
+}
+
 // WithAge returns the handover as it reads when a time has passed in which no order was sent.
 func (h Handover) WithAge(age time.Duration) Handover {
-	var out Handover
+	out := Handover{Unsent: h.Unsent}
 	for _, w := range h.Workers {
 		if w.Left -= age; w.Left <= 0 {
 			continue
@@ -52,6 +64,11 @@
 			}
 			h.Workers = append(h.Workers, lease)
 		}
+		for _, at := range w.attempts {
+			if !at.isSent() {
+				h.Unsent = append(h.Unsent, UnsentAttempt{Job: at.task.job.ID, Key: at.task.key, Run: at.run})
+			}
+		}
 	}
 	return h
 }
@@ -68,7 +85,7 @@
 			w.drainingSince = minTime(w.drainingSince, o.inheritedDrainStart(w.Worker))
 		}
 	}
-	o.log.WithFields(logrus.Fields{"decision": "inherit", "leases": len(h.Workers)}).
+	o.log.WithFields(logrus.Fields{"decision": "inherit", "leases": len(h.Workers), "unsent": len(h.Unsent)}).
 		Info("adopting what the last owner knew of the workers")
 }
 
@@ -100,6 +117,11 @@
 	return slices.IndexFunc(h.Workers, func(w WorkerLease) bool { return w.ID == worker })
 }
 
+// isUnsent reports whether an attempt on record was never sent.
+func (h Handover) isUnsent(job string, k workflow.TaskKey, run int) bool {
+	return slices.ContainsFunc(h.Unsent, func(u UnsentAttempt) bool { return u.Job == job && u.Key == k && u.Run == run })
+}
+
 // BeginHandover prepares the handover of the shard to another owner. From then on no starts are planned and no commit begins, so
 // that the handover does not wait for changes that never cease. The next owner learns of unrecorded ones from the workers, as after
 // a crash. A handover that has begun does not end: this owner never plans again.
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -11,7 +11,7 @@
 )
 
 // Restore adds a job with its recorded progress. Recorded attempts count as running until their workers have been
-// polled.
+// polled, but those that the last owner did not send are ready to be sent.
 func (o *Owner) Restore(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
 	o.now = now
 	if o.jobs[j.ID] != nil {
@@ -55,8 +55,12 @@
 			w.incarnation = ra.Born
 		}
 		at := &attempt{phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1}
+		if o.inherited != nil && o.inherited.isUnsent(n.ID, k, ra.Run) {
+			at.markReady(now)
+		} else {
+			t.started, n.started = true, true
+		}
 		t.attempts = append(t.attempts, at)
-		t.started, n.started = true, true
 		w.add(at)
 	}
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -36,6 +36,8 @@
 	heldWorkers int
 	// inherited is what the last owner handed over, or nil.
 	inherited *Handover
+	// isRegistryRead is set once the shard's workers are known.
+	isRegistryRead bool
 	// isHandingOver is set once the shard is handed over to another owner.
 	isHandingOver bool
 	jobs          map[string]*job
@@ -162,7 +164,7 @@
 
 // SetWorkers replaces the list of the shard's workers with the registry's current one.
 func (o *Owner) SetWorkers(now time.Time, list []Worker) {
-	o.now = now
+	o.now, o.isRegistryRead = now, true
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
 		listed[entry.ID] = true
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -60,6 +60,11 @@
 // isSent reports whether the worker may know about the attempt.
 func (a *attempt) isSent() bool { return a.phase != phasePlanned && a.phase != phaseReady }
 
+// markReady makes an attempt that an earlier owner recorded ready to be sent.
+func (a *attempt) markReady(now time.Time) {
+	a.phase, a.pace, a.plannedAt, a.sentAt = phaseReady, fullPace, now, time.Time{}
+}
+
 // isUnstarted reports whether this owner planned the attempt and the worker has not confirmed its start.
 func (a *attempt) isUnstarted() bool {
 	return !a.plannedAt.IsZero() && (a.phase == phasePlanned || a.phase == phaseReady || a.phase == phaseSent)
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
@@ -78,6 +79,35 @@
 	}
 }
 
+// Guards against a task that waits for the lease of a worker to which its start was never sent, since the owner was replaced between
+// the record and the start.
+func TestUnsentStartIsSentByNextOwner(t *testing.T) {
+	const busy, planned = "0000000000000001", "0000000000000002"
+	for _, silent := range []string{"", "a0", "b1"} {
+		c := newFleetHarness(t, 2)
+		c.pollTimeout = 900 * time.Millisecond
+		c.run(11 * time.Second)
+		two := smallStep
+		two.Count, two.PerWorker = 2, 1
+		c.add(workflow.Job{ID: busy, Queue: "q", Steps: []workflow.Step{two}})
+		c.run(time.Second)
+		c.store.answerTime = func() time.Duration { return time.Hour }
+		c.add(workflow.Job{ID: planned, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+		c.run(200 * time.Millisecond)
+		c.store = commitStore{received: c.store.received}
+		c.silent = silent
+		c.handOver()
+		assert.Equal(t, len(c.workersOf(planned)), 0)
+		started := c.waitFor(20*time.Second, func() bool { return len(c.workersOf(planned)) > 0 })
+		// Two polls without an answer, 0.9 s each, show that a worker is silent.
+		assert.Check(t, started <= 2500*time.Millisecond, "silent worker %q: the task runs after %s", silent, started)
+		if silent == "" {
+			assert.Check(t, started <= 100*time.Millisecond, "the task runs after %s", started)
+			assert.Check(t, is.Equal(c.starts[len(c.starts)-1].Run, 1))
+		}
+	}
+}
+
 // Guards against runs that end with their draining worker, so that their tasks wait for its lease, because each new owner counts the
 // time until the worker leaves from its takeover.
 func TestRunsLeaveDrainingWorkerInTimeDespiteHandovers(t *testing.T) {
