Send a recorded start again that its worker does not list

What callers saw: after a change of the owner a task that had been placed was placed anew, and waited for a further record. Cause: a run that the last owner had recorded and whose start did not arrive was given up, and the next one had to be planned and recorded first. With a takeover each second the next owner was stopped before that, again and again. Change: the new owner sends the same run. Its token has been accepted by then, so the earlier start can't be carried out any more, and a worker starts a run once. Members of a gang are still placed together. Result: TestRecordedStartIsSentAgainWithoutFurtherRecord: nothing was started within 100 ms before; run 1 is now, without a record.

--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -322,6 +322,8 @@
 	for _, at := range w.attempts {
 		switch {
 		case listed[at], at.inFlight, !at.confirmedAt.Before(sent):
+		case at.phase == phaseInherited && o.mayResend(w, at):
+			at.markReady(now)
 		case at.phase == phaseInherited:
 			o.removeAttempt(at, "the earlier owner's start was not carried out")
 		case at.phase == phaseRunning, at.phase == phaseStopped:
@@ -330,6 +332,13 @@
 	}
 }
 
+// mayResend reports whether an attempt that an earlier owner recorded, and that its worker does not list, may be sent as it is. The
+// worker has accepted the present token, so a start of the earlier owner can't be carried out any more. Members of a gang are placed
+// together, and runs without an attempt take room of unknown size.
+func (o *Owner) mayResend(w *worker, at *attempt) bool {
+	return !at.task.step.Gang && !at.task.done && at.task.job.final == "" && w.orphans == 0 && w.registered && !w.Draining
+}
+
 // stopOrphan stops a run that is not on record, or that already counts as ended.
 func (o *Owner) stopOrphan(w *worker, r RunningRow) {
 	o.log.WithFields(logrus.Fields{
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -130,3 +130,25 @@
 	}
 	t.Errorf("the run is still on the worker when it may leave")
 }
+
+// Guards against a further record, and the wait for it, before a recorded start is sent again that the last owner could not deliver. In
+// a series of takeovers the start would be planned anew by each owner.
+func TestRecordedStartIsSentAgainWithoutFurtherRecord(t *testing.T) {
+	const job = "0000000000000001"
+	c := newFleetHarness(t, 1)
+	c.pollTimeout = 900 * time.Millisecond
+	c.run(11 * time.Second)
+	c.store.answerTime = func() time.Duration { return 50 * time.Millisecond }
+	c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+	c.waitFor(time.Second, func() bool { return len(c.store.received) > 0 })
+	c.silent = "a0"
+	c.run(200 * time.Millisecond) // the start gets no answer
+	commits := len(c.store.received)
+	c.silent = ""
+	c.takeOver()
+	c.store.answerTime = func() time.Duration { return time.Hour }
+	c.run(100 * time.Millisecond)
+	assert.Equal(t, c.workersOf(job)["a0"], 1, "the task runs")
+	assert.Equal(t, c.starts[0].Run, 1)
+	assert.Equal(t, len(c.store.received), commits)
+}
