Send the starts of interrupted tasks before other starts

What callers saw: long-running tasks that had a worker again still had nothing running while their owner sent other starts. Cause: starts went out in the order of the workers. An owner without processor time to spare sends those of one record over a second. Change: starts of long-running tasks that ran before come first. Result: TestStartsOfInterruptedTasksAreSentFirst: the start was not the first of nine before, and is now.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -55,6 +57,16 @@
 			}
 		}
 	}
+	// An owner that is short of processor time sends them over a second, and a stopped long-running task is interrupted meanwhile.
+	slices.SortStableFunc(a.Starts, func(x, y Start) int { return cmp.Compare(o.startRank(x), o.startRank(y)) })
+}
+
+// startRank ranks starts by the order in which they are sent: those of long-running tasks that ran before come first.
+func (o *Owner) startRank(s Start) int {
+	if t := o.task(s.Job, s.Key); t != nil && t.step.LongRunning && s.Run > 1 {
+		return 0
+	}
+	return 1
 }
 
 func (o *Owner) startOrder(now time.Time, at *attempt) Start {
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,24 @@
 	assert.Equal(t, c.starts[0].Run, 1)
 	assert.Equal(t, len(c.store.received), commits)
 }
+
+// Guards against the start of an interrupted task behind those of tasks that never ran: an owner without processor time to spare sends
+// them over a second.
+func TestStartsOfInterruptedTasksAreSentFirst(t *testing.T) {
+	const failed, other = "0000000000000001", "0000000000000002"
+	c := newFleetHarness(t, 3)
+	c.run(11 * time.Second)
+	c.add(workflow.Job{ID: failed, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+	c.run(time.Second)
+	c.store.answerTime = func() time.Duration { return 500 * time.Millisecond }
+	c.add(workflow.Job{ID: other, Queue: "q", Steps: []workflow.Step{smallStep}})
+	c.run(100 * time.Millisecond) // what follows waits for this commit, and is in the next one
+	c.endRunsWhere(func(shard.Start) shard.EndCause { return shard.EndFailed })
+	for i := range 8 {
+		c.add(workflow.Job{ID: fmt.Sprintf("%016x", 3+i), Queue: "q", Steps: []workflow.Step{smallStep}})
+	}
+	c.waitFor(2*time.Second, func() bool { return len(c.starts) > 2 })
+	sent := c.starts[2:]
+	assert.Equal(t, len(sent), 9)
+	assert.Equal(t, sent[0].Job, failed)
+}
