Show that a start is sent again to a worker that came back as another kind

Cause: mayResend does not check whether the step still suits the worker. A new lifetime of a worker may be of another kind, and before this change its tasks were placed anew. Change: a test with a worker that loses the label and one that loses its room. No code is changed.

--- a/internal/shard/restartedworker_test.go
+++ b/internal/shard/restartedworker_test.go
@@ -40,3 +40,26 @@
 	assert.Equal(t, len(c.starts), 2)
 	assert.Check(t, is.Equal(c.starts[1].Run, 2))
 }
+
+// Guards against a start on a worker that the step does not suit: the worker's present lifetime may be of another kind than the one for
+// which the attempt was planned.
+func TestRecordedStartIsNotSentToWorkerOfAnotherKind(t *testing.T) {
+	const job = "0000000000000001"
+	for name, change := range map[string]func(*fakeWorker){
+		"label": func(f *fakeWorker) { f.Labels = []string{"r"} },
+		"room":  func(f *fakeWorker) { f.Capacity.CPUMilli = 500 },
+	} {
+		c := newFleetHarness(t, 2)
+		c.run(11 * time.Second)
+		step := longRunningStep
+		step.Label = "a"
+		c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{step}})
+		c.run(time.Second)
+		f := c.worker(c.running[0].Worker)
+		change(f)
+		c.restartWorker(f)
+		c.run(2 * time.Second)
+		assert.Equal(t, len(c.starts), 2, name)
+		assert.Check(t, c.starts[1].Worker != f.ID, "%s: the task starts on a worker that can't take it", name)
+	}
+}
