Show that the wait for the lease of a restarted worker starts anew with each handover

What callers saw: the tasks of a worker that restarted and does not answer wait for a whole lease after the last takeover, as in the incident. Cause: the runs on record name the earlier lifetime of the worker, so each new owner that reads the registry takes the restart for news: handleRestart replaces the bound that was handed over by the longest lease from that moment, although the last owner knew the present lifetime. WorkerLease.Born names it, and is used for the time of draining only. Change: a test. No code is changed.

--- a/internal/shard/restartedworker_test.go
+++ b/internal/shard/restartedworker_test.go
@@ -63,3 +63,29 @@
 		assert.Check(t, c.starts[1].Worker != f.ID, "%s: the task starts on a worker that can't take it", name)
 	}
 }
+
+// Guards against a wait for the lease of a restarted worker that starts anew with each handover: each owner learns of the restart from
+// the registry, although the one before it knew of it.
+func TestLeaseOfRestartedWorkerEndsDespiteHandovers(t *testing.T) {
+	const job = "0000000000000001"
+	// The longest lease, 2% more on a slow clock, and the margin.
+	const most = maxLease*102/100 + time.Second
+	for _, handovers := range []int{0, 1, 8} {
+		c := newFleetHarness(t, 3)
+		c.pollTimeout = 900 * time.Millisecond
+		c.run(11 * time.Second)
+		c.add(workflow.Job{ID: job, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+		c.run(time.Second)
+		f := c.worker(c.running[0].Worker)
+		c.silent = f.ID
+		c.restartWorker(f)
+		began := c.now
+		for range handovers {
+			c.run(800 * time.Millisecond)
+			c.handOver()
+		}
+		c.waitFor(30*time.Second, func() bool { return len(c.starts) > 1 })
+		assert.Assert(t, len(c.starts) > 1, "after %d handovers the task never runs again", handovers)
+		assert.Check(t, c.now.Sub(began) <= most, "after %d handovers the task runs again after %s", handovers, c.now.Sub(began))
+	}
+}
