Show that a panic in the read of the handover record ends the process

Cause: runner.start reads the record in a goroutine of a WaitGroup, which does not recover as the tasks of runner.run do. The deferred recovery of its caller is in another goroutine. runner.endOrders, called by giveUp, has none either. Change: a test, which ends the test process while it fails. No code is changed.

--- a/internal/entry/panics_test.go
+++ b/internal/entry/panics_test.go
@@ -148,3 +148,31 @@
 	}
 	return out
 }
+
+// Guards against a handover record whose reading panics and ends the process with all its shards.
+func TestPanicInReadOfHandoverKeepsProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 1, 1, simulatedWorkers)
+		f.start("one", strongHost)
+		f.addLongRunning(20)
+		time.Sleep(4 * time.Second)
+		f.changePlatform = func(p *entry.Platform) {
+			get := p.Store.Get
+			p.Store.Get = func(ctx context.Context, key string) (kvstore.KV, error) {
+				if strings.Contains(key, "handover/") {
+					panic("unexpected type")
+				}
+				return get(ctx, key)
+			}
+		}
+		f.start("two", strongHost)
+		time.Sleep(2 * time.Second)
+		f.host("one").daemon.DrainShards(t.Context())
+		f.kill("one")
+		time.Sleep(contactTime + restartGrace)
+		owner := f.owner()
+		assert.Assert(t, owner != nil && owner.name == "two", "the shard has no owner")
+		assert.Equal(t, len(f.tasks.idle()), 0, "tasks with nothing running")
+		f.kill("two")
+	})
+}
