Count the drain of a worker that was handed over as not draining from its notice

What callers saw: runs of short tasks were stopped as soon as their worker began to drain, up to its whole notice too early. Cause: a worker that was handed over with no time of draining counted as draining since the takeover. Change: only a time above 0 moves the start of the drain.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -106,7 +106,7 @@
 // inheritedDrainStart returns when a draining worker began to drain as far as the last owner knew, or now.
 func (o *Owner) inheritedDrainStart(w Worker) time.Time {
 	if o.inherited != nil {
-		if i := o.inherited.indexOf(w.ID); i >= 0 && o.inherited.Workers[i].Born == w.Born {
+		if i := o.inherited.indexOf(w.ID); i >= 0 && o.inherited.Workers[i].Born == w.Born && o.inherited.Workers[i].Draining > 0 {
 			return o.acquiredAt.Add(-o.inherited.Workers[i].Draining)
 		}
 	}
