--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -31,6 +31,8 @@
 
 // attempt is a run of a task on a worker that is not proven to have ended.
 type attempt struct {
+	// born is the lifetime of the worker for which an earlier owner recorded the attempt; 0 for an attempt of this owner.
+	born int64
 	// confirmedAt is when the worker answered the start or the stop, or first listed the run.
 	confirmedAt time.Time
 	// measurement is the value that the worker listed last for the run: a tail latency or CPU use.
