Hand the known lifetimes of workers over to the next owner of a shard

What callers saw: tasks of a worker that restarted and does not answer waited for a whole lease after the last takeover. Cause: records of runs name the earlier lifetime, so each new owner took the restart for news and assumed the longest lease from then. Change: a worker that is named in the handover begins in the lifetime that the last owner knew. Result: TestLeaseOfRestartedWorkerEndsDespiteHandovers failed with 11.3 s after one handover and 16.9 s after eight; it passes (11.2 s allowed).

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -21,7 +21,7 @@
 // WorkerLease is how long the lease of a worker may still last.
 type WorkerLease struct {
 	_ struct{} `cbor:",toarray"`
-	// Born identifies the worker's lifetime.
+	// Born identifies the latest lifetime of the worker that the owner knows.
 	Born int64
 	// Draining is how long the worker has been draining; 0 if it is not.
 	Draining time.Duration
@@ -58,7 +58,7 @@
 	var h Handover
 	for _, w := range o.sortedWorkers() {
 		if left := w.leaseExpiry(o.timing).Sub(now); left > 0 {
-			lease := WorkerLease{Born: w.Born, ID: w.ID, Left: left}
+			lease := WorkerLease{Born: max(w.incarnation, w.Born), ID: w.ID, Left: left}
 			if w.Draining {
 				lease.Draining = now.Sub(w.drainingSince)
 			}
@@ -81,6 +81,9 @@
 		if w.inheritedLease.origin == leaseFromTakeover {
 			w.inheritedLease = o.inheritedLease(w.ID)
 		}
+		if w.incarnation == 0 {
+			w.incarnation = h.lifetime(w.ID)
+		}
 		if w.Draining {
 			w.drainingSince = minTime(w.drainingSince, o.inheritedDrainStart(w.Worker))
 		}
@@ -113,6 +116,14 @@
 	return o.now
 }
 
+// lifetime returns the lifetime of a worker that the last owner knew, or 0 if it is not named.
+func (h Handover) lifetime(worker string) int64 {
+	if i := h.indexOf(worker); i >= 0 {
+		return h.Workers[i].Born
+	}
+	return 0
+}
+
 func (h Handover) indexOf(worker string) int {
 	return slices.IndexFunc(h.Workers, func(w WorkerLease) bool { return w.ID == worker })
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -215,6 +215,9 @@
 	w := o.workers[id]
 	if w == nil {
 		w = &worker{Worker: Worker{ID: id}, inheritedLease: o.inheritedLease(id), uses: interference.CPUUsage{}}
+		if o.inherited != nil {
+			w.incarnation = o.inherited.lifetime(id)
+		}
 		o.workers[id] = w
 		o.sortedByID = nil
 	}
