Recover from a panic in the read of a handover record

What callers saw: not seen; the process would end with all its shards, and so would the next host that takes the shard. Cause: the record is read in a goroutine of its own, in which a panic is not recovered. Change: a panic counts as a record that can't be read. Result: TestPanicInReadOfHandoverKeepsProcess ended the test process before and passes.

--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -17,7 +17,13 @@
 
 // readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash, or
 // it can't be read. The new owner then relies on the longest lease of a worker.
-func (r *runner) readHandover(ctx context.Context) *shard.Handover {
+func (r *runner) readHandover(ctx context.Context) (handover *shard.Handover) {
+	defer func() {
+		if v := recover(); v != nil {
+			logPanic(r.log, "handover", v)
+			handover = nil
+		}
+	}()
 	if r.previousEpoch == 0 || r.host.platform.Store.Get == nil {
 		return nil
 	}
