Hand over what is decided or learned and not recorded

What callers saw: a task whose run had ended waited for a lease when its worker left and the shard changed hands before the end was recorded. Cause: a handover lets no commit begin, so ends and plans that wait for one were lost. The next owner learned of them from the workers, and from a worker that does not answer only when its lease was over. Change: the handover has the progress of jobs with unrecorded changes, 128 KiB at most. The next owner goes on from it and records it before it sends or acknowledges anything.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -12,6 +12,8 @@
 // Handover is what an owner that gives its shard up knows about workers and attempts that the records of jobs do not tell the next
 // one. Its durations count from the moment at which the owner sent its last order.
 type Handover struct {
+	// Progress holds the progress of jobs whose last changes are not recorded, by job. Their attempts that were not sent are plans.
+	Progress map[string]workflow.Progress `cbor:"3,keyasint,omitempty"`
 	// Unsent holds the attempts that may be on record and were never sent.
 	Unsent []UnsentAttempt `cbor:"1,keyasint,omitempty"`
 	// Workers holds the workers whose leases may not have expired. All other workers of the shard have none.
@@ -40,7 +42,7 @@
 
 // WithAge returns the handover as it reads when a time has passed in which no order was sent.
 func (h Handover) WithAge(age time.Duration) Handover {
-	out := Handover{Unsent: h.Unsent}
+	out := Handover{Progress: h.Progress, Unsent: h.Unsent}
 	for _, w := range h.Workers {
 		if w.Left -= age; w.Left <= 0 {
 			continue
@@ -55,7 +57,7 @@
 
 // Handover returns what the next owner has to know. The caller must send no order after this call.
 func (o *Owner) Handover(now time.Time) Handover {
-	var h Handover
+	h := Handover{Progress: o.unrecordedProgress(now)}
 	for _, w := range o.sortedWorkers() {
 		if left := w.leaseExpiry(o.timing).Sub(now); left > 0 {
 			lease := WorkerLease{Born: max(w.incarnation, w.Born), ID: w.ID, Left: left}
@@ -73,6 +75,33 @@
 	return h
 }
 
+// maxProgressBytes limits the progress that is handed over. The record is written by a host that may have a slow link, and the store
+// refuses values of more than 1 MB.
+const maxProgressBytes = 128 << 10
+
+// unrecordedProgress returns the progress of the jobs whose last changes are not recorded, those first that would be recorded first.
+func (o *Owner) unrecordedProgress(now time.Time) map[string]workflow.Progress {
+	jobs := slices.Clone(o.dirty)
+	if o.committing != nil {
+		for _, w := range o.committing.Writes {
+			if j := o.jobs[w.Job]; j != nil && !j.dirty {
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return j.final != "" })
+	sortForCommit(now, jobs)
+	out, size := map[string]workflow.Progress{}, 0
+	for _, j := range jobs {
+		p := o.progress(j, &Commit{})
+		if size += len(workflow.Encode(p)); size > maxProgressBytes {
+			break
+		}
+		out[j.ID] = p
+	}
+	return out
+}
+
 // Inherit applies what the last owner handed over. It must be called before the jobs are restored, and only if no other owner has
 // been between the two.
 func (o *Owner) Inherit(h Handover) {
@@ -88,7 +117,7 @@
 			w.drainingSince = minTime(w.drainingSince, o.inheritedDrainStart(w.Worker))
 		}
 	}
-	o.log.WithFields(logrus.Fields{"decision": "inherit", "leases": len(h.Workers), "unsent": len(h.Unsent)}).
+	o.log.WithFields(logrus.Fields{"decision": "inherit", "jobs": len(h.Progress), "leases": len(h.Workers), "unsent": len(h.Unsent)}).
 		Info("adopting what the last owner knew of the workers")
 }
 
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -17,6 +17,13 @@
 	if o.jobs[j.ID] != nil {
 		return
 	}
+	handedOver := false
+	if o.inherited != nil {
+		var newer workflow.Progress
+		if newer, handedOver = o.inherited.Progress[j.ID]; handedOver {
+			p = newer
+		}
+	}
 	n := o.newJob(now, j)
 	n.doneThrough = p.DoneThrough
 	o.jobs[j.ID] = n
@@ -27,12 +34,28 @@
 	for _, occ := range n.occurrences {
 		o.updateReadySteps(n, occ)
 	}
+	if handedOver {
+		o.replan(n)
+	}
 	if cancelled {
 		o.Cancel(now, j.ID)
 	}
 	o.advanceJob(n)
 }
 
+// replan makes a job be recorded whose progress was handed over. Its attempts that were not sent are to be recorded before they are.
+func (o *Owner) replan(j *job) {
+	for _, t := range j.readyTasks() {
+		for _, at := range t.attempts {
+			if at.phase == phaseReady {
+				at.phase, j.startPlanned = phasePlanned, true
+				j.restartPlanned = j.restartPlanned || t.step.LongRunning && at.run > 1
+			}
+		}
+	}
+	o.markDirty(j)
+}
+
 func (o *Owner) restoreTask(now time.Time, n *job, rec workflow.TaskRecord) {
 	k := rec.Key
 	if k.Step < 0 || k.Step >= len(n.Steps) || k.Index < 0 || k.Index >= n.Steps[k.Step].Count ||
