Hand over for how long runs have been carried out

Cause: a run is found overdue from when the present owner first saw it. Change: the handover names the runs of short tasks that are older than 0.5 s, with their ages.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -14,6 +14,8 @@
 type Handover struct {
 	// Progress holds the progress of jobs whose last changes are not recorded, by job. Their attempts that were not sent are plans.
 	Progress map[string]workflow.Progress `cbor:"3,keyasint,omitempty"`
+	// Running holds the runs that may be found overdue, except those that began a moment ago.
+	Running []RunAge `cbor:"4,keyasint,omitempty"`
 	// Unsent holds the attempts that may be on record and were never sent.
 	Unsent []UnsentAttempt `cbor:"1,keyasint,omitempty"`
 	// Workers holds the workers whose leases may not have expired. All other workers of the shard have none.
@@ -32,6 +34,18 @@
 	Left time.Duration
 }
 
+// RunAge is how long a worker has been carrying a run out.
+type RunAge struct {
+	_   struct{} `cbor:",toarray"`
+	Age time.Duration
+	Job string
+	Key workflow.TaskKey
+	Run int
+}
+
+// minRunAge is the age from which runs are named in a handover.
+const minRunAge = 500 * time.Millisecond
+
 // UnsentAttempt identifies an attempt that was never sent to its worker.
 type UnsentAttempt struct {
 	_   struct{} `cbor:",toarray"`
@@ -43,6 +57,10 @@
 // WithAge returns the handover as it reads when a time has passed in which no order was sent.
 func (h Handover) WithAge(age time.Duration) Handover {
 	out := Handover{Progress: h.Progress, Unsent: h.Unsent}
+	for _, r := range h.Running {
+		r.Age += age
+		out.Running = append(out.Running, r)
+	}
 	for _, w := range h.Workers {
 		if w.Left -= age; w.Left <= 0 {
 			continue
@@ -70,6 +88,9 @@
 			if !at.isSent() {
 				h.Unsent = append(h.Unsent, UnsentAttempt{Job: at.task.job.ID, Key: at.task.key, Run: at.run})
 			}
+			if age := now.Sub(at.confirmedAt); at.phase == phaseRunning && !at.task.step.LongRunning && age >= minRunAge {
+				h.Running = append(h.Running, RunAge{Age: age, Job: at.task.job.ID, Key: at.task.key, Run: at.run})
+			}
 		}
 	}
 	return h
@@ -157,6 +178,18 @@
 	return slices.IndexFunc(h.Workers, func(w WorkerLease) bool { return w.ID == worker })
 }
 
+// runningSince returns when a run began as far as the last owner knew, or the zero time.
+func (o *Owner) runningSince(job string, k workflow.TaskKey, run int) time.Time {
+	if o.inherited != nil {
+		for _, r := range o.inherited.Running {
+			if r.Job == job && r.Key == k && r.Run == run {
+				return o.acquiredAt.Add(-r.Age)
+			}
+		}
+	}
+	return time.Time{}
+}
+
 // isUnsent reports whether an attempt on record was never sent.
 func (h Handover) isUnsent(job string, k workflow.TaskKey, run int) bool {
 	return slices.ContainsFunc(h.Unsent, func(u UnsentAttempt) bool { return u.Job == job && u.Key == k && u.Run == run })
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -77,7 +77,10 @@
 		if w.incarnation == 0 {
 			w.incarnation = ra.Born
 		}
-		at := &attempt{born: ra.Born, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1}
+		at := &attempt{
+			born: ra.Born, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1,
+			runningSince: o.runningSince(n.ID, k, ra.Run),
+		}
 		if o.inherited != nil && o.inherited.isUnsent(n.ID, k, ra.Run) {
 			at.markReady(now)
 		} else {
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -311,6 +311,9 @@
 		}
 		if at.phase == phaseSent || at.phase == phaseInherited {
 			at.phase, at.confirmedAt = phaseRunning, now
+			if !at.runningSince.IsZero() {
+				at.confirmedAt = at.runningSince
+			}
 		}
 		if at.pace < 0 {
 			at.pace = r.Percent
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -37,6 +37,8 @@
 	confirmedAt time.Time
 	// measurement is the value that the worker listed last for the run: a tail latency or CPU use.
 	measurement float64
+	// runningSince is when the run of an earlier owner began, if that owner handed it over.
+	runningSince time.Time
 	// inFlight is true while an order for the attempt is unanswered.
 	inFlight bool
 	// overTargetSince is the start of the period in which every listing has shown the run above its latency target.
