--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
@@ -17,7 +18,9 @@
 // listed until they are acknowledged.
 type simulatedWorker struct {
 	shard.Worker
-	changed      chan struct{}
+	changed chan struct{}
+	// clockRate is the speed of the worker's clock; 0 counts as 1.
+	clockRate    float64
 	endCount     int64
 	ended        []shard.EndRow
 	highestEnded map[string]int
@@ -29,6 +32,8 @@
 	started time.Time
 	tasks   *taskLog
 	token   int64
+	// isUnreachable is set while calls to the worker fail. Those that are late may still be carried out.
+	isUnreachable atomic.Bool
 }
 
 // acceptedPoll is a poll with the time of its arrival.
@@ -46,7 +51,21 @@
 	}
 }
 
-func (w *simulatedWorker) clock() int64 { return time.Since(w.started).Milliseconds() }
+func (w *simulatedWorker) clock() int64 {
+	return int64(float64(time.Since(w.started).Milliseconds()) * w.rate())
+}
+
+func (w *simulatedWorker) rate() float64 {
+	if w.clockRate == 0 {
+		return 1
+	}
+	return w.clockRate
+}
+
+// onHostClock returns how long a span of the worker's clock takes.
+func (w *simulatedWorker) onHostClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.rate())
+}
 
 // accept checks the token of a call and renews the lease. The caller holds w.mu.
 func (w *simulatedWorker) accept(token, until int64) bool {
@@ -54,21 +73,31 @@
 		return false
 	}
 	w.token = token
-	if len(w.runs) > 0 && time.Now().After(w.leaseEnd) {
-		for name := range w.runs {
-			w.end(name, shard.EndLeaseExpired)
-		}
-	}
-	end := w.started.Add(time.Duration(until) * time.Millisecond)
-	if latest := time.Now().Add(maxWorkerLease); end.After(latest) {
+	w.endExpired()
+	end := w.started.Add(w.onHostClock(time.Duration(until) * time.Millisecond))
+	if latest := time.Now().Add(w.onHostClock(maxWorkerLease)); end.After(latest) {
 		end = latest
 	}
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
+		time.AfterFunc(time.Until(end)+time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.endExpired()
+		})
 	}
 	return true
 }
 
+// endExpired ends all runs if the lease has expired. The caller holds w.mu.
+func (w *simulatedWorker) endExpired() {
+	if time.Now().After(w.leaseEnd) {
+		for name := range w.runs {
+			w.end(name, shard.EndLeaseExpired)
+		}
+	}
+}
+
 func (w *simulatedWorker) start(s shard.Start) shard.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -20,6 +20,8 @@
 	calmSince time.Time
 	// expected holds the accepted long-running jobs.
 	expected map[string]bool
+	// forgotten holds those of them that need not run any more.
+	forgotten map[string]bool
 	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
 	longest   time.Duration
 	longestOf string
@@ -31,7 +33,7 @@
 
 func newTaskLog() *taskLog {
 	return &taskLog{
-		expected: map[string]bool{}, failAfter: func() time.Duration { return 0 },
+		expected: map[string]bool{}, forgotten: map[string]bool{}, failAfter: func() time.Duration { return 0 },
 		idleSince: map[string]time.Time{}, running: map[string]string{},
 	}
 }
@@ -67,11 +69,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.running, name)
-	if job, _, _ := strings.Cut(name, "."); l.expected[job] {
+	if job, _, _ := strings.Cut(name, "."); l.expected[job] && !l.forgotten[job] {
 		l.idleSince[name] = time.Now()
 	}
 }
 
+// forget ends the expectation that the tasks of a job run.
+func (l *taskLog) forget(job string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgotten[job] = true
+	for name := range l.idleSince {
+		if strings.HasPrefix(name, job+".") {
+			delete(l.idleSince, name)
+		}
+	}
+}
+
 // note records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
 // calm. The caller holds l.mu.
 func (l *taskLog) note(name string, since time.Time) {
