Answer requests that arrive while a draining host lacks processor time

Cause: at the end of the 2.5 s for which a draining host goes on serving, it shuts its server down, which closes connections without a request. A process that ran again after a pause handled the expired timer before it read the requests that had arrived meanwhile, so their connections counted as idle.

After the 2.5 s the host waits until a timer of 20 ms fires on time. What has arrived is read by then, and the shutdown waits for its answers. The drain timeout of 5 s still bounds the wait.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	h.session.markDraining(ctx)
 	h.ownedShards.handOverAll(ctx)
-	retry.Sleep(ctx, drainServePeriod)
+	serveFor(ctx, drainServePeriod)
 	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("drain timeout cut off requests in flight")
 	}
@@ -75,3 +75,14 @@
 	g.Close()
 	h.pool.Close()
 }
+
+// serveFor waits for a period, and then until a timer fires on time. When a process runs again after a pause, its expired timers fire
+// before it reads the requests that have arrived meanwhile, and a server that is shut down then closes their connections.
+func serveFor(ctx context.Context, period time.Duration) {
+	retry.Sleep(ctx, period)
+	for isLate := true; isLate && ctx.Err() == nil; {
+		began := time.Now()
+		retry.Sleep(ctx, timeoutTick)
+		isLate = time.Since(began) >= 2*timeoutTick
+	}
+}
