Check under random faults that run numbers rise with each start

Cause: the simulated workers forget the numbers of earlier runs when they restart, so a number that is given out twice went unnoticed. Change: the simulation keeps the highest started run of each task over all workers and lifetimes. No code is changed.

--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -94,10 +94,12 @@
 	// completed holds the tasks whose completion the owner has acknowledged to the worker.
 	completed map[string]bool
 	// failures counts the acknowledged failed runs of each task.
-	failures      map[string]int
-	faultsEnabled bool
-	storeUp       bool
-	starts        int
+	failures map[string]int
+	// highestStarted is the highest run of each task that a worker has started.
+	highestStarted map[string]int
+	faultsEnabled  bool
+	storeUp        bool
+	starts         int
 	// history holds the events of each task, which are printed if a guarantee is violated.
 	history map[string][]string
 }
@@ -117,7 +119,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), epoch: 1, storeUp: true, faultsEnabled: true,
 		jobs: map[string]workflow.Job{}, storedProgress: map[string]workflow.Progress{}, final: map[string]workflow.State{},
 		cancelled: map[string]bool{}, completed: map[string]bool{}, failures: map[string]int{},
-		history: map[string][]string{},
+		highestStarted: map[string]int{}, history: map[string][]string{},
 	}
 	sim.config = workflow.NewConfig(1, []workflow.Queue{{
 		Name: "q", Service: "s", Host: "h", Prefix: "/", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second,
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -165,6 +165,10 @@
 	if sim.failures[name] >= 3 {
 		sim.fail(name, "run %d starts after three acknowledged failures", s.Run)
 	}
+	if s.Run <= sim.highestStarted[name] {
+		sim.fail(name, "run %d starts on %s after run %d has started", s.Run, f.ID, sim.highestStarted[name])
+	}
+	sim.highestStarted[name] = s.Run
 	same := 1
 	for _, other := range sim.workers {
 		sim.endDueRuns(other)
