Keep the parts of a handover record apart, and read it again after a failed read

What callers saw: not seen; the progress of jobs was not handed over. Cause: the record embedded the handover, and the number of its own field was given to a field of the handover later. The decoder drops one of two fields with the same number. Change: the handover is a field of the record. A single failed read is repeated, since the bound without the record is long.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -98,6 +99,17 @@
 	return kvstore.Txn{Puts: []kvstore.Put{{Key: ownerKey(shard), Value: record}, {Key: epochKey(shard), Value: record}}}
 }
 
+// RecordedHandover returns what a handover record in the store says.
+func RecordedHandover(value []byte) (shard.Handover, error) {
+	record, err := workflow.Decode[handoverRecord](value)
+	return record.Handover, err
+}
+
+// EncodeHandover returns the value of a handover record.
+func EncodeHandover(epoch int64, h shard.Handover) []byte {
+	return workflow.Encode(handoverRecord{Epoch: epoch, Handover: h})
+}
+
 // Prefixes of the keys of jobs, owners and successors.
 const (
 	JobPrefix       = jobPrefix
--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
 // handoverRecord is what the last owner of a shard handed over to the next one.
 type handoverRecord struct {
-	shard.Handover
 	// Epoch is the revision of the shard's epoch key under which that owner acted. The record is meant for the owner whose claim was
 	// guarded by this revision: with any other, an owner in between may have granted leases.
-	Epoch int64 `cbor:"3,keyasint"`
+	Epoch    int64          `cbor:"1,keyasint"`
+	Handover shard.Handover `cbor:"2,keyasint"`
 }
 
 // readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash, or
@@ -27,9 +28,10 @@
 	if r.previousEpoch == 0 || r.host.platform.Store.Get == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	kv, err := r.host.platform.Store.Get(ctx, handoverKey(r.shard))
+	kv, err := r.getHandover(ctx)
+	if err != nil {
+		kv, err = r.getHandover(ctx)
+	}
 	if err != nil {
 		r.log.WithError(err).WithField("decision", "handover_unread").
 			Warn("failed to read what the last owner handed over; relying on the longest lease of a worker")
@@ -49,6 +51,12 @@
 	return &record.Handover
 }
 
+func (r *runner) getHandover(ctx context.Context) (kvstore.KV, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	return r.host.platform.Store.Get(ctx, handoverKey(r.shard))
+}
+
 // loadHandover reads what the last owner handed over, for the load of the shard.
 func (r *runner) loadHandover() {
 	h := r.readHandover(r.ctx)
