End the runs of a simulated worker when its lease expires

Simulated workers noticed an expired lease only when the next call arrived. A run on a worker that its owner did not poll thus still counted as running when the task was started elsewhere after the end of the lease, and a test reported that it ran on two workers.

The tests of the package pass as before.

--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -17,9 +17,11 @@
 // listed until they are acknowledged.
 type simulatedWorker struct {
 	shard.Worker
-	changed      chan struct{}
-	endCount     int64
-	ended        []shard.EndRow
+	changed  chan struct{}
+	endCount int64
+	ended    []shard.EndRow
+	// expiry ends the runs when the lease expires, also if no call arrives.
+	expiry       *time.Timer
 	highestEnded map[string]int
 	leaseEnd     time.Time
 	mu           sync.Mutex
@@ -38,12 +40,18 @@
 }
 
 func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
-	return &simulatedWorker{
+	w := &simulatedWorker{
 		Worker: shard.Worker{
 			Address: id, Born: 1, Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
 		},
 		changed: make(chan struct{}), highestEnded: map[string]int{}, runs: map[string]shard.Start{}, started: time.Now(), tasks: tasks,
 	}
+	w.expiry = time.AfterFunc(0, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.expire()
+	})
+	return w
 }
 
 func (w *simulatedWorker) clock() int64 { return time.Since(w.started).Milliseconds() }
@@ -54,21 +62,27 @@
 		return false
 	}
 	w.token = token
-	if len(w.runs) > 0 && time.Now().After(w.leaseEnd) {
-		for name := range w.runs {
-			w.end(name, shard.EndLeaseExpired)
-		}
-	}
+	w.expire()
 	end := w.started.Add(time.Duration(until) * time.Millisecond)
 	if latest := time.Now().Add(maxWorkerLease); end.After(latest) {
 		end = latest
 	}
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
+		w.expiry.Reset(time.Until(end) + 1)
 	}
 	return true
 }
 
+// expire ends all runs if the lease has expired. The caller holds w.mu.
+func (w *simulatedWorker) expire() {
+	if time.Now().After(w.leaseEnd) {
+		for name := range w.runs {
+			w.end(name, shard.EndLeaseExpired)
+		}
+	}
+}
+
 func (w *simulatedWorker) start(s shard.Start) shard.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
