--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -20,9 +20,11 @@
 	shard.Worker
 	changed chan struct{}
 	// clockRate is the speed of the worker's clock; 0 counts as 1.
-	clockRate    float64
-	endCount     int64
-	ended        []shard.EndRow
+	clockRate float64
+	endCount  int64
+	ended     []shard.EndRow
+	// expiry ends the runs when the lease expires, also if no call arrives.
+	expiry       *time.Timer
 	highestEnded map[string]int
 	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call. isCut is set while no call reaches it.
 	hasLeft, isCut bool
@@ -45,12 +47,18 @@
 }
 
 func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
-	return &simulatedWorker{
+	w := &simulatedWorker{
 		Worker: shard.Worker{
 			Address: id, Born: 1, Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
 		},
 		changed: make(chan struct{}), highestEnded: map[string]int{}, runs: map[string]shard.Start{}, started: time.Now(), tasks: tasks,
 	}
+	w.expiry = time.AfterFunc(0, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.expire()
+	})
+	return w
 }
 
 func (w *simulatedWorker) clock() int64 {
@@ -75,24 +83,20 @@
 		return false
 	}
 	w.token = token
-	w.endExpired()
+	w.expire()
 	end := w.started.Add(w.onHostClock(time.Duration(until) * time.Millisecond))
 	if latest := time.Now().Add(w.onHostClock(maxWorkerLease)); end.After(latest) {
 		end = latest
 	}
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
-		time.AfterFunc(time.Until(end)+time.Millisecond, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.endExpired()
-		})
+		w.expiry.Reset(time.Until(end) + 1)
 	}
 	return true
 }
 
-// endExpired ends all runs if the lease has expired. The caller holds w.mu.
-func (w *simulatedWorker) endExpired() {
+// expire ends all runs if the lease has expired. The caller holds w.mu.
+func (w *simulatedWorker) expire() {
 	if time.Now().After(w.leaseEnd) {
 		for name := range w.runs {
 			w.end(name, shard.EndLeaseExpired)
@@ -147,15 +151,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isCut = isCut
-	time.AfterFunc(time.Until(w.leaseEnd)+time.Millisecond, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		for name := range w.runs {
-			if time.Now().After(w.leaseEnd) {
-				w.end(name, shard.EndLeaseExpired)
-			}
-		}
-	})
 }
 
 // leave ends the worker for good, and with it all its runs. It returns how many of them were long-running.
--- a/internal/shard/besteffortwait_test.go
+++ b/internal/shard/besteffortwait_test.go
@@ -18,19 +18,29 @@
 	// measurement returns the measurement that the worker reports for a run.
 	measurement func(s shard.Start) float64
 	running     []shard.Start
-	ended       []shard.EndRow
+	// paces are the paces that the owner has ordered.
+	paces []shard.Pace
+	ended []shard.EndRow
 }
 
 func (h *workerHarness) step() {
 	h.now = h.now.Add(simulationStep)
 	a := h.owner.Step(h.now)
 	if a.Commit != nil {
+		for _, w := range a.Commit.Writes {
+			if w.Final != "" {
+				h.final[w.Job] = w.Final
+			} else if p, err := workflow.Decode[workflow.Progress](w.Progress); assert.Check(h.t, err) {
+				h.storedProgress[w.Job] = p
+			}
+		}
 		h.owner.Committed(h.now, a.Commit)
 	}
 	for _, s := range a.Starts {
 		h.running = append(h.running, s)
 		h.owner.Started(h.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: h.clock(h.workers[0])})
 	}
+	h.paces = append(h.paces, a.Paces...)
 	for _, p := range a.Paces {
 		h.owner.Paced(h.now, p, shard.Reply{Outcome: shard.OutcomeDone})
 	}
