Poll the workers first whose leases end first

What callers saw: in a series of takeovers that reaches weak hosts, runs ended on workers that answer, always on the same ones. Cause: first polls are bounded, and each owner began with the same workers. One that was replaced before it got to the others renewed none of their leases. Change: until all workers have answered a new owner, those with runs come first, by the end of the lease that was handed over.

--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,7 +28,7 @@
 // are recorded is polled when its lease has to be renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
 	firstPolls := o.countFirstPolls(now)
-	for _, w := range o.sortedWorkers() {
+	for _, w := range o.pollOrder() {
 		if w.pollInFlight || w.Address == "" {
 			continue
 		}
@@ -70,6 +71,27 @@
 	}
 }
 
+// pollOrder returns the workers in the order in which they are polled. Until all have answered this owner, those come first whose runs
+// end first unless it renews their lease. Owners in series that don't
+// get to all workers would otherwise leave out the same ones.
+func (o *Owner) pollOrder() []*worker {
+	workers := o.sortedWorkers()
+	if !slices.ContainsFunc(workers, func(w *worker) bool { return !w.fenced }) {
+		return workers
+	}
+	workers = slices.Clone(workers)
+	slices.SortStableFunc(workers, func(a, b *worker) int {
+		if hasRuns := a.hasSentAttempts(); hasRuns != b.hasSentAttempts() {
+			if hasRuns {
+				return -1
+			}
+			return 1
+		}
+		return a.inheritedLease.end.Compare(b.inheritedLease.end)
+	})
+	return workers
+}
+
 // countFirstPolls returns the number of polls in flight that count against maxFirstPolls.
 func (o *Owner) countFirstPolls(now time.Time) int {
 	n := 0
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -174,3 +174,29 @@
 	assert.Equal(t, len(sent), 9)
 	assert.Equal(t, sent[0].Job, failed)
 }
+
+// Guards against runs that end because each owner of a series polls the same workers first and is replaced before it gets to the others.
+func TestFirstPollsGoToWorkersWhoseLeasesEndFirst(t *testing.T) {
+	const workers = 40
+	c := newFleetHarness(t, workers)
+	c.run(11 * time.Second)
+	step := longRunningStep
+	step.Count, step.PerWorker = workers, 1
+	c.add(workflow.Job{ID: "0000000000000001", Queue: "q", Steps: []workflow.Step{step}})
+	c.run(time.Second)
+	assert.Equal(t, len(c.running), workers)
+	c.owner.BeginHandover()
+	h := c.owner.Handover(c.now)
+	for i := range h.Workers {
+		h.Workers[i].Left = time.Duration(workers-i) * 100 * time.Millisecond
+	}
+	c.replaceOwner(h)
+	first := map[string]bool{}
+	for _, p := range c.owner.Step(c.now).Polls {
+		first[p.Worker] = true
+	}
+	assert.Assert(t, len(first) > 0 && len(first) < workers/2, "%d first polls", len(first))
+	for i, w := range h.Workers {
+		assert.Check(t, is.Equal(first[w.ID], i >= workers-len(first)), "worker %s with %s left", w.ID, w.Left)
+	}
+}
