Stop cheap short runs for long-running tasks that were interrupted

Callers saw: in a shard that lost half of its workers, long-running tasks that had to leave them waited until short tasks ended by themselves, one after another, although long-running tasks come before short ones.

Cause: a worker was held for one task of equal demand at a time, since the first one that did not fit kept the others of its class and step from being considered. Each waited until short runs on that worker had ended, which takes as long as these last.

Change: an interrupted task that has waited for 2 s gets room from the runs that lose least: runs of less urgent jobs, or runs of its own priority that save their progress. Long-running tasks, gangs, more urgent runs and runs of the same priority without checkpoints are not stopped. No more runs are stopped than the task needs, their worker is held for it, and no more than a tenth of the workers are held at a time, now also for several tasks of one class. The wait counts from the interruption for all tasks and no longer from when a task was first considered.

--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -16,15 +16,48 @@
 )
 
 // hold reserves a worker for a long-running task that will fit once some batch tasks on it have ended. Otherwise
-// smaller batch tasks would take all resources as they become free, and a larger task would never fit.
-func (o *Owner) hold(now time.Time, t *task) {
-	if !t.step.LongRunning || o.heldWorkers >= max(len(o.workers)/heldWorkersDivisor, minHeldWorkers) {
-		return
+// smaller batch tasks would take all resources as they become free, and a larger task would never fit. It returns false if there is
+// no such worker.
+func (o *Owner) hold(now time.Time, t *task) bool {
+	if !t.step.LongRunning || !o.mayHoldMore() {
+		return false
 	}
+	var best *worker
+	if t.mayEvict(now) {
+		best = o.evictFor(now, t)
+	}
+	if best == nil {
+		best = o.workerToHold(now, t)
+	}
+	if best == nil {
+		return false
+	}
+	o.heldWorkers++
+	if t.heldWorker != best {
+		t.releaseHold(now)
+	}
+	if best.heldFor != t {
+		o.log.WithFields(logrus.Fields{
+			"decision": "hold", "job": t.job.ID, "task": t.key.String(), "worker": best.ID,
+			"free_cpu_milli": best.Capacity.CPUMilli - best.reserved.CPUMilli,
+		}).Info("holding worker for a long-running task")
+	}
+	best.holdFor(t, now.Add(holdTime))
+	return true
+}
+
+// mayHoldMore reports whether another worker may be held in this round.
+func (o *Owner) mayHoldMore() bool {
+	return o.heldWorkers < max(len(o.workers)/heldWorkersDivisor, minHeldWorkers)
+}
+
+// workerToHold returns the worker that is already held for a task, or else the one with the most free CPU of those that could take the
+// task if all batch tasks on them had ended.
+func (o *Owner) workerToHold(now time.Time, t *task) *worker {
 	var best *worker
 	bestFree := int64(0)
 	for _, w := range o.sortedWorkers() {
-		if w.heldFor != nil && w.heldFor != t && now.Before(w.heldUntil) || !o.fitsWithoutBatch(now, w, t) {
+		if w.isHeldFrom(now, t) || !o.fitsWithoutBatch(now, w, t) {
 			continue
 		}
 		free := w.Capacity.CPUMilli - w.reserved.CPUMilli
@@ -35,16 +68,7 @@
 			best, bestFree = w, free
 		}
 	}
-	if best == nil {
-		return
-	}
-	o.heldWorkers++
-	if best.heldFor != t {
-		o.log.WithFields(logrus.Fields{
-			"decision": "hold", "job": t.job.ID, "task": t.key.String(), "worker": best.ID, "free_cpu_milli": bestFree,
-		}).Info("holding worker for a long-running task")
-	}
-	best.holdFor(t, now.Add(holdTime))
+	return best
 }
 
 // holdForRestart holds the worker on which a long-running task failed until holdTime after the task may start again. In a full
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -17,7 +17,7 @@
 	// Free is the CPU that is neither reserved nor requested by waiting tasks that reserve CPU. It may be negative.
 	Free int64
 	// Interrupted is the number of long-running tasks that ran before and have waited for a worker for longer than
-	// minInterruptedWait. Of each step it counts one at least.
+	// minInterruptedWait.
 	Interrupted int
 	// Room is the total capacity of the workers.
 	Room int64
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -74,8 +74,10 @@
 	acquiredAt  time.Time
 	timing      Timing
 	token       int64
-	wallClock   func() time.Time
-	workers     map[string]*worker
+	// unholdable holds the classes of tasks for which the current placement round found no worker to hold.
+	unholdable map[taskClass]bool
+	wallClock  func() time.Time
+	workers    map[string]*worker
 }
 
 // Option configures an Owner.
@@ -114,6 +116,7 @@
 		acquiredAt:   now,
 		timing:       DefaultTiming(),
 		token:        token,
+		unholdable:   map[taskClass]bool{},
 		wallClock:    time.Now,
 		workers:      map[string]*worker{},
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -33,6 +33,7 @@
 	free := o.maxFreeCPU(now)
 	o.evaluatedPairs, o.heldWorkers = 0, 0
 	clear(o.mostlyIdle)
+	clear(o.unholdable)
 	clear(o.headrooms)
 	clear(o.heldBack)
 	o.observeShortDemand(now)
@@ -80,7 +81,7 @@
 		case !t.isWaiting():
 		case now.Before(t.notBefore):
 			o.waitUntil(t.notBefore)
-		case !isFull, t.hasHold(now):
+		case !isFull, t.hasHold(now), t.mayEvict(now) && o.mayHoldMore():
 			isFull = !o.placeTask(now, t, unplaceable) || isFull
 		}
 	}
@@ -132,7 +133,7 @@
 		bestEffort: t.step.BestEffort, headroom: o.headroomFor(now, t), label: t.step.Label, resources: t.step.Resources,
 		service: t.job.queue.Service,
 	}
-	if t.waitingSince.IsZero() && (t.step.BestEffort || t.isInterrupted()) {
+	if t.waitingSince.IsZero() && t.step.BestEffort {
 		t.waitingSince = now
 	}
 	if t.step.BestEffort {
@@ -144,6 +145,9 @@
 		class.step, class.occurrence = t.step, t.key.Occurrence
 	}
 	if unplaceable[class] && !t.hasHold(now) {
+		if t.mayEvict(now) && !o.unholdable[class] {
+			o.unholdable[class] = !o.hold(now, t)
+		}
 		return false
 	}
 	w := o.choose(now, t, "")
@@ -159,7 +163,10 @@
 		if class.headroom != nil {
 			o.heldBack[class.service] = true
 		}
-		o.hold(now, t)
+		if t.isInterrupted() && !t.mayEvict(now) {
+			o.waitUntil(t.waitingSince.Add(evictAfter))
+		}
+		o.unholdable[class] = !o.hold(now, t)
 		unplaceable[class] = true
 		return false
 	}
--- a/internal/shard/placerestarts.go
+++ b/internal/shard/placerestarts.go
@@ -18,6 +18,7 @@
 	pairs := o.evaluatedPairs
 	o.evaluatedPairs, o.heldWorkers, o.placeableAt = 0, 0, a.Wake
 	clear(o.mostlyIdle)
+	clear(o.unholdable)
 	o.placeRestarts(now, map[taskClass]bool{})
 	o.evaluatedPairs = pairs
 	a.wakeAt(o.placeableAt)
@@ -36,6 +37,11 @@
 			for s, tasks := range occ.tasks {
 				if occ.ready[s] && !j.Steps[s].Gang {
 					interrupted := interruptedTasks(tasks)
+					for _, t := range interrupted {
+						if t.waitingSince.IsZero() {
+							t.waitingSince = now
+						}
+					}
 					o.placeTasks(now, interrupted, unplaceable)
 					o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(interrupted, (*task).isWaiting)
 				}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -85,7 +85,7 @@
 	run         int
 	started     bool
 	step        *workflow.Step
-	// waitingSince is when a best-effort or interrupted task was first considered for placement without being placed.
+	// waitingSince is when a best-effort task was first considered for placement, or since when an interrupted one waits.
 	waitingSince time.Time
 }
 
