Tell in the log whether short runs use the room that a task waits for

Change: workers on which the task would fit beside the long-running tasks alone count as `short_runs`. TestWaitBehindShortRunsIsTold guards it; before, the worker of the test counted as `no_cpu`.

--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -54,7 +54,8 @@
 }
 
 // waitReason returns the log field that counts the worker while a task waits: the condition of hasRoom that the worker does not
-// meet, or "suitable" if it meets all. It returns "" for workers of other services.
+// meet, or "suitable" if it meets all. CPU that short runs use is told apart from CPU that long-running tasks use, which none of them
+// gives up. It returns "" for workers of other services.
 func (w *worker) waitReason(now time.Time, t *task) string {
 	free := w.Capacity.Sub(w.reserved)
 	switch {
@@ -70,8 +71,10 @@
 		return "quarantined"
 	case !w.suitsStep(now, t):
 		return "unsuitable"
-	case t.step.Resources.CPUMilli > free.CPUMilli:
+	case t.step.Resources.CPUMilli > w.Capacity.CPUMilli-w.longRunningCPU:
 		return "no_cpu"
+	case t.step.Resources.CPUMilli > free.CPUMilli:
+		return "short_runs"
 	case !w.reserved.Add(reservation(t.step)).FitsIn(w.Capacity):
 		return "no_memory"
 	case w.isHeldFrom(now, t):
--- a/internal/shard/wait_test.go
+++ b/internal/shard/wait_test.go
@@ -7,19 +7,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Guards against a failed long-running task that does not run again without a sign in the log of what it waits for.
-func TestWaitingRestartIsLoggedWithReasons(t *testing.T) {
-	c := newFleetHarness(t, 2)
-	for _, job := range []string{"0000000000000001", "0000000000000002"} {
-		c.addWholeWorkerJob(job, 0, 1)
-	}
-	c.run(time.Second)
-	assert.Equal(t, len(c.running), 2)
-	ended := c.running[0]
-	c.worker(ended.Worker).Draining = true
-	c.register()
+// collectWaits runs for 8 s and returns the log entries of the waits of long-running tasks.
+func (c *fleetHarness) collectWaits() []*logrus.Entry {
 	hook := test.NewLocal(c.log)
 	for range 80 {
 		c.run(100 * time.Millisecond)
@@ -31,6 +25,21 @@
 			waits = append(waits, e)
 		}
 	}
+	return waits
+}
+
+// Guards against a failed long-running task that does not run again without a sign in the log of what it waits for.
+func TestWaitingRestartIsLoggedWithReasons(t *testing.T) {
+	c := newFleetHarness(t, 2)
+	for _, job := range []string{"0000000000000001", "0000000000000002"} {
+		c.addWholeWorkerJob(job, 0, 1)
+	}
+	c.run(time.Second)
+	assert.Equal(t, len(c.running), 2)
+	ended := c.running[0]
+	c.worker(ended.Worker).Draining = true
+	c.register()
+	waits := c.collectWaits()
 	assert.Equal(t, len(waits), 2)
 	assert.DeepEqual(t, waits[0].Data, logrus.Fields{
 		"decision": "wait", "job": ended.Job, "task": ended.Key.String(), "waited": waits[0].Data["waited"],
@@ -40,3 +49,24 @@
 	assert.NilError(t, err)
 	assert.Assert(t, waited >= 2*time.Second && waited < 3*time.Second, waited)
 }
+
+// Guards against a log that does not tell whether short or long-running tasks use the room that a task waits for.
+func TestWaitBehindShortRunsIsTold(t *testing.T) {
+	const waiting, short = "1000000000000000", "2000000000000000"
+	c := newFleetHarness(t, 2)
+	c.worker("b1").Draining = true
+	c.register()
+	c.add(workflow.Job{ID: short, Queue: "q", Steps: []workflow.Step{{Count: 2, Resources: fleet.Resources{CPUMilli: 4000, MemoryMiB: 10}}}})
+	c.run(time.Second)
+	c.worker("b1").Draining = false
+	c.register()
+	c.addWholeWorkerJob(waiting, 0, 1)
+	c.run(time.Second)
+	assert.DeepEqual(t, c.workersOf(waiting), map[string]int{"b1": 1})
+	c.worker("b1").Draining, c.worker("b1").Remaining = true, time.Minute
+	c.register()
+	waits := c.collectWaits()
+	assert.Equal(t, len(waits), 2)
+	assert.Equal(t, waits[0].Data["short_runs"], 1)
+	assert.Equal(t, waits[0].Data["no_cpu"], nil)
+}
