Test the guarantees of tasks while runs are evicted under random faults

The random simulation has no long-running tasks and no draining workers, so nothing is evicted in it. The simulated workers let long-running tasks run on, and give runs with checkpoints 5 s more, which the existing tests don't use.

--- a/internal/shard/shrunkfleet_test.go
+++ b/internal/shard/shrunkfleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
@@ -202,3 +204,72 @@
 	assert.DeepEqual(t, f.workersOf(early), map[string]int{"a0": 1})
 	assert.Equal(t, len(f.workersOf(saving))+len(f.workersOf(late)), 0)
 }
+
+// submitTo accepts a job with one step.
+func (sim *simulation) submitTo(queue string, step workflow.Step) {
+	j := workflow.Job{ID: fmt.Sprintf("%016x", len(sim.ids)), Queue: queue, AcceptedAt: sim.now.UnixMilli(), Steps: []workflow.Step{step}}
+	sim.jobs[j.ID], sim.ids = j, append(sim.ids, j.ID)
+	sim.owner.Add(sim.now, j)
+}
+
+// Guards against tasks that run twice, workers loaded beyond their capacity and lost jobs while short runs are stopped for interrupted
+// tasks, under the faults of TestGuaranteesHoldUnderRandomFaults.
+func TestGuaranteesHoldWhileRunsAreEvicted(t *testing.T) {
+	var evictions atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for i := range 20 {
+			t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
+				t.Parallel()
+				evictions.Add(int64(runWithEvictions(t, *firstSeed+uint64(i))))
+			})
+		}
+	})
+	t.Logf("%d evictions", evictions.Load())
+	assert.Check(t, evictions.Load() >= 40, "too few evictions to show anything")
+}
+
+// runWithEvictions runs a simulation with faults, in which workers drain in turn, and returns the number of evictions.
+func runWithEvictions(t *testing.T, seed uint64) int {
+	t.Helper()
+	sim := newSimulation(t, seed, 6)
+	sim.config = shrinkingConfig
+	sim.owner.SetConfig(sim.config)
+	for range 3 {
+		sim.submitTo("q", workflow.Step{Count: 5, Resources: fleet.Resources{CPUMilli: 2000, MemoryMiB: 100}, LongRunning: true})
+	}
+	evictions := 0
+	for k := range 6000 {
+		if sim.random.IntN(90) == 0 {
+			sim.submitTo([]string{"q", "low"}[sim.random.IntN(2)], workflow.Step{
+				Count: 1 + sim.random.IntN(6), Estimate: 5 * time.Second, SavesProgress: sim.random.IntN(3) > 0,
+				Resources: fleet.Resources{CPUMilli: int64(500 + sim.random.IntN(3000)), MemoryMiB: 100},
+			})
+		}
+		if k%300 == 299 {
+			f := sim.workers[sim.random.IntN(len(sim.workers))]
+			f.Draining, f.Remaining = !f.Draining, 20*time.Second
+			sim.register()
+		}
+		sim.injectFault()
+		hook := test.NewLocal(sim.log)
+		sim.step()
+		for _, e := range hook.AllEntries() {
+			if e.Data["decision"] == "evict" {
+				evictions++
+			}
+		}
+		sim.log.ReplaceHooks(logrus.LevelHooks{})
+	}
+	for _, id := range sim.ids[:3] {
+		sim.cancelled[id] = true
+		sim.owner.Cancel(sim.now, id)
+	}
+	for _, f := range sim.workers {
+		f.Draining = false
+	}
+	sim.drainWithoutFaults()
+	for _, id := range sim.ids {
+		assert.Check(t, sim.final[id] != "", "job %s has no final state", id)
+	}
+	return evictions
+}
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -103,6 +103,12 @@
 	if sim.random.IntN(25) == 0 {
 		r.cause = shard.EndFailed
 	}
+	switch {
+	case step.LongRunning:
+		r.endsAt = sim.now.Add(time.Hour)
+	case step.SavesProgress:
+		r.endsAt = r.endsAt.Add(5 * time.Second)
+	}
 	f.runs = append(f.runs, r)
 	sim.record(name, "run %d starts on %s, token %d", s.Run, f.ID, s.Token)
 	sim.starts++
