--- a/internal/shard/shrunkfleet_test.go
+++ b/internal/shard/shrunkfleet_test.go
@@ -273,3 +273,41 @@
 	}
 	return evictions
 }
+
+// Guards against small interrupted tasks that wait while room for them several times over goes to larger ones, one after another.
+func TestSmallInterruptedTasksComeBeforeLargeOnes(t *testing.T) {
+	const small, large = "1000000000000000", "2000000000000000"
+	f := newFleetHarness(t, 14)
+	f.addWholeWorkerJob(large, time.Minute, 5)
+	f.owner.Add(f.now, workflow.Job{ID: small, AcceptedAt: f.now.UnixMilli(), Queue: "q", Steps: []workflow.Step{
+		{Count: 4, Resources: fleet.Resources{CPUMilli: 2000, MemoryMiB: 10}, LongRunning: true},
+	}})
+	f.run(time.Second)
+	drained := 0
+	for _, job := range []string{small, large} {
+		for id := range f.workersOf(job) {
+			f.worker(id).Draining, f.worker(id).Remaining = true, time.Minute
+			drained++
+		}
+	}
+	for i := range 14 - drained {
+		f.addWholeWorkerJob(fmt.Sprintf("3%015x", i), 2*time.Minute, 1)
+	}
+	f.run(time.Second)
+	f.register()
+	interruptedAt := f.now
+	for i := range 4 {
+		f.run(3 * time.Second)
+		f.owner.Cancel(f.now, fmt.Sprintf("3%015x", i))
+		f.run(500 * time.Millisecond)
+		running := 0
+		for _, n := range f.workersOf(small) {
+			running += n
+		}
+		t.Logf("%s after the interruption: %d small and %d large tasks run", f.now.Sub(interruptedAt), running, len(f.workersOf(large)))
+		if i > 0 {
+			assert.Check(t, f.now.Sub(interruptedAt) < maxInterruption || running == 4)
+			assert.Check(t, len(f.workersOf(large)) == i, "room that the small tasks leave goes to the large ones")
+		}
+	}
+}
