Restart interrupted tasks in the order of their jobs again

TestTasksThatFailTogetherKeepTheirPlaces fails with it as well: a task that failed beside a smaller one lost its place to it. Large tasks would wait longer for it.

--- a/internal/shard/placerestarts.go
+++ b/internal/shard/placerestarts.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -30,46 +29,26 @@
 // lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
 	o.hasInterrupted = false
-	for _, tasks := range o.interruptedSteps(now) {
-		o.placeTasks(now, tasks, unplaceable)
-		o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(tasks, (*task).isWaiting)
-	}
-	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
-}
-
-// interruptedSteps returns the interrupted tasks by step, the most urgent first, and of equally urgent ones those with the smallest
-// demand. If there is no room for all, more of them run again, and fewer small ones wait beside room in other shards that is too small
-// for the tasks that wait there.
-func (o *Owner) interruptedSteps(now time.Time) [][]*task {
-	var steps [][]*task
 	for _, j := range o.backlog {
 		if j.final != "" || !j.IsLongRunning() {
 			continue
 		}
 		for _, occ := range j.openOccurrences() {
 			for s, tasks := range occ.tasks {
-				if !occ.ready[s] || j.Steps[s].Gang {
-					continue
-				}
-				if interrupted := interruptedTasks(tasks); len(interrupted) > 0 {
+				if occ.ready[s] && !j.Steps[s].Gang {
+					interrupted := interruptedTasks(tasks)
 					for _, t := range interrupted {
 						if t.waitingSince.IsZero() {
 							t.waitingSince = now
 						}
 					}
-					steps = append(steps, interrupted)
+					o.placeTasks(now, interrupted, unplaceable)
+					o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(interrupted, (*task).isWaiting)
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(steps, func(a, b []*task) int {
-		return cmp.Or(
-			cmp.Compare(a[0].job.priority, b[0].job.priority),
-			cmp.Compare(a[0].step.Resources.CPUMilli, b[0].step.Resources.CPUMilli),
-			cmp.Compare(a[0].step.Resources.MemoryMiB, b[0].step.Resources.MemoryMiB),
-		)
-	})
-	return steps
+	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
 }
 
 func interruptedTasks(tasks []*task) []*task {
