--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -26,6 +26,10 @@
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
+	// candidates limits choose to some workers; nil stands for all.
+	candidates []*worker
+	// freed holds the workers on which a run that reserved CPU has ended since placeRestarts last considered them.
+	freed []*worker
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
 	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
@@ -78,8 +82,10 @@
 	acquiredAt  time.Time
 	timing      Timing
 	token       int64
-	wallClock   func() time.Time
-	workers     map[string]*worker
+	// unholdable holds the classes of tasks for which the current placement round found no worker to hold.
+	unholdable map[taskClass]bool
+	wallClock  func() time.Time
+	workers    map[string]*worker
 }
 
 // Option configures an Owner.
@@ -120,6 +126,7 @@
 		acquiredAt:    now,
 		timing:        DefaultTiming(),
 		token:         token,
+		unholdable:    map[taskClass]bool{},
 		wallClock:     time.Now,
 		workers:       map[string]*worker{},
 	}
@@ -299,6 +306,9 @@
 		}
 	}
 	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
+	if !at.task.step.BestEffort {
+		o.freed = append(o.freed, at.worker)
+	}
 	if at.isSent() {
 		if reason != string(EndDone) {
 			o.log.WithFields(logrus.Fields{
--- a/internal/shard/placerestarts.go
+++ b/internal/shard/placerestarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -13,17 +14,34 @@
 	}
 	if due := o.lastRestartPlace.Add(o.placePause(o.evaluatedRestartPairs)); now.Before(due) {
 		a.wakeAt(due)
+		o.placeRestartsOnFreed(now)
 		return
 	}
 	pairs := o.evaluatedPairs
 	o.evaluatedPairs, o.heldWorkers, o.placeableAt = 0, 0, a.Wake
 	clear(o.mostlyIdle)
+	clear(o.unholdable)
 	o.placeRestarts(now, map[taskClass]bool{})
 	o.evaluatedPairs = pairs
 	a.wakeAt(o.placeableAt)
 	o.logPlaced(now)
 }
 
+// placeRestartsOnFreed places long-running tasks that ran before on the workers on which a run has ended. The other workers had no room
+// for these tasks when placeRestarts last considered them.
+func (o *Owner) placeRestartsOnFreed(now time.Time) {
+	if len(o.freed) == 0 {
+		return
+	}
+	slices.SortFunc(o.freed, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	pairs, restartPairs, last := o.evaluatedPairs, o.evaluatedRestartPairs, o.lastRestartPlace
+	o.candidates = slices.Compact(o.freed)
+	o.placeRestarts(now, map[taskClass]bool{})
+	o.candidates = nil
+	o.evaluatedPairs, o.evaluatedRestartPairs, o.lastRestartPlace = pairs, restartPairs, last
+	o.logPlaced(now)
+}
+
 // placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
 // lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
@@ -36,6 +54,11 @@
 			for s, tasks := range occ.tasks {
 				if occ.ready[s] && !j.Steps[s].Gang {
 					interrupted := interruptedTasks(tasks)
+					for _, t := range interrupted {
+						if t.waitingSince.IsZero() {
+							t.waitingSince = now
+						}
+					}
 					o.placeTasks(now, interrupted, unplaceable)
 					o.hasInterrupted = o.hasInterrupted || slices.ContainsFunc(interrupted, (*task).isWaiting)
 				}
@@ -43,6 +66,7 @@
 		}
 	}
 	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
+	o.freed = nil
 }
 
 func interruptedTasks(tasks []*task) []*task {
