Bound the first polls of a new owner

What callers saw: in a series of takeovers that reaches weak hosts, a failed long-running task waited for the whole series and longer, although workers had room and answered.

Cause: a new owner polled all workers of the shard at once and renewed their leases as they answered. Its first commit and starts came after all these calls: 0.3 s later on a host of 0.8 cores, more than 1 s on one of 0.192 cores. An owner that was drained before that had restarted nothing, and the next one began anew.

At most 16 polls of workers whose state the owner does not know are now unanswered at the same time, so that commits and starts wait for these only. A poll without an answer counts for 0.2 s: workers that do not answer delay the others by that time and not by the timeout of a call.

--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -13,14 +13,28 @@
 // followed by one that acknowledges them, see Acknowledgement.
 const maxAckGap = 600 * time.Millisecond
 
+const (
+	// maxFirstPolls bounds the unanswered polls of workers whose state this owner does not know. A new owner that polled all
+	// workers at once would send its first commit and starts after all of these calls, which takes a weak host a second.
+	maxFirstPolls = 16
+	// firstPollTime is how long an unanswered poll counts against maxFirstPolls, so that workers that do not answer delay the
+	// polls of others for this time only.
+	firstPollTime = 200 * time.Millisecond
+)
+
 // duePolls returns the polls that are due. A worker is polled if it has runs, if it has ends to be acknowledged, if this owner does not
 // know its state yet, or if it did not answer the last poll: it gets no tasks until it answers. A worker that only waits until its ends
 // are recorded is polled when its lease has to be renewed: an end does not count if the lease expires before the end is acknowledged.
 func (o *Owner) duePolls(now time.Time, a *Actions) {
+	firstPolls := o.countFirstPolls(now)
 	for _, w := range o.sortedWorkers() {
 		if w.pollInFlight || w.Address == "" {
 			continue
 		}
+		if !w.fenced && firstPolls >= maxFirstPolls {
+			a.wakeAt(now.Add(firstPollTime))
+			continue
+		}
 		due := w.nextPollAt
 		if !o.needsPoll(w) {
 			if len(w.unrecordedEnds) == 0 {
@@ -32,8 +46,11 @@
 			a.wakeAt(due)
 			continue
 		}
+		if !w.fenced {
+			firstPolls++
+		}
 		o.seq++
-		w.pollInFlight, w.pollSeq = true, o.seq
+		w.pollInFlight, w.pollSeq, w.polledAt = true, o.seq, now
 		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.timing)}
 		if now.Sub(w.answeredAt) < maxAckGap {
 			p.LastSeen = w.recordedEnd
@@ -53,6 +70,17 @@
 	}
 }
 
+// countFirstPolls returns the number of polls in flight that count against maxFirstPolls.
+func (o *Owner) countFirstPolls(now time.Time) int {
+	n := 0
+	for _, w := range o.workers {
+		if !w.fenced && w.pollInFlight && now.Sub(w.polledAt) < firstPollTime {
+			n++
+		}
+	}
+	return n
+}
+
 // mixesBestEffortAndServing reports whether best-effort tasks run next to serving tasks, whose tail latency then has to be
 // followed closely.
 func (w *worker) mixesBestEffortAndServing() bool {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -213,7 +213,9 @@
 	nextPollAt        time.Time
 	pollFailures      int
 	pollInFlight      bool
-	pollSeq           int64
+	// polledAt is when the last poll was due.
+	polledAt time.Time
+	pollSeq  int64
 	// lastEnd is the number of the newest end that the worker listed, recordedEnd that of the newest end that is
 	// durably recorded, and ackedEnd that of the newest end acknowledged to the worker, which may forget ends up to it.
 	recordedEnd, ackedEnd int64
