Keep the room for short tasks after a takeover

What callers saw: after a change of owner, long-running tasks that never ran took the room that is kept for short ones.

Cause: a restored job counts as an arrival of short tasks, but the first placement round of a new owner let the remembered demand decay by the time since the zero time, which leaves nothing. Until the next job with short tasks came, their size was unknown and no room was kept.

The demand is now taken to be up to date when the owner is created. The demand of jobs that ended under an earlier owner is still not known to the next one.

The new test fails before the change: eight long-running tasks run on the worker instead of six. The harness of the test for best-effort waits keeps the committed records, so that another owner can restore them.

--- a/internal/shard/besteffortwait_test.go
+++ b/internal/shard/besteffortwait_test.go
@@ -25,6 +25,13 @@
 	h.now = h.now.Add(simulationStep)
 	a := h.owner.Step(h.now)
 	if a.Commit != nil {
+		for _, w := range a.Commit.Writes {
+			if w.Final != "" {
+				h.final[w.Job] = w.Final
+			} else if p, err := workflow.Decode[workflow.Progress](w.Progress); assert.Check(h.t, err) {
+				h.storedProgress[w.Job] = p
+			}
+		}
 		h.owner.Committed(h.now, a.Commit)
 	}
 	for _, s := range a.Starts {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -111,11 +111,13 @@
 		log:          logrus.NewEntry(logrus.StandardLogger()),
 		observeStart: func(time.Duration) {},
 		shortDemand:  map[shortTasks]shortDemand{},
-		acquiredAt:   now,
-		timing:       DefaultTiming(),
-		token:        token,
-		wallClock:    time.Now,
-		workers:      map[string]*worker{},
+		// Jobs that are restored count as arrivals before the first placement round.
+		shortDemandAt: now,
+		acquiredAt:    now,
+		timing:        DefaultTiming(),
+		token:         token,
+		wallClock:     time.Now,
+		workers:       map[string]*worker{},
 	}
 	for _, opt := range opts {
 		opt(o)
--- /dev/null
+++ b/internal/shard/takeoverseries_test.go
@@ -0,0 +1,76 @@
+package shard_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// ownershipTime is how long each owner of a series stays.
+const ownershipTime = 800 * time.Millisecond
+
+// seriesHarness is a workerHarness whose owner is replaced again and again. The next owner restores the recorded progress.
+type seriesHarness struct{ *workerHarness }
+
+func newSeriesHarness(t *testing.T) *seriesHarness {
+	s := &seriesHarness{&workerHarness{simulation: newSimulation(t, 1, 1), t: t}}
+	s.measurement = func(shard.Start) float64 { return 1000 }
+	return s
+}
+
+func (s *seriesHarness) add(j workflow.Job) {
+	j.AcceptedAt = s.now.UnixMilli()
+	s.jobs[j.ID], s.ids = j, append(s.ids, j.ID)
+	s.owner.Add(s.now, j)
+}
+
+// run lets the present owner act for a time.
+func (s *seriesHarness) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+// end ends the runs of a job.
+func (s *seriesHarness) end(job string, cause shard.EndCause) {
+	s.running = slices.DeleteFunc(s.running, func(r shard.Start) bool {
+		if r.Job == job {
+			s.ended = append(s.ended, shard.EndRow{Cause: cause, Job: r.Job, Key: r.Key, Number: int64(len(s.ended) + 1), Run: r.Run})
+		}
+		return r.Job == job
+	})
+}
+
+// takeOver lets another owner take the shard. The weights that the owners have learned are handed on as by the store.
+func (s *seriesHarness) takeOver() {
+	weights := s.owner.LearnedWeights(s.now)
+	s.replaceOwner()
+	s.owner.AdoptWeights(s.now, weights)
+}
+
+// Guards against owners that give the room for short tasks away when they take the shard over.
+func TestRoomForShortTasksIsKeptOverTakeover(t *testing.T) {
+	const short, long = "0000000000000001", "0000000000000002"
+	s := newSeriesHarness(t)
+	s.add(workflow.Job{ID: short, Queue: "q", Steps: []workflow.Step{
+		{Count: 2, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, Estimate: time.Minute},
+	}})
+	s.run(time.Second)
+	s.add(workflow.Job{ID: long, Queue: "q", Steps: []workflow.Step{
+		{Count: 8, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}, LongRunning: true},
+	}})
+	s.run(100 * time.Millisecond)
+	assert.Equal(t, s.starts(long), 6, "a quarter of the room is kept")
+	s.run(ownershipTime)
+	s.takeOver()
+	s.run(ownershipTime)
+	s.end(short, shard.EndDone)
+	s.run(time.Second)
+	assert.Equal(t, s.starts(long), 6, "a quarter of the room is kept")
+}
