Count the wait of best-effort tasks from the acceptance of their job

What callers saw: in a series of takeovers less than 1.5 s apart, a best-effort job started nothing while most CPU was idle, as its tasks waited for a worker whose serving tasks they would not disturb. After the series the wait of up to 20 s began anew.

Cause: each owner counted the wait from its own first look at the task.

A task that has never run and waits for no other step now counts as waiting since its job was accepted, which is on record. A best-effort run whose pace is not known yet counts as running at full pace: with pace 0 a new owner would take a busy service for idle until it has polled the workers, and place such tasks at once.

The new test fails before the change: the job has no run after ten owners of 0.8 s each. It now starts during the series.

--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -61,11 +61,15 @@
 )
 
 // cpuFraction returns the fraction of a worker's CPU that a best-effort task uses. Until there is a measurement for the
-// last half second, it is derived from the task's demand and pace.
+// last half second, it is derived from the task's demand and pace, which counts as full while it is unknown.
 func cpuFraction(w *worker, at *attempt) float64 {
 	cpu := at.measurement
 	if cpu <= 0 {
-		cpu = float64(at.task.step.Resources.CPUMilli) * float64(max(at.pace, 0)) / fullPace
+		pace := at.pace
+		if pace < 0 {
+			pace = fullPace
+		}
+		cpu = float64(at.task.step.Resources.CPUMilli) * float64(pace) / fullPace
 	}
 	return cpu / float64(max(w.Capacity.CPUMilli, 1))
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -133,7 +133,7 @@
 		service: t.job.queue.Service,
 	}
 	if t.waitingSince.IsZero() && (t.step.BestEffort || t.isInterrupted()) {
-		t.waitingSince = now
+		t.waitingSince = t.waitBegan(now)
 	}
 	if t.step.BestEffort {
 		class.image, class.resources.CPUMilli = t.step.Image, 0
@@ -167,6 +167,15 @@
 	return true
 }
 
+// waitBegan returns since when a task waits that is considered for placement and has not been considered before by this owner. A task
+// that could start when its job was accepted has waited since then, also under earlier owners, if that time is on record.
+func (t *task) waitBegan(now time.Time) time.Time {
+	if t.run > 0 || len(t.step.After) > 0 || t.job.Occurrences > 0 || t.job.AcceptedAt == 0 {
+		return now
+	}
+	return minTime(now, t.job.acceptedAt)
+}
+
 const (
 	// maxBestEffortWait is how long a best-effort task waits for a suitable worker before it takes any other. On an
 	// unsuitable worker it runs slowly and slows down others, so under load all work would finish later.
--- a/internal/shard/takeoverseries_test.go
+++ b/internal/shard/takeoverseries_test.go
@@ -74,3 +74,35 @@
 	s.run(time.Second)
 	assert.Equal(t, s.starts(long), 6, "a quarter of the room is kept")
 }
+
+// Guards against a best-effort job that waits for a suitable worker until a series of takeovers has ended, although most CPU is idle,
+// because each owner counts the wait from its own takeover.
+func TestBestEffortWaitIsCountedOverTakeovers(t *testing.T) {
+	const serving, harmful, waiting = "0000000000000001", "0000000000000002", "0000000000000003"
+	s := newSeriesHarness(t)
+	over := true
+	s.measurement = func(r shard.Start) float64 {
+		switch {
+		case r.Job != serving:
+			return 1000
+		case over:
+			return 200
+		}
+		return 7
+	}
+	step := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}}
+	longRunning, bestEffort := step, step
+	longRunning.LongRunning, longRunning.TailTarget, longRunning.Image = true, 18*time.Millisecond, "s"
+	bestEffort.BestEffort, bestEffort.Image = true, "f"
+	s.add(workflow.Job{ID: serving, Queue: "q", Steps: []workflow.Step{longRunning}})
+	s.run(time.Second)
+	s.add(workflow.Job{ID: harmful, Queue: "q", Steps: []workflow.Step{bestEffort}})
+	s.run(6 * time.Second) // the owner learns that image f disturbs image s
+	over = false
+	s.add(workflow.Job{ID: waiting, Queue: "q", Steps: []workflow.Step{bestEffort}})
+	for range 10 {
+		s.run(ownershipTime)
+		s.takeOver()
+	}
+	assert.Equal(t, s.starts(waiting), 1, "the task starts during the series")
+}
