Halt harmful best-effort tasks during a series of takeovers

What callers saw: in a series of takeovers 0.8 s apart, a long-running task stayed above its latency target for the whole series, although the best-effort task beside it was the cause.

Cause: a harmful best-effort task is halted once a serving task has been above its target for 1.1 s, and each owner counted that time from its takeover.

A run of an earlier owner that is above its target in the first measurement that counts, within 1.7 s of the takeover, is now taken to have been above it for 1.1 s. The most harmful tasks are halted at once, and the others after a further 0.6 s as before. If the tail was above the target for a moment only, the tasks speed up again with the next measurements.

The new test, which allows four seconds, fails before the change and passes with it.

--- a/internal/shard/besteffortwait_test.go
+++ b/internal/shard/besteffortwait_test.go
@@ -18,7 +18,9 @@
 	// measurement returns the measurement that the worker reports for a run.
 	measurement func(s shard.Start) float64
 	running     []shard.Start
-	ended       []shard.EndRow
+	// paces are the paces that the owner has ordered.
+	paces []shard.Pace
+	ended []shard.EndRow
 }
 
 func (h *workerHarness) step() {
@@ -38,6 +40,7 @@
 		h.running = append(h.running, s)
 		h.owner.Started(h.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: h.clock(h.workers[0])})
 	}
+	h.paces = append(h.paces, a.Paces...)
 	for _, p := range a.Paces {
 		h.owner.Paced(h.now, p, shard.Reply{Outcome: shard.OutcomeDone})
 	}
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -128,6 +128,10 @@
 			at.overTargetSince = now
 			if now.Sub(o.acquiredAt) < haltAllAfter {
 				at.overTargetSince = o.acquiredAt // the task may have exceeded its target before this owner took over
+				if at.plannedAt.IsZero() {
+					// Counted from the takeover alone, a series of owners would never halt the harmful tasks.
+					at.overTargetSince = minTime(o.acquiredAt, now.Add(-haltHarmfulAfter-time.Millisecond))
+				}
 			}
 		}
 		if !at.overTargetSince.IsZero() {
--- a/internal/shard/takeoverseries_test.go
+++ b/internal/shard/takeoverseries_test.go
@@ -106,3 +106,35 @@
 	}
 	assert.Equal(t, s.starts(waiting), 1, "the task starts during the series")
 }
+
+// Guards against a serving task that stays above its latency target for a whole series of takeovers, because each owner waits anew
+// before it halts the best-effort task beside it.
+func TestHarmfulTaskIsHaltedDuringSeriesOfTakeovers(t *testing.T) {
+	const serving, harmful = "0000000000000001", "0000000000000002"
+	// harmTime is after what time above its target the users of a task count as harmed.
+	const harmTime = 4 * time.Second
+	s := newSeriesHarness(t)
+	over := false
+	s.measurement = func(r shard.Start) float64 {
+		switch {
+		case r.Job != serving:
+			return 1000
+		case over:
+			return 200
+		}
+		return 7
+	}
+	step := workflow.Step{Count: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}}
+	longRunning, bestEffort := step, step
+	longRunning.LongRunning, longRunning.TailTarget, longRunning.Image = true, 18*time.Millisecond, "s"
+	bestEffort.BestEffort, bestEffort.Image = true, "f"
+	s.add(workflow.Job{ID: serving, Queue: "q", Steps: []workflow.Step{longRunning}})
+	s.add(workflow.Job{ID: harmful, Queue: "q", Steps: []workflow.Step{bestEffort}})
+	s.run(2 * time.Second)
+	over, s.paces = true, nil
+	for range harmTime / ownershipTime {
+		s.takeOver()
+		s.run(ownershipTime)
+	}
+	assert.Assert(t, slices.ContainsFunc(s.paces, func(p shard.Pace) bool { return p.Job == harmful && p.Percent == 0 }))
+}
