--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -72,8 +72,7 @@
 }
 
 // pollOrder returns the workers in the order in which they are polled. Until all have answered this owner, those come first whose runs
-// end first unless it renews their lease. Owners in series that don't
-// get to all workers would otherwise leave out the same ones.
+// end first unless it renews their lease. Owners in series that don't get to all workers would otherwise leave out the same ones.
 func (o *Owner) pollOrder() []*worker {
 	workers := o.sortedWorkers()
 	if !slices.ContainsFunc(workers, func(w *worker) bool { return !w.fenced }) {
