Describe the parts of a handover in the order of their numbers

Cause: a reader took an attempt that was not sent for one that was never sent, also where its start was lost; numbers were out of order. No behaviour changes.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -13,21 +13,21 @@
 // one. Its durations count from the moment at which the owner sent its last order.
 type Handover struct {
 	// Progress holds the progress of jobs whose last changes are not recorded, by job. Their attempts that were not sent are plans.
-	Progress map[string]workflow.Progress `cbor:"3,keyasint,omitempty"`
+	Progress map[string]workflow.Progress `cbor:"1,keyasint,omitempty"`
 	// Running holds the runs that may be found overdue, except those that began a moment ago.
-	Running []RunAge `cbor:"4,keyasint,omitempty"`
-	// Unsent holds the attempts that may be on record and were never sent.
-	Unsent []UnsentAttempt `cbor:"1,keyasint,omitempty"`
+	Running []RunAge `cbor:"2,keyasint,omitempty"`
+	// Unsent holds the attempts that may be on record and have not begun: no start of them is on its way.
+	Unsent []UnsentAttempt `cbor:"3,keyasint,omitempty"`
 	// Workers holds the workers whose leases may not have expired. All other workers of the shard have none.
-	Workers []WorkerLease `cbor:"2,keyasint,omitempty"`
+	Workers []WorkerLease `cbor:"4,keyasint,omitempty"`
 }
 
-// WorkerLease is how long the lease of a worker may still last.
+// WorkerLease is how long the lease of a worker may still last, with what else the owner knows of the worker.
 type WorkerLease struct {
 	_ struct{} `cbor:",toarray"`
 	// Born identifies the latest lifetime of the worker that the owner knows.
 	Born int64
-	// Draining is how long the worker has been draining; 0 if it is not.
+	// Draining is how long the worker has been draining; 0 if it is not or began to at this moment.
 	Draining time.Duration
 	ID       string
 	// Left is the longest time until everything on the worker has ended, on the owners' clocks.
@@ -46,7 +46,7 @@
 // minRunAge is the age from which runs are named in a handover.
 const minRunAge = 500 * time.Millisecond
 
-// UnsentAttempt identifies an attempt that was never sent to its worker.
+// UnsentAttempt identifies an attempt that has not begun and whose worker can't begin it without a further start.
 type UnsentAttempt struct {
 	_   struct{} `cbor:",toarray"`
 	Job string
