--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -15,7 +15,7 @@
 )
 
 // commitWaitTimeout bounds the wait for the commit in flight when a shard is handed over: two transactions of a store that answers
-// in 200 ms, fifty times its usual latency. The next owner learns of other changes from the workers, as after a crash.
+// in 200 ms, fifty times its usual latency. Other changes are handed over, or the next owner learns of them from the workers.
 const commitWaitTimeout = 500 * time.Millisecond
 
 // deletionTimeout is how long an owner that has stopped its work on a shard tries to delete the owner key. Overloaded hosts need
@@ -98,7 +98,7 @@
 }
 
 // giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
-// key. The runner stops first: an owner that is short of processor time would not get the deletion done beside its other work, and
+// key and writes what the next owner has to know. The runner stops first: an owner that is short of processor time would not get the deletion done beside its other work, and
 // would keep the shard because of its load.
 func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *successorRecord, reason string, log *logrus.Entry) {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -57,7 +57,7 @@
 			}
 		}
 	}
-	// An owner that is short of processor time sends them over a second, and a stopped long-running task is interrupted meanwhile.
+	// An owner that is short of processor time takes a second to send them, and long-running tasks are interrupted until theirs is sent.
 	slices.SortStableFunc(a.Starts, func(x, y Start) int { return cmp.Compare(o.startRank(x), o.startRank(y)) })
 }
 
