Bound the read of a handover that is passed on

Cause: an owner that gives up a shard before it has read what it was handed could spend two calls of 0.4 s on the read before the timeout of the deletion begins. Change: both attempts share 0.4 s. Result: the tests of handovers and drains of internal/entry pass.

--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -78,7 +78,10 @@
 	inherited, isRead := r.inherited, r.isHandoverRead
 	r.mu.Unlock()
 	if !isRead {
-		inherited = r.readHandover(ctx)
+		// The deletion of the owner key, which follows, has its own timeout.
+		readCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		defer cancel()
+		inherited = r.readHandover(readCtx)
 	}
 	if inherited == nil {
 		return nil
