Hand over since when interrupted tasks wait

Cause: the 2 s after which an owner stops short runs counted from its own first look at the task. Change: the handover names the interrupted tasks with their waits.

--- a/internal/entry/handoverrecord_test.go
+++ b/internal/entry/handoverrecord_test.go
@@ -19,6 +19,7 @@
 		Progress: map[string]workflow.Progress{"a": {DoneThrough: 1, Tasks: []workflow.TaskRecord{{Key: k, Run: 2}}}},
 		Running:  []shard.RunAge{{Age: time.Second, Job: "a", Key: k, Run: 2}},
 		Unsent:   []shard.UnsentAttempt{{Job: "b", Key: k, Run: 4}},
+		Waiting:  []shard.RunAge{{Age: time.Minute, Job: "c", Key: k, Run: 5}},
 		Workers:  []shard.WorkerLease{{Born: 5, Draining: time.Minute, ID: "w", Left: time.Hour}},
 	}
 	got, err := entry.RecordedHandover(entry.EncodeHandover(7, h))
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -18,6 +18,8 @@
 	Running []RunAge `cbor:"2,keyasint,omitempty"`
 	// Unsent holds the attempts that may be on record and have not begun: no start of them is on its way.
 	Unsent []UnsentAttempt `cbor:"3,keyasint,omitempty"`
+	// Waiting holds the interrupted tasks that wait for a worker, by their last run.
+	Waiting []RunAge `cbor:"5,keyasint,omitempty"`
 	// Workers holds the workers whose leases may not have expired. All other workers of the shard have none.
 	Workers []WorkerLease `cbor:"4,keyasint,omitempty"`
 }
@@ -34,7 +36,7 @@
 	Left time.Duration
 }
 
-// RunAge is how long a worker has been carrying a run out.
+// RunAge is how long a worker has been carrying a run out, or how long its task has been waiting for the next one.
 type RunAge struct {
 	_   struct{} `cbor:",toarray"`
 	Age time.Duration
@@ -57,10 +59,7 @@
 // WithAge returns the handover as it reads when a time has passed in which no order was sent.
 func (h Handover) WithAge(age time.Duration) Handover {
 	out := Handover{Progress: h.Progress, Unsent: h.Unsent}
-	for _, r := range h.Running {
-		r.Age += age
-		out.Running = append(out.Running, r)
-	}
+	out.Running, out.Waiting = withAge(h.Running, age), withAge(h.Waiting, age)
 	for _, w := range h.Workers {
 		if w.Left -= age; w.Left <= 0 {
 			continue
@@ -73,9 +72,17 @@
 	return out
 }
 
+func withAge(runs []RunAge, age time.Duration) []RunAge {
+	out := slices.Clone(runs)
+	for i := range out {
+		out[i].Age += age
+	}
+	return out
+}
+
 // Handover returns what the next owner has to know. The caller must send no order after this call.
 func (o *Owner) Handover(now time.Time) Handover {
-	h := Handover{Progress: o.unrecordedProgress(now)}
+	h := Handover{Progress: o.unrecordedProgress(now), Waiting: o.interruptions(now)}
 	for _, w := range o.sortedWorkers() {
 		if left := w.leaseExpiry(o.timing).Sub(now); left > 0 {
 			lease := WorkerLease{Born: max(w.incarnation, w.Born), ID: w.ID, Left: left}
@@ -96,6 +103,19 @@
 	return h
 }
 
+// interruptions returns the interrupted tasks with the times for which they have waited.
+func (o *Owner) interruptions(now time.Time) []RunAge {
+	var out []RunAge
+	for _, j := range o.backlog {
+		for _, t := range j.readyTasks() {
+			if t.isInterrupted() && !t.waitingSince.IsZero() {
+				out = append(out, RunAge{Age: now.Sub(t.waitingSince), Job: j.ID, Key: t.key, Run: t.run})
+			}
+		}
+	}
+	return out
+}
+
 // maxProgressBytes limits the progress that is handed over. The record is written by a host that may have a slow link, and the store
 // refuses values of more than 1 MB.
 const maxProgressBytes = 128 << 10
@@ -178,13 +198,11 @@
 	return slices.IndexFunc(h.Workers, func(w WorkerLease) bool { return w.ID == worker })
 }
 
-// runningSince returns when a run began as far as the last owner knew, or the zero time.
-func (o *Owner) runningSince(job string, k workflow.TaskKey, run int) time.Time {
-	if o.inherited != nil {
-		for _, r := range o.inherited.Running {
-			if r.Job == job && r.Key == k && r.Run == run {
-				return o.acquiredAt.Add(-r.Age)
-			}
+// since returns when a run or a wait of a list that was handed over began, or the zero time if the list does not have it.
+func (o *Owner) since(runs []RunAge, job string, k workflow.TaskKey, run int) time.Time {
+	for _, r := range runs {
+		if r.Job == job && r.Key == k && r.Run == run {
+			return o.acquiredAt.Add(-r.Age)
 		}
 	}
 	return time.Time{}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -79,7 +79,9 @@
 		}
 		at := &attempt{
 			born: ra.Born, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1,
-			runningSince: o.runningSince(n.ID, k, ra.Run),
+		}
+		if o.inherited != nil {
+			at.runningSince = o.since(o.inherited.Running, n.ID, k, ra.Run)
 		}
 		if o.inherited != nil && o.inherited.isUnsent(n.ID, k, ra.Run) {
 			at.markReady(now)
@@ -89,6 +91,9 @@
 		t.attempts = append(t.attempts, at)
 		w.add(at)
 	}
+	if o.inherited != nil && t.isInterrupted() {
+		t.waitingSince = o.since(o.inherited.Waiting, n.ID, k, t.run)
+	}
 }
 
 // Add adds a newly accepted job. Repeated calls for the same job have no effect.
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -200,3 +200,53 @@
 		assert.Check(t, is.Equal(first[w.ID], i >= workers-len(first)), "worker %s with %s left", w.ID, w.Left)
 	}
 }
+
+// Guards against interrupted tasks that wait for longer in a series of handovers, since each owner waits anew until it stops short runs
+// for them.
+func TestWaitOfInterruptedTaskGoesOnOverHandovers(t *testing.T) {
+	const interrupted, short = "1000000000000000", "2000000000000000"
+	// An owner stops short runs after 2 s; a handover and the record of the next run follow.
+	const most = 3 * time.Second
+	for _, handovers := range []int{0, 8} {
+		c := newFleetHarness(t, 2)
+		c.config = shrinkingConfig
+		c.owner.SetConfig(c.config)
+		c.worker("b1").Draining = true
+		c.register()
+		c.add(workflow.Job{ID: short, Queue: "low", Steps: []workflow.Step{
+			{Count: 2, Resources: fleet.Resources{CPUMilli: 4000, MemoryMiB: 10}, Estimate: time.Minute},
+		}})
+		c.run(time.Second)
+		c.worker("b1").Draining = false
+		c.register()
+		c.addLasting(interrupted, 5000)
+		c.run(time.Second)
+		assert.DeepEqual(t, c.workersOf(interrupted), map[string]int{"b1": 1})
+		c.worker("b1").Draining, c.worker("b1").Remaining = true, time.Minute
+		c.register()
+		c.waitFor(time.Second, func() bool { return len(c.workersOf(interrupted)) == 0 })
+		began := c.now
+		for range handovers {
+			c.run(800 * time.Millisecond)
+			c.handOver()
+		}
+		c.waitFor(20*time.Second, func() bool { return len(c.workersOf(interrupted)) > 0 })
+		first := c.starts[len(c.starts)-1]
+		for _, s := range c.starts {
+			if s.Job == interrupted && s.Run > 1 {
+				first = s
+				break
+			}
+		}
+		assert.Equal(t, first.Job, interrupted, "after %d handovers", handovers)
+		waited := c.startedAt[c.name(first)].Sub(began)
+		assert.Check(t, waited <= most, "with %d handovers the task waits for %s", handovers, waited)
+	}
+}
+
+// addLasting adds a job with one long-running task.
+func (c *fleetHarness) addLasting(id string, cpuMilli int64) {
+	c.add(workflow.Job{ID: id, Queue: "q", Steps: []workflow.Step{
+		{Count: 1, Resources: fleet.Resources{CPUMilli: cpuMilli, MemoryMiB: 10}, LongRunning: true},
+	}})
+}
