--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -19,7 +19,7 @@
 // smaller batch tasks would take all resources as they become free, and a larger task would never fit. It returns false if there is
 // no such worker.
 func (o *Owner) hold(now time.Time, t *task) bool {
-	if !t.step.LongRunning || !o.mayHoldMore() || o.candidates != nil {
+	if !t.step.LongRunning || !o.mayHoldMore() {
 		return false
 	}
 	var best *worker
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -26,10 +26,6 @@
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
-	// candidates limits choose to some workers; nil stands for all.
-	candidates []*worker
-	// freed holds the workers on which a run that reserved CPU has ended since placeRestarts last considered them.
-	freed []*worker
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
 	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
@@ -306,9 +302,6 @@
 		}
 	}
 	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
-	if !at.task.step.BestEffort {
-		o.freed = append(o.freed, at.worker)
-	}
 	if at.isSent() {
 		if reason != string(EndDone) {
 			o.log.WithFields(logrus.Fields{
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -336,11 +336,7 @@
 func (o *Owner) choose(now time.Time, t *task, rack string) *worker {
 	var best *worker
 	bestScore := 0.0
-	workers := o.candidates
-	if workers == nil {
-		workers = o.sortedWorkers()
-	}
-	for _, w := range workers {
+	for _, w := range o.sortedWorkers() {
 		if rack != "" && w.Rack != rack || !o.canTake(now, w, t) {
 			continue
 		}
--- a/internal/shard/placerestarts.go
+++ b/internal/shard/placerestarts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -14,7 +13,6 @@
 	}
 	if due := o.lastRestartPlace.Add(o.placePause(o.evaluatedRestartPairs)); now.Before(due) {
 		a.wakeAt(due)
-		o.placeRestartsOnFreed(now)
 		return
 	}
 	pairs := o.evaluatedPairs
@@ -27,21 +25,6 @@
 	o.logPlaced(now)
 }
 
-// placeRestartsOnFreed places long-running tasks that ran before on the workers on which a run has ended. The other workers had no room
-// for these tasks when placeRestarts last considered them.
-func (o *Owner) placeRestartsOnFreed(now time.Time) {
-	if len(o.freed) == 0 {
-		return
-	}
-	slices.SortFunc(o.freed, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
-	pairs, restartPairs, last := o.evaluatedPairs, o.evaluatedRestartPairs, o.lastRestartPlace
-	o.candidates = slices.Compact(o.freed)
-	o.placeRestarts(now, map[taskClass]bool{})
-	o.candidates = nil
-	o.evaluatedPairs, o.evaluatedRestartPairs, o.lastRestartPlace = pairs, restartPairs, last
-	o.logPlaced(now)
-}
-
 // placeRestarts places the long-running tasks that ran before. They come before tasks that never ran, since their interruption
 // lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
@@ -66,7 +49,6 @@
 		}
 	}
 	o.lastRestartPlace, o.evaluatedRestartPairs = now, o.evaluatedPairs
-	o.freed = nil
 }
 
 func interruptedTasks(tasks []*task) []*task {
