Record the lifetime of the worker to which a start was sent, also after the worker restarts

What callers saw: not seen; a run that had been carried out was sent again under its number after two changes of the owner. Cause: an owner that recorded a job again wrote the present lifetime of the worker for runs of an earlier one, so that the next owner took such a run for one that was never carried out. Change: an attempt keeps the lifetime to which its start was sent first.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -89,7 +89,7 @@
 func (t *task) record(c *Commit) workflow.TaskRecord {
 	rec := workflow.TaskRecord{Key: t.key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run}
 	for _, at := range t.attempts {
-		rec.Attempts = append(rec.Attempts, workflow.Attempt{Worker: at.worker.ID, Born: at.worker.incarnation, Run: at.run})
+		rec.Attempts = append(rec.Attempts, workflow.Attempt{Worker: at.worker.ID, Born: at.lifetime(), Run: at.run})
 		if at.phase == phasePlanned {
 			c.planned = append(c.planned, at)
 		}
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -71,7 +71,7 @@
 
 func (o *Owner) startOrder(now time.Time, at *attempt) Start {
 	at.inFlight = true
-	at.sentAt, at.phase = now, phaseSent
+	at.sentAt, at.phase, at.born = now, phaseSent, at.lifetime()
 	t := at.task
 	t.started, t.job.started = true, true
 	return Start{
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -31,7 +31,8 @@
 
 // attempt is a run of a task on a worker that is not proven to have ended.
 type attempt struct {
-	// born is the lifetime of the worker for which an earlier owner recorded the attempt; 0 for an attempt of this owner.
+	// born is the lifetime of the worker to which the start was sent first, or for which an earlier owner recorded the attempt; 0 for
+	// an attempt of this owner that was not sent.
 	born int64
 	// confirmedAt is when the worker answered the start or the stop, or first listed the run.
 	confirmedAt time.Time
@@ -64,6 +65,14 @@
 // isSent reports whether the worker may know about the attempt.
 func (a *attempt) isSent() bool { return a.phase != phasePlanned && a.phase != phaseReady }
 
+// lifetime returns the lifetime of the worker to which the attempt belongs.
+func (a *attempt) lifetime() int64 {
+	if a.born != 0 {
+		return a.born
+	}
+	return a.worker.incarnation
+}
+
 // markReady makes an attempt that an earlier owner recorded ready to be sent.
 func (a *attempt) markReady(now time.Time) {
 	a.phase, a.pace, a.plannedAt, a.sentAt = phaseReady, fullPace, now, time.Time{}
