Read what the last owner handed over until the read succeeds

One owner of the series got no answer to its reads of the handover, took the leases of all workers to begin with its takeover, and handed that on. Change: the load of a shard waits for the handover as it does for the progress records, and a failed read counts for a load that is given up.

--- a/internal/entry/failedload.go
+++ b/internal/entry/failedload.go
@@ -100,15 +100,20 @@
 	s.Range = func(ctx context.Context, prefix string) ([]kvstore.KV, int64, error) {
 		kvs, revision, err := read(ctx, prefix)
 		if err != nil {
-			r.mu.Lock()
-			r.failedReadAt = r.host.now()
-			r.mu.Unlock()
+			r.noteFailedRead()
 		}
 		return kvs, revision, err
 	}
 	return s
 }
 
+// noteFailedRead notes that a read of the shard's records has failed.
+func (r *runner) noteFailedRead() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failedReadAt = r.host.now()
+}
+
 // isLoadLate reports whether the shard is not loaded although it was taken a timeout ago, the host's lease has been renewed for as
 // long, and a read of its records failed in that time.
 func (r *runner) isLoadLate(now, lastUnhealthy time.Time, timeout time.Duration) bool {
--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -16,53 +17,54 @@
 	Handover shard.Handover `cbor:"2,keyasint"`
 }
 
-// readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash, or
-// it can't be read. The new owner then relies on the longest lease of a worker.
-func (r *runner) readHandover(ctx context.Context) (handover *shard.Handover) {
+// readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash. The
+// new owner then relies on the longest lease of a worker.
+func (r *runner) readHandover(ctx context.Context) (handover *shard.Handover, err error) {
 	defer func() {
 		if v := recover(); v != nil {
 			logPanic(r.log, "handover", v)
-			handover = nil
+			handover, err = nil, nil
 		}
 	}()
 	if r.previousEpoch == 0 || r.host.platform.Store.Get == nil {
-		return nil
-	}
-	kv, err := r.getHandover(ctx)
-	if err != nil {
-		kv, err = r.getHandover(ctx)
+		return nil, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	kv, err := r.host.platform.Store.Get(ctx, handoverKey(r.shard))
 	if err != nil {
-		r.log.WithError(err).WithField("decision", "handover_unread").
-			Warn("failed to read what the last owner handed over; relying on the longest lease of a worker")
-		return nil
+		r.log.WithError(err).WithField("decision", "handover_unread").Warn("failed to read what the last owner handed over")
+		r.noteFailedRead()
+		return nil, err
 	}
 	if kv.ModRevision == 0 {
-		return nil
+		return nil, nil
 	}
 	record, err := workflow.Decode[handoverRecord](kv.Value)
 	switch {
 	case err != nil:
 		r.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed handover record")
-		return nil
+		return nil, nil
 	case record.Epoch != r.previousEpoch:
-		return nil
+		return nil, nil
 	}
-	return &record.Handover
-}
-
-func (r *runner) getHandover(ctx context.Context) (kvstore.KV, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	return r.host.platform.Store.Get(ctx, handoverKey(r.shard))
+	return &record.Handover, nil
 }
 
-// loadHandover reads what the last owner handed over, for the load of the shard.
+// loadHandover reads what the last owner handed over, for the load of the shard. It retries until it succeeds or the runner stops: an
+// owner that does without would hand the longest leases over in its turn.
 func (r *runner) loadHandover() {
-	h := r.readHandover(r.ctx)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inherited, r.isHandoverRead = h, true
+	for r.ctx.Err() == nil {
+		h, err := r.readHandover(r.ctx)
+		if err != nil {
+			retry.Sleep(r.ctx, minWriteBackoff)
+			continue
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.inherited, r.isHandoverRead = h, true
+		return
+	}
 }
 
 // endOrders stops the runner and returns what the next owner has to know, or nil if this owner does not know it. An owner that has not
@@ -79,12 +81,27 @@
 	r.mu.Unlock()
 	if !isRead {
 		// The deletion of the owner key, which follows, has its own timeout.
-		readCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		readCtx, cancel := context.WithTimeout(ctx, commitWaitTimeout)
 		defer cancel()
-		inherited = r.readHandover(readCtx)
+		var err error
+		for inherited, err = r.readHandover(readCtx); err != nil; inherited, err = r.readHandover(readCtx) {
+			if readCtx.Err() != nil {
+				return nil
+			}
+			retry.Sleep(readCtx, minWriteBackoff)
+		}
 	}
 	if inherited == nil {
 		return nil
 	}
 	return &handoverRecord{Epoch: r.epochRevision(), Handover: inherited.WithAge(now.Sub(r.takenAt))}
 }
+
+// handoverPuts stops the runner and returns the write of what the next owner has to know, if this owner knows it.
+func (r *runner) handoverPuts(ctx context.Context) []kvstore.Put {
+	handover := r.endOrders(ctx)
+	if handover == nil {
+		return nil
+	}
+	return []kvstore.Put{{Key: handoverKey(r.shard), Value: workflow.Encode(*handover)}}
+}
--- a/internal/entry/takeoverseries_test.go
+++ b/internal/entry/takeoverseries_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/knownred"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
 const (
@@ -127,3 +128,36 @@
 		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
 	})
 }
+
+// Guards against an owner that does without what the last one handed over because one read of it got no answer: it took the leases of
+// workers to begin with its takeover, and handed that on.
+func TestHandoverIsReadAgainAfterLostResponse(t *testing.T) {
+	for seed := range uint64(3) {
+		runFleetWith(t, seed, 1, jobsAtLimit/2, seriesMaxLease, func(f *simulatedFleet) {
+			f.changePlatform = func(p *entry.Platform) {
+				read, isLost := p.Store.Get, false
+				p.Store.Get = func(ctx context.Context, key string) (kvstore.KV, error) {
+					if isLost = !isLost; isLost {
+						<-ctx.Done()
+						return kvstore.KV{}, kvstore.ErrUnavailable
+					}
+					return read(ctx, key)
+				}
+			}
+			f.startMixed(6, 0)
+			time.Sleep(5 * time.Second)
+			f.tasks.calm()
+			time.Sleep(contactTime)
+			began := time.Now()
+			go f.stopOwnersInSeries(10)
+			time.Sleep(500 * time.Millisecond)
+			for i := range 6 {
+				f.leave(fmt.Sprintf("servers/w0-%d", i))
+			}
+			time.Sleep(20*time.Second - time.Since(began))
+			longest, task := f.tasks.longestCounted()
+			assert.Check(t, longest <= restartWindow, "seed %d: %s had nothing running for %s; owners: %s", seed, task, longest,
+				f.ownerHistory(began))
+		})
+	}
+}
