Use what was handed over after a claim without a response and after a failed handover

What was seen: an owner whose claim of a shard got no response learns of it from the watch, and did not know which epoch had guarded the claim. It did without the handover and took the leases of all workers to begin with its takeover. A draining host that learns of such a claim passed nothing on, and a host that took a shard back began anew. Change: the owner key names the epoch that guarded its claim. A draining host passes on what it was handed over, and the transaction that takes a shard back writes what was to be handed over. The path after a failed handover has no test of its own.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -53,7 +53,9 @@
 
 // ownershipTxn returns the transaction with which this host takes a shard without an owner.
 func (o *ownedShards) ownershipTxn(n int, lease, epoch int64) kvstore.Txn {
-	record := workflow.Encode(o.host.self)
+	owner := o.host.self
+	owner.PreviousEpoch = epoch
+	record := workflow.Encode(owner)
 	return kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
 		Puts:   []kvstore.Put{{Key: ownerKey(n), Lease: lease, Value: record}, {Key: epochKey(n), Value: record}},
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -25,6 +25,8 @@
 	Zone        string `cbor:"5,keyasint"`
 	// Strength is the processor time available to the host, in cores; owners are chosen by it.
 	Strength float64 `cbor:"6,keyasint,omitempty"`
+	// PreviousEpoch is, in the owner and epoch keys of a shard, the revision of the epoch key that guarded the claim.
+	PreviousEpoch int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // layout assigns racks to shards. Racks are only added; an assigned rack never moves.
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -106,15 +106,11 @@
 	cancelWait()
 	revision := r.ownerRevision()
 	o.handovers.recordGivenUp(r.shard, revision)
-	handover := r.endOrders(ctx)
+	puts := r.handoverPuts(ctx)
 	o.stopRunner(r, reason)
-	var puts []kvstore.Put
 	if successor != nil {
 		puts = append(puts, kvstore.Put{Key: successorKey(r.shard), Value: workflow.Encode(*successor)})
 	}
-	if handover != nil {
-		puts = append(puts, kvstore.Put{Key: handoverKey(r.shard), Value: workflow.Encode(*handover)})
-	}
 	o.deleteOwnerKey(ctx, r, revision, log, puts...)
 }
 
@@ -162,7 +158,7 @@
 			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
 				Warn("failed to delete the owner key of the shard; taking the shard back")
 			h.directory.recordFailedHandover(h.self.Host)
-			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r)
+			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r, t)
 		}
 		retry.Sleep(ctx, minWriteBackoff)
 	}
@@ -170,10 +166,15 @@
 
 // takeBackTxn returns a transaction that writes the owner key of a shard again under the same lease. An attempt to delete the key
 // may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
-// starts a runner.
-func (o *ownedShards) takeBackTxn(r *runner) kvstore.Txn {
+// starts a runner, which reads what was to be handed over.
+func (o *ownedShards) takeBackTxn(r *runner, deletion kvstore.Txn) kvstore.Txn {
 	t := o.ownershipTxn(r.shard, r.ownerLease(), r.epochRevision())
 	t.Guards[0].Revision = r.ownerRevision()
+	for _, p := range deletion.Puts {
+		if p.Key == handoverKey(r.shard) {
+			t.Puts = append(t.Puts, p)
+		}
+	}
 	return t
 }
 
@@ -200,9 +201,10 @@
 	log.Info("giving up a shard that was taken without a response")
 	o.handovers.recordGivenUp(n, current.revision)
 	r := newRunner(o.host, n, current.revision, current.lease)
+	r.previousEpoch = current.PreviousEpoch
 	go func() {
 		defer r.close()
-		o.deleteOwnerKey(ctx, r, current.revision, log)
+		o.deleteOwnerKey(ctx, r, current.revision, log, r.handoverPuts(ctx)...)
 	}()
 }
 
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -242,7 +242,9 @@
 		o.dropOwnerKey(ctx, n, current)
 	default:
 		// The response to the claim was lost, or this host took back a shard that it could not hand over.
-		o.startRunner(newRunner(h, n, current.revision, current.lease))
+		taken := newRunner(h, n, current.revision, current.lease)
+		taken.previousEpoch = current.PreviousEpoch
+		o.startRunner(taken)
 	}
 }
 
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -62,7 +62,7 @@
 	cancellations map[string]bool
 	// registry holds the workers of all shards, by the store key of their registry entry.
 	registry map[string]shard.Worker
-	// previousEpoch is the revision of the shard's epoch key that guarded the claim of this owner; 0 if it is not known.
+	// previousEpoch is the revision of the shard's epoch key that guarded the claim of this owner; 0 if the claim is of an older build.
 	previousEpoch int64
 	// takenAt is when this runner was created, after the claim of the shard.
 	takenAt time.Time
