--- a/internal/entry/claimseries_test.go
+++ b/internal/entry/claimseries_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -48,10 +47,7 @@
 					time.Sleep(seriesGap)
 				}
 			}()
-			time.Sleep(500 * time.Millisecond)
-			for i := range 6 {
-				f.leave(fmt.Sprintf("servers/w0-%d", i))
-			}
+			f.leaveSoon()
 			time.Sleep(20*time.Second - time.Since(began))
 			longest, task := f.tasks.longestCounted()
 			assert.Check(t, longest <= restartWindow, "seed %d: %s had nothing running for %s; owners: %s", seed, task, longest,
--- a/internal/entry/takeoverseries_test.go
+++ b/internal/entry/takeoverseries_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// leaveSoon lets six of the workers leave after half a second, some of which have long-running tasks.
+func (f *simulatedFleet) leaveSoon() {
+	time.Sleep(500 * time.Millisecond)
+	left := 0
+	for i := range 6 {
+		left += f.leave(fmt.Sprintf("servers/w0-%d", i))
+	}
+	assert.Assert(f.t, left > 0, "no long-running task was on the workers that left")
+}
+
 // leave lets a worker leave at once, and returns how many long-running tasks it had.
 func (f *simulatedFleet) leave(id string) int {
 	n := f.workers[id].leave()
@@ -61,18 +71,10 @@
 // Guards against a wait for the lease of a worker that starts anew with each owner of its shard: the tasks of a worker that left had
 // nothing running while owners changed more often than a lease lasts, and for a whole lease more.
 func TestTakeoversInSeriesDoNotProlongWaitForLease(t *testing.T) {
-	leave := func(f *simulatedFleet) {
-		time.Sleep(500 * time.Millisecond)
-		left := 0
-		for i := range 6 {
-			left += f.leave(fmt.Sprintf("servers/w0-%d", i))
-		}
-		assert.Assert(t, left > 0, "no long-running task was on the workers that left")
-	}
-	t.Run("owners with time to spare", func(t *testing.T) { checkSeries(t, jobsAtLimit/2, leave) })
+	t.Run("owners with time to spare", func(t *testing.T) { checkSeries(t, jobsAtLimit/2, (*simulatedFleet).leaveSoon) })
 	t.Run("owners at their limit", func(t *testing.T) {
 		knownred.Skip(t)
-		checkSeries(t, jobsAtLimit, leave)
+		checkSeries(t, jobsAtLimit, (*simulatedFleet).leaveSoon)
 	})
 }
 
@@ -150,10 +152,7 @@
 			time.Sleep(contactTime)
 			began := time.Now()
 			go f.stopOwnersInSeries(10)
-			time.Sleep(500 * time.Millisecond)
-			for i := range 6 {
-				f.leave(fmt.Sprintf("servers/w0-%d", i))
-			}
+			f.leaveSoon()
 			time.Sleep(20*time.Second - time.Since(began))
 			longest, task := f.tasks.longestCounted()
 			assert.Check(t, longest <= restartWindow, "seed %d: %s had nothing running for %s; owners: %s", seed, task, longest,
--- a/internal/shard/wait_test.go
+++ b/internal/shard/wait_test.go
@@ -12,16 +12,16 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// collectWaits runs for 8 s and returns the log entries of the waits of long-running tasks.
-func (c *fleetHarness) collectWaits() []*logrus.Entry {
+// collectWaits runs for a time and returns the log entries with a decision on the waits of long-running tasks.
+func (c *fleetHarness) collectWaits(d time.Duration, decision string) []*logrus.Entry {
 	hook := test.NewLocal(c.log)
-	for range 80 {
+	for end := c.now.Add(d); c.now.Before(end); {
 		c.run(100 * time.Millisecond)
 		c.owner.ReportWaits(c.now)
 	}
 	var waits []*logrus.Entry
 	for _, e := range hook.AllEntries() {
-		if e.Data["decision"] == "wait" {
+		if e.Data["decision"] == decision {
 			waits = append(waits, e)
 		}
 	}
@@ -39,7 +39,7 @@
 	ended := c.running[0]
 	c.worker(ended.Worker).Draining = true
 	c.register()
-	waits := c.collectWaits()
+	waits := c.collectWaits(8*time.Second, "wait")
 	assert.Equal(t, len(waits), 2)
 	assert.DeepEqual(t, waits[0].Data, logrus.Fields{
 		"decision": "wait", "job": ended.Job, "task": ended.Key.String(), "waited": waits[0].Data["waited"],
@@ -64,17 +64,7 @@
 		if takeover {
 			c.takeOver()
 		}
-		hook := test.NewLocal(c.log)
-		for range 40 {
-			c.run(100 * time.Millisecond)
-			c.owner.ReportWaits(c.now)
-		}
-		var waits []*logrus.Entry
-		for _, e := range hook.AllEntries() {
-			if e.Data["decision"] == "wait_lease" {
-				waits = append(waits, e)
-			}
-		}
+		waits := c.collectWaits(4*time.Second, "wait_lease")
 		assert.Equal(t, len(waits), 1, origin)
 		assert.Equal(t, waits[0].Data["worker"], c.silent, origin)
 		assert.Equal(t, waits[0].Data["counts_from"], origin)
@@ -97,7 +87,7 @@
 	assert.DeepEqual(t, c.workersOf(waiting), map[string]int{"b1": 1})
 	c.worker("b1").Draining, c.worker("b1").Remaining = true, time.Minute
 	c.register()
-	waits := c.collectWaits()
+	waits := c.collectWaits(8*time.Second, "wait")
 	assert.Equal(t, len(waits), 2)
 	assert.Equal(t, waits[0].Data["short_runs"], 1)
 	assert.Equal(t, waits[0].Data["no_cpu"], nil)
