Keep the raised token of a worker that leaves the registry and comes back

Cause: a worker that is gone and has no lease left is forgotten, and with it that its fencing token was raised. When it came back, it refused the orders, and the owner took itself for replaced and stopped acting, while it kept the shard. Change: the raised tokens of workers that have left are kept for as long as the owner has the shard.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -78,6 +78,8 @@
 	acquiredAt  time.Time
 	timing      Timing
 	token       int64
+	// tokenOffsets holds the raised tokens of workers that have left, by worker. One that comes back still compares orders with them.
+	tokenOffsets map[string]int64
 	// unholdable holds the classes of tasks for which the current placement round found no worker to hold.
 	unholdable map[taskClass]bool
 	wallClock  func() time.Time
@@ -122,6 +124,7 @@
 		acquiredAt:    now,
 		timing:        DefaultTiming(),
 		token:         token,
+		tokenOffsets:  map[string]int64{},
 		unholdable:    map[taskClass]bool{},
 		wallClock:     time.Now,
 		workers:       map[string]*worker{},
@@ -153,6 +156,7 @@
 // SetToken replaces the token after the shard was lost and reacquired with no other owner in between.
 func (o *Owner) SetToken(token int64) {
 	o.token = token
+	clear(o.tokenOffsets)
 	for _, w := range o.sortedWorkers() {
 		w.fenced, w.tokenOffset, w.nextPollAt = false, 0, time.Time{}
 	}
@@ -200,6 +204,9 @@
 				Info("worker is no longer registered")
 		}
 		if len(w.attempts) == 0 && !now.Before(w.leaseExpiry(o.timing)) {
+			if w.tokenOffset > 0 {
+				o.tokenOffsets[id] = w.tokenOffset
+			}
 			delete(o.workers, id)
 			o.sortedByID = nil
 		}
@@ -219,7 +226,9 @@
 func (o *Owner) workerByID(id string) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{Worker: Worker{ID: id}, inheritedLease: o.inheritedLease(id), uses: interference.CPUUsage{}}
+		w = &worker{
+			Worker: Worker{ID: id}, inheritedLease: o.inheritedLease(id), tokenOffset: o.tokenOffsets[id], uses: interference.CPUUsage{},
+		}
 		if o.inherited != nil {
 			w.incarnation = o.inherited.lifetime(id)
 		}
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -250,3 +250,33 @@
 		{Count: 1, Resources: fleet.Resources{CPUMilli: cpuMilli, MemoryMiB: 10}, LongRunning: true},
 	}})
 }
+
+// Guards against an owner that takes itself for replaced, and never acts again, because a worker that left the registry and came back
+// knows the token that was raised for it before.
+func TestWorkerThatComesBackGetsOrdersWithItsRaisedToken(t *testing.T) {
+	const first, second = "0000000000000001", "0000000000000002"
+	c := newFleetHarness(t, 1)
+	c.pollTimeout = 900 * time.Millisecond
+	c.run(11 * time.Second)
+	c.add(workflow.Job{ID: first, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+	c.run(time.Second)
+	c.silent = "a0"
+	c.run(9 * time.Second) // the lease is over, and the token is raised
+	c.silent = ""
+	c.run(2 * time.Second)
+	assert.Equal(t, len(c.starts), 2)
+	raised := c.starts[1].Token
+	assert.Assert(t, raised > c.starts[0].Token)
+	c.owner.Cancel(c.now, first)
+	c.run(time.Second)
+	f := c.workers[0]
+	f.down = true
+	c.run(9 * time.Second)
+	c.register()
+	f.down = false
+	c.register()
+	c.add(workflow.Job{ID: second, Queue: "q", Steps: []workflow.Step{longRunningStep}})
+	c.run(2 * time.Second)
+	assert.Equal(t, len(c.starts), 3)
+	assert.Assert(t, c.starts[2].Token >= raised, "token %d after %d", c.starts[2].Token, raised)
+}
