--- a/internal/entry/claimseries_test.go
+++ b/internal/entry/claimseries_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,12 +24,12 @@
 			time.Sleep(5 * time.Second)
 			f.tasks.calm()
 			time.Sleep(contactTime)
-			claims := 0
+			var claims atomic.Int64
 			f.store.txnFault = func(_ string, x kvstore.Txn) txnFault {
 				if !slices.ContainsFunc(x.Puts, func(p kvstore.Put) bool { return strings.HasPrefix(p.Key, entry.OwnerPrefix) }) {
 					return txnFault{}
 				}
-				if claims++; claims%2 == 0 {
+				if claims.Add(1)%2 == 0 {
 					return txnFault{}
 				}
 				return txnFault{delay: 20 * time.Millisecond}
