--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner
-// key and writes what the next owner has to know. The runner stops first: an owner that is short of processor time would not get the deletion done beside its other work, and
-// would keep the shard because of its load.
+// giveUp stops the runner of a shard once its commit in flight is done or commitWaitTimeout has passed, then deletes the owner key and
+// writes what the next owner has to know. The runner stops first: an owner that is short of processor time would not get the deletion
+// done beside its other work, and would keep the shard because of its load.
 func (o *ownedShards) giveUp(ctx context.Context, r *runner, successor *successorRecord, reason string, log *logrus.Entry) {
 	waitCtx, cancelWait := context.WithTimeout(ctx, commitWaitTimeout)
 	r.beginHandover(waitCtx)
