Show that a submission runs after its cancel was answered with 410

Seen: consumers that leave without an answer and cancel are told 410, that no such submission exists. Some of these submissions start seconds later and run on, and a GET says that they are running.

Cause: the write of the POST had no response and is executed late. A cancel of an id that is not on record writes nothing, so the guard of that write still holds.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,8 @@
 
 // cases maps the names of cases to their functions, which return whether the rule held.
 var cases = map[string]func(d *deployment, isTrouble bool) bool{
-	"removed-route": removedRoute,
+	"removed-route":   removedRoute,
+	"late-submission": lateSubmission,
 }
 
 var cleanup = func() {}
