Show that tasks of lost workers wait 12 s if their owner is killed too

Seen: workers are lost for good, and a moment later the owner of their tasks is killed. The lasting tasks on these workers start again 12 s after their last run; without the kill it takes 7 s. The rule allows 9 s.

Cause: the next owner counts the longest lease that a worker accepts, 10 s, from its own takeover, although owners grant 7 s at most.

The script's hosts now use ports below those of outgoing connections: a host that was started again once did not get its port. Nothing is fixed.

--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,13 +39,20 @@
 	settings      string
 }
 
+// lowestPort and highestPort bound the ports of the hosts. They are below those that the system gives to outgoing connections, one of
+// which could take the port of a host while it is down.
+const lowestPort, highestPort = 20000, 32000
+
 func freePort() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("no free port: %v", err)
+	for range 1000 {
+		port := strconv.Itoa(lowestPort + rand.IntN(highestPort-lowestPort))
+		if ln, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+			_ = ln.Close()
+			return port
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return strconv.Itoa(ln.Addr().(*net.TCPAddr).Port)
+	fail("no free port")
+	return ""
 }
 
 // newHost writes the settings file of a host from the template of the deploy file.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(d *deployment, isTrouble bool) bool{
 	"removed-route":   removedRoute,
 	"late-submission": lateSubmission,
+	"silent-owner":    silentOwner,
 }
 
 var cleanup = func() {}
