Show that pending leaves out submissions that wait for a lost worker

Seen: a worker is lost for good while submissions come. For some seconds all hosts give pending as 0, although submissions that were accepted over 5 s before have not begun.

Cause: a job counts as started once its start is about to be sent, not once the worker has confirmed it.

Change: a script. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"removed-route":   removedRoute,
 	"late-submission": lateSubmission,
 	"silent-owner":    silentOwner,
+	"unstarted":       unstarted,
 }
 
 var cleanup = func() {}
