Show that tasks don't leave a shard that has no worker for them

Seen: one of two racks of a kind of worker is lost for good. The lasting tasks that ran there are never started again, although the other rack has room, and about half of the new submissions that require the kind are accepted and never start.

Cause: the shard of a job is chosen by load, not by what its tasks require, and neither jobs nor racks move between shards.

Change: a script. Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -51,6 +51,8 @@
 	EstimateMs  int   `json:"estimateMs,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
 	MemMb       int   `json:"memMb"`
+	// Requirements is a label that the worker must have.
+	Requirements string `json:"requirements,omitempty"`
 }
 
 // submission is a submission of a consumer.
--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -56,14 +56,14 @@
 }
 
 // newHost writes the settings file of a host from the template of the deploy file.
-func newHost(r *record, folder, store string, n int, zone string, maxLease time.Duration) *host {
+func newHost(r *record, folder, store string, n int, zone, cpuShare string, maxLease time.Duration) *host {
 	h := &host{
 		caller: "127.0.0.1:" + freePort(), ready: "127.0.0.1:" + freePort(), name: fmt.Sprintf("front-%d", n), record: r,
 	}
 	values := map[string]string{
 		"node": h.name, "region": "west", "zone": zone, "listen.front": h.caller, "listen.ready": h.ready, "ip": "127.0.0.1",
 		"internalPorts.0": freePort(), "internalPorts.1": freePort(), "platform.address": store, "advice": "", "bounds.status_s": "120",
-		"limits.cpuShare": "0.4", "bounds.maxHoldMs": strconv.FormatInt(maxLease.Milliseconds(), 10),
+		"limits.cpuShare": cpuShare, "bounds.maxHoldMs": strconv.FormatInt(maxLease.Milliseconds(), 10),
 	}
 	template, err := os.ReadFile(templatePath)
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(d *deployment, isTrouble bool) bool{
 	"removed-route":   removedRoute,
 	"late-submission": lateSubmission,
+	"lost-rack":       lostRack,
 	"silent-owner":    silentOwner,
 	"unstarted":       unstarted,
 }
@@ -81,11 +82,26 @@
 func (d *deployment) begin(hosts, workers int, maxLease time.Duration, routes ...route) {
 	d.store = newStore(d.record)
 	for n := range workers {
-		d.workers = append(d.workers, newWorker(d.store, d.record, n, fmt.Sprintf("z%d", n%hosts+1), maxLease))
+		zone := fmt.Sprintf("z%d", n%hosts+1)
+		d.addWorkers(1, zone, []string{"a", "r1-" + zone}, maxLease)
 	}
+	d.startHosts(hosts, "0.16", maxLease, routes...)
+}
+
+// addWorkers starts workers with labels, which are a kind and a rack.
+func (d *deployment) addWorkers(n int, zone string, labels []string, maxLease time.Duration) []*worker {
+	first := len(d.workers)
+	for range n {
+		d.workers = append(d.workers, newWorker(d.store, d.record, len(d.workers), zone, labels, maxLease))
+	}
+	return d.workers[first:]
+}
+
+// startHosts writes the first config, starts the hosts and waits until all are ready and consumers come.
+func (d *deployment) startHosts(hosts int, cpuShare string, maxLease time.Duration, routes ...route) {
 	putConfig(d.store, d.record, 1, routes...)
 	for n := range hosts {
-		h := newHost(d.record, d.folder, d.store.address, n+1, fmt.Sprintf("z%d", n%hosts+1), maxLease)
+		h := newHost(d.record, d.folder, d.store.address, n+1, fmt.Sprintf("z%d", n%hosts+1), cpuShare, maxLease)
 		d.hosts = append(d.hosts, h)
 		h.start()
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -40,6 +40,8 @@
 	highest  map[string]int
 	id       string
 	isSilent bool
+	// labels are the worker's kind and its rack.
+	labels   []string
 	leaseEnd int64
 	maxLease time.Duration
 	mu       sync.Mutex
@@ -60,9 +62,10 @@
 	leaseEndReason = "lapsed"
 )
 
-func newWorker(s *store, r *record, n int, zone string, maxLease time.Duration) *worker {
+func newWorker(s *store, r *record, n int, zone string, labels []string, maxLease time.Duration) *worker {
 	w := &worker{
-		born: time.Now(), highest: map[string]int{}, id: "i-" + strconv.Itoa(1000+n), maxLease: maxLease, record: r, store: s, zone: zone,
+		born: time.Now(), highest: map[string]int{}, id: "i-" + strconv.Itoa(1000+n), labels: labels, maxLease: maxLease, record: r,
+		store: s, zone: zone,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.start)
@@ -90,7 +93,7 @@
 			value, _ := json.Marshal(map[string]any{
 				"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
 				"coldRemainingMs": 0, "capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemory, "gpu": 0},
-				"labels": []string{"a", "r1-" + w.zone}, "machine": "m-" + w.id, "born": w.born.UnixMilli(), "clockMs": w.clock(),
+				"labels": w.labels, "machine": "m-" + w.id, "born": w.born.UnixMilli(), "clockMs": w.clock(),
 				"seq": seq,
 			})
 			w.store.put("servers/"+w.id, value)
