Show that one hopeless submission with occurrences stops its shard

Seen: the occurrences of a submission stay open because its last step requires a label that no worker has. At about 36,000 done tasks, no submission of the shard starts any more, however small.

Cause: the progress record of the job exceeds the size of a value of the store. The owner repeats the commit for ever, and no other commit begins meanwhile.

Change: a script.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/laburnumridge ] || exit 2
-exec target/review-standin -case unstarted -record "$here/record.txt"
+exec target/review-standin -case silent-owner -record "$here/record.txt"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -52,15 +52,19 @@
 	LongRunning bool  `json:"longRunning,omitempty"`
 	MemMb       int   `json:"memMb"`
 	// Requirements is a label that the worker must have.
-	Requirements string `json:"requirements,omitempty"`
+	Requirements  string `json:"requirements,omitempty"`
+	SavesProgress bool   `json:"savesProgress,omitempty"`
 }
 
 // submission is a submission of a consumer.
 type submission struct {
-	id    string
-	route route
-	spec  string
-	steps []step
+	id string
+	// interval, repeat and startAt are set for a submission whose steps run several times.
+	interval, startAt int64
+	repeat            int
+	route             route
+	spec              string
+	steps             []step
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -71,7 +75,11 @@
 }
 
 func (j submission) body() []byte {
-	text, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps})
+	fields := map[string]any{"spec": j.spec, "steps": j.steps}
+	if j.repeat > 0 {
+		fields["intervalMs"], fields["repeatCount"], fields["startAtMs"] = j.interval, j.repeat, j.startAt
+	}
+	text, _ := json.Marshal(fields)
 	return text
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,9 +29,9 @@
 var cases = map[string]func(d *deployment, isTrouble bool) bool{
 	"removed-route":   removedRoute,
 	"late-submission": lateSubmission,
+	"hopeless":        hopeless,
 	"lost-rack":       lostRack,
 	"silent-owner":    silentOwner,
-	"unstarted":       unstarted,
 }
 
 var cleanup = func() {}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,6 +20,8 @@
 	Lease    int64  `json:"lease,omitempty"`
 	Revision int64  `json:"revision"`
 	Value    []byte `json:"value,omitempty"`
+	// writtenAt is when the key was written or deleted.
+	writtenAt time.Time
 }
 
 // transaction is the body of POST /kv-txn.
@@ -35,10 +38,12 @@
 	}
 }
 
-// store is a stand-in for the platform's key-value service. It keeps its whole history.
+// store is a stand-in for the platform's key-value service. It keeps the history of at least historyTime.
 type store struct {
-	address   string
-	changed   chan struct{}
+	address string
+	changed chan struct{}
+	// compacted is the revision up to which the history is gone.
+	compacted int64
 	events    []item
 	items     map[string]item
 	lastLease int64
@@ -52,7 +57,10 @@
 }
 
 const (
+	// historyTime is shorter than historyS, since the store may discard its history sooner.
+	historyTime   = 5 * time.Second
 	maxTxnEntries = 32
+	maxValueBytes = 1 << 20
 	pageSize      = 500
 )
 
@@ -73,7 +81,7 @@
 	go func() {
 		for {
 			time.Sleep(20 * time.Millisecond)
-			s.expireLeases()
+			s.expire()
 		}
 	}()
 	return s
@@ -115,7 +123,7 @@
 
 // write applies a change at the present revision. The caller holds s.mu.
 func (s *store) write(i item) {
-	i.Revision = s.revision
+	i.Revision, i.writtenAt = s.revision, time.Now()
 	if i.Deleted {
 		delete(s.items, i.Key)
 	} else {
@@ -133,9 +141,16 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) expireLeases() {
+// expire ends the leases and discards the history that are too old.
+func (s *store) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	n := 0
+	for n < len(s.events) && time.Since(s.events[n].writtenAt) > historyTime {
+		s.compacted = s.events[n].Revision
+		n++
+	}
+	s.events = slices.Delete(s.events, 0, n)
 	for id, end := range s.leases {
 		if time.Now().After(end) {
 			s.endLease(id)
@@ -194,6 +209,11 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, struct{}{})
+			return
+		}
 		found := []item{}
 		first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > after })
 		for _, e := range s.events[first:] {
@@ -225,6 +245,10 @@
 		return
 	}
 	for _, p := range in.Writes {
+		if len(p.Value) > maxValueBytes {
+			reply(w, http.StatusRequestEntityTooLarge, map[string]string{"error": p.Key})
+			return
+		}
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 			reply(w, http.StatusForbidden, map[string]string{"error": p.Key})
 			return
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,19 +17,23 @@
 	cause  string
 	endsAt time.Time
 	number int
-	task   string
+	// saves is set if the run saves its progress when it is over.
+	saves bool
+	task  string
 }
 
 type ended struct {
 	cause  string
 	number int64
 	run    int
+	saved  string
 	task   string
 }
 
 // work is what the stand-in reads from the spec of a job: how long a task runs, in milliseconds; 0 means until it is stopped.
 type work struct {
-	Ms int64 `json:"ms"`
+	Ms    int64 `json:"ms"`
+	Saves bool  `json:"saves,omitempty"`
 }
 
 // worker is a stand-in for a worker. It carries out what it is told to and checks nothing but what the pages say.
@@ -58,6 +64,7 @@
 	workerMemory   = 32000
 	serviceName    = "svc"
 	checkInterval  = 10 * time.Millisecond
+	maxEnds        = 500
 	silentBeats    = 3
 	leaseEndReason = "lapsed"
 )
@@ -189,7 +196,7 @@
 	}
 	var todo work
 	_ = json.Unmarshal([]byte(c.Spec), &todo)
-	x := run{cause: "done", number: c.Run, task: c.Task}
+	x := run{cause: "done", number: c.Run, saves: todo.Saves, task: c.Task}
 	if todo.Ms > 0 {
 		x.endsAt = time.Now().Add(time.Duration(todo.Ms) * time.Millisecond)
 	}
@@ -246,8 +253,8 @@
 	for _, x := range w.runs {
 		running = append(running, []any{x.task, x.number, "", 100, 0})
 	}
-	for _, e := range w.ends {
-		ends = append(ends, []any{e.number, e.task, e.run, e.cause, ""})
+	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
+		ends = append(ends, []any{e.number, e.task, e.run, e.cause, e.saved})
 	}
 	reply(rw, http.StatusOK, map[string]any{
 		"born": w.born.UnixMilli(), "clockMs": w.clock(), "ended": ends, "running": running,
@@ -271,7 +278,11 @@
 			continue
 		}
 		w.endSeq++
-		w.ends = append(w.ends, ended{cause: cause, number: w.endSeq, run: x.number, task: x.task})
+		saved := ""
+		if x.saves {
+			saved = fmt.Sprintf("%016x", rand.Uint64())
+		}
+		w.ends = append(w.ends, ended{cause: cause, number: w.endSeq, run: x.number, saved: saved, task: x.task})
 		w.highest[x.task] = max(w.highest[x.task], x.number)
 		w.record.runEnded(w.id, x.task, x.number, cause)
 	}
