--- a/review/standin/hopeless.go
+++ b/review/standin/hopeless.go
@@ -10,9 +10,10 @@
 func hopeless(d *deployment, isTrouble bool) bool {
 	const (
 		maxLease    = 10 * time.Second
-		width       = 160
-		interval    = 160 * time.Millisecond
-		occurrences = 400
+		width       = 32
+		wideSteps   = 4
+		interval    = 128 * time.Millisecond
+		occurrences = 500
 		taskTime    = 600
 		otherPause  = 500 * time.Millisecond
 		watchFor    = 85 * time.Second
@@ -28,11 +29,13 @@
 	text, _ := json.Marshal(work{Ms: taskTime, Saves: true})
 	j := submission{
 		id: newID(), interval: interval.Milliseconds(), repeat: occurrences, route: to, spec: string(text), startAt: time.Now().UnixMilli(),
-		steps: []step{
-			{Count: width, CPU: 10, EstimateMs: taskTime, MemMb: 1, SavesProgress: true},
-			{After: []int{0}, Count: 1, CPU: 10, EstimateMs: taskTime, MemMb: 1, Requirements: label},
-		},
 	}
+	last := step{Count: 1, CPU: 10, EstimateMs: taskTime, MemMb: 1, Requirements: label}
+	for n := range wideSteps {
+		j.steps = append(j.steps, step{Count: width, CPU: 10, EstimateMs: taskTime, MemMb: 1, SavesProgress: true})
+		last.After = append(last.After, n)
+	}
+	j.steps = append(j.steps, last)
 	if !submit(d.record, d.hosts, j) {
 		fail("the submission is not accepted")
 	}
