--- a/review/standin/lostrack.go
+++ b/review/standin/lostrack.go
@@ -6,10 +6,10 @@
 // to another shard.
 func lostRack(d *deployment, isTrouble bool) bool {
 	const (
-		maxLease         = 10 * time.Second
-		plainRacks       = 6
-		plainRackSize    = 16
-		specialRackSize  = 8
+		maxLease         = 6 * time.Second
+		plainRacks       = 10
+		plainRackSize    = 12
+		specialRackSize  = 12
 		special          = "b"
 		submissions      = 12
 		tasks            = 2
@@ -23,9 +23,9 @@
 	zones := []string{"z1", "z2", "z3"}
 	for n := range plainRacks {
 		zone := zones[n%len(zones)]
-		d.addWorkers(plainRackSize, zone, []string{"a", "r-" + string(rune('k'+n))}, maxLease)
+		d.addWorkers(plainRackSize, zone, []string{"a", "r-" + string(rune('a'+n))}, maxLease)
 	}
-	d.startHosts(3, "0.11", maxLease, to)
+	d.startHosts(3, "0.192", maxLease, to)
 	racks := [][]*worker{}
 	for n, rack := range []string{"r-x", "r-y"} {
 		racks = append(racks, d.addWorkers(specialRackSize, zones[n], []string{special, rack}, maxLease))
