Prevent a job from being recorded after its cancel was answered with 410

Callers saw: a submission ran, without end, whose cancel had been answered with the statement that there is no such submission.

Cause: a cancel of a job without a record wrote nothing. The write of the record is guarded by the absence of its key only, so an attempt without a response was still carried out seconds later.

Change: such a cancel writes a tombstone under the key of the record, with the same guard, before the 410; a peer writes it for a host that can't. A submission that meets a tombstone is recorded as accepted and cancelled.

Conclusion: exactly one of the two writes takes effect, so a 410 holds.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -110,9 +110,13 @@
 	return workflow.Encode(handoverRecord{Epoch: epoch, Handover: h})
 }
 
-// Prefixes of the keys of jobs, owners and successors.
+// LocationKey returns the key of the location of a job.
+func LocationKey(id string) string { return locationKey(id) }
+
+// Prefixes of the keys of jobs, locations, owners and successors.
 const (
 	JobPrefix       = jobPrefix
+	LocationPrefix  = locationPrefix
 	OwnerPrefix     = ownerPrefix
 	SuccessorPrefix = successorPrefix
 )
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,6 +35,8 @@
 	self     hostRecord
 	session  *session
 	settings settings.Settings
+	// tombstones bounds the records of cancellations without a job.
+	tombstones tombstones
 }
 
 // New returns a host that uses the given platform.
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -94,6 +94,9 @@
 			}
 			if j, ok := r.decodeJob(ev.KV); ok {
 				r.owner.Add(now, j)
+				if r.cancellations[j.ID] {
+					r.owner.Cancel(now, j.ID) // one transaction may write both, and its events come in any order
+				}
 			}
 		}
 	})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,6 +20,8 @@
 		return h.handleSubmit(ctx, *m.JobSubmit)
 	case m.JobCancel != nil:
 		return h.handleCancel(ctx, *m.JobCancel), nil
+	case m.JobPrevent != nil:
+		return h.handlePrevent(ctx, *m.JobPrevent), nil
 	case m.RecordsWrite != nil:
 		return h.handleRecordsWrite(ctx, *m.RecordsWrite)
 	case m.JobQuery != nil:
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -55,8 +55,11 @@
 		return workflow.JobLocation{}, errJobNotFound
 	}
 	location, err := workflow.Decode[workflow.JobLocation](kv.Value)
-	if err != nil {
+	switch {
+	case err != nil:
 		return location, err
+	case location.IsTombstone():
+		return workflow.JobLocation{}, errJobPrevented
 	}
 	h.locations.put(id, location)
 	return location, nil
@@ -104,15 +107,22 @@
 	return workflow.State(m.JobReply.State), true
 }
 
-// Cancel records the cancellation of a job and notifies the owner of its shard.
+// Cancel records the cancellation of a job and notifies the owner of its shard. A job that is not on record may be about to be: its
+// record is prevented before the caller is told that there is no such job.
 func (h *Host) Cancel(ctx context.Context, q workflow.Queue, id string) Answer {
 	location, err := h.locate(ctx, id)
 	switch {
+	case errors.Is(err, errJobPrevented):
+		return h.logAnswer("cancel", id, q.Name, Answer{Outcome: OutcomeNoJob, Reason: err.Error()})
 	case errors.Is(err, errJobNotFound):
-		return h.logAnswer("cancel", id, q.Name, Answer{Outcome: OutcomeNoJob, Reason: "not on record"})
+		var a Answer
+		if a, location = h.preventJob(ctx, id); a.Outcome != OutcomeAccepted {
+			return h.logAnswer("cancel", id, q.Name, a)
+		}
 	case err != nil:
 		return h.logAnswer("cancel", id, q.Name, Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter})
-	case location.State.IsFinal():
+	}
+	if location.State.IsFinal() {
 		return h.logAnswer("cancel", id, q.Name, Answer{Outcome: OutcomeAccepted, Reason: "has ended", State: location.State})
 	}
 	a := Answer{Outcome: OutcomeRefused, Reason: "the store does not answer", RetryAfter: retryAfter}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -30,6 +30,9 @@
 	maxWriteBackoff = 200 * time.Millisecond
 )
 
+// errRecordUnreadable means that the location of a job is absent or can't be decoded.
+var errRecordUnreadable = errors.New("record can't be read")
+
 // jobRecord is the location of a recorded job with the store revision of its record; the revision is 0 if it is not known. While
 // the job has no final state, its location and the job itself are at the same revision, since one transaction wrote both.
 type jobRecord struct {
@@ -118,18 +121,30 @@
 	case err == nil:
 		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}, jobRecord{record.JobLocation, res.Revision}
 	case errors.Is(err, kvstore.ErrConflict):
-		for _, kv := range res.Current {
-			if existing, err := workflow.Decode[workflow.JobLocation](kv.Value); err == nil && kv.ModRevision != 0 {
-				return Answer{Outcome: OutcomeAccepted, Reason: "on record", State: existing.State}, jobRecord{existing, kv.ModRevision}
-			}
+		existing, err := existingRecord(res.Current)
+		switch {
+		case err != nil:
+			return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}, record
+		case existing.IsTombstone():
+			return h.recordCancelledJob(ctx, j, shard, existing.revision, limit)
 		}
-		return Answer{Outcome: OutcomeUnknown, Reason: "record can't be read"}, record
+		return Answer{Outcome: OutcomeAccepted, Reason: "on record", State: existing.State}, existing
 	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}, record
 	}
 	return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}, record
 }
 
+// existingRecord returns the location among the present states of guarded keys, which made a transaction fail.
+func existingRecord(current []kvstore.KV) (jobRecord, error) {
+	for _, kv := range current {
+		if location, err := workflow.Decode[workflow.JobLocation](kv.Value); err == nil && kv.ModRevision != 0 {
+			return jobRecord{location, kv.ModRevision}, nil
+		}
+	}
+	return jobRecord{}, errRecordUnreadable
+}
+
 // writeWithRetry repeats a transaction until its outcome is known or the limit has passed. The transaction must be
 // safe to repeat. An error that matches kvstore.ErrUnavailable means that no attempt has taken effect or will.
 func (h *Host) writeWithRetry(ctx context.Context, t kvstore.Txn, limit time.Duration) (kvstore.TxnResult, error) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -130,6 +130,12 @@
 	Shard    int    `json:"shard"`
 }
 
+// JobPrevent asks another entry host to keep a job from being recorded, which is cancelled and not on record. The reply is a
+// JobReply. Hosts of older builds refuse it.
+type JobPrevent struct {
+	ID string `json:"id"`
+}
+
 // JobQuery requests the state of a job from the owner of a shard, or, if Shard is negative, the shard that holds the
 // job.
 type JobQuery struct {
@@ -137,7 +143,7 @@
 	Shard int    `json:"shard"`
 }
 
-// JobReply is the reply to JobSubmit, JobCancel and JobQuery. Outcome holds a value of entry.Outcome.
+// JobReply is the reply to JobSubmit, JobCancel, JobPrevent and JobQuery. Outcome holds a value of entry.Outcome.
 type JobReply struct {
 	Outcome string `json:"outcome"`
 	// Revision is the store revision of the record of a submitted job; 0 from hosts of older builds.
@@ -235,6 +241,7 @@
 	ID            uint64          `json:"id,omitempty"`
 	JobCancel     *JobCancel      `json:"jc,omitempty"`
 	JobExpected   *JobExpected    `json:"je,omitempty"`
+	JobPrevent    *JobPrevent     `json:"jp,omitempty"`
 	JobQuery      *JobQuery       `json:"jq,omitempty"`
 	JobReply      *JobReply       `json:"jr,omitempty"`
 	JobSubmit     *JobSubmit      `json:"js,omitempty"`
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -52,6 +52,9 @@
 	Tasks       []TaskRecord `cbor:"2,keyasint,omitempty"`
 }
 
+// NoShard is the shard in a location that is a tombstone.
+const NoShard = -1
+
 // JobLocation records the shard to which a job was assigned, and the final state of the job.
 type JobLocation struct {
 	// EndedAt is the end of the job in Unix milliseconds; 0 means that the job has not ended.
@@ -60,6 +63,9 @@
 	State   State `cbor:"3,keyasint,omitempty"`
 }
 
+// IsTombstone reports whether the job was cancelled before it was recorded. Such a location keeps the job from being recorded.
+func (l JobLocation) IsTombstone() bool { return l.Shard == NoShard }
+
 // Encode returns the CBOR encoding of a record.
 func Encode(v any) []byte {
 	data, err := cbor.Marshal(v)
