Choose a shard whose workers can hold the job

Callers saw: submissions were accepted into a shard without any worker that has their label, or is large enough, and never started.

Cause: the shard of a job was drawn by load or by a step's affinity alone.

Change: the load query names what a job needs: label and size of a task, size of a gang. Owners answer whether their workers could hold it if they were empty. If neither of two drawn shards can, the others are asked; an affinity counts only in a shard that can. Older builds ignore the question, and count as before.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,10 +32,26 @@
 }
 
 type cachedLoad struct {
-	receivedAt time.Time
+	// isUnsuitable is set if the workers of the shard can't hold the job at hand.
+	isUnsuitable bool
+	receivedAt   time.Time
 	shard.Load
 }
 
+// mayTake reports whether the shard's workers can hold the job at hand.
+func (l cachedLoad) mayTake() bool { return l.Room > 0 && !l.isUnsuitable }
+
+// rank orders shards for a job: higher is better.
+func (l cachedLoad) rank() int {
+	switch {
+	case l.mayTake():
+		return 2
+	case !l.isUnsuitable:
+		return 1
+	}
+	return 0
+}
+
 // loadCache holds the last load that each shard's owner reported.
 type loadCache struct {
 	loads map[loadKey]cachedLoad
@@ -48,30 +65,71 @@
 }
 
 // chooseShard returns the shard for a new job: the shard of the first assigned rack that a step names, otherwise the one of
-// shardChoices random shards whose load suits the job best. It returns false while the layout has no shards.
+// shardChoices random shards whose load suits the job best. Shards whose workers can't hold the job are left out, and others are asked
+// if none of the random ones can. It returns false while the layout has no shards.
 func (h *Host) chooseShard(ctx context.Context, j workflow.Job) (int, bool) {
 	l, _, _ := h.directory.currentLayout()
 	if l.Shards <= 1 {
 		return 0, l.Shards == 1
 	}
+	q, hasQueue := h.config.config().Queue(j.Queue)
+	var demands []shard.Demand
+	if hasQueue {
+		demands = shard.Requirements(j, q.Service)
+	}
 	for _, s := range j.Steps {
-		if n, ok := l.Racks[s.Rack]; ok && s.Rack != "" {
+		if n, ok := l.Racks[s.Rack]; ok && s.Rack != "" && h.shardSuits(ctx, n, q.Service, demands) {
 			return n, true
 		}
 	}
-	q, _ := h.config.config().Queue(j.Queue)
-	candidates := rand.Perm(l.Shards)[:shardChoices]
-	loads := make([]cachedLoad, len(candidates))
-	var queries sync.WaitGroup
-	for i, n := range candidates {
-		queries.Go(func() { loads[i] = h.shardLoad(ctx, loadKey{q.Service, n}) })
+	order := rand.Perm(l.Shards)
+	candidates := order[:shardChoices]
+	loads := h.queryLoads(ctx, q.Service, candidates, demands)
+	// Owners that don't answer are probably overloaded, so their silence alone is no reason to ask the others.
+	hasUnsuitable := slices.ContainsFunc(loads, func(l cachedLoad) bool { return l.isUnsuitable })
+	if hasUnsuitable && !slices.ContainsFunc(loads, cachedLoad.mayTake) && len(order) > shardChoices {
+		candidates = order[shardChoices:]
+		loads = h.queryLoads(ctx, q.Service, candidates, demands)
+	}
+	candidates, loads = suitable(candidates, loads)
+	best := 0
+	if len(candidates) > 1 {
+		best = h.choose(j, q.Service, candidates, loads)
 	}
-	queries.Wait()
-	best := h.choose(j, q.Service, candidates, loads)
 	h.logChoice(j, candidates, loads, candidates[best])
 	return candidates[best], true
 }
 
+// queryLoads returns the loads of shards, which it requests at the same time.
+func (h *Host) queryLoads(ctx context.Context, service string, shards []int, demands []shard.Demand) []cachedLoad {
+	loads := make([]cachedLoad, len(shards))
+	var queries sync.WaitGroup
+	for i, n := range shards {
+		queries.Go(func() { loads[i] = h.shardLoad(ctx, loadKey{service, n}, demands) })
+	}
+	queries.Wait()
+	return loads
+}
+
+// suitable returns shardChoices of the shards, with their loads: those first whose workers can hold the job, then those that say nothing.
+// A shard that can't hold the job is returned only if there are no others.
+func suitable(shards []int, loads []cachedLoad) ([]int, []cachedLoad) {
+	index := make([]int, len(shards))
+	for i := range index {
+		index[i] = i
+	}
+	slices.SortStableFunc(index, func(a, b int) int { return loads[b].rank() - loads[a].rank() })
+	var outShards []int
+	var outLoads []cachedLoad
+	for _, i := range index {
+		if len(outShards) == shardChoices || len(outShards) > 0 && loads[i].isUnsuitable {
+			break
+		}
+		outShards, outLoads = append(outShards, shards[i]), append(outLoads, loads[i])
+	}
+	return outShards, outLoads
+}
+
 // choose draws one of two shards by their loads and announces the job to its owner. The loads are extended by the jobs that this host
 // has chosen the shards for without an acknowledgement of their owners.
 func (h *Host) choose(j workflow.Job, service string, candidates []int, loads []cachedLoad) int {
@@ -102,7 +160,9 @@
 	considered := make([]string, len(candidates))
 	for i, n := range candidates {
 		considered[i] = fmt.Sprintf("%d: owner unknown or silent", n)
-		if l := loads[i]; l.Room > 0 {
+		if l := loads[i]; l.isUnsuitable {
+			considered[i] = fmt.Sprintf("%d: no suitable worker", n)
+		} else if l.Room > 0 {
 			considered[i] = fmt.Sprintf("%d: free %d, left %d, expected %d, room %d, age %s", n, l.Free, l.Left-l.Fill, l.Expected, l.Room,
 				time.Since(l.receivedAt).Round(time.Millisecond))
 		}
@@ -118,11 +178,11 @@
 	}, func() bool { return h.ownedShards.expectJob(k.shard, j.ID, k.service, demand) })
 }
 
-// shardLoad returns a shard's load: the owner's answer, or if there is none the last one if that is younger than
-// maxUnansweredLoadAge, else a load without room.
-func (h *Host) shardLoad(ctx context.Context, k loadKey) cachedLoad {
-	if l, ok := h.ownedShards.serviceLoad(k.shard, k.service); ok {
-		return cachedLoad{receivedAt: time.Now(), Load: l}
+// shardLoad returns a shard's load and whether its workers can hold the demands: the owner's answer, or if there is none the last load
+// if that is younger than maxUnansweredLoadAge, else a load without room.
+func (h *Host) shardLoad(ctx context.Context, k loadKey, demands []shard.Demand) cachedLoad {
+	if l, suits, ok := h.ownedShards.serviceLoad(k.shard, k.service, demands); ok {
+		return cachedLoad{isUnsuitable: !suits, receivedAt: time.Now(), Load: l}
 	}
 	h.loads.mu.Lock()
 	last := h.loads.loads[k]
@@ -136,7 +196,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	m, err := h.request(ctx, o.PeerAddress, peer.Message{LoadQuery: &peer.LoadQuery{Service: k.service, Shard: k.shard}})
+	m, err := h.request(ctx, o.PeerAddress, peer.Message{LoadQuery: &peer.LoadQuery{
+		Demands: encodeDemands(demands), Service: k.service, Shard: k.shard,
+	}})
 	if err != nil || m.LoadReply == nil || !m.LoadReply.Known {
 		return last
 	}
@@ -147,5 +209,6 @@
 	h.loads.mu.Lock()
 	defer h.loads.mu.Unlock()
 	h.loads.loads[k] = last
+	last.isUnsuitable = m.LoadReply.Unsuitable
 	return last
 }
--- a/internal/entry/exportchoose_test.go
+++ b/internal/entry/exportchoose_test.go
@@ -16,7 +16,7 @@
 
 // KnowsLoad asks for the load of a shard and reports whether the host has one that is recent enough to be used.
 func (h *Host) KnowsLoad(ctx context.Context, shard int) bool {
-	return h.shardLoad(ctx, loadKey{shard: shard}).Room > 0
+	return h.shardLoad(ctx, loadKey{shard: shard}, nil).Room > 0
 }
 
 // ExpectationTime is how long an owner expects a job for which a host has chosen its shard.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,6 +35,8 @@
 	self     hostRecord
 	session  *session
 	settings settings.Settings
+	// suitabilities caches which shards can hold which jobs.
+	suitabilities suitabilityCache
 	// tombstones bounds the records of cancellations without a job.
 	tombstones tombstones
 }
--- a/internal/entry/lendheadroom.go
+++ b/internal/entry/lendheadroom.go
@@ -38,7 +38,7 @@
 	sum := 0
 	for n := range h.directory.shardCount() {
 		if n != own {
-			sum += h.shardLoad(ctx, loadKey{service, n}).Interrupted
+			sum += h.shardLoad(ctx, loadKey{service, n}, nil).Interrupted
 		}
 	}
 	return sum
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -120,12 +120,12 @@
 	return r.pending(queue)
 }
 
-func (o *ownedShards) serviceLoad(n int, service string) (shard.Load, bool) {
+func (o *ownedShards) serviceLoad(n int, service string, demands []shard.Demand) (l shard.Load, suits, isOwner bool) {
 	r := o.runner(n)
 	if r == nil {
-		return shard.Load{}, false
+		return shard.Load{}, false, false
 	}
-	return r.serviceLoad(service)
+	return r.serviceLoad(service, demands)
 }
 
 // expectJob passes on that a host has chosen a shard for a job. It returns false if this host does not own the shard.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -34,9 +34,10 @@
 		h.ownedShards.expectJob(e.Shard, e.ID, e.Service, shard.Load{Fill: e.Fill, Free: e.Free})
 		return peer.Message{}, nil
 	case m.LoadQuery != nil:
-		l, known := h.ownedShards.serviceLoad(m.LoadQuery.Shard, m.LoadQuery.Service)
+		l, suits, known := h.ownedShards.serviceLoad(m.LoadQuery.Shard, m.LoadQuery.Service, decodeDemands(m.LoadQuery.Demands))
 		return peer.Message{LoadReply: &peer.LoadReply{
 			Expected: l.Expected, Fill: l.Fill, Free: l.Free, Interrupted: l.Interrupted, Known: known, Left: l.Left, Room: l.Room,
+			Unsuitable: known && !suits,
 		}}, nil
 	case m.ConfigQuery != nil:
 		reply := &peer.ConfigReply{}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -315,19 +315,19 @@
 	return r.owner.Pending(queue), true
 }
 
-// serviceLoad returns the load of a service's workers in the shard. It returns false if this host has not loaded the shard's
-// jobs or has been fenced.
-func (r *runner) serviceLoad(service string) (shard.Load, bool) {
+// serviceLoad returns the load of a service's workers in the shard, and whether the shard's workers can hold the demands. isOwner is
+// false if this host has not loaded the shard's jobs and workers or has been fenced.
+func (r *runner) serviceLoad(service string, demands []shard.Demand) (l shard.Load, suits, isOwner bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded || r.deposed {
-		return shard.Load{}, false
+		return shard.Load{}, false, false
 	}
 	expected := r.expected.demand(r.host.now(), service, func(id string) bool {
 		_, ok := r.owner.State(id)
 		return ok
 	})
-	return r.owner.Load(service).WithExpected(expected), true
+	return r.owner.Load(service).WithExpected(expected), r.appliedLayout == 0 || r.owner.Suits(demands), true
 }
 
 // expectJob notes that a host has chosen this shard for a job, which it has not recorded yet.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -187,10 +187,21 @@
 	Known bool `json:"known"`
 }
 
+// Demand is what equal tasks need from the workers of a shard: the fields of shard.Demand.
+type Demand struct {
+	Count     int             `json:"count"`
+	Label     string          `json:"label,omitempty"`
+	PerWorker int             `json:"per_worker,omitempty"`
+	Resources fleet.Resources `json:"resources"`
+	Service   string          `json:"service"`
+}
+
 // LoadQuery requests from the owner of a shard its load and free capacity for a service.
 type LoadQuery struct {
-	Service string `json:"service"`
-	Shard   int    `json:"shard"`
+	// Demands are those that the shard's workers must be able to hold.
+	Demands []Demand `json:"demands,omitempty"`
+	Service string   `json:"service"`
+	Shard   int      `json:"shard"`
 }
 
 // LoadReply is the reply to LoadQuery: the fields of shard.Load, in thousandths of a core. Known is false if the
@@ -204,6 +215,8 @@
 	Known       bool  `json:"known"`
 	Left        int64 `json:"left"`
 	Room        int64 `json:"room"`
+	// Unsuitable is set if the shard's workers could not hold one of the demands even if they were empty.
+	Unsuitable bool `json:"unsuitable,omitempty"`
 }
 
 // JobExpected tells the owner of a shard that a host has chosen the shard for a job, which it will record. Fill and Free are those of
--- /dev/null
+++ b/internal/shard/demand.go
@@ -0,0 +1,73 @@
+package shard
+
+import (
+	"slices"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// Demand is what equal tasks need from the workers of a shard.
+type Demand struct {
+	// Count is the number of tasks.
+	Count int
+	Label string
+	// PerWorker is the maximum number of the tasks on one worker; 0 means no limit.
+	PerWorker int
+	Resources fleet.Resources
+	Service   string
+}
+
+// Requirements returns what the workers of a shard must be able to hold for a job to run there: a task of each step, or all tasks of
+// a gang.
+func Requirements(j workflow.Job, service string) []Demand {
+	var out []Demand
+	for i := range j.Steps {
+		d := demandOf(&j.Steps[i], service)
+		d.Count = 1
+		if j.Steps[i].Gang {
+			d.Count = j.Steps[i].Count
+		}
+		if !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func demandOf(s *workflow.Step, service string) Demand {
+	return Demand{Count: s.Count, Label: s.Label, PerWorker: s.PerWorker, Resources: reservation(s), Service: service}
+}
+
+// Suits reports whether the shard's workers could hold each of the demands by itself if they were empty. Workers that drain don't
+// count.
+func (o *Owner) Suits(demands []Demand) bool {
+	for _, d := range demands {
+		n := 0
+		for _, w := range o.sortedWorkers() {
+			if n < d.Count && w.registered && !w.Draining {
+				n += d.fit(w, w.Capacity, d.Count-n)
+			}
+		}
+		if n < d.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// fit returns how many of the tasks a worker can hold in some free resources, at most limit.
+func (d Demand) fit(w *worker, free fleet.Resources, limit int) int {
+	if w.Service != d.Service || !w.HasLabel(d.Label) {
+		return 0
+	}
+	if d.PerWorker > 0 {
+		limit = min(limit, d.PerWorker)
+	}
+	n := 0
+	for n < limit && d.Resources.FitsIn(free) {
+		free = free.Sub(d.Resources)
+		n++
+	}
+	return n
+}
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -50,6 +50,8 @@
 	// DoneThrough is the number of leading occurrences whose tasks are all done; their tasks have no records.
 	DoneThrough int          `cbor:"1,keyasint,omitempty"`
 	Tasks       []TaskRecord `cbor:"2,keyasint,omitempty"`
+	// Transfers holds the tasks that have moved between shards.
+	Transfers []Transfer `cbor:"3,keyasint,omitempty"`
 }
 
 // NoShard is the shard in a location that is a tombstone.
--- /dev/null
+++ b/internal/workflow/sharedjob.go
@@ -0,0 +1,37 @@
+package workflow
+
+// SharedJob is the record of a job whose tasks are held by several shards. Its keys differ from those of Job, so that owners of older
+// builds find no valid job in it.
+type SharedJob struct {
+	// Cancelled is set in a guest's record once the job is cancelled.
+	Cancelled bool `cbor:"21,keyasint,omitempty"`
+	// Home is the shard that accepted the job. The record belongs to a guest if it is in another shard.
+	Home int `cbor:"22,keyasint"`
+	Job  Job `cbor:"23,keyasint"`
+	// Tasks holds the tasks that a guest is to hold; it is empty in the home's record.
+	Tasks []HeldTask `cbor:"24,keyasint,omitempty"`
+}
+
+// HeldTask is a task at one of its hops, with the state in which it moved.
+type HeldTask struct {
+	_ struct{} `cbor:",toarray"`
+	// Hop counts the transfers of the task away from the home.
+	Hop int
+	// Record has no attempts.
+	Record TaskRecord
+}
+
+// Transfer says where a task is at its latest hop, as far as the shard knows that recorded it.
+type Transfer struct {
+	_   struct{} `cbor:",toarray"`
+	Hop int
+	Key TaskKey
+	// Shard is the shard that holds the task; NoShard stands for the one that recorded the transfer.
+	Shard int
+}
+
+// DecodeSharedJob returns the shared job in a record; ok is false if the record is that of another job.
+func DecodeSharedJob(data []byte) (s SharedJob, ok bool) {
+	s, err := Decode[SharedJob](data)
+	return s, err == nil && s.Job.ID != ""
+}
