Give long-running tasks that wait to shards that have room for them

Callers saw: tasks that last had nothing running, though the service had workers for them: the workers were in another shard.

Cause: a task could run only on the workers of the shard that accepted its job.

Change: the owner of a shard gives a task that has waited for 1.5 s to another shard, in the transaction of a commit that also writes the record by which that shard holds it. A task that finds no worker there goes back after 3 s. Each transfer has a number, so that exactly one shard holds a task at any time. Tasks move only while all live hosts know these records, in which older builds find no valid job.

Evidence: TestTasksLeaveShardWithoutSuitableWorker and TestTasksOfFullShardUseRoomOfOthers fail without the exchange.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -27,6 +27,8 @@
 	Strength float64 `cbor:"6,keyasint,omitempty"`
 	// PreviousEpoch is, in the owner and epoch keys of a shard, the revision of the epoch key that guarded the claim.
 	PreviousEpoch int64 `cbor:"9,keyasint,omitempty"`
+	// SharesJobs is set by hosts whose build knows jobs whose tasks are held by several shards.
+	SharesJobs bool `cbor:"10,keyasint,omitempty"`
 }
 
 // layout assigns racks to shards. Racks are only added; an assigned rack never moves.
@@ -269,6 +271,18 @@
 	return d.layout, d.layoutRevision, d.loaded
 }
 
+// allShareJobs reports whether all live hosts know jobs whose tasks are held by several shards.
+func (d *directory) allShareJobs() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.hosts {
+		if !h.SharesJobs {
+			return false
+		}
+	}
+	return len(d.hosts) > 0
+}
+
 func (d *directory) shardCount() int {
 	l, _, _ := d.currentLayout()
 	return l.Shards
--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -113,11 +114,18 @@
 // LocationKey returns the key of the location of a job.
 func LocationKey(id string) string { return locationKey(id) }
 
+// MovesTasks reports whether a write is one of those that move tasks of a shared job between shards.
+func MovesTasks(key string, value []byte) bool {
+	_, isShared := workflow.DecodeSharedJob(value)
+	return isShared || strings.Contains(key, returnedInfix)
+}
+
 // Prefixes of the keys of jobs, locations, owners and successors.
 const (
 	JobPrefix       = jobPrefix
 	LocationPrefix  = locationPrefix
 	OwnerPrefix     = ownerPrefix
+	ProgressPrefix  = progressPrefix
 	SuccessorPrefix = successorPrefix
 )
 
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -25,6 +25,8 @@
 	handoverPrefix = root + "handover/"
 	// cancelSuffix follows the key of a job in the key that records its cancellation.
 	cancelSuffix = "/cancel"
+	// returnedInfix follows the key of a shared job in the keys that hold what its guests returned; the shard of the guest comes last.
+	returnedInfix = "/returned/"
 )
 
 func ownerKey(shard int) string { return ownerPrefix + strconv.Itoa(shard) }
@@ -45,6 +47,10 @@
 
 func cancelKey(shard int, id string) string { return jobKey(shard, id) + cancelSuffix }
 
+func returnedKey(home int, id string, guest int) string {
+	return jobKey(home, id) + returnedInfix + strconv.Itoa(guest)
+}
+
 func shardProgressPrefix(shard int) string { return progressPrefix + strconv.Itoa(shard) + "/" }
 
 func progressKey(shard int, id string) string { return shardProgressPrefix(shard) + id }
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -53,20 +54,29 @@
 		}
 		jobs := 0
 		for _, kv := range kvs {
-			if _, cancelled := parseJobKey(kv.Key, r.shard); cancelled {
+			id, cancelled := parseJobKey(kv.Key, r.shard)
+			if _, _, ok := parseReturnedKey(id); ok || cancelled {
 				continue
 			}
-			j, ok := r.decodeJob(kv)
+			j, shared, ok := r.decodeJob(kv)
 			if !ok {
 				continue
 			}
 			jobs++
-			if r.loaded {
+			switch {
+			case r.loaded && shared != nil:
+				r.owner.ApplyShared(now, *shared)
+			case r.loaded:
 				r.owner.Add(now, j)
-			} else {
+			case shared != nil:
+				r.owner.RestoreShared(now, *shared, recorded[j.ID], r.cancellations[j.ID])
+			default:
 				r.owner.Restore(now, j, recorded[j.ID], r.cancellations[j.ID])
 			}
 		}
+		for _, kv := range kvs {
+			r.takeBack(now, kv)
+		}
 		for id := range r.cancellations {
 			r.owner.Cancel(now, id)
 		}
@@ -92,8 +102,15 @@
 				r.owner.Cancel(now, id)
 				continue
 			}
-			if j, ok := r.decodeJob(ev.KV); ok {
-				r.owner.Add(now, j)
+			if r.takeBack(now, ev.KV) {
+				continue
+			}
+			if j, shared, ok := r.decodeJob(ev.KV); ok {
+				if shared != nil {
+					r.owner.ApplyShared(now, *shared)
+				} else {
+					r.owner.Add(now, j)
+				}
 				if r.cancellations[j.ID] {
 					r.owner.Cancel(now, j.ID) // one transaction may write both, and its events come in any order
 				}
@@ -102,13 +119,33 @@
 	})
 }
 
-func (r *runner) decodeJob(kv kvstore.KV) (workflow.Job, bool) {
+// decodeJob returns the job of a record, and the record itself if the job is shared.
+func (r *runner) decodeJob(kv kvstore.KV) (workflow.Job, *workflow.SharedJob, bool) {
 	j, err := workflow.Decode[workflow.Job](kv.Value)
-	if err != nil || j.Check() != nil {
-		r.log.WithField("key", kv.Key).Error("ignoring job record that can't be decoded or has invalid values")
-		return j, false
+	if err == nil && j.Check() == nil {
+		return j, nil, true
+	}
+	if shared, ok := workflow.DecodeSharedJob(kv.Value); ok && shared.Job.Check() == nil {
+		return shared.Job, &shared, true
 	}
-	return j, true
+	r.log.WithField("key", kv.Key).Error("ignoring job record that can't be decoded or has invalid values")
+	return j, nil, false
+}
+
+// takeBack passes the tasks that a guest returned to the owner. It returns false if the key is that of another record.
+func (r *runner) takeBack(now time.Time, kv kvstore.KV) bool {
+	id, _ := parseJobKey(kv.Key, r.shard)
+	job, guest, ok := parseReturnedKey(id)
+	if !ok {
+		return false
+	}
+	tasks, err := workflow.Decode[[]workflow.HeldTask](kv.Value)
+	if err != nil {
+		r.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed list of returned tasks")
+		return true
+	}
+	r.owner.TakeBack(now, job, guest, tasks)
+	return true
 }
 
 // parseJobKey returns the job id in a key under the shard's job prefix, and whether it is the key of a cancellation rather than
@@ -116,3 +153,13 @@
 func parseJobKey(key string, shard int) (string, bool) {
 	return strings.CutSuffix(strings.TrimPrefix(key, shardJobsPrefix(shard)), cancelSuffix)
 }
+
+// parseReturnedKey splits what follows the shard's job prefix in the key of a list of returned tasks. ok is false for other keys.
+func parseReturnedKey(rest string) (id string, guest int, ok bool) {
+	id, number, ok := strings.Cut(rest, returnedInfix)
+	if !ok {
+		return "", 0, false
+	}
+	guest, err := strconv.Atoi(number)
+	return id, guest, err == nil
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -39,6 +39,9 @@
 			Expected: l.Expected, Fill: l.Fill, Free: l.Free, Interrupted: l.Interrupted, Known: known, Left: l.Left, Room: l.Room,
 			Unsuitable: known && !suits,
 		}}, nil
+	case m.RoomQuery != nil:
+		room := h.ownedShards.promiseRoom(m.RoomQuery.Shard, decodeDemands(m.RoomQuery.Demands))
+		return peer.Message{RoomReply: &peer.RoomReply{Room: room}}, nil
 	case m.ConfigQuery != nil:
 		reply := &peer.ConfigReply{}
 		if active := h.config.current.Load(); active != nil && active.config.Version > m.ConfigQuery.Version {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -69,6 +69,8 @@
 	// ownerKeyRevision is the revision of the shard's owner key. All writes of the owner are guarded by it.
 	ownerKeyRevision int64
 	shard            int
+	// roomPromisedAt is when this owner last told another one that its workers have room.
+	roomPromisedAt time.Time
 	// callSemaphores limit the concurrent calls to each worker, by worker.
 	callSemaphores map[string]chan struct{}
 	// maxTimerLag is the longest delay of a timer since the previous summary.
@@ -88,7 +90,7 @@
 	return &runner{
 		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: now, epochKeyRevision: revision,
 		expected: expectedJobs{}, host: h, lease: lease, log: log, takenAt: now,
-		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithTiming(h.timing()),
+		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithShard(n), shard.WithTiming(h.timing()),
 			shard.WithStartObserver(startWait.Observe)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
 		callSemaphores: map[string]chan struct{}{}, wake: make(chan struct{}, 1),
@@ -97,7 +99,7 @@
 
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
-	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom} {
+	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks} {
 		r.run(task)
 	}
 	r.run(func() {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -191,8 +191,10 @@
 	for i, w := range writes {
 		next := t
 		if w.Final != "" {
-			location := workflow.JobLocation{EndedAt: time.Now().UnixMilli(), Shard: r.shard, State: w.Final}
-			next.Puts = append(next.Puts, kvstore.Put{Key: locationKey(w.Job), Value: workflow.Encode(location)})
+			if w.Shared == nil || !w.Shared.IsGuest {
+				location := workflow.JobLocation{EndedAt: time.Now().UnixMilli(), Shard: r.shard, State: w.Final}
+				next.Puts = append(next.Puts, kvstore.Put{Key: locationKey(w.Job), Value: workflow.Encode(location)})
+			}
 			next.Deletes = append(next.Deletes, jobKey(r.shard, w.Job), progressKey(r.shard, w.Job))
 			if r.cancellations[w.Job] {
 				next.Deletes = append(next.Deletes, cancelKey(r.shard, w.Job))
@@ -202,6 +204,9 @@
 			next.Guards = append(next.Guards, kvstore.Guard{Key: key, Revision: r.progressRevisions[w.Job]})
 			next.Puts = append(next.Puts, kvstore.Put{Key: key, Value: w.Progress})
 		}
+		if w.Shared != nil {
+			next = r.withSharedRecords(next, w)
+		}
 		if next.Size() > maxTxnEntries {
 			return i, t
 		}
@@ -298,6 +303,9 @@
 		if w.Final != "" {
 			delete(r.progressRevisions, w.Job)
 			delete(r.cancellations, w.Job)
+			if w.Shared != nil && w.Shared.IsGuest {
+				continue // the home records the state of the job
+			}
 			r.endedJobs = append(r.endedJobs, endedJob{endedAt: time.Now(), id: w.Job})
 			r.host.locations.put(w.Job, workflow.JobLocation{Shard: r.shard, State: w.Final})
 		} else {
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -29,7 +29,9 @@
 	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call. isCut is set while no call reaches it.
 	hasLeft, isCut bool
 	leaseEnd       time.Time
-	mu             sync.Mutex
+	// maxRuns is the number of runs for which the worker has room; 0 stands for no limit.
+	maxRuns int
+	mu      sync.Mutex
 	// polls lists the polls that the worker accepted.
 	polls   []acceptedPoll
 	runs    map[string]shard.Start
@@ -121,6 +123,9 @@
 		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeLeaseExpired}
 	}
 	w.runs[name] = s
+	if w.maxRuns > 0 && len(w.runs) > w.maxRuns {
+		w.tasks.noteOver(w.ID, len(w.runs))
+	}
 	duration, cause := w.tasks.started(w.ID, s)
 	if duration > 0 {
 		time.AfterFunc(duration, func() {
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -26,7 +26,9 @@
 	longest   time.Duration
 	longestOf string
 	mu        sync.Mutex
-	running   map[string]string
+	// over describes the workers that were given more runs than they have room for.
+	over    []string
+	running map[string]string
 	// twice describes the tasks that ran on two workers at the same time.
 	twice []string
 }
@@ -71,6 +73,12 @@
 	return shortTaskDuration, shard.EndDone
 }
 
+func (l *taskLog) noteOver(worker string, runs int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over = append(l.over, fmt.Sprintf("%s has %d runs", worker, runs))
+}
+
 func (l *taskLog) ended(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -219,6 +219,18 @@
 	Unsuitable bool `json:"unsuitable,omitempty"`
 }
 
+// RoomQuery asks the owner of a shard how many tasks of each demand its workers could take at once.
+type RoomQuery struct {
+	Demands []Demand `json:"demands"`
+	Shard   int      `json:"shard"`
+}
+
+// RoomReply is the reply to RoomQuery, with one number for each demand. It is empty if the replying host does not own the shard, or
+// has promised its room to another owner a moment before.
+type RoomReply struct {
+	Room []int `json:"room,omitempty"`
+}
+
 // JobExpected tells the owner of a shard that a host has chosen the shard for a job, which it will record. Fill and Free are those of
 // shard.Load for a shard that has nothing but the job. Its reply is empty.
 type JobExpected struct {
@@ -268,6 +280,8 @@
 	RecordsReply  *RecordsReply   `json:"rr,omitempty"`
 	RecordsWrite  *RecordsWrite   `json:"rw,omitempty"`
 	RefusedReason string          `json:"refused_reason,omitempty"`
+	RoomQuery     *RoomQuery      `json:"mq,omitempty"`
+	RoomReply     *RoomReply      `json:"mr,omitempty"`
 	// RelayTo names another entry host to which the receiver must forward the request.
 	RelayTo     string         `json:"relay_to,omitempty"`
 	Reply       bool           `json:"reply,omitempty"`
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -195,7 +195,9 @@
 	Final    workflow.State
 	Job      string
 	Progress []byte
-	version  int
+	// Shared is nil unless tasks of the job have moved between shards.
+	Shared  *SharedWrite
+	version int
 }
 
 // Commit is a group of records to write together.
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,9 @@
 		j.dirty, c.oldest = false, minTime(c.oldest, j.dirtySince)
 		j.restartPlanned, j.startPlanned = false, false
 		w := JobWrite{Job: j.ID, Final: j.final, version: j.version}
+		if j.shared != nil {
+			w.Shared = o.sharedWrite(j)
+		}
 		if j.final == "" {
 			w.Progress = workflow.Encode(o.progress(j, c))
 		}
@@ -74,6 +78,9 @@
 // progress returns the record of a job, and adds the attempts to the commit that may start once it is written.
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
+	if j.shared != nil {
+		p.Guests, p.Transfers = slices.Sorted(maps.Keys(j.shared.guests)), j.shared.record()
+	}
 	for _, occ := range j.openOccurrences() {
 		for _, tasks := range occ.tasks {
 			for _, t := range tasks {
--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -33,7 +33,8 @@
 	// urgencyCaller: a task with a worker waits for its start, or a caller for the final state. Both rank the same, since both
 	// delay the completion of a job.
 	urgencyCaller
-	// urgencyCancel: the job is cancelled. Its runs are being stopped, and callers see the cancellation already.
+	// urgencyCancel: the job is cancelled. Its runs are being stopped, and callers see the cancellation already. The record of a shared
+	// job is more urgent, since its guests learn of the cancellation by it.
 	urgencyCancel
 	// urgencyProgress: neither tasks nor callers wait for the record.
 	urgencyProgress
@@ -43,7 +44,7 @@
 	switch {
 	case j.restartPlanned && j.final == "":
 		return urgencyRestart
-	case j.cancelled:
+	case j.cancelled && j.shared == nil:
 		return urgencyCancel
 	case j.startPlanned, j.final != "":
 		return urgencyCaller
--- /dev/null
+++ b/internal/shard/exchange.go
@@ -0,0 +1,253 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+const (
+	// giveAfter is how long a task waits in its home shard until it is offered to others. It doubles with each hop of the task, up to
+	// maxGiveAfter, so that tasks don't swing between shards that are full.
+	giveAfter    = 1500 * time.Millisecond
+	maxGiveAfter = 4 * giveAfter
+	// returnAfter is how long a task waits in a guest shard until it is returned.
+	returnAfter = 3 * time.Second
+	// maxOffers limits the classes of tasks that are offered at once, and maxOffered the number of their tasks.
+	maxOffers  = 8
+	maxOffered = 16
+	// maxGuests limits the guests of a job, so that its records fit in a transaction.
+	maxGuests = 8
+)
+
+// Offer is a class of equal tasks that may move to another shard.
+type Offer struct {
+	Demand
+	tasks []*task
+}
+
+// Offers returns the tasks that wait in their home shard for too long, those first that have waited the longest.
+func (o *Owner) Offers(now time.Time) []Offer {
+	if o.isHandingOver {
+		return nil
+	}
+	var tasks []*task
+	suits := map[Demand]bool{}
+	for _, j := range o.backlog {
+		if o.jobs[j.ID] != j || !j.mayShare() {
+			continue
+		}
+		for _, t := range j.readyTasks() {
+			if mayGive(now, t) && (t.run > 0 || !o.suitsAnyWorker(t, suits)) {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	slices.SortStableFunc(tasks, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
+	var out []Offer
+	for _, t := range tasks[:min(len(tasks), maxOffered)] {
+		d := demandOf(t.step, t.job.queue.Service)
+		d.Count = 0
+		i := slices.IndexFunc(out, func(f Offer) bool {
+			same := f.Demand
+			same.Count = 0
+			return same == d
+		})
+		if i < 0 {
+			if len(out) == maxOffers {
+				continue
+			}
+			i, out = len(out), append(out, Offer{Demand: d})
+		}
+		out[i].Count++
+		out[i].tasks = append(out[i].tasks, t)
+	}
+	return out
+}
+
+// mayShare reports whether tasks of the job may be held by other shards: all of them last, and none depends on another one.
+func (j *job) mayShare() bool {
+	if j.final != "" || j.Occurrences != 0 || j.queue.Service == "" || j.queue.Advice != nil || j.shared != nil && j.shared.isGuest {
+		return false
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if !s.LongRunning || s.Gang || s.BestEffort || s.Speculative || s.MaxUnavailable != nil || len(s.After) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// suitsAnyWorker reports whether a worker of the shard could hold a task if it were empty. A task that never ran is given only if none
+// could: until then its job waits for its turn. known holds what was found for other tasks.
+func (o *Owner) suitsAnyWorker(t *task, known map[Demand]bool) bool {
+	d := demandOf(t.step, t.job.queue.Service)
+	d.Count = 1
+	if _, ok := known[d]; !ok {
+		known[d] = o.Suits([]Demand{d})
+	}
+	return known[d]
+}
+
+// mayGive reports whether a task of a job that may be shared has waited for long enough to move.
+func mayGive(now time.Time, t *task) bool {
+	if !t.isWaiting() {
+		return false
+	}
+	wait, since := giveAfter, t.waitingSince
+	if t.run == 0 {
+		since = t.job.acceptedAt
+	}
+	if s := t.job.shared; s != nil && s.transfers[t.key] != nil {
+		tr := s.transfers[t.key]
+		wait, since = min(giveAfter<<min(tr.hop, 4), maxGiveAfter), maxTime(since, tr.arrivedAt)
+	}
+	return !since.IsZero() && now.Sub(since) >= wait
+}
+
+// Give gives at most limit tasks of an offer that still wait to another shard, which holds them once the next commit of their jobs is
+// recorded. It returns their number.
+func (o *Owner) Give(now time.Time, f Offer, limit, to int) int {
+	o.now = now
+	given := 0
+	for _, t := range f.tasks {
+		j := t.job
+		if given == limit {
+			break
+		}
+		if o.isHandingOver || o.jobs[j.ID] != j || !j.mayShare() || !t.isWaiting() {
+			continue
+		}
+		if j.shared == nil {
+			j.shared = o.newSharing(o.shard, workflow.Progress{})
+		}
+		s := j.shared
+		if _, ok := s.guests[to]; !ok && len(s.guests) == maxGuests {
+			continue
+		}
+		hop := 1
+		if tr := s.transfers[t.key]; tr != nil {
+			hop = tr.hop + 1
+		}
+		s.transfers[t.key], s.guests[to] = &transfer{hop: hop, shard: to}, true
+		t.releaseHold(now)
+		t.isAway = true
+		o.log.WithFields(logrus.Fields{
+			"decision": "give_task", "job": j.ID, "task": t.key.String(), "run": t.run, "hop": hop, "to": to,
+			"waited": now.Sub(t.waitingSince).String(),
+		}).Info("giving a waiting task to another shard, whose workers have room for it")
+		t.waitingSince = time.Time{}
+		o.markDirty(j)
+		given++
+	}
+	return given
+}
+
+// takeHeld takes the tasks that a guest is to hold. Tasks that it returned and need not hold any more are forgotten.
+func (o *Owner) takeHeld(now time.Time, j *job, tasks []workflow.HeldTask) {
+	s, listed := j.shared, map[workflow.TaskKey]bool{}
+	for _, h := range tasks {
+		k := h.Record.Key
+		t := o.task(j.ID, k)
+		if t == nil {
+			continue
+		}
+		listed[k] = true
+		if tr := s.transfers[k]; tr != nil && tr.hop >= h.Hop {
+			continue
+		}
+		o.holdAt(now, t, h)
+	}
+	for k, tr := range s.transfers {
+		if !listed[k] && tr.shard != workflow.NoShard {
+			delete(s.transfers, k)
+		}
+	}
+}
+
+// holdAt makes this shard hold a task at a hop.
+func (o *Owner) holdAt(now time.Time, t *task, h workflow.HeldTask) {
+	t.job.shared.transfers[h.Record.Key] = &transfer{arrivedAt: now, hop: h.Hop, shard: workflow.NoShard}
+	t.isAway, t.waitingSince = false, time.Time{}
+	t.run, t.failures, t.checkpoint = max(t.run, h.Record.Run), h.Record.Failures, h.Record.Checkpoint
+	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
+	o.log.WithFields(logrus.Fields{
+		"decision": "hold_task", "job": t.job.ID, "task": t.key.String(), "run": t.run, "hop": h.Hop, "home": t.job.shared.home,
+	}).Info("the shard holds a task that waited in another one")
+}
+
+// TakeBack takes the tasks that a guest returned. Those that have moved on since are left out.
+func (o *Owner) TakeBack(now time.Time, id string, guest int, tasks []workflow.HeldTask) {
+	j := o.jobs[id]
+	if j == nil || j.shared == nil || j.shared.isGuest || j.final != "" {
+		return
+	}
+	o.now = now
+	for _, h := range tasks {
+		t, tr := o.task(id, h.Record.Key), j.shared.transfers[h.Record.Key]
+		if t == nil || tr == nil || tr.shard != guest || tr.hop != h.Hop {
+			continue
+		}
+		o.holdAt(now, t, h)
+		j.shared.guests[guest] = true
+		o.markDirty(j)
+	}
+}
+
+// returnTasks returns the tasks that have found no worker in this guest shard for returnAfter.
+func (o *Owner) returnTasks(now time.Time, a *Actions) {
+	for j := range o.guestJobs {
+		if o.jobs[j.ID] != j {
+			delete(o.guestJobs, j)
+			continue
+		}
+		if j.final != "" {
+			continue
+		}
+		for k, tr := range j.shared.transfers {
+			t := o.task(j.ID, k)
+			if t == nil || tr.shard != workflow.NoShard || !t.isWaiting() {
+				continue
+			}
+			since := maxTime(tr.arrivedAt, t.waitingSince)
+			if since.IsZero() {
+				tr.arrivedAt = now // an earlier owner took the task
+				since = now
+			}
+			if due := since.Add(returnAfter); now.Before(due) {
+				a.wakeAt(due)
+				continue
+			}
+			tr.shard, j.shared.isReturning, t.isAway = j.shared.home, true, true
+			t.releaseHold(now)
+			o.log.WithFields(logrus.Fields{
+				"decision": "return_task", "job": j.ID, "task": t.key.String(), "run": t.run, "hop": tr.hop, "home": j.shared.home,
+			}).Info("returning a task that finds no worker here to its home shard")
+			o.markDirty(j)
+		}
+	}
+}
+
+// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other.
+func (o *Owner) Room(now time.Time, demands []Demand) []int {
+	out := make([]int, len(demands))
+	if o.isHandingOver {
+		return out
+	}
+	for _, w := range o.sortedWorkers() {
+		if !w.takesTasks(now) || w.heldFor != nil && now.Before(w.heldUntil) {
+			continue
+		}
+		free := w.Capacity.Sub(w.reserved)
+		for i, d := range demands {
+			n := d.fit(w, free, d.Count-out[i])
+			out[i] += n
+			free = free.Sub(d.Resources.Times(int64(n)))
+		}
+	}
+	return out
+}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -13,6 +13,11 @@
 // Restore adds a job with its recorded progress. Recorded attempts count as running until their workers have been
 // polled, but those that the last owner did not send are ready to be sent.
 func (o *Owner) Restore(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool) {
+	o.restore(now, j, p, cancelled, nil)
+}
+
+// restore adds a job, with its record if that says that the job is shared.
+func (o *Owner) restore(now time.Time, j workflow.Job, p workflow.Progress, cancelled bool, shared *workflow.SharedJob) {
 	o.now = now
 	if o.jobs[j.ID] != nil {
 		return
@@ -31,10 +36,16 @@
 	for _, rec := range p.Tasks {
 		o.restoreTask(now, n, rec)
 	}
+	if shared != nil || len(p.Guests) > 0 {
+		o.restoreSharing(now, n, p, shared)
+	}
 	for _, occ := range n.occurrences {
 		o.updateReadySteps(n, occ)
 	}
 	if handedOver {
+		if n.shared != nil {
+			n.shared.markAllChanged() // the last owner may not have recorded what it gave or returned
+		}
 		o.replan(n)
 	}
 	if cancelled {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -28,6 +28,8 @@
 	evaluatedPairs, evaluatedRestartPairs int
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
+	// guestJobs holds the jobs for which this shard is a guest.
+	guestJobs map[*job]bool
 	// headrooms caches headroomFor for the duration of a placement round, by the least urgent of the short tasks concerned.
 	headrooms map[shortTasks]*headroom
 	// heldBack holds the services with tasks that the last placement round did not place because of the headroom.
@@ -68,6 +70,8 @@
 	pressure        *interference.PressureModel
 	backlogUnsorted bool
 	seq             int64
+	// shard is the number of the shard.
+	shard int
 	// shortDemand is the remembered demand of short tasks; it was last updated at shortDemandAt.
 	shortDemand   map[shortTasks]shortDemand
 	shortDemandAt time.Time
@@ -92,6 +96,9 @@
 // WithLog sets the logger for decisions.
 func WithLog(log *logrus.Entry) Option { return func(o *Owner) { o.log = log } }
 
+// WithShard sets the number of the shard.
+func WithShard(n int) Option { return func(o *Owner) { o.shard = n } }
+
 // WithStartObserver sets a function that receives the time from the choice of a worker for a task to the confirmed start.
 func WithStartObserver(observe func(time.Duration)) Option {
 	return func(o *Owner) { o.observeStart = observe }
@@ -109,6 +116,7 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
+		guestJobs:    map[*job]bool{},
 		headrooms:    map[shortTasks]*headroom{},
 		heldBack:     map[string]bool{},
 		jobs:         map[string]*job{},
@@ -249,6 +257,7 @@
 	if !o.isHandingOver {
 		o.replaceOverdue(now)
 		o.renewTickets(now, &a)
+		o.returnTasks(now, &a)
 		o.place(now, &a)
 		a.Commit = o.nextCommit(now, &a)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -94,8 +94,10 @@
 	failures int
 	// heldWorker is the worker that was last held for the task.
 	heldWorker *worker
-	job        *job
-	key        workflow.TaskKey
+	// isAway is set while another shard holds the task.
+	isAway bool
+	job    *job
+	key    workflow.TaskKey
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	// restartWait is kept by ReportWaits.
@@ -107,7 +109,8 @@
 	waitingSince time.Time
 }
 
-func (t *task) isWaiting() bool { return !t.done && len(t.attempts) == 0 }
+// isWaiting reports whether this shard holds the task, which is not done, and no worker has it.
+func (t *task) isWaiting() bool { return !t.done && !t.isAway && len(t.attempts) == 0 }
 
 // isInterrupted reports whether the task is a long-running one that ran before and waits for its next run.
 func (t *task) isInterrupted() bool { return t.step.LongRunning && t.run > 0 && t.isWaiting() }
@@ -154,6 +157,8 @@
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
 	// long-running task that ran before.
 	startPlanned, restartPlanned bool
+	// shared is nil unless tasks of the job have moved between shards.
+	shared *sharing
 	// started is set once any task of the job has been started.
 	started bool
 	// version counts the changes of the job, and recordedVersion is the one in the store.
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -50,6 +50,8 @@
 	// DoneThrough is the number of leading occurrences whose tasks are all done; their tasks have no records.
 	DoneThrough int          `cbor:"1,keyasint,omitempty"`
 	Tasks       []TaskRecord `cbor:"2,keyasint,omitempty"`
+	// Guests holds, at the home of a shared job, the other shards that have a record of it.
+	Guests []int `cbor:"4,keyasint,omitempty"`
 	// Transfers holds the tasks that have moved between shards.
 	Transfers []Transfer `cbor:"3,keyasint,omitempty"`
 }
