Keep failed tasks in their shard, and delete a guest's record that is written twice

Seen in tests: a task that failed in a guest shard went home at once, though the shard had room; and the record of a cancelled job stayed in a guest shard in 16 of 30 runs of TestTasksOfFullShardUseRoomOfOthers.

Cause: until a placement round has looked at a failed task, the time since its arrival counted as its wait. And the final commit of the home can be made twice, when a run ends while it is under way or a response is lost; the second one came after the guest had deleted the record.

Change: a task that ran before waits from its interruption on. The final commit writes a guest's record once, and a guest that sees it again deletes it again.

--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -158,6 +158,15 @@
 	w.isCut = isCut
 }
 
+// failAll ends all runs as failed.
+func (w *simulatedWorker) failAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.runs {
+		w.end(name, shard.EndFailed)
+	}
+}
+
 // leave ends the worker for good, and with it all its runs. It returns how many of them were long-running.
 func (w *simulatedWorker) leave() int {
 	w.mu.Lock()
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -98,17 +98,26 @@
 	if !t.isWaiting() {
 		return false
 	}
-	wait, since := giveAfter, t.waitingSince
-	if t.run == 0 {
-		since = t.job.acceptedAt
-	}
+	wait, since := giveAfter, t.waitsSince(t.job.acceptedAt)
 	if s := t.job.shared; s != nil && s.transfers[t.key] != nil {
 		tr := s.transfers[t.key]
-		wait, since = min(giveAfter<<min(tr.hop, 4), maxGiveAfter), maxTime(since, tr.arrivedAt)
+		wait = min(giveAfter<<min(tr.hop, 4), maxGiveAfter)
+		if !since.IsZero() {
+			since = maxTime(since, tr.arrivedAt)
+		}
 	}
 	return !since.IsZero() && now.Sub(since) >= wait
 }
 
+// waitsSince returns since when a waiting task waits in this shard: since its interruption, as far as the owner has considered it for
+// placement yet, or since another time if it never ran.
+func (t *task) waitsSince(first time.Time) time.Time {
+	if t.run > 0 {
+		return t.waitingSince
+	}
+	return first
+}
+
 // Give gives at most limit tasks of an offer that still wait to another shard, which holds them once the next commit of their jobs is
 // recorded. It returns their number.
 func (o *Owner) Give(now time.Time, f Offer, limit, to int) int {
@@ -213,10 +222,12 @@
 			if t == nil || tr.shard != workflow.NoShard || !t.isWaiting() {
 				continue
 			}
-			since := maxTime(tr.arrivedAt, t.waitingSince)
-			if since.IsZero() {
+			if tr.arrivedAt.IsZero() {
 				tr.arrivedAt = now // an earlier owner took the task
-				since = now
+			}
+			since := t.waitsSince(tr.arrivedAt)
+			if since.IsZero() {
+				continue // the next placement round notes since when it waits
 			}
 			if due := since.Add(returnAfter); now.Before(due) {
 				a.wakeAt(due)
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -160,6 +160,9 @@
 // endJob sets the final state of a job and stops its runs.
 func (o *Owner) endJob(j *job, s workflow.State, reason string) {
 	j.final = s
+	if j.shared != nil {
+		j.shared.markGuestsChanged()
+	}
 	o.markDirty(j)
 	for _, occ := range j.openOccurrences() {
 		for _, tasks := range occ.tasks {
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -56,14 +56,19 @@
 	return tr.shard != workflow.NoShard
 }
 
-// markAllChanged makes the records of the job in all shards be written again.
-func (s *sharing) markAllChanged() {
-	s.isRecorded, s.isReturning = false, s.isGuest
+// markGuestsChanged makes the records of the job in the guests be written again.
+func (s *sharing) markGuestsChanged() {
 	for g := range s.guests {
 		s.guests[g] = true
 	}
 }
 
+// markAllChanged makes the records of the job in all shards be written again.
+func (s *sharing) markAllChanged() {
+	s.isRecorded, s.isReturning = false, s.isGuest
+	s.markGuestsChanged()
+}
+
 // record returns the transfers as they are recorded, in the order of the tasks.
 func (s *sharing) record() []workflow.Transfer {
 	out := make([]workflow.Transfer, 0, len(s.transfers))
@@ -127,14 +132,12 @@
 		s.isRecorded = true
 	}
 	for _, g := range w.Guests {
-		switch {
-		case j.final != "":
-			record.Cancelled = true
-		case s.guests[g]:
-			record.Tasks = o.heldBy(j, g)
-		default:
+		if !s.guests[g] {
 			continue
 		}
+		if record.Cancelled = j.final != ""; !record.Cancelled {
+			record.Tasks = o.heldBy(j, g)
+		}
 		w.Records = append(w.Records, JobRecord{Shard: g, Value: workflow.Encode(record)})
 		s.guests[g] = false
 	}
@@ -151,15 +154,23 @@
 func (o *Owner) ApplyShared(now time.Time, s workflow.SharedJob) {
 	j := o.jobs[s.Job.ID]
 	if j == nil {
-		if o.ended.state(s.Job.ID) == "" {
+		// The record of a cancellation may be written once more after the guest has deleted it.
+		if s.Cancelled || o.ended.state(s.Job.ID) == "" {
 			o.RestoreShared(now, s, workflow.Progress{}, false)
 		}
 		return
 	}
-	if j.shared == nil || !j.shared.isGuest || j.final != "" {
+	if j.shared == nil || !j.shared.isGuest {
 		return
 	}
 	o.now = now
+	if j.final != "" {
+		if s.Cancelled {
+			j.finalRecorded = false // the record that was written once more has to be deleted again
+			o.markDirty(j)
+		}
+		return
+	}
 	o.takeHeld(now, j, s.Tasks)
 	if s.Cancelled {
 		o.Cancel(now, j.ID)
