Wait for the leases that a lost owner can have granted, not for the longest ones

Callers saw: tasks that last waited 12 s and more when their worker and the owner of their shard were lost at about the same time.

Cause: a successor counted the longest lease that a worker accepts from its own takeover, since what the last owner could grant was not on record, and the takeover waited for the lease of a process whose host was back.

Change: owners bound the leases of workers by the renewal of their own lease, and each claim records that bound and what remains of the bounds before it. A host that is back gives up the shards of its earlier process. After an owner of an older build the longest lease counts as before.

TestLeasesOfKilledOwnersAreWaitedFor fails if the bound is 3 s shorter.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -52,9 +52,9 @@
 }
 
 // ownershipTxn returns the transaction with which this host takes a shard without an owner.
-func (o *ownedShards) ownershipTxn(n int, lease, epoch int64) kvstore.Txn {
+func (o *ownedShards) ownershipTxn(n int, lease, epoch int64, earlier earlierLeases) kvstore.Txn {
 	owner := o.host.self
-	owner.PreviousEpoch = epoch
+	owner.PreviousEpoch, owner.EarlierLeases = epoch, earlier.total
 	record := workflow.Encode(owner)
 	return kvstore.Txn{
 		Guards: []kvstore.Guard{{Key: ownerKey(n)}, {Key: epochKey(n), Revision: epoch}},
@@ -77,14 +77,15 @@
 		"decision": "own", "shard": n, "epoch": epoch, "hosts": h.directory.hostCount(), "lease": lease,
 		"owned": len(o.allRunners()),
 	})
-	t, outcomes := o.ownershipTxn(n, lease, epoch), make(chan txnOutcome)
+	earlier := h.directory.earlierLeases(n, epoch, h.timing())
+	t, outcomes := o.ownershipTxn(n, lease, epoch, earlier), make(chan txnOutcome)
 	for ctx.Err() == nil {
 		outcome, hasResponse := h.attemptTxn(ctx, t, outcomes)
 		if !hasResponse && ctx.Err() != nil {
 			return
 		}
 		if !errors.Is(outcome.err, kvstore.ErrUnknownOutcome) {
-			o.applyClaim(n, lease, epoch, r, outcome, log)
+			o.applyClaim(n, lease, epoch, r, earlier, outcome, log)
 			return
 		}
 		if _, ok := h.directory.owner(n); ok {
@@ -100,17 +101,19 @@
 }
 
 // applyClaim acts on the outcome of a claim that was guarded by a revision of the epoch key.
-func (o *ownedShards) applyClaim(n int, lease, epoch int64, r *runner, outcome txnOutcome, log *logrus.Entry) {
+func (o *ownedShards) applyClaim(
+	n int, lease, epoch int64, r *runner, earlier earlierLeases, outcome txnOutcome, log *logrus.Entry,
+) {
 	log = log.WithField("revision", outcome.result.Revision)
 	switch {
 	case outcome.err == nil && r != nil:
 		log.Info("took ownership of the shard again")
 		ownerChanges.Add("taken_again", 1)
-		r.resume(outcome.result.Revision, lease)
+		r.resume(outcome.result.Revision, lease, earlier.total)
 	case outcome.err == nil:
 		log.Info("took ownership of the shard")
 		taken := newRunner(o.host, n, outcome.result.Revision, lease)
-		taken.previousEpoch = epoch
+		taken.setEarlier(epoch, earlier)
 		o.startRunner(taken)
 	case errors.Is(outcome.err, kvstore.ErrConflict) && r != nil:
 		o.applyEpochConflict(n, r, outcome.result.Current)
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -27,6 +27,12 @@
 	Strength float64 `cbor:"6,keyasint,omitempty"`
 	// PreviousEpoch is, in the owner and epoch keys of a shard, the revision of the epoch key that guarded the claim.
 	PreviousEpoch int64 `cbor:"9,keyasint,omitempty"`
+	// LeaseFromOrder and LeaseFromRenewal bound the leases of workers that the host requests as an owner: the time to their end, on a
+	// worker's clock, from the order and from the last renewal of the host's own lease. They are 0 for older builds.
+	LeaseFromOrder   time.Duration `cbor:"12,keyasint,omitempty"`
+	LeaseFromRenewal time.Duration `cbor:"13,keyasint,omitempty"`
+	// EarlierLeases is, in the owner and epoch keys of a shard, how long after the claim leases of earlier owners can last.
+	EarlierLeases time.Duration `cbor:"11,keyasint,omitempty"`
 	// SharesJobs is set by hosts whose build knows jobs whose tasks are held by several shards.
 	SharesJobs bool `cbor:"10,keyasint,omitempty"`
 }
@@ -50,6 +56,8 @@
 type directory struct {
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// epochsSeen holds when this host first saw the latest epoch of each shard.
+	epochsSeen map[int]seenEpoch
 	// epochs holds the store revision of each shard's epoch key, by shard.
 	epochs map[int]int64
 	// failedLoads holds the shards whose last owner gave them up because it could not load them.
@@ -71,15 +79,17 @@
 	mu     sync.Mutex
 	now    func() time.Time
 	owners map[int]ownerRecord
+	// settled holds, by shard, the last epoch of which the owner has said that all leases of earlier owners have ended.
+	settled map[int]int64
 	// successors holds the hosts to which owners have handed shards over, by shard, until the next owner is seen.
 	successors map[int]ownerRecord
 }
 
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
-		changed: make(chan struct{}), epochs: map[int]int64{}, failedLoads: map[int]failedLoad{}, formerOwners: map[int]hostRecord{},
+		changed: make(chan struct{}), epochsSeen: map[int]seenEpoch{}, epochs: map[int]int64{}, failedLoads: map[int]failedLoad{}, formerOwners: map[int]hostRecord{},
 		histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{},
-		successors: map[int]ownerRecord{},
+		settled: map[int]int64{}, successors: map[int]ownerRecord{},
 	}
 }
 
@@ -98,7 +108,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.removeMissing(kvs)
-	d.epochs, d.successors = map[int]int64{}, map[int]ownerRecord{}
+	d.epochs, d.settled, d.successors = map[int]int64{}, map[int]int64{}, map[int]ownerRecord{}
 	for _, kv := range kvs {
 		d.put(kv)
 	}
@@ -173,8 +183,16 @@
 		if s, err := workflow.Decode[successorRecord](kv.Value); ok && err == nil {
 			d.putSuccessor(n, s, kv.ModRevision)
 		}
+	case strings.HasPrefix(kv.Key, settledPrefix):
+		n, ok := parseShardKey(kv.Key, settledPrefix)
+		if epoch, err := workflow.Decode[int64](kv.Value); ok && err == nil {
+			d.settled[n] = epoch
+		}
 	case strings.HasPrefix(kv.Key, epochPrefix):
 		if n, ok := parseShardKey(kv.Key, epochPrefix); ok {
+			if d.epochsSeen[n].revision != kv.ModRevision {
+				d.epochsSeen[n] = seenEpoch{at: d.now(), revision: kv.ModRevision}
+			}
 			d.epochs[n] = kv.ModRevision
 			if h, err := workflow.Decode[hostRecord](kv.Value); err == nil {
 				d.formerOwners[n] = h
--- a/internal/entry/exportcommit_test.go
+++ b/internal/entry/exportcommit_test.go
@@ -24,7 +24,7 @@
 func (c CommitWriter) Close() { c.r.close() }
 
 // Resume continues under a new owner key that this host has written.
-func (c CommitWriter) Resume(ownerRevision int64) { c.r.resume(ownerRevision, 1) }
+func (c CommitWriter) Resume(ownerRevision int64) { c.r.resume(ownerRevision, 1, 0) }
 
 // OwnerKey returns the key of the owner of shard 0.
 func OwnerKey() string { return ownerKey(0) }
--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -120,6 +120,30 @@
 	return isShared || strings.Contains(key, returnedInfix)
 }
 
+// EpochRecord returns the value of an epoch key of a host of this build, or of an older one.
+func EpochRecord(host string, earlier time.Duration, isOlderBuild bool) []byte {
+	r := hostRecord{EarlierLeases: earlier, Host: host, Incarnation: host, LeaseFromOrder: 7 * time.Second, LeaseFromRenewal: 7600 * time.Millisecond}
+	if isOlderBuild {
+		r.EarlierLeases, r.LeaseFromOrder, r.LeaseFromRenewal = 0, 0, 0
+	}
+	return workflow.Encode(r)
+}
+
+// SeeEpoch shows the epoch key of shard 0 to the host, and that the leases before it have ended if isSettled is set.
+func (h *Host) SeeEpoch(revision int64, record []byte, isSettled bool) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	h.directory.put(kvstore.KV{Key: epochKey(0), ModRevision: revision, Value: record})
+	if isSettled {
+		h.directory.put(kvstore.KV{Key: settledKey(0), ModRevision: revision + 1, Value: workflow.Encode(revision)})
+	}
+}
+
+// EarlierLeases returns how long leases of earlier owners can last from now on, for a claim that is guarded by an epoch.
+func (h *Host) EarlierLeases(epoch int64) time.Duration {
+	return h.directory.earlierLeases(0, epoch, h.timing()).total
+}
+
 // Prefixes of the keys of jobs, locations, owners and successors.
 const (
 	JobPrefix       = jobPrefix
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -168,7 +168,8 @@
 // may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
 // starts a runner, which reads what was to be handed over.
 func (o *ownedShards) takeBackTxn(r *runner, deletion kvstore.Txn) kvstore.Txn {
-	t := o.ownershipTxn(r.shard, r.ownerLease(), r.epochRevision())
+	t := o.ownershipTxn(r.shard, r.ownerLease(), r.epochRevision(),
+		o.host.directory.earlierLeases(r.shard, r.epochRevision(), o.host.timing()))
 	t.Guards[0].Revision = r.ownerRevision()
 	for _, p := range deletion.Puts {
 		if p.Key == handoverKey(r.shard) {
@@ -201,7 +202,7 @@
 	log.Info("giving up a shard that was taken without a response")
 	o.handovers.recordGivenUp(n, current.revision)
 	r := newRunner(o.host, n, current.revision, current.lease)
-	r.previousEpoch = current.PreviousEpoch
+	r.setEarlier(current.PreviousEpoch, current.recordedEarlier())
 	go func() {
 		defer r.close()
 		o.deleteOwnerKey(ctx, r, current.revision, log, r.handoverPuts(ctx)...)
--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
@@ -15,6 +16,10 @@
 	// guarded by this revision: with any other, an owner in between may have granted leases.
 	Epoch    int64          `cbor:"1,keyasint"`
 	Handover shard.Handover `cbor:"2,keyasint"`
+	// CrashedEpoch replaces Epoch in the record that a host writes for an earlier process of its own, which has ended. All leases of that
+	// owner end CrashedLeases after the record was written at the latest. Owners of older builds find no record of theirs then.
+	CrashedEpoch  int64         `cbor:"3,keyasint,omitempty"`
+	CrashedLeases time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash. The
@@ -45,6 +50,9 @@
 	case err != nil:
 		r.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed handover record")
 		return nil, nil
+	case record.CrashedEpoch == r.previousEpoch:
+		r.noteCrash(record.CrashedLeases)
+		return nil, nil
 	case record.Epoch != r.previousEpoch:
 		return nil, nil
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -61,6 +61,8 @@
 		},
 		settings: s,
 	}
+	timing := h.timing()
+	h.self.LeaseFromOrder, h.self.LeaseFromRenewal = timing.WorkerLease, timing.LeaseFromRenewal
 	h.pool = peer.NewPool(entry, h.handlePeerMessage)
 	h.request = h.pool.Request
 	h.ownedShards = newOwnedShards(h)
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -16,7 +16,9 @@
 	// successorPrefix is the prefix of the keys that name the host to which a shard was last handed over. Such a key counts
 	// until the next change of the shard's epoch key.
 	successorPrefix = controlPrefix + "successor/"
-	layoutKey       = controlPrefix + "layout"
+	// settledPrefix is the prefix of the keys that say that all leases of earlier owners have ended, by the epoch of the owner that says so.
+	settledPrefix = controlPrefix + "settled/"
+	layoutKey     = controlPrefix + "layout"
 	// locationPrefix is the prefix of the JobLocation records, which name the shard of each job.
 	locationPrefix = root + "placed/"
 	jobPrefix      = root + "job/"
@@ -37,6 +39,8 @@
 
 func epochKey(shard int) string { return epochPrefix + strconv.Itoa(shard) }
 
+func settledKey(shard int) string { return settledPrefix + strconv.Itoa(shard) }
+
 func successorKey(shard int) string { return successorPrefix + strconv.Itoa(shard) }
 
 func locationKey(id string) string { return locationPrefix + id }
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -24,6 +24,7 @@
 	lastUnhealthy time.Time
 	host          *Host
 	mu            sync.Mutex
+	releases      releases
 	runners       map[int]*runner
 	// ownerlessSince holds the time at which this host first saw that a shard has no owner, by shard.
 	ownerlessSince map[int]time.Time
@@ -34,7 +35,7 @@
 func newOwnedShards(h *Host) *ownedShards {
 	return &ownedShards{
 		claims: newClaims(), handovers: newHandovers(), host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{},
-		wake: make(chan struct{}, 1),
+		releases: releases{newShardSet()}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -233,6 +234,9 @@
 		if isNew {
 			o.stopRunner(r, "another host owns the shard")
 		}
+		if r == nil && current.isPredecessorOf(h.self) {
+			o.releasePredecessor(ctx, n, current)
+		}
 	case isNew:
 		// A response to the claim with which this host took the shard again was lost. The guard on the epoch key means that no other
 		// host has owned the shard since.
@@ -243,7 +247,7 @@
 	default:
 		// The response to the claim was lost, or this host took back a shard that it could not hand over.
 		taken := newRunner(h, n, current.revision, current.lease)
-		taken.previousEpoch = current.PreviousEpoch
+		taken.setEarlier(current.PreviousEpoch, current.recordedEarlier())
 		o.startRunner(taken)
 	}
 }
@@ -258,7 +262,7 @@
 		"decision": "own", "shard": r.shard, "revision": current.revision, "lease": current.lease,
 	}).Info("took ownership of the shard again; the response was lost")
 	ownerChanges.Add("taken_again", 1)
-	r.resume(current.revision, current.lease)
+	r.resume(current.revision, current.lease, current.EarlierLeases)
 }
 
 func (o *ownedShards) startRunner(r *runner) {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -33,6 +33,10 @@
 	cancel        context.CancelFunc
 	// deposed is set once a worker has rejected the current token because it knows a higher one.
 	deposed bool
+	// earlier bounds the leases of earlier owners, from the claim of the present epoch.
+	earlier earlierLeases
+	// earlierEnd is when these leases have ended; zero if there were none.
+	earlierEnd time.Time
 	// endedJobs lists the jobs whose final state this owner has recorded and not yet deleted, the oldest first.
 	endedJobs []endedJob
 	// expected holds the jobs for which hosts have chosen this shard.
@@ -99,7 +103,7 @@
 
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
-	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks} {
+	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle} {
 		r.run(task)
 	}
 	r.run(func() {
@@ -172,9 +176,10 @@
 	return !r.deposed && currentLease != 0
 }
 
-// resume continues with the same state under a new ownership of the shard.
-func (r *runner) resume(revision, lease int64) {
+// resume continues with the same state under a new ownership of the shard, whose claim bounds the leases of earlier owners.
+func (r *runner) resume(revision, lease int64, earlier time.Duration) {
 	r.mu.Lock()
+	r.earlierEnd = r.host.now().Add(earlier)
 	r.ownerKeyRevision, r.epochKeyRevision, r.lease = revision, revision, lease
 	r.owner.SetToken(revision)
 	r.changedAt = r.host.now()
@@ -210,6 +215,7 @@
 		pause := electionInterval
 		r.locked(func() {
 			if now := r.host.now(); r.mayAct(now) {
+				r.owner.NoteRenewal(r.host.session.renewedAt())
 				r.reportSummary(now)
 				a := r.owner.Step(now)
 				pause = max(a.Wake.Sub(now), minStepInterval)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -121,6 +121,7 @@
 		if outcome == shard.OutcomeDone {
 			r.owner.Polled(now, l, sent, list)
 			if r.mayAct(now) {
+				r.owner.NoteRenewal(r.host.session.renewedAt())
 				next, hasNext = r.owner.Acknowledgement(now, l, sent)
 			}
 		} else {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -49,6 +49,12 @@
 	return s.lease, s.expires
 }
 
+// renewedAt returns when the request or renewal of the present lease was sent that succeeded last.
+func (s *session) renewedAt() time.Time {
+	_, expires := s.currentLease()
+	return expires.Add(sessionExpiryMargin - sessionTTL)
+}
+
 // isHealthy reports whether the newest outcome of a renewal was a success, and renewals are not without an answer for too long.
 func (s *session) isHealthy() bool { return s.healthy.Load() }
 
--- a/internal/entry/timing.go
+++ b/internal/entry/timing.go
@@ -21,8 +21,7 @@
 		t.EvaluationGap = time.Duration(float64(pairEvaluationTime) / (strength * maxPlacementShare))
 	}
 	if maxLease := h.settings.Worker.MaxLease.Duration; maxLease > 0 {
-		t.MaxWorkerLease = maxLease
-		t.WorkerLease = min(t.WorkerLease, maxLease-h.settings.Worker.LeaseReserve.Duration)
+		t = t.WithMaxWorkerLease(maxLease, h.settings.Worker.LeaseReserve.Duration)
 	}
 	return t
 }
--- a/internal/shard/acknowledge.go
+++ b/internal/shard/acknowledge.go
@@ -15,7 +15,7 @@
 	o.seq++
 	w.pollInFlight, w.pollSeq = true, o.seq
 	next = p
-	next.LastSeen, next.Seq, next.Until, next.omitsAcknowledgement = w.recordedEnd, o.seq, w.renewLease(now, o.timing), false
+	next.LastSeen, next.Seq, next.Until, next.omitsAcknowledgement = w.recordedEnd, o.seq, w.renewLease(now, o.renewedAt, o.timing), false
 	if w.recordedEnd < w.lastEnd {
 		next.Wait = 0
 	}
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -76,7 +76,7 @@
 	t.started, t.job.started = true, true
 	return Start{
 		Order: o.newOrder(at.worker), Checkpoint: t.checkpoint, Job: t.job.ID, Key: t.key, Run: at.run,
-		Spec: t.job.Spec, Ticket: at.ticket, Until: at.worker.renewLease(now, o.timing),
+		Spec: t.job.Spec, Ticket: at.ticket, Until: at.worker.renewLease(now, o.renewedAt, o.timing),
 	}
 }
 
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -148,7 +148,7 @@
 func (o *Owner) Inherit(h Handover) {
 	o.inherited = &h
 	for _, w := range o.workers {
-		if w.inheritedLease.origin == leaseFromTakeover {
+		if w.inheritedLease.isFromTakeover() {
 			w.inheritedLease = o.inheritedLease(w.ID)
 		}
 		if w.incarnation == 0 {
@@ -166,6 +166,9 @@
 // after it, but never for longer than the bound without it.
 func (o *Owner) inheritedLease(worker string) leaseBound {
 	bound := o.timing.longestLeaseFrom(o.acquiredAt, leaseFromTakeover)
+	if !o.earlierLeasesEnd.IsZero() && o.earlierLeasesEnd.Before(bound.end) {
+		bound = leaseBound{end: o.earlierLeasesEnd, origin: leaseFromClaim}
+	}
 	if o.inherited == nil {
 		return bound
 	}
@@ -176,6 +179,20 @@
 	return leaseBound{end: minTime(bound.end, o.acquiredAt.Add(left)), origin: leaseFromHandover}
 }
 
+// BoundEarlierLeases says that the leases that earlier owners granted end at a time at the latest. It must be called before the jobs are
+// restored.
+func (o *Owner) BoundEarlierLeases(end time.Time) {
+	o.earlierLeasesEnd = end
+	for _, w := range o.workers {
+		if w.inheritedLease.isFromTakeover() {
+			w.inheritedLease = o.inheritedLease(w.ID)
+		}
+	}
+}
+
+// NoteRenewal says when the renewal of the owner's own lease was sent that succeeded last.
+func (o *Owner) NoteRenewal(sent time.Time) { o.renewedAt = sent }
+
 // inheritedDrainStart returns when a draining worker began to drain as far as the last owner knew, or now.
 func (o *Owner) inheritedDrainStart(w Worker) time.Time {
 	if o.inherited != nil {
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -10,6 +10,8 @@
 	leaseFromGrant leaseOrigin = "grant"
 	// leaseFromTakeover: the takeover of the shard. An earlier owner may have granted the longest lease just before it.
 	leaseFromTakeover leaseOrigin = "takeover"
+	// leaseFromClaim: the takeover of the shard, by what the claims of earlier owners say of their leases.
+	leaseFromClaim leaseOrigin = "claim"
 	// leaseFromHandover: the latest grant of the last owner, or of an owner before it.
 	leaseFromHandover leaseOrigin = "handover"
 	// leaseFromWorkerRestart: the moment at which this owner learned that the worker had restarted.
@@ -24,7 +26,7 @@
 
 // longestLeaseFrom returns the bound for a lease that was granted at a time or earlier.
 func (t Timing) longestLeaseFrom(granted time.Time, origin leaseOrigin) leaseBound {
-	return leaseBound{end: granted.Add(t.onSlowestClock(t.MaxWorkerLease) + t.LeaseMargin), origin: origin}
+	return leaseBound{end: granted.Add(t.LeaseBound(t.MaxWorkerLease)), origin: origin}
 }
 
 // leaseBound returns the time by which everything on the worker has certainly ended, provided that nothing more is sent. Calls that
@@ -45,3 +47,8 @@
 
 // isSilent reports whether the worker has not answered this owner's last poll, or none yet.
 func (w *worker) isSilent() bool { return !w.fenced || w.pollFailures > 0 }
+
+// isFromTakeover reports whether the bound counts from the takeover because nothing else is known of the worker.
+func (b leaseBound) isFromTakeover() bool {
+	return b.origin == leaseFromTakeover || b.origin == leaseFromClaim
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -23,6 +23,8 @@
 	config     workflow.Config
 	dirty      []*job
 	ended      endedJobs
+	// earlierLeasesEnd is when the leases that earlier owners granted have ended, by their claims; zero if that is not known.
+	earlierLeasesEnd time.Time
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
@@ -69,7 +71,9 @@
 	// pressure is the learned model of how much the images of best-effort tasks slow down those of serving tasks.
 	pressure        *interference.PressureModel
 	backlogUnsorted bool
-	seq             int64
+	// renewedAt is when the renewal of the owner's own lease was sent that succeeded last; zero if that is not known.
+	renewedAt time.Time
+	seq       int64
 	// shard is the number of the shard.
 	shard int
 	// shortDemand is the remembered demand of short tasks; it was last updated at shortDemandAt.
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -42,7 +42,7 @@
 		}
 		o.seq++
 		w.pollInFlight, w.pollSeq, w.polledAt = true, o.seq, now
-		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.timing)}
+		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.renewedAt, o.timing)}
 		if now.Sub(w.answeredAt) < maxAckGap {
 			p.LastSeen = w.recordedEnd
 		} else {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -273,13 +273,18 @@
 }
 
 // renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not
-// answer is not extended, so that it expires and the tasks can be started elsewhere.
-func (w *worker) renewLease(now time.Time, t Timing) int64 {
+// answer is not extended, so that it expires and the tasks can be started elsewhere. Without a renewal of the owner's own lease, the
+// worker's lease is extended up to LeaseFromRenewal only.
+func (w *worker) renewLease(now, ownerRenewedAt time.Time, t Timing) int64 {
 	if w.clockAt.IsZero() {
 		return 0
 	}
 	if w.pollFailures == 0 {
-		leaseEnd := w.clock + now.Sub(w.clockAt).Milliseconds() + t.WorkerLease.Milliseconds()
+		lease := t.WorkerLease
+		if !ownerRenewedAt.IsZero() {
+			lease = min(lease, ownerRenewedAt.Add(t.LeaseFromRenewal).Sub(now))
+		}
+		leaseEnd := w.clock + now.Sub(w.clockAt).Milliseconds() + lease.Milliseconds()
 		w.leaseEnd = max(w.leaseEnd, leaseEnd)
 	}
 	return w.leaseEnd
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -13,6 +13,9 @@
 	// IdleRenewalMargin is how long before its end the lease of a worker without runs is renewed while ends of the worker
 	// wait for their record. It covers two polls without an answer, 0.9 s each, with the pauses after them.
 	IdleRenewalMargin time.Duration
+	// LeaseFromRenewal is the longest time from a renewal of the owner's own lease to the end of a worker's lease that the owner
+	// requests. It bounds what an owner can have granted that acted on after its own lease was ended, which is not known to others.
+	LeaseFromRenewal time.Duration
 	// LeaseMargin is added to the lease expiry to allow for scheduling delays and rounding before the worker's tasks
 	// count as ended.
 	LeaseMargin time.Duration
@@ -39,6 +42,23 @@
 	WorkerLease time.Duration
 }
 
+// renewalSlack is by how much LeaseFromRenewal exceeds WorkerLease: the age of the last renewal of an owner whose renewals are
+// answered, with one of them lost.
+const renewalSlack = 600 * time.Millisecond
+
+// WithMaxWorkerLease returns the timing for workers that grant leases of at most longest, of which owners leave out a reserve.
+func (t Timing) WithMaxWorkerLease(longest, reserve time.Duration) Timing {
+	t.MaxWorkerLease, t.WorkerLease = longest, min(t.WorkerLease, longest-reserve)
+	t.LeaseFromRenewal = t.WorkerLease + renewalSlack
+	return t
+}
+
+// LeaseBound returns how long after a moment leases can last that end a time after it on a worker's clock, but not longer than the
+// longest lease of a worker.
+func (t Timing) LeaseBound(lease time.Duration) time.Duration {
+	return t.onSlowestClock(min(lease, t.MaxWorkerLease)) + t.LeaseMargin
+}
+
 // DefaultTiming returns the timing for workers that grant leases of 10 s.
 func DefaultTiming() Timing {
 	return Timing{
@@ -46,6 +66,7 @@
 		CommitGap:              15 * time.Millisecond,
 		EvaluationGap:          10 * time.Microsecond,
 		IdleRenewalMargin:      3 * time.Second,
+		LeaseFromRenewal:       7*time.Second + renewalSlack,
 		LeaseMargin:            300 * time.Millisecond,
 		PollInterval:           150 * time.Millisecond,
 		PollRetryDelay:         200 * time.Millisecond,
