Offer small tasks to other shards too, and keep room for the shard's own

The shard that promised room had waiting tasks that took it first, and of hundreds of waiting tasks the 16 oldest alone were offered.

Change: a shard promises no room on a worker that suits one of its own waiting tasks. Half of the offered classes are those of the smallest tasks. The host that deletes the owner key of its earlier process waits until it sees the deletion.

--- a/internal/entry/earlierleases.go
+++ b/internal/entry/earlierleases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -112,17 +113,17 @@
 	go func() {
 		defer o.wakeElection()
 		defer o.releases.end(n)
-		ctx, cancel := withTimeout(ctx, storeCallTimeout)
+		callCtx, cancel := withTimeout(ctx, storeCallTimeout)
 		defer cancel()
-		_, err := h.platform.Store.Txn(ctx, kvstore.Txn{
+		_, err := h.platform.Store.Txn(callCtx, kvstore.Txn{
 			Deletes: []string{ownerKey(n)}, Guards: []kvstore.Guard{{Key: ownerKey(n), Revision: current.revision}},
 			Puts: []kvstore.Put{{Key: handoverKey(n), Value: workflow.Encode(record)}},
 		})
 		countWrite(err)
-		if err != nil {
+		if err != nil && !errors.Is(err, kvstore.ErrConflict) {
 			log.WithError(err).Warn("failed to delete the owner key of an earlier process; it expires with the lease of that process")
-			retry.Sleep(ctx, sessionRetryInterval)
 		}
+		retry.Sleep(ctx, electionInterval) // until the deletion is seen
 	}()
 }
 
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,9 +17,11 @@
 	maxGiveAfter = 4 * giveAfter
 	// returnAfter is how long a task waits in a guest shard until it is returned.
 	returnAfter = 3 * time.Second
-	// maxOffers limits the classes of tasks that are offered at once, and maxOffered the number of their tasks.
-	maxOffers  = 8
+	// maxOffers limits the classes of tasks that are offered at once, and maxOffered the number of tasks in one.
+	maxOffers  = 16
 	maxOffered = 16
+	// maxOwnDemands limits the classes of waiting tasks for which a shard keeps its room.
+	maxOwnDemands = 16
 	// maxGuests limits the guests of a job, so that its records fit in a transaction.
 	maxGuests = 8
 )
@@ -29,7 +32,8 @@
 	tasks []*task
 }
 
-// Offers returns the tasks that wait in their home shard for too long, those first that have waited the longest.
+// Offers returns the tasks that wait in their home shard for too long: half of the classes are those that have waited the longest, the
+// others those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
 func (o *Owner) Offers(now time.Time) []Offer {
 	if o.isHandingOver {
 		return nil
@@ -47,23 +51,31 @@
 		}
 	}
 	slices.SortStableFunc(tasks, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
+	offers := classify(tasks)
+	if len(offers) <= maxOffers {
+		return offers
+	}
+	oldest, rest := offers[:maxOffers/2], offers[maxOffers/2:]
+	slices.SortStableFunc(rest, func(a, b Offer) int { return cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli) })
+	return slices.Concat(oldest, rest[:maxOffers-len(oldest)])
+}
+
+// classify returns the classes of tasks with equal demands, in the order of their first tasks.
+func classify(tasks []*task) []Offer {
 	var out []Offer
-	for _, t := range tasks[:min(len(tasks), maxOffered)] {
+	index := map[Demand]int{}
+	for _, t := range tasks {
 		d := demandOf(t.step, t.job.queue.Service)
 		d.Count = 0
-		i := slices.IndexFunc(out, func(f Offer) bool {
-			same := f.Demand
-			same.Count = 0
-			return same == d
-		})
-		if i < 0 {
-			if len(out) == maxOffers {
-				continue
-			}
-			i, out = len(out), append(out, Offer{Demand: d})
+		i, ok := index[d]
+		if !ok {
+			i = len(out)
+			index[d], out = i, append(out, Offer{Demand: d})
+		}
+		if f := &out[i]; f.Count < maxOffered {
+			f.Count++
+			f.tasks = append(f.tasks, t)
 		}
-		out[i].Count++
-		out[i].tasks = append(out[i].tasks, t)
 	}
 	return out
 }
@@ -243,17 +255,39 @@
 	}
 }
 
-// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other.
+// ownDemands returns the demands of the smallest tasks that wait in the shard for their next run.
+func (o *Owner) ownDemands() []Demand {
+	var waiting []*task
+	for _, j := range o.backlog {
+		if o.jobs[j.ID] == j && j.IsLongRunning() {
+			waiting = append(waiting, interruptedTasks(j.readyTasks())...)
+		}
+	}
+	offers := classify(waiting)
+	slices.SortStableFunc(offers, func(a, b Offer) int { return cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli) })
+	var out []Demand
+	for _, f := range offers[:min(len(offers), maxOwnDemands)] {
+		out = append(out, f.Demand)
+	}
+	return out
+}
+
+// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other. Workers that suit a task
+// of the shard that waits as well are left out, since that task takes the room first.
 func (o *Owner) Room(now time.Time, demands []Demand) []int {
 	out := make([]int, len(demands))
 	if o.isHandingOver {
 		return out
 	}
+	own := o.ownDemands()
 	for _, w := range o.sortedWorkers() {
 		if !w.takesTasks(now) || w.heldFor != nil && now.Before(w.heldUntil) {
 			continue
 		}
 		free := w.Capacity.Sub(w.reserved)
+		if slices.ContainsFunc(own, func(d Demand) bool { return d.fit(w, free, 1) > 0 }) {
+			continue
+		}
 		for i, d := range demands {
 			n := d.fit(w, free, d.Count-out[i])
 			out[i] += n
--- /dev/null
+++ b/internal/shard/exchange_test.go
@@ -0,0 +1,52 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// restoreInterrupted adds a job with one long-running task that ran before and has no run.
+func restoreInterrupted(o *shard.Owner, now time.Time, number int, cpu int64) {
+	j := workflow.Job{ID: fmt.Sprintf("%016x", number), Queue: "q", Steps: []workflow.Step{{
+		Count: 1, LongRunning: true, Resources: fleet.Resources{CPUMilli: cpu, MemoryMiB: 10},
+	}}}
+	o.Restore(now, j, workflow.Progress{Tasks: []workflow.TaskRecord{{Run: 1}}}, false)
+}
+
+// Guards against offers of the oldest tasks alone, which may be larger than all room: smaller ones would wait beside room that fits them.
+func TestOffersHaveOldestAndSmallestTasks(t *testing.T) {
+	const jobs = 40
+	c := newFleetHarness(t, 0)
+	for i := range jobs {
+		restoreInterrupted(c.owner, c.now, i, int64(1000*(jobs-i)))
+		c.run(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(c.owner.Offers(c.now)), 0, "the tasks have not waited for long enough")
+	c.run(3 * time.Second)
+	sizes := map[int64]bool{}
+	for _, f := range c.owner.Offers(c.now) {
+		sizes[f.Resources.CPUMilli] = true
+	}
+	assert.Assert(t, sizes[1000*jobs], "the oldest task is offered")
+	assert.Assert(t, sizes[1000], "the smallest task is offered")
+}
+
+// Guards against room that is promised to another shard although a waiting task of the own shard takes it at once.
+func TestRoomIsKeptForWaitingTasksOfShard(t *testing.T) {
+	c := newFleetHarness(t, 1)
+	c.run(time.Second)
+	now, capacity := c.now, c.workers[0].Capacity.CPUMilli
+	demand := []shard.Demand{{Count: 3, Resources: fleet.Resources{CPUMilli: capacity / 8, MemoryMiB: 10}, Service: "s"}}
+	assert.DeepEqual(t, c.owner.Room(now, demand), []int{3})
+	restoreInterrupted(c.owner, now, 1, 2*capacity)
+	assert.DeepEqual(t, c.owner.Room(now, demand), []int{3})
+	restoreInterrupted(c.owner, now, 2, capacity/2)
+	assert.DeepEqual(t, c.owner.Room(now, demand), []int{0})
+}
