Don't send a start that waited for its turn once its run is stopped

Cause, shown by a test: two calls to a worker are in flight at most, and each waits for 1.2 s if it gets no answer. A start that waited for its turn was sent as long as the host owned the shard, whatever had become of its run.

Change: when its turn comes, a start is sent only if its run was not stopped meanwhile. Stops and paces are sent as before.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -37,19 +37,20 @@
 	}
 	for _, s := range a.Stops {
 		r.run(func() {
-			r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Stop(ctx, s) },
+			r.callWorker(s.Order, always, func(ctx context.Context) shard.Reply { return r.host.platform.Stop(ctx, s) },
 				func(now time.Time, reply shard.Reply) { r.owner.Stopped(now, s, reply) })
 		})
 	}
 	for _, s := range a.Starts {
 		r.run(func() {
-			r.callWorker(s.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Start(ctx, s) },
+			r.callWorker(s.Order, func() bool { return r.owner.Wants(s) },
+				func(ctx context.Context) shard.Reply { return r.host.platform.Start(ctx, s) },
 				func(now time.Time, reply shard.Reply) { r.owner.Started(now, s, reply) })
 		})
 	}
 	for _, p := range a.Paces {
 		r.run(func() {
-			r.callWorker(p.Order, func(ctx context.Context) shard.Reply { return r.host.platform.Pace(ctx, p) },
+			r.callWorker(p.Order, always, func(ctx context.Context) shard.Reply { return r.host.platform.Pace(ctx, p) },
 				func(now time.Time, reply shard.Reply) { r.owner.Paced(now, p, reply) })
 		})
 	}
@@ -73,9 +74,15 @@
 	return s
 }
 
-// callWorker calls a worker, unless this host may no longer own the shard, and passes the reply to result. It waits while
-// maxCallsPerWorker calls to the worker are in flight.
-func (r *runner) callWorker(o shard.Order, call func(context.Context) shard.Reply, result func(time.Time, shard.Reply)) {
+// always is for orders that are carried out whatever has happened since they were decided.
+func always() bool { return true }
+
+// callWorker calls a worker and passes the reply to result. It waits while maxCallsPerWorker calls to the worker are in flight, which may
+// take seconds if they get no answer. The call is not made if this host may no longer own the shard or isWanted, which is called with the
+// owner locked, returns false by then.
+func (r *runner) callWorker(
+	o shard.Order, isWanted func() bool, call func(context.Context) shard.Reply, result func(time.Time, shard.Reply),
+) {
 	semaphore := r.callSemaphore(o.Worker)
 	reply := shard.Reply{Outcome: shard.OutcomeNotSent}
 	select {
@@ -84,7 +91,7 @@
 	case semaphore <- struct{}{}:
 	}
 	r.mu.Lock()
-	allowed := r.mayAct(r.host.now())
+	allowed := r.mayAct(r.host.now()) && isWanted()
 	r.mu.Unlock()
 	if allowed {
 		ctx, cancel := withTimeout(r.ctx, workerCallTimeout)
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -80,6 +80,12 @@
 	}
 }
 
+// Wants reports whether a start is still to be sent: its run was not stopped meanwhile.
+func (o *Owner) Wants(s Start) bool {
+	at := o.attempt(s.Worker, s.Job, s.Key, s.Run)
+	return at != nil && at.phase == phaseSent
+}
+
 // Started handles the answer to a start.
 func (o *Owner) Started(now time.Time, s Start, r Reply) {
 	at := o.attempt(s.Worker, s.Job, s.Key, s.Run)
