Keep leases within the longest that a worker accepts, counted from the owner's renewal

Cause, found by reading: where workers accept 6 s, an owner whose lease had been ended without its knowledge could request leases up to 6.4 s after its last renewal, and the next claim counted 6 s.

Change: the bound from the renewal is never longer than the longest lease of a worker.

Evidence: TestLeasesEndWithinBoundOfOwnersRenewal fails without it, and for both lengths if leases do not count from the renewal.

--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -49,7 +49,7 @@
 // WithMaxWorkerLease returns the timing for workers that grant leases of at most longest, of which owners leave out a reserve.
 func (t Timing) WithMaxWorkerLease(longest, reserve time.Duration) Timing {
 	t.MaxWorkerLease, t.WorkerLease = longest, min(t.WorkerLease, longest-reserve)
-	t.LeaseFromRenewal = t.WorkerLease + renewalSlack
+	t.LeaseFromRenewal = min(t.WorkerLease+renewalSlack, longest)
 	return t
 }
 
