Set the faults of the transfer test without data races

Cause, by the reports of the race detector: the test changed a setting of its tasks without the lock, and a late transaction of the simulated store shared its guards with the next attempt, which changes them. The late one could so be carried out under a guard that it never had.

Change: settings are changed under the lock, and late transactions keep their own guards.

--- a/internal/entry/earlierleases_test.go
+++ b/internal/entry/earlierleases_test.go
@@ -59,6 +59,9 @@
 	for seed := range uint64(10) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newSimulatedFleet(t, seed, 1, simulatedWorkers)
+			for i := range 4 {
+				f.worker(0, i).clockRate = 0.98
+			}
 			f.addLongRunning(2 * simulatedWorkers)
 			for i := range 3 {
 				f.start(fmt.Sprintf("strong-%d", i), strongHost)
@@ -67,7 +70,6 @@
 			for range 4 {
 				for i := range 4 {
 					f.worker(0, i).setCut(true)
-					f.worker(0, i).clockRate = 0.98
 				}
 				for range 1 + f.int(3) {
 					time.Sleep(time.Duration(f.int(1500)) * time.Millisecond)
--- a/internal/entry/exchange_test.go
+++ b/internal/entry/exchange_test.go
@@ -294,7 +294,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		f := newExchangeFleet(t, seed, shards, hosts)
-		f.tasks.failAfter = func() time.Duration { return time.Duration(5000+f.int(30_000)) * time.Millisecond }
+		f.tasks.setFailAfter(func() time.Duration { return time.Duration(5000+f.int(30_000)) * time.Millisecond })
 		ids := map[string]bool{}
 		for n := range jobs {
 			ids[f.addLasting(f.int(shards), n, tasks, "")] = true
@@ -323,7 +323,7 @@
 		}
 		f.store.setTxnFault(nil)
 		time.Sleep(30 * time.Second) // late transactions, leases, takeovers and waits in a guest shard are over
-		f.tasks.failAfter = func() time.Duration { return 0 }
+		f.tasks.setFailAfter(func() time.Duration { return 0 })
 		time.Sleep(40 * time.Second)
 		for n := range jobs {
 			id, want := fmt.Sprintf("e%015d", n), 0
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -276,6 +276,8 @@
 	case fault.isRefused:
 		return kvstore.TxnResult{}, kvstore.ErrUnavailable
 	case fault.delay > 0:
+		// The caller changes the guards of its next attempt, and must not change those of the late one.
+		t.Guards = slices.Clone(t.Guards)
 		time.AfterFunc(fault.delay, func() { _, _ = s.txn(t) })
 		<-ctx.Done()
 		return kvstore.TxnResult{}, kvstore.ErrUnknownOutcome
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// setFailAfter sets how long runs of long-running tasks last that start from now on.
+func (l *taskLog) setFailAfter(failAfter func() time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failAfter = failAfter
+}
+
 func (l *taskLog) expect(job string, tasks int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
