Share the mark of a shard that is under way, and the dispatch of job records

Claims and releases had the same begin, and the load of a shard and its watch the same choice between a job and a shared one; the guests of a job were sorted in two places. An owner that had asked two shards for room collected its offers once more for nothing.

Change: one piece of code for each, and the offers are collected for the shards that are asked.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -25,13 +25,6 @@
 	return &claims{shardSet: newShardSet(), cancel: cancel, ctx: ctx}
 }
 
-// begin marks a shard as being claimed. It returns false if it is already, or if no claim may begin.
-func (c *claims) begin(shard int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.add(shard)
-}
-
 // countExcept returns the number of claims of shards for which this host has no runner.
 func (c *claims) countExcept(runners map[int]*runner) int {
 	c.mu.Lock()
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -87,8 +87,9 @@
 
 func newDirectory(log *logrus.Entry, now func() time.Time) *directory {
 	return &directory{
-		changed: make(chan struct{}), epochsSeen: map[int]seenEpoch{}, epochs: map[int]int64{}, failedLoads: map[int]failedLoad{}, formerOwners: map[int]hostRecord{},
-		histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now, owners: map[int]ownerRecord{},
+		changed: make(chan struct{}), epochs: map[int]int64{}, epochsSeen: map[int]seenEpoch{}, failedLoads: map[int]failedLoad{},
+		formerOwners: map[int]hostRecord{}, histories: map[string]election.History{}, hosts: map[string]hostRecord{}, log: log, now: now,
+		owners:  map[int]ownerRecord{},
 		settled: map[int]int64{}, successors: map[int]ownerRecord{},
 	}
 }
--- a/internal/entry/earlierleases.go
+++ b/internal/entry/earlierleases.go
@@ -23,16 +23,6 @@
 	revision int64
 }
 
-// releases tracks the shards of earlier processes of this host whose owner keys are being deleted.
-type releases struct{ shardSet }
-
-// begin marks a shard as being released. It returns false if it is already.
-func (r *releases) begin(shard int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.add(shard)
-}
-
 // earlierLeases bounds the leases of workers that earlier owners of a shard granted, from a claim of the shard.
 type earlierLeases struct {
 	// carried is the part of total that is due to owners before the last one.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,16 +33,12 @@
 		if shards < 2 || !r.host.directory.allShareJobs() {
 			continue
 		}
-		asked := 0
-		for _, n := range rand.Perm(shards) {
-			if n == r.shard {
-				continue
-			}
+		others := slices.DeleteFunc(rand.Perm(shards), func(n int) bool { return n == r.shard })
+		for _, n := range others[:min(len(others), shardsAsked)] {
 			offers := r.offers()
-			if len(offers) == 0 || asked == shardsAsked || r.ctx.Err() != nil {
+			if len(offers) == 0 {
 				break
 			}
-			asked++
 			r.give(n, offers)
 		}
 	}
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -64,10 +64,8 @@
 			}
 			jobs++
 			switch {
-			case r.loaded && shared != nil:
-				r.owner.ApplyShared(now, *shared)
 			case r.loaded:
-				r.owner.Add(now, j)
+				r.addOrApply(now, j, shared)
 			case shared != nil:
 				r.owner.RestoreShared(now, *shared, recorded[j.ID], r.cancellations[j.ID])
 			default:
@@ -106,11 +104,7 @@
 				continue
 			}
 			if j, shared, ok := r.decodeJob(ev.KV); ok {
-				if shared != nil {
-					r.owner.ApplyShared(now, *shared)
-				} else {
-					r.owner.Add(now, j)
-				}
+				r.addOrApply(now, j, shared)
 				if r.cancellations[j.ID] {
 					r.owner.Cancel(now, j.ID) // one transaction may write both, and its events come in any order
 				}
@@ -119,6 +113,15 @@
 	})
 }
 
+// addOrApply passes a job to the owner, or the present record of a shared one.
+func (r *runner) addOrApply(now time.Time, j workflow.Job, shared *workflow.SharedJob) {
+	if shared != nil {
+		r.owner.ApplyShared(now, *shared)
+	} else {
+		r.owner.Add(now, j)
+	}
+}
+
 // decodeJob returns the job of a record, and the record itself if the job is shared.
 func (r *runner) decodeJob(kv kvstore.KV) (workflow.Job, *workflow.SharedJob, bool) {
 	j, err := workflow.Decode[workflow.Job](kv.Value)
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -24,8 +24,9 @@
 	lastUnhealthy time.Time
 	host          *Host
 	mu            sync.Mutex
-	releases      releases
-	runners       map[int]*runner
+	// releases tracks the shards of earlier processes of this host whose owner keys are being deleted.
+	releases shardSet
+	runners  map[int]*runner
 	// ownerlessSince holds the time at which this host first saw that a shard has no owner, by shard.
 	ownerlessSince map[int]time.Time
 	// wake starts an election round early.
@@ -35,7 +36,7 @@
 func newOwnedShards(h *Host) *ownedShards {
 	return &ownedShards{
 		claims: newClaims(), handovers: newHandovers(), host: h, runners: map[int]*runner{}, ownerlessSince: map[int]time.Time{},
-		releases: releases{newShardSet()}, wake: make(chan struct{}, 1),
+		releases: newShardSet(), wake: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/entry/shardset.go
+++ b/internal/entry/shardset.go
@@ -13,6 +13,13 @@
 
 func newShardSet() shardSet { return shardSet{active: map[int]bool{}} }
 
+// begin marks a shard. It returns false if it is marked already, or if nothing further may begin.
+func (s *shardSet) begin(shard int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.add(shard)
+}
+
 // add adds a shard. It returns false if the set has it already or is closed. The caller holds s.mu.
 func (s *shardSet) add(shard int) bool {
 	if s.isClosed || s.active[shard] {
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -79,7 +78,7 @@
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough}
 	if j.shared != nil {
-		p.Guests, p.Transfers = slices.Sorted(maps.Keys(j.shared.guests)), j.shared.record()
+		p.Guests, p.Transfers = j.shared.guestShards(), j.shared.record()
 	}
 	for _, occ := range j.openOccurrences() {
 		for _, tasks := range occ.tasks {
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -56,6 +56,9 @@
 	return tr.shard != workflow.NoShard
 }
 
+// guestShards returns the guests in order.
+func (s *sharing) guestShards() []int { return slices.Sorted(maps.Keys(s.guests)) }
+
 // markGuestsChanged makes the records of the job in the guests be written again.
 func (s *sharing) markGuestsChanged() {
 	for g := range s.guests {
@@ -118,7 +121,7 @@
 // sharedWrite returns what has to be written beside the progress of a shared job, and takes it for written.
 func (o *Owner) sharedWrite(j *job) *SharedWrite {
 	s := j.shared
-	w := &SharedWrite{Guests: slices.Sorted(maps.Keys(s.guests)), Home: s.home, IsGuest: s.isGuest}
+	w := &SharedWrite{Guests: s.guestShards(), Home: s.home, IsGuest: s.isGuest}
 	record := workflow.SharedJob{Home: s.home, Job: j.Job}
 	switch {
 	case s.isGuest:
