Record the settings of a job's queue with the job

Cause: an owner knew the service, limit of failed runs and priority of a removed queue from its memory only. The same held for a job accepted under an older version of the config than the owner's.

Change: the host that accepts a job records the queue's settings with it. While the queue exists the config decides; once it is gone, the settings on record do. Changed settings are recorded with the progress of the job, at the latest when the queue is removed, which also covers jobs that an older build accepted. Older builds ignore the new fields.

What remains: a job of an older build whose queue was removed before an owner of this build had the shard; the owner logs it.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -72,7 +72,7 @@
 	if l.Shards <= 1 {
 		return 0, l.Shards == 1
 	}
-	q, hasQueue := h.config.config().Queue(j.Queue)
+	q, hasQueue := h.queueSettings(j)
 	var demands []shard.Demand
 	if hasQueue {
 		demands = shard.Requirements(j, q.Service)
@@ -100,6 +100,15 @@
 	return candidates[best], true
 }
 
+// queueSettings returns the settings of a job's queue: those with which the job was accepted, if it has any.
+func (h *Host) queueSettings(j workflow.Job) (workflow.QueueSettings, bool) {
+	if j.Settings != nil {
+		return *j.Settings, true
+	}
+	q, ok := h.config.config().Queue(j.Queue)
+	return q.Settings(), ok
+}
+
 // queryLoads returns the loads of shards, which it requests at the same time.
 func (h *Host) queryLoads(ctx context.Context, service string, shards []int, demands []shard.Demand) []cachedLoad {
 	loads := make([]cachedLoad, len(shards))
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -76,7 +76,7 @@
 
 // progress returns the record of a job, and adds the attempts to the commit that may start once it is written.
 func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
-	p := workflow.Progress{DoneThrough: j.doneThrough}
+	p := workflow.Progress{DoneThrough: j.doneThrough, Settings: j.recordQueue()}
 	if j.shared != nil {
 		p.Guests, p.Transfers = j.shared.guestShards(), j.shared.record()
 	}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -29,7 +29,7 @@
 			p = newer
 		}
 	}
-	n := o.newJob(now, j)
+	n := o.newJob(now, j, p.Settings)
 	n.doneThrough = p.DoneThrough
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
@@ -112,7 +112,7 @@
 	if o.jobs[j.ID] != nil || o.ended.state(j.ID) != "" {
 		return
 	}
-	n := o.newJob(now, j)
+	n := o.newJob(now, j, nil)
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
 	tasks := 0
@@ -125,10 +125,23 @@
 	}).Info("job was added to the shard")
 }
 
-func (o *Owner) newJob(now time.Time, j workflow.Job) *job {
+// newJob returns a job with the settings of its queue that its progress holds, if any.
+func (o *Owner) newJob(now time.Time, j workflow.Job, recorded *workflow.QueueSettings) *job {
+	if recorded == nil {
+		recorded = j.Settings
+	}
 	age := max(o.wallClock().UnixMilli()-j.AcceptedAt, 0)
-	n := &job{Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{}}
-	o.applyQueue(n)
+	n := &job{
+		Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{},
+		recordedQueue: recorded,
+	}
+	if recorded != nil {
+		n.queue = *recorded
+	}
+	if !o.applyQueue(n) && recorded == nil && o.config.Version > 0 {
+		o.log.WithFields(logrus.Fields{"decision": "queue_unknown", "job": j.ID, "queue": j.Queue}).
+			Warn("the queue of a job has been removed and no record has its settings; the job waits until it is there again")
+	}
 	o.observeArrival(n)
 	if j.Occurrences == 0 {
 		o.occurrence(n, 0)
@@ -136,15 +149,6 @@
 	return n
 }
 
-// applyQueue copies the settings of the job's queue. If the queue has been removed, the job keeps the last ones.
-func (o *Owner) applyQueue(j *job) {
-	if q, ok := o.config.Queue(j.Queue); ok {
-		j.queue, j.priority = q, q.Priority
-	}
-	chain := time.Duration(float64(j.CriticalPath()) * max(j.queue.Stretch, 1))
-	j.objective = j.acceptedAt.Add(chain + j.queue.TargetLatency)
-}
-
 // Cancel stops a job whose cancellation has been recorded.
 func (o *Owner) Cancel(now time.Time, id string) {
 	o.now = now
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -174,15 +174,6 @@
 	}
 }
 
-// SetConfig applies a newer config. It affects tasks that have not been started yet.
-func (o *Owner) SetConfig(c workflow.Config) {
-	o.config = c
-	for _, j := range o.jobs {
-		o.applyQueue(j)
-	}
-	o.backlogUnsorted = true
-}
-
 // SetWorkers replaces the list of the shard's workers with the registry's current one.
 func (o *Owner) SetWorkers(now time.Time, list []Worker) {
 	o.now, o.isRegistryRead = now, true
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -122,7 +122,7 @@
 func (o *Owner) sharedWrite(j *job) *SharedWrite {
 	s := j.shared
 	w := &SharedWrite{Guests: s.guestShards(), Home: s.home, IsGuest: s.isGuest}
-	record := workflow.SharedJob{Home: s.home, Job: j.Job}
+	record := workflow.SharedJob{Home: s.home, Job: j.Job.WithSettings(j.queue)}
 	switch {
 	case s.isGuest:
 		if s.isReturning && j.final == "" {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -151,7 +151,10 @@
 	objective   time.Time
 	occurrences map[int]*occurrence
 	priority    int
-	queue       workflow.Queue
+	// queue holds the settings of the job's queue; the last ones if the queue has been removed.
+	queue workflow.QueueSettings
+	// recordedQueue holds the settings on record; nil if there are none.
+	recordedQueue *workflow.QueueSettings
 	// recordNotBefore delays the record of a failed run until the task's next run is planned.
 	recordNotBefore time.Time
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -73,6 +73,8 @@
 	Steps   []Step `cbor:"7,keyasint"`
 	// AcceptedAt is the time of acceptance by the accepting host's clock, in Unix milliseconds.
 	AcceptedAt int64 `cbor:"8,keyasint,omitempty"`
+	// Settings holds the settings of the queue under which the job was accepted; nil in records of older builds.
+	Settings *QueueSettings `cbor:"9,keyasint,omitempty"`
 }
 
 // IsID reports whether text has the form of a job id.
