End a job whose record the store refuses, and not the work of its shard

Cause: an owner repeated every failed write of job records for ever, also one that can't succeed.

Change: a transaction that the store refuses for good (value too large, or rejected three times) is split by job. The other jobs' writes count as committed. A job whose record is too large ends as failed, which is a record of a fixed size; one whose record is rejected is tried again, and fails after three such writes if other records were written meanwhile. Each case has a record_failed line, and entry_records_failed counts them.

--- a/internal/entry/exportcommit_test.go
+++ b/internal/entry/exportcommit_test.go
@@ -17,7 +17,16 @@
 // Write writes one transaction and reports whether it is known to have taken effect before Close.
 func (c CommitWriter) Write(writes []shard.JobWrite) bool {
 	n, t := c.r.buildTxn(writes)
-	return c.r.writeRecords(t, writes[:n])
+	written, err := c.r.writeRecords(t, writes[:n])
+	return written && err == nil
+}
+
+// WriteEach writes transactions and returns the jobs whose records the store refuses. It returns false if Close stopped it.
+func (c CommitWriter) WriteEach(writes []shard.JobWrite) ([]shard.FailedWrite, bool) {
+	var failed failedWrites
+	n, t := c.r.buildTxn(writes)
+	ok := c.r.writeOrSplit(t, writes[:n], &failed)
+	return failed.list, ok
 }
 
 // Close stops the writer.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,7 @@
 	ownerChanges       = expvar.NewMap("entry_owner_changes")
 	panics             = expvar.NewMap("entry_panics")
 	ownersFenced       = expvar.NewInt("entry_owners_fenced")
+	recordsFailed      = expvar.NewInt("entry_records_failed")
 	startWait          = metrics.NewHistogram("entry_start_wait_ms")
 	submitRecordTime   = metrics.NewHistogram("entry_submit_record_ms")
 	shardGauges        = expvar.NewMap("entry_shard")
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -26,6 +26,10 @@
 	adviceTimeout = 3 * time.Second
 	// maxTxnEntries is the store's limit on the entries of a transaction.
 	maxTxnEntries = 32
+	// rejectedAttempts is the number of failed attempts, one of them by a peer, from which a rejected transaction counts as refused for good.
+	rejectedAttempts = ownAttempts + 1
+	// maxTxnBytes limits the values of a transaction that writes the records of several jobs, so that a large record delays no others.
+	maxTxnBytes = kvstore.MaxValueBytes / 2
 )
 
 var errNoAdviceService = errors.New("no placement advice service is set")
@@ -170,16 +174,17 @@
 		Warn("worker rejected the current token because it knows a later owner; this host stops acting for the shard")
 }
 
-// commit writes records, retrying until all of them are durable or the runner stops. A job is in one transaction only, so the
-// transactions are written at the same time.
+// commit writes records, retrying until all of them are durable, or can't be written, or the runner stops. A job is in one transaction
+// only, so the transactions are written at the same time.
 func (r *runner) commit(c *shard.Commit) {
 	var transactions sync.WaitGroup
 	var stopped atomic.Bool
+	var failed failedWrites
 	for rest := c.Writes; len(rest) > 0; {
 		n, t := r.buildTxn(rest)
 		writes := rest[:n]
 		transactions.Go(func() {
-			if !r.writeRecords(t, writes) {
+			if !r.writeOrSplit(t, writes, &failed) {
 				stopped.Store(true)
 			}
 		})
@@ -187,7 +192,7 @@
 	}
 	transactions.Wait()
 	if !stopped.Load() {
-		r.updateOwner(func(now time.Time) { r.owner.Committed(now, c) })
+		r.updateOwner(func(now time.Time) { r.owner.Committed(now, c, failed.list...) })
 	}
 }
 
@@ -215,7 +220,7 @@
 		if w.Shared != nil {
 			next = r.withSharedRecords(next, w)
 		}
-		if next.Size() > maxTxnEntries {
+		if i > 0 && (next.Size() > maxTxnEntries || putBytes(next) > maxTxnBytes) {
 			return i, t
 		}
 		t = next
@@ -223,9 +228,9 @@
 	return len(writes), t
 }
 
-// writeRecords retries a transaction of records until it is known to have taken effect. It returns false if the runner
-// stops first.
-func (r *runner) writeRecords(t kvstore.Txn, writes []shard.JobWrite) bool {
+// writeRecords retries a transaction of records until it is known to have taken effect, which it returns as true, until the store refuses
+// it for good, or until the runner stops. Errors match kvstore.ErrTooLarge or kvstore.ErrRejected.
+func (r *runner) writeRecords(t kvstore.Txn, writes []shard.JobWrite) (bool, error) {
 	pause, failures := minWriteBackoff, 0
 	for r.ctx.Err() == nil {
 		r.mu.Lock()
@@ -237,11 +242,13 @@
 		switch {
 		case err == nil:
 			r.applyWritten(writes, res.Revision)
-			return true
+			return true, nil
 		case errors.Is(err, kvstore.ErrConflict):
 			if r.resolveConflict(&t, writes, res.Current) {
-				return true
+				return true, nil
 			}
+		case errors.Is(err, kvstore.ErrTooLarge), errors.Is(err, kvstore.ErrRejected) && failures >= rejectedAttempts:
+			return false, err
 		default:
 			failures++
 			r.log.WithError(err).WithFields(logrus.Fields{"decision": "commit_retry", "jobs": len(writes)}).
@@ -250,7 +257,7 @@
 		retry.Sleep(r.ctx, pause)
 		pause = min(2*pause, maxWriteBackoff)
 	}
-	return false
+	return false, nil
 }
 
 // resolveConflict handles a transaction whose guards did not hold. It wakes the election if this host has lost the shard; its
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -48,11 +48,16 @@
 	return c
 }
 
-// splitDelayed splits the changed jobs into those that may be written now and those whose restart is planned in a moment.
+// splitDelayed splits the changed jobs into those that may be written now and those whose restart is planned in a moment, or whose last
+// write was rejected a moment ago.
 func (o *Owner) splitDelayed(now time.Time, a *Actions) (ready, delayed []*job) {
 	for _, j := range o.dirty {
-		if j.final == "" && now.Before(j.recordNotBefore) {
-			a.wakeAt(j.recordNotBefore)
+		notBefore := j.writeNotBefore
+		if j.final == "" {
+			notBefore = maxTime(notBefore, j.recordNotBefore)
+		}
+		if now.Before(notBefore) {
+			a.wakeAt(notBefore)
 			delayed = append(delayed, j)
 		} else {
 			ready = append(ready, j)
@@ -103,20 +108,28 @@
 	return rec
 }
 
-// Committed handles the confirmation that a commit is durable.
-func (o *Owner) Committed(_ time.Time, c *Commit) {
+// Committed handles the confirmation that the writes of a commit are durable, except those that failed for good.
+func (o *Owner) Committed(now time.Time, c *Commit, failed ...FailedWrite) {
 	o.committing = nil
 	for _, at := range c.planned {
-		if at.phase == phasePlanned {
+		if at.phase == phasePlanned && failedWriteOf(failed, at.task.job.ID) == nil {
 			at.phase = phaseReady
 		}
 	}
 	for _, w := range c.Writes {
+		f := failedWriteOf(failed, w.Job)
+		if f == nil {
+			o.lastWritten = now
+		}
 		j := o.jobs[w.Job]
 		if j == nil {
 			continue
 		}
-		j.recordedVersion = w.version
+		if f != nil {
+			o.handleFailedWrite(now, j, c, *f)
+			continue
+		}
+		j.recordedVersion, j.rejectedWrites = w.version, 0
 		if w.Final != "" {
 			j.finalRecorded = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -46,7 +46,9 @@
 	isHandingOver bool
 	jobs          map[string]*job
 	lastCommit    time.Time
-	lastPlace     time.Time
+	// lastWritten is when the store last confirmed a record of a job.
+	lastWritten time.Time
+	lastPlace   time.Time
 	// lastRestartPlace is when long-running tasks that ran before were last placed.
 	lastRestartPlace time.Time
 	backlogSortedAt  time.Time
--- a/internal/shard/slowstore_test.go
+++ b/internal/shard/slowstore_test.go
@@ -22,6 +22,8 @@
 	unanswered []unansweredCommit
 	// answered counts the answers.
 	answered int
+	// refuses returns the failure of a write that the store refuses for good, or nil; nil means that it refuses none.
+	refuses func(shard.JobWrite) *shard.FailedWrite
 }
 
 type unansweredCommit struct {
@@ -54,7 +56,13 @@
 		return true
 	})
 	for _, u := range due {
-		sim.owner.Committed(sim.now, u.Commit)
+		var failed []shard.FailedWrite
+		for _, w := range u.Writes {
+			if s.refuses != nil && s.refuses(w) != nil {
+				failed = append(failed, *s.refuses(w))
+			}
+		}
+		sim.owner.Committed(sim.now, u.Commit, failed...)
 	}
 	s.answered += len(due)
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -160,6 +160,11 @@
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
 	// long-running task that ran before.
 	startPlanned, restartPlanned bool
+	// rejectedWrites counts the failed writes of the job's record since the last one that was carried out, the first of them at
+	// rejectedSince. The next one waits until writeNotBefore.
+	rejectedWrites int
+	rejectedSince  time.Time
+	writeNotBefore time.Time
 	// shared is nil unless tasks of the job have moved between shards.
 	shared *sharing
 	// started is set once any task of the job has been started.
