Bound the progress record of a job

Cause: the record listed each begun task of all open occurrences, 28 bytes for one that is done and has a checkpoint, and nothing limited the open occurrences.

Change: from 1,000 done tasks on, the record has a bit for each task of an occurrence instead of a line for each done task. A job has at most 1,000 open occurrences, 100,000 tasks in them, and 8,000 tasks that have begun and are not done. The record of the former form is read as before.

What remains: a step that must run all at the same time and is wider than 8,000 tasks is not limited; its record may be too large, and the job then fails alone. A checkpoint has no limit of its own.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -35,6 +35,8 @@
 	EarlierLeases time.Duration `cbor:"11,keyasint,omitempty"`
 	// SharesJobs is set by hosts whose build knows jobs whose tasks are held by several shards.
 	SharesJobs bool `cbor:"10,keyasint,omitempty"`
+	// ReadsCompact is set by hosts whose build reads compact records of jobs.
+	ReadsCompact bool `cbor:"14,keyasint,omitempty"`
 }
 
 // layout assigns racks to shards. Racks are only added; an assigned rack never moves.
--- a/internal/entry/exportcommit_test.go
+++ b/internal/entry/exportcommit_test.go
@@ -1,6 +1,10 @@
 package entry
 
-import "github.com/laburnumridge/laburnumridge/internal/shard"
+import (
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
 
 // CommitWriter writes the records of jobs of shard 0 as its owner does.
 type CommitWriter struct{ r *runner }
@@ -40,3 +44,12 @@
 
 // ProgressKey returns the key of the progress record of a job in shard 0.
 func ProgressKey(job string) string { return progressKey(0, job) }
+
+// JobKey returns the key of a job's own record in shard 0.
+func JobKey(job string) string { return jobKey(0, job) }
+
+// DecodeJob returns the job in its own record, and whether it is one.
+func (c CommitWriter) DecodeJob(kv kvstore.KV) (workflow.Job, bool) {
+	j, _, ok := c.r.decodeJob(kv)
+	return j, ok
+}
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -128,6 +128,9 @@
 	if err == nil && j.Check() == nil {
 		return j, nil, true
 	}
+	if j, ok := workflow.DecodeCompactJob(kv.Value); ok && j.Check() == nil {
+		return j, nil, true
+	}
 	if shared, ok := workflow.DecodeSharedJob(kv.Value); ok && shared.Job.Check() == nil {
 		return shared.Job, &shared, true
 	}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -216,6 +216,9 @@
 			key := progressKey(r.shard, w.Job)
 			next.Guards = append(next.Guards, kvstore.Guard{Key: key, Revision: r.progressRevisions[w.Job]})
 			next.Puts = append(next.Puts, kvstore.Put{Key: key, Value: w.Progress})
+			if w.Record != nil {
+				next.Puts = append(next.Puts, kvstore.Put{Key: jobKey(r.shard, w.Job), Value: w.Record})
+			}
 		}
 		if w.Shared != nil {
 			next = r.withSharedRecords(next, w)
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -195,6 +195,8 @@
 	Final    workflow.State
 	Job      string
 	Progress []byte
+	// Record is the job's own record if it has to be written with the progress, or nil.
+	Record []byte
 	// Shared is nil unless tasks of the job have moved between shards.
 	Shared  *SharedWrite
 	version int
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -38,7 +38,11 @@
 			w.Shared = o.sharedWrite(j)
 		}
 		if j.final == "" {
-			w.Progress = workflow.Encode(o.progress(j, c))
+			isCompact := o.isCompact(j)
+			w.Progress = workflow.Encode(o.progress(j, c, isCompact))
+			if isCompact && !j.isCompactRecorded {
+				w.Record = j.compactRecord()
+			}
 		}
 		c.Writes = append(c.Writes, w)
 	}
@@ -80,18 +84,16 @@
 }
 
 // progress returns the record of a job, and adds the attempts to the commit that may start once it is written.
-func (o *Owner) progress(j *job, c *Commit) workflow.Progress {
+func (o *Owner) progress(j *job, c *Commit, isCompact bool) workflow.Progress {
 	p := workflow.Progress{DoneThrough: j.doneThrough, Settings: j.recordQueue()}
 	if j.shared != nil {
 		p.Guests, p.Transfers = j.shared.guestShards(), j.shared.record()
 	}
 	for _, occ := range j.openOccurrences() {
-		for _, tasks := range occ.tasks {
-			for _, t := range tasks {
-				if t.run > 0 || t.done {
-					p.Tasks = append(p.Tasks, t.record(c))
-				}
-			}
+		records, done := occ.taskRecords(isCompact, c)
+		p.Tasks = append(p.Tasks, records...)
+		if len(done.Bits) > 0 {
+			p.Done = append(p.Done, done)
 		}
 	}
 	return p
@@ -130,6 +132,7 @@
 			continue
 		}
 		j.recordedVersion, j.rejectedWrites = w.version, 0
+		j.isCompactRecorded = j.isCompactRecorded || w.Record != nil
 		if w.Final != "" {
 			j.finalRecorded = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -194,6 +194,9 @@
 func (o *Owner) holdAt(now time.Time, t *task, h workflow.HeldTask) {
 	t.job.shared.transfers[h.Record.Key] = &transfer{arrivedAt: now, hop: h.Hop, shard: workflow.NoShard}
 	t.isAway, t.waitingSince = false, time.Time{}
+	if t.run == 0 && h.Record.Run > 0 {
+		t.job.begunTasks++
+	}
 	t.run, t.failures, t.checkpoint = max(t.run, h.Record.Run), h.Record.Failures, h.Record.Checkpoint
 	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
 	o.log.WithFields(logrus.Fields{
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -134,10 +134,13 @@
 	sortForCommit(now, jobs)
 	out, size := map[string]workflow.Progress{}, 0
 	for _, j := range jobs {
-		p := o.progress(j, &Commit{})
-		if size += len(workflow.Encode(p)); size > maxProgressBytes {
-			break
+		// An owner of an older build must not find compact progress of a job whose own record it can read.
+		p := o.progress(j, &Commit{}, j.isCompactRecorded)
+		bytes := len(workflow.Encode(p))
+		if size+bytes > maxProgressBytes {
+			continue
 		}
+		size += bytes
 		out[j.ID] = p
 	}
 	return out
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -30,9 +30,10 @@
 		}
 	}
 	n := o.newJob(now, j, p.Settings)
-	n.doneThrough = p.DoneThrough
+	n.doneThrough, n.isCompactRecorded = p.DoneThrough, len(p.Done) > 0
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
+	o.restoreDoneTasks(n, p.Done)
 	for _, rec := range p.Tasks {
 		o.restoreTask(now, n, rec)
 	}
@@ -78,7 +79,10 @@
 	occ := o.occurrence(n, k.Occurrence)
 	t := occ.tasks[k.Step][k.Index]
 	t.checkpoint, t.failures, t.run = rec.Checkpoint, rec.Failures, rec.Run
-	if rec.Done {
+	if rec.Run > 0 && !rec.Done {
+		n.begunTasks++
+	}
+	if rec.Done && !t.done {
 		t.done = true
 		occ.openTasks--
 		occ.undone[k.Step]--
@@ -256,9 +260,13 @@
 				a.wakeAt(now.Add(time.Duration(due-wallClock) * time.Millisecond))
 				break
 			}
-			if j.occurrences[k] == nil {
-				o.occurrence(j, k)
+			if j.occurrences[k] != nil {
+				continue
+			}
+			if !o.mayOpen(j) {
+				break
 			}
+			o.occurrence(j, k)
 		}
 	}
 }
@@ -270,6 +278,9 @@
 	}
 	t.done = true
 	j := t.job
+	if t.run > 0 {
+		j.begunTasks--
+	}
 	occ := j.occurrences[t.key.Occurrence]
 	occ.openTasks--
 	occ.undone[t.key.Step]--
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -62,7 +62,9 @@
 	// mostlyIdle caches isMostlyIdle by service for the duration of a placement round.
 	mostlyIdle map[string]bool
 	// now is the time that was passed to the current call.
-	now              time.Time
+	now time.Time
+	// mayCompact is set while all hosts read compact records.
+	mayCompact       bool
 	overdueCheckedAt time.Time
 	paceOrders       []Pace
 	// placeableAt is when the first of the tasks that wait may become placeable without an event, as far as the current placement
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -78,7 +78,7 @@
 	isFull := false
 	for _, t := range tasks {
 		switch {
-		case !t.isWaiting():
+		case !t.isWaiting(), !t.mayBegin():
 		case now.Before(t.notBefore):
 			o.waitUntil(t.notBefore)
 		case !isFull, t.hasHold(now), t.mayEvict(now) && o.mayHoldMore():
@@ -244,6 +244,9 @@
 	}
 	t.job.startPlanned, t.job.recordNotBefore = true, time.Time{}
 	t.releaseHold(o.now)
+	if t.run == 0 {
+		t.job.begunTasks++
+	}
 	t.run, t.waitingSince = run, time.Time{}
 	t.attempts = append(t.attempts, at)
 	if t.step.LongRunning {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -137,6 +137,8 @@
 	workflow.Job
 	// acceptedAt is AcceptedAt on the owner's clock.
 	acceptedAt time.Time
+	// begunTasks is the number of tasks that have run and are not done.
+	begunTasks int
 	cancelled  bool
 	dirty      bool
 	// dirtySince is when the job changed first since its last write; it is valid while the job is dirty.
@@ -145,6 +147,10 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// isCompactRecorded is set once the job's own record says that its progress may be compact.
+	isCompactRecorded bool
+	// isLimitLogged is set once it was logged that the job has as many open occurrences as it may have.
+	isLimitLogged bool
 	// lastRank is the rank at the last sorting of the backlog.
 	lastRank int
 	// objective is the time after which the job counts as late.
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -54,6 +54,8 @@
 	Guests []int `cbor:"4,keyasint,omitempty"`
 	// Transfers holds the tasks that have moved between shards.
 	Transfers []Transfer `cbor:"3,keyasint,omitempty"`
+	// Done lists the done tasks that have no record in Tasks; the job's own record is a CompactJob then.
+	Done []DoneTasks `cbor:"6,keyasint,omitempty"`
 	// Settings holds the last settings of the job's queue if they are not those of the job's record.
 	Settings *QueueSettings `cbor:"5,keyasint,omitempty"`
 }
