Refuse submissions whose numbers overflow

Cause: the sum of a submission's tasks was not checked for overflow. Four steps of 2^62 tasks counted as 0, were accepted, and crashed each owner of their shard in turn.

The check of a record counts tasks without overflow; its other limits stay, so that records of accepted jobs are read as before.

What remains of this point of the issue: setting a job aside that makes an owner panic, and fuzz targets.

--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -14,10 +14,12 @@
 
 // Limits of a job, which keep its records within the store's limits for a value and a transaction.
 const (
-	maxSteps       = 256
-	maxTasks       = 20_000
-	maxSpecBytes   = 4000
-	maxOccurrences = 100_000
+	maxSteps = 256
+	// MaxTasks is the largest number of tasks of an occurrence.
+	MaxTasks     = 20_000
+	maxSpecBytes = 4000
+	// MaxOccurrences is the largest number of occurrences.
+	MaxOccurrences = 100_000
 )
 
 // ErrInvalid is matched by the errors of malformed jobs, task names and records.
@@ -91,7 +93,7 @@
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return eris.Wrapf(ErrInvalid, "%d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
 	}
-	if j.Occurrences < 0 || j.Occurrences > maxOccurrences || j.Occurrences > 1 && j.Interval <= 0 {
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences || j.Occurrences > 1 && j.Interval <= 0 {
 		return eris.Wrapf(ErrInvalid, "%d occurrences each %s", j.Occurrences, j.Interval)
 	}
 	tasks := 0
@@ -99,15 +101,15 @@
 		if s.Count <= 0 || s.Resources.HasNegative() {
 			return eris.Wrapf(ErrInvalid, "step %d: count %d, resources %s", i, s.Count, s.Resources)
 		}
-		tasks += s.Count
+		tasks += min(s.Count, MaxTasks+1) // a larger sum could overflow
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return eris.Wrapf(ErrInvalid, "step %d is after step %d, which is not an earlier one", i, a)
 			}
 		}
 	}
-	if tasks > maxTasks {
-		return eris.Wrapf(ErrInvalid, "%d tasks, at most %d are allowed", tasks, maxTasks)
+	if tasks > MaxTasks {
+		return eris.Wrapf(ErrInvalid, "%d tasks, at most %d are allowed", tasks, MaxTasks)
 	}
 	return nil
 }
