--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -29,10 +29,11 @@
 			p = newer
 		}
 	}
-	n := o.newJob(now, j)
-	n.doneThrough = p.DoneThrough
+	n := o.newJob(now, j, p.Settings)
+	n.doneThrough, n.isCompactRecorded = p.DoneThrough, len(p.Done) > 0
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
+	o.restoreDoneTasks(n, p.Done)
 	for _, rec := range p.Tasks {
 		o.restoreTask(now, n, rec)
 	}
@@ -78,7 +79,10 @@
 	occ := o.occurrence(n, k.Occurrence)
 	t := occ.tasks[k.Step][k.Index]
 	t.checkpoint, t.failures, t.run = rec.Checkpoint, rec.Failures, rec.Run
-	if rec.Done {
+	if rec.Run > 0 && !rec.Done {
+		n.begunTasks++
+	}
+	if rec.Done && !t.done {
 		t.done = true
 		occ.openTasks--
 		occ.undone[k.Step]--
@@ -112,7 +116,7 @@
 	if o.jobs[j.ID] != nil || o.ended.state(j.ID) != "" {
 		return
 	}
-	n := o.newJob(now, j)
+	n := o.newJob(now, j, nil)
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
 	tasks := 0
@@ -125,10 +129,23 @@
 	}).Info("job was added to the shard")
 }
 
-func (o *Owner) newJob(now time.Time, j workflow.Job) *job {
+// newJob returns a job with the settings of its queue that its progress holds, if any.
+func (o *Owner) newJob(now time.Time, j workflow.Job, recorded *workflow.QueueSettings) *job {
+	if recorded == nil {
+		recorded = j.Settings
+	}
 	age := max(o.wallClock().UnixMilli()-j.AcceptedAt, 0)
-	n := &job{Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{}}
-	o.applyQueue(n)
+	n := &job{
+		Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{},
+		recordedQueue: recorded,
+	}
+	if recorded != nil {
+		n.queue = *recorded
+	}
+	if !o.applyQueue(n) && recorded == nil && o.config.Version > 0 {
+		o.log.WithFields(logrus.Fields{"decision": "queue_unknown", "job": j.ID, "queue": j.Queue}).
+			Warn("the queue of a job has been removed and no record has its settings; the job waits until it is there again")
+	}
 	o.observeArrival(n)
 	if j.Occurrences == 0 {
 		o.occurrence(n, 0)
@@ -136,15 +153,6 @@
 	return n
 }
 
-// applyQueue copies the settings of the job's queue. If the queue has been removed, the job keeps the last ones.
-func (o *Owner) applyQueue(j *job) {
-	if q, ok := o.config.Queue(j.Queue); ok {
-		j.queue, j.priority = q, q.Priority
-	}
-	chain := time.Duration(float64(j.CriticalPath()) * max(j.queue.Stretch, 1))
-	j.objective = j.acceptedAt.Add(chain + j.queue.TargetLatency)
-}
-
 // Cancel stops a job whose cancellation has been recorded.
 func (o *Owner) Cancel(now time.Time, id string) {
 	o.now = now
@@ -252,9 +260,13 @@
 				a.wakeAt(now.Add(time.Duration(due-wallClock) * time.Millisecond))
 				break
 			}
-			if j.occurrences[k] == nil {
-				o.occurrence(j, k)
+			if j.occurrences[k] != nil {
+				continue
 			}
+			if !o.mayOpen(j) {
+				break
+			}
+			o.occurrence(j, k)
 		}
 	}
 }
@@ -266,6 +278,9 @@
 	}
 	t.done = true
 	j := t.job
+	if t.run > 0 {
+		j.begunTasks--
+	}
 	occ := j.occurrences[t.key.Occurrence]
 	occ.openTasks--
 	occ.undone[t.key.Step]--
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -46,7 +46,9 @@
 	isHandingOver bool
 	jobs          map[string]*job
 	lastCommit    time.Time
-	lastPlace     time.Time
+	// lastWritten is when the store last confirmed a record of a job.
+	lastWritten time.Time
+	lastPlace   time.Time
 	// lastRestartPlace is when long-running tasks that ran before were last placed.
 	lastRestartPlace time.Time
 	backlogSortedAt  time.Time
@@ -60,7 +62,9 @@
 	// mostlyIdle caches isMostlyIdle by service for the duration of a placement round.
 	mostlyIdle map[string]bool
 	// now is the time that was passed to the current call.
-	now              time.Time
+	now time.Time
+	// mayCompact is set while all hosts read compact records.
+	mayCompact       bool
 	overdueCheckedAt time.Time
 	paceOrders       []Pace
 	// placeableAt is when the first of the tasks that wait may become placeable without an event, as far as the current placement
@@ -174,15 +178,6 @@
 	}
 }
 
-// SetConfig applies a newer config. It affects tasks that have not been started yet.
-func (o *Owner) SetConfig(c workflow.Config) {
-	o.config = c
-	for _, j := range o.jobs {
-		o.applyQueue(j)
-	}
-	o.backlogUnsorted = true
-}
-
 // SetWorkers replaces the list of the shard's workers with the registry's current one.
 func (o *Owner) SetWorkers(now time.Time, list []Worker) {
 	o.now, o.isRegistryRead = now, true
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -137,6 +137,8 @@
 	workflow.Job
 	// acceptedAt is AcceptedAt on the owner's clock.
 	acceptedAt time.Time
+	// begunTasks is the number of tasks that have run and are not done.
+	begunTasks int
 	cancelled  bool
 	dirty      bool
 	// dirtySince is when the job changed first since its last write; it is valid while the job is dirty.
@@ -145,18 +147,30 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// isCompactRecorded is set once the job's own record says that its progress may be compact.
+	isCompactRecorded bool
+	// isLimitLogged is set once it was logged that the job has as many open occurrences as it may have.
+	isLimitLogged bool
 	// lastRank is the rank at the last sorting of the backlog.
 	lastRank int
 	// objective is the time after which the job counts as late.
 	objective   time.Time
 	occurrences map[int]*occurrence
 	priority    int
-	queue       workflow.Queue
+	// queue holds the settings of the job's queue; the last ones if the queue has been removed.
+	queue workflow.QueueSettings
+	// recordedQueue holds the settings on record; nil if there are none.
+	recordedQueue *workflow.QueueSettings
 	// recordNotBefore delays the record of a failed run until the task's next run is planned.
 	recordNotBefore time.Time
 	// startPlanned and restartPlanned are set if the unrecorded changes include an attempt to start, and one of a
 	// long-running task that ran before.
 	startPlanned, restartPlanned bool
+	// rejectedWrites counts the failed writes of the job's record since the last one that was carried out, the first of them at
+	// rejectedSince. The next one waits until writeNotBefore.
+	rejectedWrites int
+	rejectedSince  time.Time
+	writeNotBefore time.Time
 	// shared is nil unless tasks of the job have moved between shards.
 	shared *sharing
 	// started is set once any task of the job has been started.
