Log where the room of a full shard goes

The logs told neither how long room is on its way from one run to the next, nor whether room was free and refused.

Change: one line each second for the interrupted task that has waited longest counts the places for it that are being stopped, planned, refused (the worker gets no tasks), held and suitable. One line for each confirmed next run of an interrupted task says how long it waited, the age of the worker's last end, and the time of the record, of the send and of the answer.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -262,6 +262,7 @@
 		"waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
 	}).Info("shard summary")
 	r.owner.ReportWaits(now)
+	r.owner.ReportRoom(now)
 	r.maxTimerLag = 0
 }
 
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -104,11 +104,12 @@
 }
 
 // Committed handles the confirmation that a commit is durable.
-func (o *Owner) Committed(_ time.Time, c *Commit) {
+func (o *Owner) Committed(now time.Time, c *Commit) {
 	o.committing = nil
 	for _, at := range c.planned {
 		if at.phase == phasePlanned {
 			at.phase = phaseReady
+			at.restart.recorded(now)
 		}
 	}
 	for _, w := range c.Writes {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -316,6 +316,9 @@
 // been sent.
 func (o *Owner) removeAttempt(at *attempt, reason string) {
 	at.worker.remove(at)
+	if at.isSent() {
+		at.worker.endKnownAt = o.now
+	}
 	t := at.task
 	for i, other := range t.attempts {
 		if other == at {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -241,6 +241,7 @@
 	o.refreshTicket(o.now, at)
 	if t.isInterrupted() {
 		t.job.restartPlanned = true
+		at.noteRestart(w)
 	}
 	t.job.startPlanned, t.job.recordNotBefore = true, time.Time{}
 	t.releaseHold(o.now)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -49,9 +49,11 @@
 	phase phase
 	// plannedAt is when the owner chose the worker; zero for an attempt of an earlier owner.
 	plannedAt time.Time
-	retryAt   time.Time
-	run       int
-	sentAt    time.Time
+	// restart is nil unless the run is the next one of an interrupted task.
+	restart *restart
+	retryAt time.Time
+	run     int
+	sentAt  time.Time
 	// slowSince is when the pace fell to slowPace or below; zero while it is above.
 	slowSince time.Time
 	stopCause string
@@ -219,6 +221,8 @@
 	clock         int64
 	clockAt       time.Time
 	drainingSince time.Time
+	// endKnownAt is when this owner learned of the last end of a run on the worker.
+	endKnownAt time.Time
 	// fenced is true once the worker has accepted the owner's token.
 	fenced bool
 	// excess is the smoothed difference between the measured pressure on the serving tasks and the pressure that the
