Plan the next run of an interrupted task while others still stop

Cause: room that a stopped run left was free while the next run was planned and recorded, 0.09 s on average, and its end was read up to 0.15 s late if another run of the worker had ended just before.

Change: an interrupted task that fits nowhere is planned on a worker on which runs stop, once the worker has confirmed the stops. The attempt is recorded meanwhile and sent when the ends are listed: no start is sent unless the worker has room for it beside all runs that may be there. Records and messages don't change.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -35,6 +35,10 @@
 				if !w.fenced || w.pollFailures > 0 {
 					continue // the answer to a poll that is in flight or due decides
 				}
+				if !at.task.step.Gang && !w.hasRoomToSend(at) {
+					o.awaitRoom(now, at, a)
+					continue
+				}
 				if !o.refreshTicket(now, at) {
 					if at.task.isAdvisedAgainst(w) {
 						o.removeAttempt(at, "placement advice excludes the worker")
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -79,6 +80,8 @@
 	// shortDemand is the remembered demand of short tasks; it was last updated at shortDemandAt.
 	shortDemand   map[shortTasks]shortDemand
 	shortDemandAt time.Time
+	// stoppedRuns holds what the runs that stop on each worker reserve, as of the current placement round. Workers without any are left out.
+	stoppedRuns map[*worker]fleet.Resources
 	// sortedByID holds the workers sorted by ID; nil after a change. Every decision iterates over the workers in this
 	// order, so that the same events lead to the same decisions.
 	sortedByID  []*worker
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -151,6 +151,9 @@
 		return false
 	}
 	w := o.choose(now, t, "")
+	if w == nil && t.isInterrupted() {
+		w = o.chooseAhead(now, t)
+	}
 	if w != nil && t.step.BestEffort && !class.skipsWait && o.shouldWait(now, t, w) {
 		w = nil
 	}
--- a/internal/shard/placerestarts.go
+++ b/internal/shard/placerestarts.go
@@ -29,6 +29,7 @@
 // lasts until they run again.
 func (o *Owner) placeRestarts(now time.Time, unplaceable map[taskClass]bool) {
 	o.hasInterrupted = false
+	o.observeStoppedRuns()
 	for _, j := range o.backlog {
 		if j.final != "" || !j.IsLongRunning() {
 			continue
--- a/internal/shard/roomreport_test.go
+++ b/internal/shard/roomreport_test.go
@@ -50,7 +50,7 @@
 	assert.Equal(t, e.Data["decision"], "room")
 	assert.Equal(t, e.Data["waiting"], 4*crowdedWorkers/2)
 	assert.Equal(t, e.Data["suitable"], 0)
-	c.owner.Cancel(c.now, crowdedJob(0))
+	c.cancel(crowdedJob(0))
 	c.owner.ReportRoom(c.now)
 	assert.Check(t, hook.LastEntry().Data["stopping"].(int) > 0)
 	c.run(time.Second)
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -22,6 +22,8 @@
 	// starts holds all starts, running those whose runs have not ended.
 	starts, running []shard.Start
 	endedByWorker   map[string][]shard.EndRow
+	// stopTime is how long a run goes on after its stop is confirmed.
+	stopTime time.Duration
 	// store answers the commits; by default at once.
 	store commitStore
 	// lastEndNumber is the number of the last end on each worker.
@@ -99,12 +101,11 @@
 		c.owner.Started(c.now, s, shard.Reply{Outcome: shard.OutcomeDone, Clock: c.clock(c.worker(s.Worker))})
 	}
 	for _, s := range a.Stops {
-		c.endRunsWhere(func(r shard.Start) shard.EndCause {
-			if r.Worker == s.Worker && r.Job == s.Job && r.Key == s.Key && r.Run == s.Run {
-				return shard.EndStopped
-			}
-			return ""
-		})
+		if c.stopTime > 0 {
+			c.calls = append(c.calls, &call{deliverAt: c.now.Add(c.stopTime), onTimer: func(bool) { c.endStopped(s) }})
+		} else {
+			c.endStopped(s)
+		}
 		c.owner.Stopped(c.now, s, shard.Reply{Outcome: shard.OutcomeDone})
 	}
 	for _, p := range a.Paces {
@@ -145,6 +146,16 @@
 	c.owner.Polled(c.now, poll, sent, list)
 }
 
+// endStopped ends a run that was ordered to stop.
+func (c *fleetHarness) endStopped(s shard.Stop) {
+	c.endRunsWhere(func(r shard.Start) shard.EndCause {
+		if r.Worker == s.Worker && r.Job == s.Job && r.Key == s.Key && r.Run == s.Run {
+			return shard.EndStopped
+		}
+		return ""
+	})
+}
+
 // endRunsWhere ends the runs for which endCause returns a cause.
 func (c *fleetHarness) endRunsWhere(endCause func(shard.Start) shard.EndCause) {
 	var left []shard.Start
