--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -116,6 +116,7 @@
 	for _, at := range c.planned {
 		if at.phase == phasePlanned && failedWriteOf(failed, at.task.job.ID) == nil {
 			at.phase = phaseReady
+			at.restart.recorded(now)
 		}
 	}
 	for _, w := range c.Writes {
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -35,6 +35,10 @@
 				if !w.fenced || w.pollFailures > 0 {
 					continue // the answer to a poll that is in flight or due decides
 				}
+				if !at.task.step.Gang && !w.hasRoomToSend(at) {
+					o.awaitRoom(now, at, a)
+					continue
+				}
 				if !o.refreshTicket(now, at) {
 					if at.task.isAdvisedAgainst(w) {
 						o.removeAttempt(at, "placement advice excludes the worker")
@@ -103,6 +107,7 @@
 		if at.phase == phaseSent {
 			at.phase = phaseRunning
 			o.observeStart(now.Sub(at.plannedAt))
+			o.logRestart(now, at)
 		}
 		at.confirmedAt, at.retryAt = now, time.Time{}
 		at.worker.nextPollAt = minTime(at.worker.nextPollAt, now.Add(o.timing.PollInterval))
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -151,6 +151,9 @@
 		return false
 	}
 	w := o.choose(now, t, "")
+	if w == nil && t.isInterrupted() {
+		w = o.chooseAhead(now, t)
+	}
 	if w != nil && t.step.BestEffort && !class.skipsWait && o.shouldWait(now, t, w) {
 		w = nil
 	}
@@ -241,6 +244,7 @@
 	o.refreshTicket(o.now, at)
 	if t.isInterrupted() {
 		t.job.restartPlanned = true
+		at.noteRestart(w)
 	}
 	t.job.startPlanned, t.job.recordNotBefore = true, time.Time{}
 	t.releaseHold(o.now)
