Renew the claim of a shard whose owner's token a worker refuses

Seen: an owner that a worker refused because it knows a higher token stopped acting and kept its key, so that no other host could take the shard; with the key lost, the host did not claim the shard again either. Nothing ended that but a stop of the host.

Cause: the refusal counted as the proof of a later owner, for good. It may come from a token that no owner of the shard has, and one worker of many stopped the whole shard.

Change: the owner stops acting, as before, and writes its keys again under the guard of their present revisions. If that is carried out, no other host has owned the shard since, and the owner continues with what it knows and a higher token, which each worker has to accept first; otherwise the election follows the present owner, and the old token is never used again. A worker that refuses the new token as well gets no orders for 2 s, doubled up to 32 s, while the owner acts for the others; its runs count as ended when the longest lease, counted from the first renewal, is over. If the store does not carry out the write in 2.5 s the host ends its lease. Orders that waited for their turn under a replaced token are no longer sent.

--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -209,8 +209,6 @@
 		if wait := o.noteOwnerless(n, now).Add(h.directory.claimDelay(h.self, n, o.countWithClaims())).Sub(now); wait > 0 {
 			return wait
 		}
-	} else if !r.mayReacquire(lease) {
-		return 0
 	}
 	if !o.claims.begin(n) {
 		return 0
@@ -242,6 +240,8 @@
 		// A response to the claim with which this host took the shard again was lost. The guard on the epoch key means that no other
 		// host has owned the shard since.
 		o.resumeRunner(r, current)
+	case r != nil && r.isRefused(current.revision):
+		o.renewClaim(n, r, current.lease)
 	case r != nil, o.handovers.isGivenUp(n, current.revision):
 	case h.draining.Load():
 		o.dropOwnerKey(ctx, n, current)
@@ -254,9 +254,9 @@
 }
 
 // resumeRunner continues with the state in memory under an owner key that this host has written, unless the lease of the key has
-// ended or a worker knows a later owner.
+// ended.
 func (o *ownedShards) resumeRunner(r *runner, current ownerRecord) {
-	if lease, _ := o.host.session.currentLease(); current.lease != lease || !r.mayReacquire(lease) {
+	if lease, _ := o.host.session.currentLease(); lease == 0 || current.lease != lease {
 		return
 	}
 	o.host.log.WithFields(logrus.Fields{
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -31,7 +31,7 @@
 	appliedLayout int64
 	ctx           context.Context
 	cancel        context.CancelFunc
-	// deposed is set once a worker has rejected the current token because it knows a higher one.
+	// deposed is set while a worker has rejected the current token because it knows a higher one. The claim is renewed then.
 	deposed bool
 	// earlier bounds the leases of earlier owners, from the claim of the present epoch.
 	earlier earlierLeases
@@ -168,21 +168,14 @@
 	return r.lease
 }
 
-// mayReacquire reports whether this host may try to become the shard's owner again under its current lease: it has one, and no
-// worker has rejected its token as outdated.
-func (r *runner) mayReacquire(currentLease int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.deposed && currentLease != 0
-}
-
-// resume continues with the same state under a new ownership of the shard, whose claim bounds the leases of earlier owners.
+// resume continues with the same state under a new ownership of the shard, whose claim bounds the leases of earlier owners. The claim
+// was guarded by the last epoch of this runner, so a worker that rejected its last token did not do so because of a later owner.
 func (r *runner) resume(revision, lease int64, earlier time.Duration) {
 	r.mu.Lock()
 	r.earlierEnd = r.host.now().Add(earlier)
 	r.ownerKeyRevision, r.epochKeyRevision, r.lease = revision, revision, lease
-	r.owner.SetToken(revision)
-	r.changedAt = r.host.now()
+	r.owner.SetToken(r.host.now(), revision)
+	r.changedAt, r.deposed = r.host.now(), false
 	r.mu.Unlock()
 	r.wakeLoop()
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -78,8 +78,8 @@
 func always() bool { return true }
 
 // callWorker calls a worker and passes the reply to result. It waits while maxCallsPerWorker calls to the worker are in flight, which may
-// take seconds if they get no answer. The call is not made if this host may no longer own the shard or isWanted, which is called with the
-// owner locked, returns false by then.
+// take seconds if they get no answer. The call is not made if this host may no longer own the shard, has got another token for the worker
+// or isWanted, which is called with the owner locked, returns false by then.
 func (r *runner) callWorker(
 	o shard.Order, isWanted func() bool, call func(context.Context) shard.Reply, result func(time.Time, shard.Reply),
 ) {
@@ -91,7 +91,7 @@
 	case semaphore <- struct{}{}:
 	}
 	r.mu.Lock()
-	allowed := r.mayAct(r.host.now()) && isWanted()
+	allowed := r.mayAct(r.host.now()) && r.owner.IsCurrent(o) && isWanted()
 	r.mu.Unlock()
 	if allowed {
 		ctx, cancel := withTimeout(r.ctx, workerCallTimeout)
@@ -156,18 +156,23 @@
 	r.updateOwner(func(now time.Time) { r.owner.Advised(now, a, sent, answer) })
 }
 
-// handleFenced stops the runner from acting for the shard after a worker rejected a call because it knows a higher token.
-// Rejections of calls with a token that this host has replaced since are ignored.
+// handleFenced stops the runner from acting for the shard after a worker rejected a call because it knows a higher token, until the
+// claim of the shard is renewed. Rejections of calls with a token that this host has replaced since are ignored.
 func (r *runner) handleFenced(o shard.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.deposed || !r.owner.IsCurrent(o) {
+	if !r.owner.IsCurrent(o) {
+		return
+	}
+	r.owner.NoteRefusal(r.host.now(), o)
+	if r.deposed {
 		return
 	}
 	r.deposed = true
+	defer r.host.ownedShards.wakeElection()
 	ownersFenced.Add(1)
 	r.log.WithFields(logrus.Fields{"decision": "fenced", "worker": o.Worker, "token": o.Token}).
-		Warn("worker rejected the current token because it knows a later owner; this host stops acting for the shard")
+		Warn("worker rejected the current token because it knows a higher one; this host stops acting until its claim is renewed")
 }
 
 // commit writes records, retrying until all of them are durable or the runner stops. A job is in one transaction only, so the
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -169,7 +169,7 @@
 	s.lease, s.expires = 0, time.Time{}
 	s.mu.Unlock()
 	s.log.WithFields(logrus.Fields{"decision": "lease_abandoned", "lease": lease}).
-		Warn("abandoning the host's lease, since the store does not carry out the handover of a shard")
+		Warn("abandoning the host's lease, since the store does not carry out the handover or claim of a shard")
 	ctx, cancel := withTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	return s.store.Revoke(ctx, lease)
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -33,7 +33,9 @@
 	maxRuns int
 	mu      sync.Mutex
 	// polls lists the polls that the worker accepted.
-	polls   []acceptedPoll
+	polls []acceptedPoll
+	// refused lists the orders that the worker refused because of their token.
+	refused []refusedOrder
 	runs    map[string]shard.Start
 	started time.Time
 	tasks   *taskLog
@@ -48,6 +50,12 @@
 	at time.Time
 }
 
+// refusedOrder is the token of a refused order with the time of its arrival.
+type refusedOrder struct {
+	at    time.Time
+	token int64
+}
+
 func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
 	w := &simulatedWorker{
 		Worker: shard.Worker{
@@ -82,6 +90,7 @@
 // accept checks the token of a call and renews the lease. The caller holds w.mu.
 func (w *simulatedWorker) accept(token, until int64) bool {
 	if token < w.token {
+		w.refused = append(w.refused, refusedOrder{at: time.Now(), token: token})
 		return false
 	}
 	w.token = token
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -17,6 +17,10 @@
 func (o *Owner) dueOrders(now time.Time, a *Actions) {
 	a.Stops, o.orphanStops = append(a.Stops, o.orphanStops...), nil
 	for _, w := range o.sortedWorkers() {
+		if w.isShunned(now) {
+			a.wakeAt(w.shunnedUntil)
+			continue
+		}
 		for _, at := range w.attempts {
 			if at.inFlight {
 				continue
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -14,6 +14,8 @@
 	leaseFromClaim leaseOrigin = "claim"
 	// leaseFromHandover: the latest grant of the last owner, or of an owner before it.
 	leaseFromHandover leaseOrigin = "handover"
+	// leaseFromRefusal: the moment at which this owner got a new token because the worker had refused the last one.
+	leaseFromRefusal leaseOrigin = "refusal"
 	// leaseFromWorkerRestart: the moment at which this owner learned that the worker had restarted.
 	leaseFromWorkerRestart leaseOrigin = "worker_restart"
 )
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -165,9 +165,10 @@
 	w.tokenOffset = min(w.tokenOffset+1, 1<<tokenBits-1)
 }
 
-// SetToken replaces the token after the shard was lost and reacquired with no other owner in between.
-func (o *Owner) SetToken(token int64) {
+// SetToken replaces the token after the shard was taken again with no other owner in between.
+func (o *Owner) SetToken(now time.Time, token int64) {
 	o.token = token
+	o.boundRefusedLeases(now)
 	clear(o.tokenOffsets)
 	for _, w := range o.sortedWorkers() {
 		w.fenced, w.tokenOffset, w.nextPollAt = false, 0, time.Time{}
--- a/internal/shard/plannedlease_test.go
+++ b/internal/shard/plannedlease_test.go
@@ -60,7 +60,7 @@
 	commits := len(c.store.received)
 	c.release()
 	c.store.step(c.simulation, nil)
-	c.owner.SetToken(c.epoch + 1)
+	c.owner.SetToken(c.now, c.epoch+1)
 	c.run(5 * simulationStep)
 	assert.Equal(t, len(c.starts), 2, "the attempt is started")
 	assert.Equal(t, c.starts[1].Run, 1)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -26,7 +26,7 @@
 			a.wakeAt(now.Add(firstPollTime))
 			continue
 		}
-		due := w.nextPollAt
+		due := maxTime(w.nextPollAt, w.shunnedUntil)
 		if !o.needsPoll(w) {
 			if len(w.unrecordedEnds) == 0 {
 				continue
@@ -105,7 +105,7 @@
 			Info("worker answers polls again")
 	}
 	regained := w.pollFailures > 0
-	w.pollFailures = 0
+	w.pollFailures, w.refusal = 0, w.withAnswer()
 	w.answeredAt = now
 	w.nextPollAt = now.Add(o.timing.PollInterval)
 	if list.Born != 0 && w.incarnation != list.Born {
@@ -194,7 +194,7 @@
 	w.unrecordedEnds = nil
 	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.nextPollAt = time.Time{}
-	w.health = health{}
+	w.health, w.refusal = health{}, refusal{}
 	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
 	for _, at := range w.attempts {
 		// A start may have reached the new lifetime before this owner learned of the restart, so the next listing
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -207,6 +207,7 @@
 // worker is the owner's view of a worker.
 type worker struct {
 	Worker
+	refusal
 	// answeredAt is when the worker last answered a poll.
 	answeredAt time.Time
 	attempts   []*attempt
