Take a shard back whose key is not deleted in time after a panic

Seen: a shard whose owner was stopped by a panic stayed without an acting owner for good if the store did not carry out the deletion of the owner key within 2.5 s.

Cause: the deletion had a context of 2.5 s, just as long as the attempts after which the host takes the shard back or ends its lease. The context ended first, the host went on renewing the lease of the key, and took the key for one that it had given up.

Change: the deletion has no deadline of its own. It ends by the bounds of each handover: 2.5 s of attempts, 1 s to take the shard back, then the lease is ended.

--- a/internal/entry/panics.go
+++ b/internal/entry/panics.go
@@ -62,14 +62,13 @@
 }
 
 // abandon stops the runner of a shard at once and deletes the owner key. Unlike giveUp it does not wait for a commit in flight: the
-// next owner learns of unrecorded changes from the workers.
+// next owner learns of unrecorded changes from the workers. The deletion has no deadline of its own: if it is not carried out in time, the
+// host takes the shard back with a new runner or ends its lease, and would otherwise keep a key for which it does not act.
 func (o *ownedShards) abandon(r *runner) {
 	if !o.stopRunner(r, "internal error") {
 		return
 	}
 	revision := r.ownerRevision()
 	o.handovers.recordGivenUp(r.shard, revision)
-	ctx, cancel := context.WithTimeout(context.Background(), deletionTimeout)
-	defer cancel()
-	o.deleteOwnerKey(ctx, r, revision, r.log)
+	o.deleteOwnerKey(context.Background(), r, revision, r.log)
 }
