Leave a shard to another host if its workers can't be read

Seen: an owner that could read the records of its shard and not the registry of workers kept the shard for good and started nothing, while other hosts could read both.

Cause: a load that fails was given up after 3 s only while the records of the shard were not read. The registry, whose pages are larger, did not count.

Change: an owner that has not read the registry 3 s after it took the shard, although its lease was renewed, and failed to read it meanwhile, leaves the shard like one whose records it can't read, with the same waits for hosts in turn.

--- a/internal/entry/failedload.go
+++ b/internal/entry/failedload.go
@@ -92,7 +92,7 @@
 	return d.hosts[hostPrefix+to.Host], ok
 }
 
-// loadStore returns the store from which the runner loads the shard. It notes failed reads: a load that takes long because the shard has
+// loadStore returns the store from which the runner loads the shard and its workers. It notes failed reads: a load that takes long because the shard has
 // many records or the store is slow is not given up as long as no read fails.
 func (r *runner) loadStore() kvstore.Store {
 	s := r.host.platform.Store
@@ -107,15 +107,15 @@
 	return s
 }
 
-// noteFailedRead notes that a read of the shard's records has failed.
+// noteFailedRead notes that a read of the shard's records or of the workers' registry has failed.
 func (r *runner) noteFailedRead() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failedReadAt = r.host.now()
 }
 
-// isLoadLate reports whether the shard is not loaded although it was taken a timeout ago, the host's lease has been renewed for as
-// long, and a read of its records failed in that time.
+// isLoadLate reports whether the shard or the registry of its workers is not loaded although the shard was taken a timeout ago, the host's
+// lease has been renewed for as long, and a read of one of them failed in that time. Without workers, an owner starts nothing.
 func (r *runner) isLoadLate(now, lastUnhealthy time.Time, timeout time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -123,7 +123,8 @@
 	if lastUnhealthy.After(since) {
 		since = lastUnhealthy
 	}
-	return !r.loaded && now.Sub(since) >= timeout && r.failedReadAt.After(since)
+	isComplete := r.loaded && r.appliedLayout != 0
+	return !isComplete && now.Sub(since) >= timeout && r.failedReadAt.After(since)
 }
 
 // giveUpUnloaded leaves shards that this host can't load to other hosts. Without another host, it goes on trying. Only election rounds
@@ -151,7 +152,7 @@
 		}
 		h.log.WithFields(logrus.Fields{
 			"decision": "load_failed", "shard": r.shard, "to": successor.Host, "timeout": timeout.String(), "failed_loads": failedLoads + 1,
-			"reason": "the shard's records could not be read in time, although the host's lease is renewed",
+			"reason": "the shard's records or workers could not be read in time, although the host's lease is renewed",
 		}).Warn("leaving the shard to another host")
 		go o.leaveUnloaded(ctx, r, &successorRecord{hostRecord: successor, FailedLoads: failedLoads + 1, FailedHost: h.self.Host})
 	}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -107,7 +107,7 @@
 		r.run(task)
 	}
 	r.run(func() {
-		watchPrefix(r.ctx, r.host.platform.Store, r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
+		watchPrefix(r.ctx, r.loadStore(), r.log, r.host.platform.WorkerPrefix, r.loadRegistry, r.applyRegistryEvents)
 	})
 	r.run(func() {
 		store := r.loadStore()
