Pause renewals without answers so that other hosts can take the shards

Seen: a host whose renewals are carried out by the store and whose answers don't arrive stops relying on its lease after 1.5 s and does not act, but goes on renewing: the store keeps its owner keys, and no other host can take its shards for as long as that lasts.

Cause: renewals went on at the usual interval however long they had no answer.

Change: after five renewals in turn without an answer (3.1 s) they pause for 1.8 s, in which the store ends the lease if it has carried them out. An answer to one under way ends the pause. The number doubles with each pause up to 40, since a store that is down may keep its leases: such a host acts up to 1.8 s later if the store returns in a pause. Renewals that are refused are no sign of this and go on.

--- a/internal/entry/renewal.go
+++ b/internal/entry/renewal.go
@@ -18,9 +18,11 @@
 
 // renewal is an attempt to renew a lease and its outcome.
 type renewal struct {
-	err    error
-	number int
-	sent   time.Time
+	err error
+	// isUnanswered is set if the attempt ended without an answer.
+	isUnanswered bool
+	number       int
+	sent         time.Time
 }
 
 // renewals are the attempts to renew one lease. An attempt without an answer after sessionRenewInterval goes on while another one is
@@ -29,13 +31,16 @@
 type renewals struct {
 	// answered is the number of the newest attempt that has an outcome, begun the number of attempts.
 	answered, begun int
-	lease           int64
-	next            *time.Timer
-	outcomes        chan renewal
-	session         *session
+	// gapUntil is when a gap between renewals ends, unless an answer ends it.
+	gapUntil time.Time
+	lease    int64
+	next     *time.Timer
+	outcomes chan renewal
+	session  *session
 	// silence, if not nil, is closed sessionCallTimeout after the first attempt since the last answer.
 	silence     <-chan struct{}
 	stopSilence context.CancelFunc
+	unanswered  unansweredRenewals
 }
 
 // keep renews the lease until it has ended or been abandoned, or ctx ends.
@@ -44,6 +49,7 @@
 	defer cancel()
 	r := &renewals{
 		lease: lease, next: time.NewTimer(sessionRenewInterval), outcomes: make(chan renewal), session: s, stopSilence: func() {},
+		unanswered: newUnansweredRenewals(),
 	}
 	defer r.next.Stop()
 	defer func() { r.stopSilence() }()
@@ -77,6 +83,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, renewalTimeout)
 		defer cancel()
 		a.err = r.session.store.KeepAlive(callCtx, r.lease)
+		a.isUnanswered = a.err != nil && callCtx.Err() != nil
 		select {
 		case r.outcomes <- a:
 		case <-ctx.Done():
@@ -96,13 +103,14 @@
 		s.endLease(r.lease)
 		return
 	}
+	r.applyAnswer(a)
 	if a.number < r.answered {
 		return // a later attempt shows whether the store is reachable
 	}
 	r.answered = a.number
 	r.endSilence()
 	s.setHealthy(a.err)
-	if a.number == r.begun {
+	if a.number == r.begun && !s.now().Before(r.gapUntil) {
 		r.next.Reset(renewalPause(a.err))
 	}
 }
--- a/internal/entry/renewal_test.go
+++ b/internal/entry/renewal_test.go
@@ -20,6 +20,8 @@
 const (
 	// leaseReliance is how long a host relies on a lease after a renewal was sent: the TTL of 1.6 s less 0.1 s.
 	leaseReliance = 1500 * time.Millisecond
+	// sessionInterval is the time from the answer to a renewal to the next one.
+	sessionInterval = 400 * time.Millisecond
 	// maxRenewalsInFlight is the number of renewals that end 1.5 s after they were sent and begin 0.4 s apart.
 	maxRenewalsInFlight = 4
 )
@@ -277,3 +279,39 @@
 		})
 	}
 }
+
+// Guards against a host that does not renew its lease for longer than it relies on it although the store answers again: renewals pause
+// while they get no answer.
+func TestAnswerEndsGapBetweenRenewals(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence time.Duration
+		sent    int
+	}{
+		"in the gap": {4 * time.Second, 9}, "after the gap": {7 * time.Second, 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var isAnswered atomic.Bool
+			runSession(t, func(ctx context.Context, number int, _ int64) error {
+				for number > 1 && !isAnswered.Load() {
+					sleep(ctx, 10*time.Millisecond)
+					if ctx.Err() != nil {
+						return ctx.Err()
+					}
+				}
+				return nil
+			}, func(t *testing.T, h *entry.Host, s *renewalStore, decisions *decisionLog) {
+				time.Sleep(c.silence)
+				assert.Equal(t, decisions.count("renewal_gap"), 1)
+				sent, _ := s.renewals()
+				assert.Equal(t, sent, c.sent)
+				isAnswered.Store(true)
+				time.Sleep(sessionInterval)
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					_, expires := h.Lease()
+					assert.Assert(t, expires.After(time.Now()))
+				}
+			})
+		})
+	}
+}
