Write the handover of an owner whose lease has ended

Cause: a draining owner deletes its key and writes what it knows of its workers in one transaction, guarded by the key. If the store ends the owner's lease before it carries the transaction out, the guard fails and the next owner is told nothing. It takes the leases of all silent workers to begin with its takeover. The same is lost when a host abandons its lease because the store does not delete the key.

Change: the first attempt is guarded by the epoch key, which is written with each owner key. It is carried out with the owner key gone as long as no other owner has claimed the shard; a key that is taken back changes the epoch, so late deletions still fail. An owner that finds its key gone, or has abandoned its lease, writes the handover for up to 0.5 s under the same condition.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,9 @@
 	// drainDeletionTimeout replaces deletionTimeout in a drain, which has to serve callers for drainServePeriod of its drainTimeout
 	// after the handovers.
 	drainDeletionTimeout = time.Second
+	// handoverWriteTimeout bounds the attempts to write what the next owner reads once the owner key is gone. Other hosts claim the shard
+	// within half a second then.
+	handoverWriteTimeout = 500 * time.Millisecond
 	// takeBackTimeout bounds the attempts to take a shard back after a handover that failed.
 	takeBackTimeout = time.Second
 )
@@ -111,20 +115,22 @@
 	if successor != nil {
 		puts = append(puts, kvstore.Put{Key: successorKey(r.shard), Value: workflow.Encode(*successor)})
 	}
-	o.deleteOwnerKey(ctx, r, revision, log, puts...)
+	o.deleteOwnerKey(ctx, r, log, puts...)
 }
 
-// deleteOwnerKey deletes the owner key of a runner that has stopped, and writes what the next owner reads in the same transaction.
-func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, revision int64, log *logrus.Entry, puts ...kvstore.Put) {
+// deleteOwnerKey deletes the owner key of a runner that has stopped, and writes what the next owner reads in the same transaction. Each
+// write of the owner key changes the epoch key as well. With a guard on the latter, what the next owner reads is also written if the store
+// has ended the lease of the owner key meanwhile and no host has taken the shard yet.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, log *logrus.Entry, puts ...kvstore.Put) {
 	t := kvstore.Txn{
-		Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: revision}}, Puts: puts,
+		Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: epochKey(r.shard), Revision: r.epochRevision()}}, Puts: puts,
 	}
 	if err := o.deleteOrTakeBack(ctx, r, t); err != nil {
 		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
 }
 
-// deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guard makes repeated attempts harmless.
+// deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guards make repeated attempts harmless.
 // After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves.
 // If that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx
 // ends.
@@ -133,7 +139,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan txnOutcome)
-	began, isTakingBack := h.now(), false
+	began, isTakingBack, handover := h.now(), false, t.Puts
 	for {
 		outcome, hasResponse := h.attemptTxn(attemptCtx, t, outcomes)
 		err := outcome.err
@@ -143,27 +149,64 @@
 		isDraining := h.draining.Load()
 		// A conflict means that an earlier attempt has deleted or rewritten the key, or that the ownership was lost.
 		isDone := err == nil || errors.Is(err, kvstore.ErrConflict)
-		if isDone && !(isTakingBack && isDraining) {
+		lease, _ := h.session.currentLease()
+		hasEnded := lease != r.ownerLease()
+		switch {
+		case !isTakingBack && isOwnerless(outcome, r.shard), !isTakingBack && !isDone && hasEnded && isDraining:
+			return o.writeHandover(ctx, r, handover)
+		case isDone && !(isTakingBack && isDraining):
 			return nil
-		}
-		// A lease on which the host does not rely at the moment may go on: its next renewal may succeed.
-		if lease, _ := h.session.currentLease(); ctx.Err() != nil || lease != r.ownerLease() {
+		case ctx.Err() != nil, hasEnded:
+			// A lease on which the host does not rely at the moment may go on: its next renewal may succeed.
 			return err
 		}
 		elapsed := h.now().Sub(began)
 		switch {
 		case isDraining && (isTakingBack || elapsed >= drainDeletionTimeout), isTakingBack && elapsed >= takeBackTimeout:
-			return errors.Join(err, h.session.abandon(ctx, r.ownerLease()))
+			return errors.Join(err, h.session.abandon(ctx, r.ownerLease()), o.writeHandover(ctx, r, handover))
 		case !isTakingBack && elapsed >= deletionTimeout:
 			h.log.WithError(err).WithFields(logrus.Fields{"decision": "keep", "shard": r.shard, "revision": r.ownerRevision()}).
 				Warn("failed to delete the owner key of the shard; taking the shard back")
 			h.directory.recordFailedHandover(h.self.Host)
 			began, isTakingBack, t = h.now(), true, o.takeBackTxn(r, t)
+		case !isTakingBack:
+			// The first attempt may be carried out still. A second deletion would look like another handover.
+			t.Guards = []kvstore.Guard{{Key: ownerKey(r.shard), Revision: r.ownerRevision()}}
 		}
 		retry.Sleep(ctx, minWriteBackoff)
 	}
 }
 
+// isOwnerless reports whether a transaction was not carried out because its shard has no owner key.
+func isOwnerless(outcome txnOutcome, shard int) bool {
+	return errors.Is(outcome.err, kvstore.ErrConflict) && slices.ContainsFunc(outcome.result.Current, func(kv kvstore.KV) bool {
+		return kv.Key == ownerKey(shard) && kv.ModRevision == 0
+	})
+}
+
+// writeHandover writes what the next owner reads once the owner key is gone, unless another host has taken the shard. It returns an error
+// if that is not done within handoverWriteTimeout or ctx ends.
+func (o *ownedShards) writeHandover(ctx context.Context, r *runner, puts []kvstore.Put) error {
+	if len(puts) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverWriteTimeout)
+	defer cancel()
+	t := kvstore.Txn{Guards: []kvstore.Guard{{Key: ownerKey(r.shard)}, {Key: epochKey(r.shard), Revision: r.epochRevision()}}, Puts: puts}
+	for outcomes := make(chan txnOutcome); ; retry.Sleep(ctx, minWriteBackoff) {
+		outcome, hasResponse := o.host.attemptTxn(ctx, t, outcomes)
+		if hasResponse {
+			countWrite(outcome.err)
+		}
+		if outcome.err == nil || errors.Is(outcome.err, kvstore.ErrConflict) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return outcome.err
+		}
+	}
+}
+
 // takeBackTxn returns a transaction that writes the owner key of a shard again under the same lease. An attempt to delete the key
 // may be carried out after its call has ended; the new revision makes its guard fail. The next election round sees the key and
 // starts a runner, which reads what was to be handed over.
@@ -205,7 +248,7 @@
 	r.setEarlier(current.PreviousEpoch, current.recordedEarlier())
 	go func() {
 		defer r.close()
-		o.deleteOwnerKey(ctx, r, current.revision, log, r.handoverPuts(ctx)...)
+		o.deleteOwnerKey(ctx, r, log, r.handoverPuts(ctx)...)
 	}()
 }
 
--- a/internal/entry/panics.go
+++ b/internal/entry/panics.go
@@ -71,5 +71,5 @@
 	o.handovers.recordGivenUp(r.shard, revision)
 	ctx, cancel := context.WithTimeout(context.Background(), deletionTimeout)
 	defer cancel()
-	o.deleteOwnerKey(ctx, r, revision, r.log)
+	o.deleteOwnerKey(ctx, r, r.log)
 }
