Begin the handovers of a drain beside the mark on the host's record

Cause: a drain marked the host's record first, for up to 0.7 s, and then waited up to 0.5 s for the commit in flight.

Change: the handovers wait 0.1 s for the mark. It goes on beside them.

DrainShards of the tests calls the function that the drain calls, in place of a copy of its steps.

--- a/internal/entry/exportsimulation_test.go
+++ b/internal/entry/exportsimulation_test.go
@@ -73,8 +73,7 @@
 // DrainShards marks the host as draining and gives up its shards.
 func (h *Host) DrainShards(ctx context.Context) {
 	h.draining.Store(true)
-	h.session.markDraining(ctx)
-	h.ownedShards.handOverAll(ctx)
+	h.giveUpShards(ctx)
 }
 
 // JobRecords returns the keys and values with which a host accepts a job.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -13,7 +13,10 @@
 )
 
 const (
-	idleTimeout = 60 * time.Second
+	// drainMarkTimeout is how long the handovers of a drain wait for the mark on the host's record: 25 times the store's usual latency. Hosts
+	// that have not seen the mark wait for this one's turn before they claim its shards.
+	drainMarkTimeout = 100 * time.Millisecond
+	idleTimeout      = 60 * time.Second
 	// drainServePeriod is how long a draining host keeps serving. The load balancer sends new connections elsewhere after
 	// two failed health checks, a second apart.
 	drainServePeriod = 2500 * time.Millisecond
@@ -65,8 +68,7 @@
 	h.draining.Store(true)
 	ctx, cancel := context.WithTimeout(runCtx, drainTimeout)
 	defer cancel()
-	h.session.markDraining(ctx)
-	h.ownedShards.handOverAll(ctx)
+	h.giveUpShards(ctx)
 	serveFor(ctx, drainServePeriod)
 	if err := g.ShutdownLast(ctx); err != nil {
 		h.log.WithError(err).Warn("drain timeout cut off requests in flight")
@@ -76,6 +78,22 @@
 	h.pool.Close()
 }
 
+// giveUpShards marks the host's record as draining and hands all shards over. With a store that stands still for a second, the host's lease
+// would end before a handover that waits for the mark.
+func (h *Host) giveUpShards(ctx context.Context) {
+	isMarked := make(chan struct{})
+	go func() {
+		defer close(isMarked)
+		h.session.markDraining(ctx)
+	}()
+	select {
+	case <-isMarked:
+	case <-time.After(drainMarkTimeout):
+	}
+	h.ownedShards.handOverAll(ctx)
+	<-isMarked
+}
+
 // serveFor waits for a period, and then until timeoutTicks timers in a row fire on time. When a process runs again after a pause, its
 // expired timers fire before it reads the requests that have arrived meanwhile, and a server that is shut down then closes their
 // connections.
