Name in the log why and since when a task waits, whether it ran before or not

Need: only long-running tasks that ran before had a line that counts the workers by the reason why they are out. A task that never ran, or a short one, could stand still without a sign in the log, and a missing label, a limit per worker and placement advice were not told apart.

Change: every task that waits for 5 s (2 s if its interruption lasts until it runs again) gets a line, as does one whose only run is on a worker that does not answer. New reasons are no_label, spread_limit (together unsuitable before), advised_against, no_ticket, headroom, avoided and disturbed. waited counts from the end of the last run or from the acceptance where these are known. A round names 4 tasks at most, in turn, and one for each step that never ran, since each line takes a look at all workers and hosts may have a tenth of a core.

Result: tests show the reason in 12 cases, and that 30 jobs with 150 waiting tasks are all named, 4 lines a round at most.

--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -98,8 +98,10 @@
 	// highestStarted is the highest run of each task that a worker has started.
 	highestStarted map[string]int
 	faultsEnabled  bool
-	storeUp        bool
-	starts         int
+	// refusesAdvice is set while no worker gets a ticket.
+	refusesAdvice bool
+	storeUp       bool
+	starts        int
 	// history holds the events of each task, which are printed if a guarantee is violated.
 	history map[string][]string
 }
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -146,7 +146,7 @@
 		}
 		for _, id := range a.Workers {
 			f := sim.worker(id)
-			if ticket, ok := sim.ticketFor(f, a.Name(), sent); ok && r.Error == nil {
+			if ticket, ok := sim.ticketFor(f, a.Name(), sent); ok && r.Error == nil && !sim.refusesAdvice {
 				r.Tickets = append(r.Tickets, shard.Ticket{Worker: id, Text: ticket})
 			}
 		}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -100,13 +100,13 @@
 	key    workflow.TaskKey
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
-	// restartWait is kept by ReportWaits.
-	restartWait restartWait
-	run         int
-	started     bool
-	step        *workflow.Step
+	run       int
+	started   bool
+	step      *workflow.Step
 	// waitingSince is when a best-effort task was first considered for placement, or since when an interrupted one waits.
 	waitingSince time.Time
+	// wait is kept by ReportWaits.
+	wait taskWait
 }
 
 // isWaiting reports whether this shard holds the task, which is not done, and no worker has it.
