--- a/internal/entry/exchange_test.go
+++ b/internal/entry/exchange_test.go
@@ -124,6 +124,7 @@
 	longest, task := f.tasks.longestCounted()
 	assert.Check(f.t, longest <= restartWindow, "%s had nothing running for %s", task, longest)
 	assert.Equal(f.t, f.runsOf(id), tasks)
+	f.checkNothingWaits("after a transfer")
 }
 
 // Guards against tasks that wait in a full shard beside room in another one. Their owner changes after the transfer, by a drain, by the
@@ -334,6 +335,7 @@
 			}
 			assert.Check(t, f.runsOf(id) == want, "seed %d: job %s has %d runs, not %d", seed, id, f.runsOf(id), want)
 		}
+		f.checkNothingWaits(fmt.Sprintf("seed %d", seed))
 		t.Logf("%d tasks given, %d held, %d returned", f.decisions("give_task"), f.decisions("hold_task"), f.decisions("return_task"))
 		assert.Check(t, f.decisions("give_task") > 0 && f.decisions("hold_task") > 0, "no task moved")
 		f.end()
--- a/internal/entry/handoverseries_test.go
+++ b/internal/entry/handoverseries_test.go
@@ -95,6 +95,9 @@
 	assert.Check(t, strings.Join(f.tasks.twice, "\n") == "", "%s; owners: %s", strings.Join(f.tasks.twice, "\n"), f.ownerHistory(began))
 	longest, task := f.tasks.longestCounted()
 	assert.Check(t, longest <= restartWindow, "%s had nothing running for %s; owners: %s", task, longest, f.ownerHistory(began))
+	stopLoad()
+	time.Sleep(quietTime - contactTime - restartGrace - restartWindow)
+	f.checkNothingWaits("after a series of handovers")
 	f.tasks.mu.Lock()
 	for task, worker := range f.tasks.running {
 		job, _, _ := strings.Cut(task, ".")
--- a/internal/entry/refusedowner_test.go
+++ b/internal/entry/refusedowner_test.go
@@ -90,6 +90,7 @@
 	f.stopLoad()
 	time.Sleep(finishTime)
 	assert.Check(f.t, f.shortJobs() == 0, "%d jobs are not completed", f.shortJobs())
+	f.checkNothingWaits("the store serves all hosts")
 }
 
 // Guards against an owner that keeps its shard while the store renews its lease and refuses its transactions: long-running tasks
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -320,6 +320,7 @@
 }
 
 func (f *simulatedFleet) addJob(shard int, j workflow.Job) {
+	f.tasks.addJob(j)
 	for key, value := range entry.JobRecords(shard, j) {
 		f.store.put(key, value)
 	}
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -18,10 +18,14 @@
 	// idleSince is when the last run of each expected task ended that does not run.
 	idleSince map[string]time.Time
 	calmSince time.Time
+	// endOf, if set, returns after what time a run ends, and how; 0 means that it does not end by itself.
+	endOf func(worker string, s shard.Start, step workflow.Step) (time.Duration, shard.EndCause)
 	// expected holds the accepted long-running jobs.
 	expected map[string]bool
 	// forgotten holds those of them that need not run any more.
 	forgotten map[string]bool
+	// jobs holds the jobs that were handed in.
+	jobs map[string]workflow.Job
 	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
 	longest   time.Duration
 	longestOf string
@@ -36,7 +40,7 @@
 func newTaskLog() *taskLog {
 	return &taskLog{
 		expected: map[string]bool{}, forgotten: map[string]bool{}, failAfter: func() time.Duration { return 0 },
-		idleSince: map[string]time.Time{}, running: map[string]string{},
+		idleSince: map[string]time.Time{}, jobs: map[string]workflow.Job{}, running: map[string]string{},
 	}
 }
 
@@ -74,12 +78,32 @@
 		l.note(name, since)
 		delete(l.idleSince, name)
 	}
+	if j, ok := l.jobs[s.Job]; ok && l.endOf != nil {
+		return l.endOf(worker, s, j.Steps[s.Key.Step])
+	}
 	if l.expected[s.Job] {
 		return l.failAfter(), shard.EndFailed
 	}
 	return shortTaskDuration, shard.EndDone
 }
 
+// addJob notes a job that is handed in.
+func (l *taskLog) addJob(j workflow.Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs[j.ID] = j
+}
+
+// step returns the step of a run, or nil if its job was not handed in by addJob.
+func (l *taskLog) step(s shard.Start) *workflow.Step {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j, ok := l.jobs[s.Job]; ok {
+		return &j.Steps[s.Key.Step]
+	}
+	return nil
+}
+
 func (l *taskLog) noteOver(worker string, runs int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
