Keep no room for short tasks that no worker could hold

Cause: a long-running task that never ran leaves room for the short tasks of the recent past and for those that wait. Short tasks that fit no worker even if it were empty, by size, label or the width of a gang, wait until they are cancelled, so that room was kept for ever. Large ones also made all but empty workers count as useless. On an idle shard of 10 workers with one such job, five to seven of ten jobs of one task started, and the others had nothing running while 28% to 39% of the CPU was in use.

Change: only short tasks that a worker could hold count, in the demand and in the mean size. Jobs count as arrivals in the first round in which the registry is known, not when they are added. The mean is rounded, as its decayed parts differ by rounding errors.

What remains: a short task that waits for another reason without an end, such as advice against all workers, keeps room as before.

--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -23,18 +23,22 @@
 func Requirements(j workflow.Job, service string) []Demand {
 	var out []Demand
 	for i := range j.Steps {
-		d := demandOf(&j.Steps[i], service)
-		d.Count = 1
-		if j.Steps[i].Gang {
-			d.Count = j.Steps[i].Count
-		}
-		if !slices.Contains(out, d) {
+		if d := requirement(&j.Steps[i], service); !slices.Contains(out, d) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
 
+// requirement returns what must fit at the same time for a step to run.
+func requirement(s *workflow.Step, service string) Demand {
+	d := demandOf(s, service)
+	if !s.Gang {
+		d.Count = 1
+	}
+	return d
+}
+
 func demandOf(s *workflow.Step, service string) Demand {
 	return Demand{Count: s.Count, Label: s.Label, PerWorker: s.PerWorker, Resources: reservation(s), Service: service}
 }
@@ -56,6 +60,16 @@
 	return true
 }
 
+// suitsStep reports whether the shard's workers could hold a task of a step, or all tasks of a gang, if they were empty. known holds what
+// was found for other steps.
+func (o *Owner) suitsStep(s *workflow.Step, service string, known map[Demand]bool) bool {
+	d := requirement(s, service)
+	if _, ok := known[d]; !ok {
+		known[d] = o.Suits([]Demand{d})
+	}
+	return known[d]
+}
+
 // fit returns how many of the tasks a worker can hold in some free resources, at most limit.
 func (d Demand) fit(w *worker, free fleet.Resources, limit int) int {
 	if w.Service != d.Service || !w.HasLabel(d.Label) {
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -38,6 +38,7 @@
 	if o.isHandingOver {
 		return nil
 	}
+	// A task that never ran is given only if no worker of the shard could hold it: until then its job waits for its turn.
 	var tasks []*task
 	suits := map[Demand]bool{}
 	for _, j := range o.backlog {
@@ -45,7 +46,7 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if mayGive(now, t) && (t.run > 0 || !o.suitsAnyWorker(t, suits)) {
+			if mayGive(now, t) && (t.run > 0 || !o.suitsStep(t.step, t.job.queue.Service, suits)) {
 				tasks = append(tasks, t)
 			}
 		}
@@ -94,17 +95,6 @@
 	return true
 }
 
-// suitsAnyWorker reports whether a worker of the shard could hold a task if it were empty. A task that never ran is given only if none
-// could: until then its job waits for its turn. known holds what was found for other tasks.
-func (o *Owner) suitsAnyWorker(t *task, known map[Demand]bool) bool {
-	d := demandOf(t.step, t.job.queue.Service)
-	d.Count = 1
-	if _, ok := known[d]; !ok {
-		known[d] = o.Suits([]Demand{d})
-	}
-	return known[d]
-}
-
 // mayGive reports whether a task of a job that may be shared has waited for long enough to move.
 func mayGive(now time.Time, t *task) bool {
 	if !t.isWaiting() {
--- a/internal/shard/headroom.go
+++ b/internal/shard/headroom.go
@@ -55,12 +55,12 @@
 }
 
 // observeArrival adds the short tasks of a new job to the remembered demand. The tasks that wait can't be used for their size, since
-// large ones wait longer.
-func (o *Owner) observeArrival(j *job) {
+// large ones wait longer. Tasks that no worker could hold use no room.
+func (o *Owner) observeArrival(j *job, known map[Demand]bool) {
 	class := shortTasks{j.priority, j.queue.Service}
 	d := o.shortDemand[class]
 	for _, step := range j.Steps {
-		if isShort(&step) {
+		if isShort(&step) && o.suitsStep(&step, j.queue.Service, known) {
 			d.arrivedCPU += float64(step.Count) * float64(step.Resources.CPUMilli)
 			d.arrivedTasks += float64(step.Count)
 		}
@@ -72,18 +72,25 @@
 
 // observeShortDemand updates the remembered demand of short tasks by the tasks that run or could run now.
 func (o *Owner) observeShortDemand(now time.Time) {
+	if !o.isRegistryRead {
+		return
+	}
 	for class, d := range o.shortDemand {
 		o.shortDemand[class] = d.decayed(now.Sub(o.shortDemandAt))
 	}
 	o.shortDemandAt = now
-	cpu := map[shortTasks]int64{}
+	cpu, known := map[shortTasks]int64{}, map[Demand]bool{}
 	for _, j := range o.backlog {
 		if j.final != "" {
 			continue
 		}
+		if !j.hasArrived {
+			j.hasArrived = true
+			o.observeArrival(j, known)
+		}
 		for _, occ := range j.occurrences {
 			for s, step := range j.Steps {
-				if occ.ready[s] && isShort(&step) {
+				if occ.ready[s] && isShort(&step) && o.suitsStep(&step, j.queue.Service, known) {
 					cpu[shortTasks{j.priority, j.queue.Service}] += int64(occ.undone[s]) * step.Resources.CPUMilli
 				}
 			}
@@ -132,7 +139,7 @@
 	if d.cpu < 1 || d.arrivedTasks == 0 {
 		return nil
 	}
-	h := &headroom{unit: max(int64(usableShare*d.arrivedCPU/d.arrivedTasks), 1)}
+	h := &headroom{unit: max(int64(math.Round(usableShare*d.arrivedCPU/d.arrivedTasks)), 1)}
 	capacity := int64(0)
 	for _, w := range o.sortedWorkers() {
 		if w.Service == class.service && w.takesTasks(now) {
--- a/internal/shard/headroom_test.go
+++ b/internal/shard/headroom_test.go
@@ -143,3 +143,27 @@
 	assert.Equal(t, len(c.workersOf("l000000000000001")), 0)
 	assert.Equal(t, c.owner.Load("s").Interrupted, 1)
 }
+
+// Guards against room that is kept for ever for short tasks that no worker could hold if it were empty, while long-running tasks wait.
+func TestNoHeadroomIsKeptForTasksThatFitNoWorker(t *testing.T) {
+	const workers = 10
+	for name, hopeless := range map[string]workflow.Step{
+		"size":  {Count: 20, Resources: fleet.Resources{CPUMilli: 9000, MemoryMiB: 100}},
+		"label": {Count: 20, Resources: fleet.Resources{CPUMilli: 7500, MemoryMiB: 100}, Label: "none"},
+		"gang":  {Count: 2 * workers, Resources: fleet.Resources{CPUMilli: 7500, MemoryMiB: 100}, Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFleetHarness(t, workers)
+			c.run(time.Second)
+			c.add(workflow.Job{ID: "s000000000000001", Queue: "q", Steps: []workflow.Step{hopeless}})
+			c.run(time.Minute)
+			for i := range workers {
+				c.add(workflow.Job{ID: fmt.Sprintf("l%015x", i), Queue: "q", Steps: []workflow.Step{
+					{Count: 1, Resources: fleet.Resources{CPUMilli: 4500, MemoryMiB: 100}, LongRunning: true},
+				}})
+			}
+			c.run(time.Second)
+			assert.Equal(t, len(c.running), workers)
+		})
+	}
+}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -129,7 +129,6 @@
 	age := max(o.wallClock().UnixMilli()-j.AcceptedAt, 0)
 	n := &job{Job: j, acceptedAt: now.Add(-time.Duration(age) * time.Millisecond), occurrences: map[int]*occurrence{}}
 	o.applyQueue(n)
-	o.observeArrival(n)
 	if j.Occurrences == 0 {
 		o.occurrence(n, 0)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -145,6 +145,8 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// hasArrived is set once a placement round has counted the job's short tasks as arrivals.
+	hasArrived bool
 	// lastRank is the rank at the last sorting of the backlog.
 	lastRank int
 	// objective is the time after which the job counts as late.
