Count tasks per worker in what shards promise each other

Cause: a shard promises no room on workers that suit a waiting task of its own. A task whose step is limited per worker counted as suited also where the worker had its share of the step, so one such task without a place kept all room of its shard from the others for as long as it waited, and so did one that the placement advice excludes from these workers. The other way round, a request for room did not say of which step its tasks are: they were given to workers that have their share already, waited there for 3 s and came back for 6 s.

Change: whether a waiting task takes a worker's room is asked as for its placement. A demand of tasks that are limited per worker names their job and step. Hosts of older builds ignore the new fields of the message, and send none.

Result: TestRoomCountsTasksPerWorker failed before; it passes.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -190,10 +190,12 @@
 // Demand is what equal tasks need from the workers of a shard: the fields of shard.Demand.
 type Demand struct {
 	Count     int             `json:"count"`
+	Job       string          `json:"job,omitempty"`
 	Label     string          `json:"label,omitempty"`
 	PerWorker int             `json:"per_worker,omitempty"`
 	Resources fleet.Resources `json:"resources"`
 	Service   string          `json:"service"`
+	Step      int             `json:"step,omitempty"`
 }
 
 // LoadQuery requests from the owner of a shard its load and free capacity for a service.
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -11,11 +11,14 @@
 type Demand struct {
 	// Count is the number of tasks.
 	Count int
+	// Job and Step name the step of the tasks if it limits them per worker and they move between shards: those that a worker has count.
+	Job   string
 	Label string
 	// PerWorker is the maximum number of the tasks on one worker; 0 means no limit.
 	PerWorker int
 	Resources fleet.Resources
 	Service   string
+	Step      int
 }
 
 // Requirements returns what the workers of a shard must be able to hold for a job to run there: a task of each step, or all tasks of
@@ -76,7 +79,7 @@
 		return 0
 	}
 	if d.PerWorker > 0 {
-		limit = min(limit, d.PerWorker)
+		limit = min(limit, d.PerWorker-w.countOf(d.Job, workflow.TaskKey{Step: d.Step}))
 	}
 	n := 0
 	for n < limit && d.Resources.FitsIn(free) {
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -68,6 +68,9 @@
 	for _, t := range tasks {
 		d := demandOf(t.step, t.job.queue.Service)
 		d.Count = 0
+		if d.PerWorker > 0 {
+			d.Job, d.Step = t.job.ID, t.key.Step
+		}
 		i, ok := index[d]
 		if !ok {
 			i = len(out)
@@ -245,8 +248,8 @@
 	}
 }
 
-// ownDemands returns the demands of the smallest tasks that wait in the shard for their next run.
-func (o *Owner) ownDemands() []Demand {
+// ownWaiting returns the smallest tasks that wait in the shard for their next run, one of each class.
+func (o *Owner) ownWaiting() []*task {
 	var waiting []*task
 	for _, j := range o.backlog {
 		if o.jobs[j.ID] == j && j.IsLongRunning() {
@@ -255,27 +258,29 @@
 	}
 	offers := classify(waiting)
 	slices.SortStableFunc(offers, func(a, b Offer) int { return cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli) })
-	var out []Demand
+	var out []*task
 	for _, f := range offers[:min(len(offers), maxOwnDemands)] {
-		out = append(out, f.Demand)
+		out = append(out, f.tasks[0])
 	}
 	return out
 }
 
-// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other. Workers that suit a task
-// of the shard that waits as well are left out, since that task takes the room first.
+// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other. Workers that could take
+// a task of the shard that waits as well are left out, since that task takes the room first.
 func (o *Owner) Room(now time.Time, demands []Demand) []int {
 	out := make([]int, len(demands))
 	if o.isHandingOver {
 		return out
 	}
-	own := o.ownDemands()
+	own := o.ownWaiting()
 	for _, w := range o.sortedWorkers() {
 		if !w.takesTasks(now) || w.heldFor != nil && now.Before(w.heldUntil) {
 			continue
 		}
 		free := w.Capacity.Sub(w.reserved)
-		if slices.ContainsFunc(own, func(d Demand) bool { return d.fit(w, free, 1) > 0 }) {
+		if slices.ContainsFunc(own, func(t *task) bool {
+			return w.suitsStep(now, t) && !t.isAdvisedAgainst(w) && reservation(t.step).FitsIn(free)
+		}) {
 			continue
 		}
 		for i, d := range demands {
--- a/internal/shard/exchange_test.go
+++ b/internal/shard/exchange_test.go
@@ -50,3 +50,21 @@
 	restoreInterrupted(c.owner, now, 2, capacity/2)
 	assert.DeepEqual(t, c.owner.Room(now, demand), []int{0})
 }
+
+// Guards against room that a shard promises to no other one, or to one that can't use it, because of a limit of tasks per worker: a
+// waiting task that no worker of its shard may take keeps no room, and tasks of a step that a worker has already count.
+func TestRoomCountsTasksPerWorker(t *testing.T) {
+	c := newFleetHarness(t, 1)
+	c.run(time.Second)
+	step := workflow.Step{Count: 2, LongRunning: true, PerWorker: 1, Resources: fleet.Resources{CPUMilli: 1000, MemoryMiB: 10}}
+	j := workflow.Job{ID: "0000000000000001", Queue: "q", Steps: []workflow.Step{step}}
+	c.owner.Restore(c.now, j, workflow.Progress{Tasks: []workflow.TaskRecord{{Run: 1}, {Key: workflow.TaskKey{Index: 1}, Run: 1}}}, false)
+	c.jobs[j.ID] = j
+	c.run(3 * time.Second)
+	assert.Equal(t, len(c.running), 1)
+	other := shard.Demand{Count: 3, Resources: step.Resources, Service: "s"}
+	assert.DeepEqual(t, c.owner.Room(c.now, []shard.Demand{other}), []int{3})
+	offers := c.owner.Offers(c.now)
+	assert.Equal(t, len(offers), 1)
+	assert.DeepEqual(t, c.owner.Room(c.now, []shard.Demand{offers[0].Demand}), []int{0})
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -367,14 +367,16 @@
 	if w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) {
 		return false
 	}
-	if s.PerWorker > 0 {
-		same := 0
-		for _, at := range w.attempts {
-			if at.task.job == t.job && at.task.key.Step == t.key.Step && at.task.key.Occurrence == t.key.Occurrence {
-				same++
-			}
+	return s.PerWorker == 0 || w.countOf(t.job.ID, t.key) < s.PerWorker
+}
+
+// countOf returns the number of attempts on the worker that are of the same step and occurrence of a job as a task.
+func (w *worker) countOf(job string, k workflow.TaskKey) int {
+	n := 0
+	for _, at := range w.attempts {
+		if at.task.job.ID == job && at.task.key.Step == k.Step && at.task.key.Occurrence == k.Occurrence {
+			n++
 		}
-		return same < s.PerWorker
 	}
-	return true
+	return n
 }
