Change nothing for a gang that finds no room

Cause: a placement round assigned the members of a gang one after the other and took them back if one found no worker. Each time the run numbers rose and the job was recorded: 50 commits a second for one gang that waits, of the 400 writes a second that the store of a site accepts, and as many log lines of placements that did not happen. A lasting gang also used up the headroom of the round.

Change: workers for all members are chosen first; the members are assigned only if there is one for each.

--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -297,30 +297,53 @@
 // resume from the same checkpoint.
 func (o *Owner) tryGang(now time.Time, tasks []*task, rack string, run int) bool {
 	checkpoint := ""
-	for i, t := range tasks {
+	for _, t := range tasks {
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
 		}
-		w := o.choose(now, t, rack)
-		if w == nil {
-			if t.job.queue.Advice != nil {
-				o.requestAdvice(now, t)
-			}
-			for _, placed := range tasks[:i] {
-				for _, at := range slices.Clone(placed.attempts) {
-					o.removeAttempt(at, "gang does not fit")
-				}
-			}
-			return false
+	}
+	workers := o.chooseForGang(now, tasks, rack)
+	if len(workers) < len(tasks) {
+		if tasks[0].job.queue.Advice != nil {
+			o.requestAdvice(now, tasks[0])
 		}
-		o.assign(t, w, run)
+		return false
 	}
-	for _, t := range tasks {
+	for i, t := range tasks {
 		t.checkpoint = checkpoint
+		o.assign(t, workers[i], run)
 	}
 	return true
 }
 
+// chooseForGang returns a worker for each task of a gang, or fewer if they don't fit at the same time. It changes nothing: a gang that
+// waits is tried in each round, and its job must not be recorded each time.
+func (o *Owner) chooseForGang(now time.Time, tasks []*task, rack string) []*worker {
+	var workers []*worker
+	var tried []*attempt
+	h, lost := o.headroomFor(now, tasks[0]), int64(0)
+	for _, t := range tasks {
+		w := o.choose(now, t, rack)
+		if w == nil {
+			break
+		}
+		if h != nil {
+			loss := h.loss(w, t.step.Resources.CPUMilli)
+			h.available, lost = h.available-loss, lost+loss
+		}
+		at := &attempt{phase: phasePlanned, task: t, worker: w}
+		w.add(at)
+		workers, tried = append(workers, w), append(tried, at)
+	}
+	for _, at := range tried {
+		at.worker.remove(at)
+	}
+	if h != nil {
+		h.available += lost
+	}
+	return workers
+}
+
 func (o *Owner) racks() []string {
 	var racks []string
 	for _, w := range o.sortedWorkers() {
