--- a/internal/entry/handoverseries_test.go
+++ b/internal/entry/handoverseries_test.go
@@ -95,6 +95,9 @@
 	assert.Check(t, strings.Join(f.tasks.twice, "\n") == "", "%s; owners: %s", strings.Join(f.tasks.twice, "\n"), f.ownerHistory(began))
 	longest, task := f.tasks.longestCounted()
 	assert.Check(t, longest <= restartWindow, "%s had nothing running for %s; owners: %s", task, longest, f.ownerHistory(began))
+	stopLoad()
+	time.Sleep(quietTime - contactTime - restartGrace - restartWindow)
+	f.checkNothingWaits("after a series of handovers")
 	f.tasks.mu.Lock()
 	for task, worker := range f.tasks.running {
 		job, _, _ := strings.Cut(task, ".")
@@ -138,7 +141,9 @@
 	p.Poll = func(ctx context.Context, l shard.Poll) (shard.Listing, shard.Outcome) {
 		outcome, hasFailed := s.fail(ctx, l.Worker, func(w *simulatedWorker) bool {
 			l.Wait = time.Millisecond
-			_, outcome := w.poll(context.Background(), l)
+			pollCtx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, outcome := w.poll(pollCtx, l)
 			return outcome == shard.OutcomeDone
 		})
 		if hasFailed {
@@ -160,8 +165,9 @@
 	}
 	if s.int(2) == 0 {
 		s.lateCalls.Add(1)
+		life := w.entry().Born
 		time.AfterFunc(time.Duration(1+s.int(int(maxLateness/time.Millisecond)-1))*time.Millisecond, func() {
-			if execute(w) {
+			if w.entry().Born == life && execute(w) {
 				s.lateExecuted.Add(1)
 			}
 		})
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -38,6 +38,7 @@
 	if o.isHandingOver {
 		return nil
 	}
+	// A task that never ran is given only if no worker of the shard could hold it: until then its job waits for its turn.
 	var tasks []*task
 	suits := map[Demand]bool{}
 	for _, j := range o.backlog {
@@ -45,7 +46,7 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if mayGive(now, t) && (t.run > 0 || !o.suitsAnyWorker(t, suits)) {
+			if mayGive(now, t) && (t.run > 0 || !o.suitsStep(t.step, t.job.queue.Service, suits)) {
 				tasks = append(tasks, t)
 			}
 		}
@@ -67,6 +68,9 @@
 	for _, t := range tasks {
 		d := demandOf(t.step, t.job.queue.Service)
 		d.Count = 0
+		if d.PerWorker > 0 {
+			d.Job, d.Step = t.job.ID, t.key.Step
+		}
 		i, ok := index[d]
 		if !ok {
 			i = len(out)
@@ -94,17 +98,6 @@
 	return true
 }
 
-// suitsAnyWorker reports whether a worker of the shard could hold a task if it were empty. A task that never ran is given only if none
-// could: until then its job waits for its turn. known holds what was found for other tasks.
-func (o *Owner) suitsAnyWorker(t *task, known map[Demand]bool) bool {
-	d := demandOf(t.step, t.job.queue.Service)
-	d.Count = 1
-	if _, ok := known[d]; !ok {
-		known[d] = o.Suits([]Demand{d})
-	}
-	return known[d]
-}
-
 // mayGive reports whether a task of a job that may be shared has waited for long enough to move.
 func mayGive(now time.Time, t *task) bool {
 	if !t.isWaiting() {
@@ -258,8 +251,8 @@
 	}
 }
 
-// ownDemands returns the demands of the smallest tasks that wait in the shard for their next run.
-func (o *Owner) ownDemands() []Demand {
+// ownWaiting returns the smallest tasks that wait in the shard for their next run, one of each class.
+func (o *Owner) ownWaiting() []*task {
 	var waiting []*task
 	for _, j := range o.backlog {
 		if o.jobs[j.ID] == j && j.IsLongRunning() {
@@ -268,27 +261,29 @@
 	}
 	offers := classify(waiting)
 	slices.SortStableFunc(offers, func(a, b Offer) int { return cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli) })
-	var out []Demand
+	var out []*task
 	for _, f := range offers[:min(len(offers), maxOwnDemands)] {
-		out = append(out, f.Demand)
+		out = append(out, f.tasks[0])
 	}
 	return out
 }
 
-// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other. Workers that suit a task
-// of the shard that waits as well are left out, since that task takes the room first.
+// Room returns how many tasks of each demand the shard's workers could take at once, one demand after the other. Workers that could take
+// a task of the shard that waits as well are left out, since that task takes the room first.
 func (o *Owner) Room(now time.Time, demands []Demand) []int {
 	out := make([]int, len(demands))
 	if o.isHandingOver {
 		return out
 	}
-	own := o.ownDemands()
+	own := o.ownWaiting()
 	for _, w := range o.sortedWorkers() {
 		if !w.takesTasks(now) || w.heldFor != nil && now.Before(w.heldUntil) {
 			continue
 		}
 		free := w.Capacity.Sub(w.reserved)
-		if slices.ContainsFunc(own, func(d Demand) bool { return d.fit(w, free, 1) > 0 }) {
+		if slices.ContainsFunc(own, func(t *task) bool {
+			return w.suitsStep(now, t) && !t.isAdvisedAgainst(w) && reservation(t.step).FitsIn(free)
+		}) {
 			continue
 		}
 		for i, d := range demands {
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -146,7 +146,6 @@
 		o.log.WithFields(logrus.Fields{"decision": "queue_unknown", "job": j.ID, "queue": j.Queue}).
 			Warn("the queue of a job has been removed and no record has its settings; the job waits until it is there again")
 	}
-	o.observeArrival(n)
 	if j.Occurrences == 0 {
 		o.occurrence(n, 0)
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -304,30 +304,53 @@
 // resume from the same checkpoint.
 func (o *Owner) tryGang(now time.Time, tasks []*task, rack string, run int) bool {
 	checkpoint := ""
-	for i, t := range tasks {
+	for _, t := range tasks {
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
 		}
-		w := o.choose(now, t, rack)
-		if w == nil {
-			if t.job.queue.Advice != nil {
-				o.requestAdvice(now, t)
-			}
-			for _, placed := range tasks[:i] {
-				for _, at := range slices.Clone(placed.attempts) {
-					o.removeAttempt(at, "gang does not fit")
-				}
-			}
-			return false
+	}
+	workers := o.chooseForGang(now, tasks, rack)
+	if len(workers) < len(tasks) {
+		if tasks[0].job.queue.Advice != nil {
+			o.requestAdvice(now, tasks[0])
 		}
-		o.assign(t, w, run)
+		return false
 	}
-	for _, t := range tasks {
+	for i, t := range tasks {
 		t.checkpoint = checkpoint
+		o.assign(t, workers[i], run)
 	}
 	return true
 }
 
+// chooseForGang returns a worker for each task of a gang, or fewer if they don't fit at the same time. It changes nothing: a gang that
+// waits is tried in each round, and its job must not be recorded each time.
+func (o *Owner) chooseForGang(now time.Time, tasks []*task, rack string) []*worker {
+	var workers []*worker
+	var tried []*attempt
+	h, lost := o.headroomFor(now, tasks[0]), int64(0)
+	for _, t := range tasks {
+		w := o.choose(now, t, rack)
+		if w == nil {
+			break
+		}
+		if h != nil {
+			loss := h.loss(w, t.step.Resources.CPUMilli)
+			h.available, lost = h.available-loss, lost+loss
+		}
+		at := &attempt{phase: phasePlanned, task: t, worker: w}
+		w.add(at)
+		workers, tried = append(workers, w), append(tried, at)
+	}
+	for _, at := range tried {
+		at.worker.remove(at)
+	}
+	if h != nil {
+		h.available += lost
+	}
+	return workers
+}
+
 func (o *Owner) racks() []string {
 	var racks []string
 	for _, w := range o.sortedWorkers() {
@@ -374,14 +397,16 @@
 	if w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) {
 		return false
 	}
-	if s.PerWorker > 0 {
-		same := 0
-		for _, at := range w.attempts {
-			if at.task.job == t.job && at.task.key.Step == t.key.Step && at.task.key.Occurrence == t.key.Occurrence {
-				same++
-			}
+	return s.PerWorker == 0 || w.countOf(t.job.ID, t.key) < s.PerWorker
+}
+
+// countOf returns the number of attempts on the worker that are of the same step and occurrence of a job as a task.
+func (w *worker) countOf(job string, k workflow.TaskKey) int {
+	n := 0
+	for _, at := range w.attempts {
+		if at.task.job.ID == job && at.task.key.Step == k.Step && at.task.key.Occurrence == k.Occurrence {
+			n++
 		}
-		return same < s.PerWorker
 	}
-	return true
+	return n
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -153,6 +153,8 @@
 	isCompactRecorded bool
 	// isLimitLogged is set once it was logged that the job has as many open occurrences as it may have.
 	isLimitLogged bool
+	// hasArrived is set once a placement round has counted the job's short tasks as arrivals.
+	hasArrived bool
 	// lastRank is the rank at the last sorting of the backlog.
 	lastRank int
 	// objective is the time after which the job counts as late.
