--- a/internal/shard/recordsize.go
+++ b/internal/shard/recordsize.go
@@ -17,8 +17,6 @@
 	// one occurrence of any size.
 	maxOpenOccurrences = 1000
 	maxOpenTasks       = 100_000
-	// maxBegunTasks limits the tasks of a job that have begun and are not done. Each has a record of its own.
-	maxBegunTasks = 8000
 )
 
 // doneTasks returns the number of done tasks in the job's open occurrences.
@@ -109,4 +107,4 @@
 }
 
 // mayBegin reports whether a task that never ran may begin. Those that have begun go on, so that their number falls.
-func (t *task) mayBegin() bool { return t.run > 0 || t.job.begunTasks < maxBegunTasks }
+func (t *task) mayBegin() bool { return t.run > 0 || t.job.begunTasks < workflow.MaxBegunTasks }
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -18,6 +18,8 @@
 	// MaxTasks is the largest number of tasks of an occurrence.
 	MaxTasks     = 20_000
 	maxSpecBytes = 4000
+	// MaxBegunTasks is the largest number of a job's tasks that have begun and are not done. Each has a record of its own.
+	MaxBegunTasks = 8000
 	// MaxOccurrences is the largest number of occurrences.
 	MaxOccurrences = 100_000
 )
