Show what ends each state in which an owner does not act

Need: operators and maintainers need to know in which states a host holds the key of a shard and does not act, and what ends them.

--- a/internal/entry/refusedtoken_test.go
+++ b/internal/entry/refusedtoken_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -153,3 +155,25 @@
 		f.checkTasksRun(contactTime + maxWorkerLease + restartGrace)
 	})
 }
+
+// Guards against a shard that nobody serves because a worker has refused its owner, which can't prove its ownership: the store refuses its
+// transactions, or gives no answer to them, and goes on renewing its lease.
+func TestShardOfRefusedOwnerThatCannotRenewItsClaimIsTaken(t *testing.T) {
+	for name, fault := range map[string]txnFault{"refused": {isRefused: true}, "no answer": {delay: time.Hour}} {
+		t.Run(name, func(t *testing.T) {
+			runRefused(t, 3, func(f *simulatedFleet) {
+				owner := slices.Sorted(maps.Keys(f.owners()))[0]
+				f.store.setTxnFault(func(host string, _ kvstore.Txn) txnFault {
+					if host == owner {
+						return fault
+					}
+					return txnFault{}
+				})
+				w := f.workers["servers/w0-0"]
+				w.knowToken(w.highestToken() + 1)
+				f.checkTasksRun(30 * time.Second)
+				assert.Check(t, f.owners()[owner] == 0, "owners: %v", f.owners())
+			})
+		})
+	}
+}
--- a/internal/entry/unansweredrenewal_test.go
+++ b/internal/entry/unansweredrenewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -34,7 +35,13 @@
 			return err
 		})
 		isSilent.Store(true)
+		began := time.Now()
 		f.checkTasksRun(40 * time.Second)
+		at := f.ownershipsOf("one")
+		taken := slices.DeleteFunc(append(f.ownershipsOf("strong-0"), f.ownershipsOf("strong-1")...), began.After)
+		assert.Assert(t, len(taken) == 1 && len(at) == 1, "owners: %s", f.ownerHistory(began))
+		assert.Check(t, taken[0].Sub(began) < 6*time.Second, "taken after %s", taken[0].Sub(began))
+		t.Logf("the shard was taken after %s", taken[0].Sub(began))
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
 		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
