Test the renewal of a claim whose answer is lost

Need: the owner's own write changes the keys that guard its next attempt.

Change: a test. The watch shows the owner key with the new revision, and the runner continues with it.

--- a/internal/entry/refusedtoken_test.go
+++ b/internal/entry/refusedtoken_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +178,25 @@
 		})
 	}
 }
+
+// Guards against an owner that does not act because the answer to the renewal of its claim was lost: its own write has changed the keys that
+// guard the next attempt.
+func TestRefusedOwnerActsAgainWithoutAnswerToRenewal(t *testing.T) {
+	runRefused(t, 1, func(f *simulatedFleet) {
+		var faults atomic.Int64
+		f.store.setTxnFault(func(_ string, t kvstore.Txn) txnFault {
+			writesOwner := slices.ContainsFunc(t.Puts, func(p kvstore.Put) bool { return strings.HasPrefix(p.Key, entry.OwnerPrefix) })
+			if writesOwner && faults.Add(1) == 1 {
+				return txnFault{delay: 50 * time.Millisecond}
+			}
+			return txnFault{}
+		})
+		w := f.workers["servers/w0-0"]
+		w.knowToken(w.highestToken() + 1)
+		began := time.Now()
+		time.Sleep(2 * time.Second)
+		assert.Check(t, faults.Load() > 0, "no renewal")
+		assert.Equal(t, len(f.ownerWrites("strong-0", began)), 1, "owners: %s", f.ownerHistory(began))
+		f.checkTasksRun(20 * time.Second)
+	})
+}
