--- a/internal/entry/refusedtoken_test.go
+++ b/internal/entry/refusedtoken_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,3 +156,47 @@
 		f.checkTasksRun(contactTime + maxWorkerLease + restartGrace)
 	})
 }
+
+// Guards against a shard that nobody serves because a worker has refused its owner, which can't prove its ownership: the store refuses its
+// transactions, or gives no answer to them, and goes on renewing its lease.
+func TestShardOfRefusedOwnerThatCannotRenewItsClaimIsTaken(t *testing.T) {
+	for name, fault := range map[string]txnFault{"refused": {isRefused: true}, "no answer": {delay: time.Hour}} {
+		t.Run(name, func(t *testing.T) {
+			runRefused(t, 3, func(f *simulatedFleet) {
+				owner := slices.Sorted(maps.Keys(f.owners()))[0]
+				f.store.setTxnFault(func(host string, _ kvstore.Txn) txnFault {
+					if host == owner {
+						return fault
+					}
+					return txnFault{}
+				})
+				w := f.workers["servers/w0-0"]
+				w.knowToken(w.highestToken() + 1)
+				f.checkTasksRun(30 * time.Second)
+				assert.Check(t, f.owners()[owner] == 0, "owners: %v", f.owners())
+			})
+		})
+	}
+}
+
+// Guards against an owner that does not act because the answer to the renewal of its claim was lost: its own write has changed the keys that
+// guard the next attempt.
+func TestRefusedOwnerActsAgainWithoutAnswerToRenewal(t *testing.T) {
+	runRefused(t, 1, func(f *simulatedFleet) {
+		var faults atomic.Int64
+		f.store.setTxnFault(func(_ string, t kvstore.Txn) txnFault {
+			writesOwner := slices.ContainsFunc(t.Puts, func(p kvstore.Put) bool { return strings.HasPrefix(p.Key, entry.OwnerPrefix) })
+			if writesOwner && faults.Add(1) == 1 {
+				return txnFault{delay: 50 * time.Millisecond}
+			}
+			return txnFault{}
+		})
+		w := f.workers["servers/w0-0"]
+		w.knowToken(w.highestToken() + 1)
+		began := time.Now()
+		time.Sleep(2 * time.Second)
+		assert.Check(t, faults.Load() > 0, "no renewal")
+		assert.Equal(t, len(f.ownerWrites("strong-0", began)), 1, "owners: %s", f.ownerHistory(began))
+		f.checkTasksRun(20 * time.Second)
+	})
+}
