Tell the next owner the leases of workers after it has taken the shard

Cause: an owner whose lease ends in the store while it is cut off, or while the store answers nobody, has no key to delete and hands nothing over. The host that takes its shard waits for the longest lease of each silent worker from its takeover, though the last owner is up again a moment later and knows better.

Change: an owner that sees another one with a claim that followed its own writes the leases it knows, guarded by the key of the new owner, which looks for them for 4 s after its takeover. They count from the read, which is after the last order, and only shorten what the new owner assumes. The record has its own field for the epoch, so owners of older builds pass over it.

--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -20,6 +20,9 @@
 	// owner end CrashedLeases after the record was written at the latest. Owners of older builds find no record of theirs then.
 	CrashedEpoch  int64         `cbor:"3,keyasint,omitempty"`
 	CrashedLeases time.Duration `cbor:"4,keyasint,omitempty"`
+	// LateEpoch replaces Epoch in the record of an owner that learned of the loss of its shard only when another host had taken it. The
+	// leases in Handover count from the read of the record then, and the rest of it is empty.
+	LateEpoch int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // readHandover returns what the last owner of the shard handed over, or nil if there is no record of that owner, as after a crash. The
@@ -53,6 +56,9 @@
 	case record.CrashedEpoch == r.previousEpoch:
 		r.noteCrash(record.CrashedLeases)
 		return nil, nil
+	case record.LateEpoch == r.previousEpoch:
+		r.updateOwner(func(now time.Time) { r.owner.InheritLate(now, record.Handover) })
+		return nil, nil
 	case record.Epoch != r.previousEpoch:
 		return nil, nil
 	}
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -232,8 +232,8 @@
 	isNew := r != nil && current.revision > r.ownerRevision()
 	switch {
 	case current.Incarnation != h.self.Incarnation:
-		if isNew {
-			o.stopRunner(r, "another host owns the shard")
+		if isNew && o.stopRunner(r, "another host owns the shard") {
+			go o.tellNextOwner(ctx, r)
 		}
 		if r == nil && current.isPredecessorOf(h.self) {
 			o.releasePredecessor(ctx, n, current)
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -103,7 +103,7 @@
 
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
-	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle} {
+	for _, task := range []func(){r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle, r.followLateHandover} {
 		r.run(task)
 	}
 	r.run(func() {
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -170,7 +170,7 @@
 		bound = leaseBound{end: o.earlierLeasesEnd, origin: leaseFromClaim}
 	}
 	if o.inherited == nil {
-		return bound
+		return o.told.limit(worker, bound)
 	}
 	left := time.Duration(0)
 	if i := o.inherited.indexOf(worker); i >= 0 {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -40,6 +40,8 @@
 	heldWorkers int
 	// inherited is what the last owner handed over, or nil.
 	inherited *Handover
+	// told is what the last owner told after this one had taken the shard, or nil.
+	told *lateHandover
 	// isRegistryRead is set once the shard's workers are known.
 	isRegistryRead bool
 	// isHandingOver is set once the shard is handed over to another owner.
