Count tasks that wait for longer than the longest lease beside idle workers

Need: a task that stands still, for a ticket, a hold or a quarantine that never ends, showed in no metric. Callers saw it first.

Change: the gauge N_waiting_beside_room counts tasks that have waited for 1 s more than the longest lease (best-effort tasks 20 s) while two workers or more answer, suit them and have room by their reservations. A host withdraws the gauges of a shard that it gives up; their last values stayed before, so that an alarm on them would not have ended.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strconv"
 
 	"github.com/laburnumridge/laburnumridge/internal/metrics"
 )
@@ -28,3 +29,24 @@
 	storeWrites        = expvar.NewInt("entry_store_writes")
 	timerLag           = metrics.NewHistogram("entry_timer_lag_ms")
 )
+
+// setGauges publishes the state of the shard, by name.
+func (r *runner) setGauges(values map[string]int) {
+	for name, n := range values {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		shardGauges.Set(r.gaugeName(name), v)
+		r.gauges[name] = true
+	}
+}
+
+// deleteGauges withdraws the gauges of a shard that this host has given up. Their last values would stay for ever.
+func (r *runner) deleteGauges() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.gauges {
+		shardGauges.Delete(r.gaugeName(name))
+	}
+}
+
+func (r *runner) gaugeName(name string) string { return strconv.Itoa(r.shard) + "_" + name }
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -289,5 +289,6 @@
 		Info("gave up the shard")
 	ownerChanges.Add("given_up", 1)
 	r.close()
+	r.deleteGauges()
 	return true
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"expvar"
-	"strconv"
 	"sync"
 	"time"
 
@@ -46,6 +44,8 @@
 	// inherited is what the last owner of the shard handed over, or nil. It is read once, until isHandoverRead is set.
 	inherited      *shard.Handover
 	isHandoverRead bool
+	// gauges holds the names of the gauges that this runner has published.
+	gauges map[string]bool
 	// hasUnassigned is set while the layout assigns no shard to the rack of a worker.
 	hasUnassigned bool
 	host          *Host
@@ -93,7 +93,7 @@
 	now := h.now()
 	return &runner{
 		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: now, epochKeyRevision: revision,
-		expected: expectedJobs{}, host: h, lease: lease, log: log, takenAt: now,
+		expected: expectedJobs{}, gauges: map[string]bool{}, host: h, lease: lease, log: log, takenAt: now,
 		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithShard(n), shard.WithTiming(h.timing()),
 			shard.WithStartObserver(startWait.Observe)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
@@ -244,21 +244,17 @@
 	}
 	r.lastSummary = now
 	s := r.owner.Summary(now)
-	for name, n := range map[string]int{
+	r.setGauges(map[string]int{
 		"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
-		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting,
-	} {
-		v := new(expvar.Int)
-		v.Set(int64(n))
-		shardGauges.Set(strconv.Itoa(r.shard)+"_"+name, v)
-	}
+		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom,
+	})
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "headroom_milli": s.HeadroomAvailable,
 		"headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
 		"serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
-		"waiting": s.Waiting, "waiting_fills": s.WaitingBestEffort,
+		"waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom, "waiting_fills": s.WaitingBestEffort,
 		"waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
 	}).Info("shard summary")
 	r.owner.ReportWaits(now)
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -100,8 +100,10 @@
 	faultsEnabled  bool
 	// refusesAdvice is set while no worker gets a ticket.
 	refusesAdvice bool
-	storeUp       bool
-	starts        int
+	// ignoresAdviceRequests is set while requests for advice get no answer, not even an error.
+	ignoresAdviceRequests bool
+	storeUp               bool
+	starts                int
 	// history holds the events of each task, which are printed if a guarantee is violated.
 	history map[string][]string
 }
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -135,6 +135,9 @@
 
 // advise responds to an advice request after a delay, with tickets or with an error.
 func (sim *simulation) advise(a shard.AdviceRequest) {
+	if sim.ignoresAdviceRequests {
+		return
+	}
 	owner, sent := sim.owner, sim.now
 	sim.calls = append(sim.calls, &call{deliverAt: sim.now.Add(time.Duration(5+sim.random.IntN(100)) * time.Millisecond), onTimer: func(bool) {
 		if owner != sim.owner {
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -31,6 +31,9 @@
 	// also counted by themselves.
 	Waiting           int
 	WaitingBestEffort int
+	// WaitingBesideRoom is the number of tasks that have waited for longer than the longest lease while several workers that suit them have
+	// room, as far as ReportWaits has seen.
+	WaitingBesideRoom int
 	// WaitingLongRunning counts the long-running tasks among the waiting ones.
 	WaitingLongRunning int
 	Workers            int
@@ -84,6 +87,7 @@
 			}
 		}
 	}
+	s.WaitingBesideRoom = o.waitingBesideRoom(now)
 	isFirst := true
 	for _, h := range o.headrooms {
 		if h != nil && (isFirst || h.available-h.target < s.HeadroomAvailable-s.HeadroomTarget) {
