Let tasks with a disruption budget move between shards

Cause: a long-running task that waits in a full shard moves to one with room, but not if its step has a disruption budget. No decision of an owner depends on the budget: it stops a lasting run only on a worker that drains or stands still, or if the job is cancelled, and a task that waits has no run to stop. So these tasks waited for ever in a shard that lost half of its workers, beside idle shards.

Change: the condition is gone.

--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -91,7 +91,7 @@
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if !s.LongRunning || s.Gang || s.BestEffort || s.Speculative || s.MaxUnavailable != nil || len(s.After) > 0 {
+		if !s.LongRunning || s.Gang || s.BestEffort || s.Speculative || len(s.After) > 0 {
 			return false
 		}
 	}
