Give long-running tasks that never ran to shards with room, too

Cause: a task that never ran moved only if no worker of its shard could hold it were it empty. A job that was accepted into a shard that lasting tasks then filled, as after a loss of workers, waited for its turn beside idle shards for as long as these ran.

Change: such a task is offered once its job has waited for 3 s, behind the interrupted tasks. A shard promises room to it only beyond what it keeps for its own short tasks; the demand in the message says so. An older owner ignores the field and may hold a task that it does not start, which it returns after 3 s.

--- a/internal/entry/fullshard_test.go
+++ b/internal/entry/fullshard_test.go
@@ -45,6 +45,19 @@
 	assert.Equal(t, runFullShard(t, workflow.Job{ID: "d000000000000000", Queue: "q", Steps: []workflow.Step{s}}, s.Count), s.Count)
 }
 
+// Guards against a long-running job that never runs because other ones fill its shard, beside idle shards.
+func TestNewTasksLeaveFullShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newExchangeFleet(t, 1, 3, 3)
+		f.addLasting(0, 1, exchangeWorkers*runsPerWorker, "")
+		time.Sleep(time.Second)
+		id := f.addLasting(0, 2, 2, "")
+		time.Sleep(2 * contactTime)
+		assert.Equal(t, f.runsOf(id), 2)
+		f.end()
+	})
+}
+
 // Guards against a job that has nothing running for as long as its shard is full of long-running tasks, beside idle shards: its steps end,
 // so its tasks do not move.
 func TestJobWhoseStepsEndLeavesFullShard(t *testing.T) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -190,6 +190,7 @@
 // Demand is what equal tasks need from the workers of a shard: the fields of shard.Demand.
 type Demand struct {
 	Count     int             `json:"count"`
+	IsNew     bool            `json:"is_new,omitempty"`
 	Job       string          `json:"job,omitempty"`
 	Label     string          `json:"label,omitempty"`
 	PerWorker int             `json:"per_worker,omitempty"`
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -11,6 +11,8 @@
 type Demand struct {
 	// Count is the number of tasks.
 	Count int
+	// IsNew is set for long-running tasks that never ran, for which room for short tasks is kept free.
+	IsNew bool
 	// Job and Step name the step of the tasks if it limits them per worker and they move between shards: those that a worker has count.
 	Job   string
 	Label string
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -15,6 +15,9 @@
 	// maxGiveAfter, so that tasks don't swing between shards that are full.
 	giveAfter    = 1500 * time.Millisecond
 	maxGiveAfter = 4 * giveAfter
+	// giveNewAfter replaces giveAfter for a task that never ran and that a worker of its shard could hold: there its job waits for its
+	// turn, which comes sooner on most days.
+	giveNewAfter = 2 * giveAfter
 	// returnAfter is how long a task waits in a guest shard until it is returned.
 	returnAfter = 3 * time.Second
 	// maxOffers limits the classes of tasks that are offered at once, and maxOffered the number of tasks in one.
@@ -38,7 +41,6 @@
 	if o.isHandingOver {
 		return nil
 	}
-	// A task that never ran is given only if no worker of the shard could hold it: until then its job waits for its turn.
 	var tasks []*task
 	suits := map[Demand]bool{}
 	for _, j := range o.backlog {
@@ -46,28 +48,44 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if mayGive(now, t) && (t.run > 0 || !o.suitsStep(t.step, t.job.queue.Service, suits)) {
+			isInTurn := t.run > 0 || now.Sub(j.acceptedAt) >= giveNewAfter || !o.suitsStep(t.step, j.queue.Service, suits)
+			if isInTurn && mayGive(now, t) {
 				tasks = append(tasks, t)
 			}
 		}
 	}
-	slices.SortStableFunc(tasks, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
+	slices.SortStableFunc(tasks, func(a, b *task) int {
+		return cmp.Or(compareNew(a.run == 0, b.run == 0), a.waitsSince(a.job.acceptedAt).Compare(b.waitsSince(b.job.acceptedAt)))
+	})
 	offers := classify(tasks)
 	if len(offers) <= maxOffers {
 		return offers
 	}
 	oldest, rest := offers[:maxOffers/2], offers[maxOffers/2:]
-	slices.SortStableFunc(rest, func(a, b Offer) int { return cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli) })
+	slices.SortStableFunc(rest, func(a, b Offer) int {
+		return cmp.Or(compareNew(a.IsNew, b.IsNew), cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli))
+	})
 	return slices.Concat(oldest, rest[:maxOffers-len(oldest)])
 }
 
+// compareNew orders tasks that ran before those that never ran: their interruption lasts until they run again.
+func compareNew(isNew, isOtherNew bool) int {
+	switch {
+	case isNew == isOtherNew:
+		return 0
+	case isNew:
+		return 1
+	}
+	return -1
+}
+
 // classify returns the classes of tasks with equal demands, in the order of their first tasks.
 func classify(tasks []*task) []Offer {
 	var out []Offer
 	index := map[Demand]int{}
 	for _, t := range tasks {
 		d := demandOf(t.step, t.job.queue.Service)
-		d.Count = 0
+		d.Count, d.IsNew = 0, t.run == 0
 		if d.PerWorker > 0 {
 			d.Job, d.Step = t.job.ID, t.key.Step
 		}
@@ -272,7 +290,12 @@
 	if o.isHandingOver {
 		return out
 	}
-	own := o.ownWaiting()
+	own, headrooms := o.ownWaiting(), map[string]*headroom{}
+	for _, d := range demands {
+		if d.IsNew {
+			headrooms[d.Service] = o.headroomForOthers(now, d.Service)
+		}
+	}
 	for _, w := range o.sortedWorkers() {
 		if !w.takesTasks(now) || w.heldFor != nil && now.Before(w.heldUntil) {
 			continue
@@ -285,6 +308,9 @@
 		}
 		for i, d := range demands {
 			n := d.fit(w, free, d.Count-out[i])
+			if d.IsNew {
+				n = headrooms[d.Service].limit(w, d.Resources.CPUMilli, n)
+			}
 			out[i] += n
 			free = free.Sub(d.Resources.Times(int64(n)))
 		}
--- a/internal/shard/exchange_test.go
+++ b/internal/shard/exchange_test.go
@@ -68,3 +68,20 @@
 	assert.Equal(t, len(offers), 1)
 	assert.DeepEqual(t, c.owner.Room(c.now, []shard.Demand{offers[0].Demand}), []int{0})
 }
+
+// Guards against tasks that never ran and take the room that a shard keeps for its short tasks, when another shard gives them.
+func TestRoomForNewTasksLeavesHeadroom(t *testing.T) {
+	const workers = 4
+	c := newFleetHarness(t, workers)
+	c.run(time.Second)
+	capacity := c.workers[0].Capacity.CPUMilli
+	c.add(workflow.Job{ID: "0000000000000001", Queue: "q", Steps: []workflow.Step{
+		{Count: 3, Resources: fleet.Resources{CPUMilli: capacity, MemoryMiB: 10}},
+	}})
+	c.endCause = func(shard.Start) shard.EndCause { return shard.EndDone }
+	c.run(time.Second)
+	demand := shard.Demand{Count: 2 * workers, Resources: fleet.Resources{CPUMilli: capacity / 2, MemoryMiB: 10}, Service: "s"}
+	assert.DeepEqual(t, c.owner.Room(c.now, []shard.Demand{demand}), []int{2 * workers})
+	demand.IsNew = true
+	assert.DeepEqual(t, c.owner.Room(c.now, []shard.Demand{demand}), []int{2 * (workers - 1)})
+}
--- a/internal/shard/headroom.go
+++ b/internal/shard/headroom.go
@@ -127,6 +127,25 @@
 	return h
 }
 
+// headroomForOthers returns the headroom that tasks of other shards have to leave which never ran: the one for the least urgent tasks.
+func (o *Owner) headroomForOthers(now time.Time, service string) *headroom {
+	if now.Before(o.lentUntil[service]) {
+		return nil
+	}
+	return o.newHeadroom(now, shortTasks{math.MaxInt, service})
+}
+
+// limit returns how many of n equal long-running tasks a worker may take, and reduces the headroom by them.
+func (h *headroom) limit(w *worker, cpu int64, n int) int {
+	for n > 0 && !h.allows(w, int64(n)*cpu) {
+		n--
+	}
+	if h != nil {
+		h.available -= h.loss(w, int64(n)*cpu)
+	}
+	return n
+}
+
 func (o *Owner) newHeadroom(now time.Time, class shortTasks) *headroom {
 	var d shortDemand
 	for c, other := range o.shortDemand {
@@ -160,12 +179,12 @@
 	return h.usable(free) - h.usable(free-cpu)
 }
 
-// allows reports whether enough CPU stays available if a worker takes a long-running task.
-func (h *headroom) allows(w *worker, t *task) bool {
+// allows reports whether enough CPU stays available if a worker takes long-running tasks that need some CPU.
+func (h *headroom) allows(w *worker, cpu int64) bool {
 	if h == nil {
 		return true
 	}
-	loss := h.loss(w, t.step.Resources.CPUMilli)
+	loss := h.loss(w, cpu)
 	return loss == 0 || h.available-loss >= h.target
 }
 
--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -99,7 +99,7 @@
 
 // fitsWithoutBatch reports whether a worker could take a task if all its batch tasks had ended.
 func (o *Owner) fitsWithoutBatch(now time.Time, w *worker, t *task) bool {
-	if !w.suitsStep(now, t) || t.isAdvisedAgainst(w) || !o.headroomFor(now, t).allows(w, t) {
+	if !w.suitsStep(now, t) || t.isAdvisedAgainst(w) || !o.headroomFor(now, t).allows(w, t.step.Resources.CPUMilli) {
 		return false
 	}
 	reserved := w.reserved
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -381,7 +381,7 @@
 	s := t.step
 	o.evaluatedPairs++
 	return (s.BestEffort || s.Resources.CPUMilli <= w.Capacity.CPUMilli-w.reserved.CPUMilli) && !w.isHeldFrom(now, t) &&
-		w.suitsStep(now, t) && w.reserved.Add(reservation(s)).FitsIn(w.Capacity) && o.headroomFor(now, t).allows(w, t)
+		w.suitsStep(now, t) && w.reserved.Add(reservation(s)).FitsIn(w.Capacity) && o.headroomFor(now, t).allows(w, t.step.Resources.CPUMilli)
 }
 
 // suitsStep reports whether a worker could take a task, regardless of its free resources and of placement advice.
