--- a/internal/entry/waitingcheck_test.go
+++ b/internal/entry/waitingcheck_test.go
@@ -158,15 +158,15 @@
 
 // roomFor returns the workers that have room for a task twice over, or for all tasks of a gang; "" if they have not. A task looks for
 // room in its shard, and one that may move in all of them. Room that is kept for short tasks is none for a long-running task that never
-// ran: less than half of the CPU must be in use.
+// ran: less than half of the shard's CPU must be in use.
 func roomFor(rooms []workerRoom, j workflow.Job, k workflow.TaskKey, shard int, ran bool) string {
 	s := j.Steps[k.Step]
 	inShard := slices.DeleteFunc(slices.Clone(rooms), func(r workerRoom) bool { return r.shard != shard })
 	if mayMove(j) || *standstillAnyShard {
 		inShard = rooms
 	}
-	if s.LongRunning && !ran && !isHalfFree(inShard) {
-		return ""
+	if s.LongRunning && !ran {
+		inShard = slices.DeleteFunc(slices.Clone(inShard), func(r workerRoom) bool { return !isHalfFree(rooms, r.shard) })
 	}
 	need := 2
 	if s.Gang {
@@ -185,10 +185,12 @@
 	return strings.Join(found, ", ")
 }
 
-func isHalfFree(rooms []workerRoom) bool {
+func isHalfFree(rooms []workerRoom, shard int) bool {
 	free, capacity := int64(0), int64(0)
 	for _, r := range rooms {
-		free, capacity = free+r.free.CPUMilli, capacity+r.Capacity.CPUMilli
+		if r.shard == shard {
+			free, capacity = free+r.free.CPUMilli, capacity+r.Capacity.CPUMilli
+		}
 	}
 	return 2*free > capacity
 }
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -170,7 +170,7 @@
 		t.isAway = true
 		o.log.WithFields(logrus.Fields{
 			"decision": "give_task", "job": j.ID, "task": t.key.String(), "run": t.run, "hop": hop, "to": to,
-			"waited": now.Sub(t.waitingSince).String(),
+			"waited": now.Sub(t.waitsSince(j.acceptedAt)).String(),
 		}).Info("giving a waiting task to another shard, whose workers have room for it")
 		t.waitingSince = time.Time{}
 		o.markDirty(j)
