--- a/internal/shard/waitreason.go
+++ b/internal/shard/waitreason.go
@@ -39,7 +39,7 @@
 // policyReason returns why a worker with room that no other task has a claim to does not take a task, or "suitable".
 func (o *Owner) policyReason(now time.Time, w *worker, t *task) string {
 	switch {
-	case !o.headroomFor(now, t).allows(w, t):
+	case !o.headroomFor(now, t).allows(w, t.step.Resources.CPUMilli):
 		return "headroom"
 	case t.job.queue.Advice != nil && o.ticket(now, w, t) == "":
 		return "no_ticket"
--- a/internal/shard/waitroom.go
+++ b/internal/shard/waitroom.go
@@ -68,7 +68,7 @@
 	}
 	idle := 0
 	for _, w := range o.sortedWorkers() {
-		if w.isIdleFor(t) && class.headroom.allows(w, t) {
+		if w.isIdleFor(t) && class.headroom.allows(w, t.step.Resources.CPUMilli) {
 			if idle++; idle >= minIdleWorkers {
 				break
 			}
