Tell the next owner the leases of workers after a drain that was too late

Cause: a draining owner whose transaction comes after the next owner's claim hands nothing over. An owner that was cut off tells the next one afterwards; a draining one has stopped its runner by then and did not.

Change: the conflict of the deletion, or of the write that follows it, leads to the same record. As an earlier attempt may have handed the shard over without an answer, the record of that is read first, and both keys guard the write.

--- a/internal/entry/endedleasehandover_test.go
+++ b/internal/entry/endedleasehandover_test.go
@@ -23,7 +23,12 @@
 	for name, c := range map[string]struct {
 		drainDelay time.Duration
 		isLost     bool
-	}{"early": {}, "late": {drainDelay: 400 * time.Millisecond}, "first attempt lost": {isLost: true}} {
+		// after is how long after the end of the owner's lease the store carries its transactions out.
+		after time.Duration
+	}{
+		"early": {}, "late": {drainDelay: 400 * time.Millisecond}, "first attempt lost": {isLost: true},
+		"shard taken": {after: 2 * lateClaim},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimulatedFleet(t, 1, 1, simulatedWorkers)
@@ -37,7 +42,7 @@
 				f.leaveSoon()
 				time.Sleep(1400 * time.Millisecond)
 				f.store.setWatchDelay(func(string) time.Duration { return lateClaim })
-				f.silenceUntilLeaseEnds(first, c.isLost)
+				f.silenceUntilLeaseEnds(first, c.isLost, c.after)
 				time.Sleep(c.drainDelay)
 				ctx, cancel := context.WithTimeout(t.Context(), drainTimeout)
 				defer cancel()
@@ -52,9 +57,9 @@
 	}
 }
 
-// silenceUntilLeaseEnds leaves renewals of a host without an answer from now on, and its transactions until its owner key is gone. If isLost
-// is set, its first deletion of the key is not carried out at all.
-func (f *simulatedFleet) silenceUntilLeaseEnds(silent *simulatedHost, isLost bool) {
+// silenceUntilLeaseEnds leaves renewals of a host without an answer from now on, and its transactions until a time after its owner key is
+// gone. If isLost is set, its first deletion of the key is not carried out at all.
+func (f *simulatedFleet) silenceUntilLeaseEnds(silent *simulatedHost, isLost bool, after time.Duration) {
 	f.store.setRenewalFault(func(ctx context.Context, h *simulatedHost, lease int64) error {
 		if h == silent {
 			<-ctx.Done()
@@ -69,6 +74,7 @@
 		}
 		for host == silent.name {
 			if name, _ := entry.RecordedHost(f.store.get(entry.OwnerKey()).Value); name != silent.name {
+				time.Sleep(after)
 				break
 			}
 			time.Sleep(10 * time.Millisecond)
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/election"
@@ -35,6 +36,9 @@
 	takeBackTimeout = time.Second
 )
 
+// errShardTaken is returned for a shard that another host has taken.
+var errShardTaken = eris.New("another host has taken the shard")
+
 // handovers tracks the shards that this host is handing over.
 type handovers struct {
 	shardSet
@@ -125,7 +129,12 @@
 	t := kvstore.Txn{
 		Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: epochKey(r.shard), Revision: r.epochRevision()}}, Puts: puts,
 	}
-	if err := o.deleteOrTakeBack(ctx, r, t); err != nil {
+	switch err := o.deleteOrTakeBack(ctx, r, t); {
+	case errors.Is(err, errShardTaken):
+		if len(puts) > 0 {
+			go o.tellNextOwner(ctx, r)
+		}
+	case err != nil:
 		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
 }
@@ -133,7 +142,7 @@
 // deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guards make repeated attempts harmless.
 // After deletionTimeout it takes the shard back instead: the host would otherwise renew the lease of a shard that nobody serves.
 // If that fails as well, or the host drains, it abandons the lease. It returns an error if the lease of the key has ended or ctx
-// ends.
+// ends, errShardTaken if another host has taken the shard, perhaps after an attempt that was carried out.
 func (o *ownedShards) deleteOrTakeBack(ctx context.Context, r *runner, t kvstore.Txn) error {
 	h := o.host
 	attemptCtx, cancel := context.WithCancel(ctx)
@@ -154,6 +163,8 @@
 		switch {
 		case !isTakingBack && isOwnerless(outcome, r.shard), !isTakingBack && !isDone && hasEnded && isDraining:
 			return o.writeHandover(ctx, r, handover)
+		case isDone && !isTakingBack && err != nil:
+			return errShardTaken
 		case isDone && !(isTakingBack && isDraining):
 			return nil
 		case ctx.Err() != nil, hasEnded:
@@ -184,8 +195,8 @@
 	})
 }
 
-// writeHandover writes what the next owner reads once the owner key is gone, unless another host has taken the shard. It returns an error
-// if that is not done within handoverWriteTimeout or ctx ends.
+// writeHandover writes what the next owner reads once the owner key is gone. It returns errShardTaken if another host has taken the shard,
+// and another error if the write is not done within handoverWriteTimeout or ctx ends.
 func (o *ownedShards) writeHandover(ctx context.Context, r *runner, puts []kvstore.Put) error {
 	if len(puts) == 0 {
 		return nil
@@ -198,10 +209,12 @@
 		if hasResponse {
 			countWrite(outcome.err)
 		}
-		if outcome.err == nil || errors.Is(outcome.err, kvstore.ErrConflict) {
+		switch {
+		case outcome.err == nil:
 			return nil
-		}
-		if ctx.Err() != nil {
+		case errors.Is(outcome.err, kvstore.ErrConflict):
+			return errShardTaken
+		case ctx.Err() != nil:
 			return outcome.err
 		}
 	}
--- a/internal/entry/latehandover.go
+++ b/internal/entry/latehandover.go
@@ -19,17 +19,14 @@
 	lateHandoverInterval = 400 * time.Millisecond
 )
 
-// tellNextOwner writes the leases of workers that the stopped runner knew, for the owner that took the shard without a handover. The guard
-// on the key of that owner keeps what it hands over in its turn from being overwritten.
+// tellNextOwner writes the leases of workers that the stopped runner knew, for the owner that took the shard without a handover.
 func (o *ownedShards) tellNextOwner(ctx context.Context, r *runner) {
 	ctx, cancel := context.WithTimeout(ctx, lateHandoverTimeout)
 	defer cancel()
 	known := r.endOrders(ctx)
-	if known == nil {
+	if known == nil || r.host.platform.Store.Get == nil {
 		return
 	}
-	record := handoverRecord{Handover: shard.Handover{Workers: known.Handover.Workers}, LateEpoch: known.Epoch}
-	puts := []kvstore.Put{{Key: handoverKey(r.shard), Value: workflow.Encode(record)}}
 	for ; ctx.Err() == nil; retry.Sleep(ctx, minWriteBackoff) {
 		next, ok := o.host.directory.owner(r.shard)
 		switch {
@@ -38,19 +35,38 @@
 		case next.PreviousEpoch != known.Epoch:
 			return // there is another owner in between
 		}
-		callCtx, cancelCall := context.WithTimeout(ctx, storeCallTimeout)
-		_, err := o.host.platform.Store.Txn(callCtx, kvstore.Txn{
-			Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: next.revision}}, Puts: puts,
-		})
-		cancelCall()
-		countWrite(err)
+		isTold, err := r.writeLateHandover(ctx, *known, next.revision)
 		if err == nil {
-			r.log.WithField("decision", "late_handover").Info("told the next owner the leases of workers after it had taken the shard")
+			if isTold {
+				r.log.WithField("decision", "late_handover").Info("told the next owner the leases of workers after it had taken the shard")
+			}
 			return
 		}
 	}
 }
 
+// writeLateHandover writes the leases of workers for the owner whose key has a revision. It returns false if that owner was handed over to
+// by an attempt whose response was lost. The guards keep that handover, and what the next owner hands over in its turn, from being
+// overwritten.
+func (r *runner) writeLateHandover(ctx context.Context, known handoverRecord, nextRevision int64) (isTold bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	current, err := r.host.platform.Store.Get(ctx, handoverKey(r.shard))
+	if err != nil {
+		return false, err
+	}
+	if record, err := workflow.Decode[handoverRecord](current.Value); err == nil && record.Epoch == known.Epoch {
+		return false, nil
+	}
+	record := handoverRecord{Handover: shard.Handover{Workers: known.Handover.Workers}, LateEpoch: known.Epoch}
+	_, err = r.host.platform.Store.Txn(ctx, kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: nextRevision}, {Key: handoverKey(r.shard), Revision: current.ModRevision}},
+		Puts:   []kvstore.Put{{Key: handoverKey(r.shard), Value: workflow.Encode(record)}},
+	})
+	countWrite(err)
+	return err == nil, err
+}
+
 // followLateHandover looks for what the last owner tells after this one has taken the shard.
 func (r *runner) followLateHandover() {
 	for end := r.takenAt.Add(lateHandoverPeriod); r.ctx.Err() == nil && r.host.now().Before(end); {
