Tell the next owner nothing of an owner that panicked

If its answer was lost and another host had taken the shard, the leases that the panicked owner knew were told to that host.

Change: only handovers tell the next owner; the deletion after a panic does not.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -119,24 +119,29 @@
 	if successor != nil {
 		puts = append(puts, kvstore.Put{Key: successorKey(r.shard), Value: workflow.Encode(*successor)})
 	}
-	o.deleteOwnerKey(ctx, r, log, puts...)
+	o.deleteOrTell(ctx, r, log, puts)
+}
+
+// deleteOrTell deletes the owner key of a runner that has stopped, or tells the owner that has taken the shard meanwhile what the puts say.
+func (o *ownedShards) deleteOrTell(ctx context.Context, r *runner, log *logrus.Entry, puts []kvstore.Put) {
+	if isTaken := o.deleteOwnerKey(ctx, r, log, puts...); isTaken && len(puts) > 0 {
+		go o.tellNextOwner(ctx, r)
+	}
 }
 
 // deleteOwnerKey deletes the owner key of a runner that has stopped, and writes what the next owner reads in the same transaction. Each
 // write of the owner key changes the epoch key as well. With a guard on the latter, what the next owner reads is also written if the store
-// has ended the lease of the owner key meanwhile and no host has taken the shard yet.
-func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, log *logrus.Entry, puts ...kvstore.Put) {
+// has ended the lease of the owner key meanwhile and no host has taken the shard yet. It returns whether one has.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, log *logrus.Entry, puts ...kvstore.Put) (isTaken bool) {
 	t := kvstore.Txn{
 		Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: epochKey(r.shard), Revision: r.epochRevision()}}, Puts: puts,
 	}
-	switch err := o.deleteOrTakeBack(ctx, r, t); {
-	case errors.Is(err, errShardTaken):
-		if len(puts) > 0 {
-			go o.tellNextOwner(ctx, r)
-		}
-	case err != nil:
+	err := o.deleteOrTakeBack(ctx, r, t)
+	isTaken = errors.Is(err, errShardTaken)
+	if err != nil && !isTaken {
 		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
+	return isTaken
 }
 
 // deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guards make repeated attempts harmless.
@@ -261,7 +266,7 @@
 	r.setEarlier(current.PreviousEpoch, current.recordedEarlier())
 	go func() {
 		defer r.close()
-		o.deleteOwnerKey(ctx, r, log, r.handoverPuts(ctx)...)
+		o.deleteOrTell(ctx, r, log, r.handoverPuts(ctx))
 	}()
 }
 
