Give the count of panics a record field of its own

Cause: two changes that met used key 14 of the record that names a shard's successor: whether the host reads compact records, and how many owners panicked in turn. The first was neither written nor read there.

Result: TestSuccessorRecordKeepsTheHostsFields failed before, and passes.

--- a/internal/entry/failedload.go
+++ b/internal/entry/failedload.go
@@ -30,7 +30,7 @@
 	FailedLoads int    `cbor:"7,keyasint,omitempty"`
 	FailedHost  string `cbor:"8,keyasint,omitempty"`
 	// Panics is how many owners in turn gave the shard up after a panic.
-	Panics int `cbor:"14,keyasint,omitempty"`
+	Panics int `cbor:"15,keyasint,omitempty"`
 }
 
 // failedLoad is what the directory remembers of a shard whose last owner could not load it.
