Count failed reads of a handover only while the shard is loaded

Cause: an owner looks for a late handover for 4 s after its takeover. A failed look counted as a failed read of the shard's records, so that a shard whose records only load slowly could be left to another host.

Result: by reading; the tests of handovers and of shards that can't be loaded pass.

--- a/internal/entry/handoverrecord.go
+++ b/internal/entry/handoverrecord.go
@@ -42,7 +42,6 @@
 	kv, err := r.host.platform.Store.Get(ctx, handoverKey(r.shard))
 	if err != nil {
 		r.log.WithError(err).WithField("decision", "handover_unread").Warn("failed to read what the last owner handed over")
-		r.noteFailedRead()
 		return nil, err
 	}
 	if kv.ModRevision == 0 {
@@ -71,6 +70,7 @@
 	for r.ctx.Err() == nil {
 		h, err := r.readHandover(r.ctx)
 		if err != nil {
+			r.noteFailedRead()
 			retry.Sleep(r.ctx, minWriteBackoff)
 			continue
 		}
