Count a renewal whose answer ends in a reset as unanswered

Cause: only a renewal without any reaction within its time counted as unanswered. One whose channel is reset may be carried out as well, so that a host whose answers are lost that way kept its shards without acting for them, as before.

Result: the new case of TestShardOfOwnerWithoutAnswersToRenewalsIsTaken failed before (a task had nothing running for 31 s), and passes.

--- a/internal/entry/renewal.go
+++ b/internal/entry/renewal.go
@@ -88,7 +88,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, renewalTimeout)
 		defer cancel()
 		a.err = r.session.store.KeepAlive(callCtx, r.lease)
-		a.isUnanswered = a.err != nil && callCtx.Err() != nil
+		a.isUnanswered = errors.Is(a.err, kvstore.ErrUnknownOutcome) || a.err != nil && callCtx.Err() != nil
 		select {
 		case r.outcomes <- a:
 		case <-ctx.Done():
--- a/internal/entry/unansweredrenewal_test.go
+++ b/internal/entry/unansweredrenewal_test.go
@@ -59,11 +59,12 @@
 // calls arrive.
 func TestShardOfOwnerWithoutAnswersToRenewalsIsTaken(t *testing.T) {
 	for name, c := range map[string]struct {
-		isOnlyRenewals bool
-		within         time.Duration
+		isOnlyRenewals, isReset bool
+		within                  time.Duration
 	}{
-		"to no call":               {false, 6 * time.Second},
-		"to no renewal of a lease": {true, 9 * time.Second},
+		"to no call":               {false, false, 6 * time.Second},
+		"to no renewal of a lease": {true, false, 9 * time.Second},
+		"but a reset channel":      {true, true, 9 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -80,6 +81,9 @@
 				f.store.setRenewalFault(func(ctx context.Context, h *simulatedHost, lease int64) error {
 					err := h.callStore(ctx, kvstore.ErrUnavailable, func() error { return f.store.keepAlive(lease) })
 					if h.name == "one" && isSilent.Load() {
+						if c.isReset {
+							return kvstore.ErrUnknownOutcome
+						}
 						<-ctx.Done()
 						return kvstore.ErrUnavailable
 					}
