Tell the next owner what is known after any handover that is not proved

Cause: an owner that gives a shard away for a better balance, and whose lease ends before the deletion of its key is answered, told the next owner nothing; only a drain, or a shard that was seen as taken, did.

Change: it tells the next owner unless the deletion is known to be carried out. The guards are those of a late handover.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -122,26 +122,27 @@
 	o.deleteOrTell(ctx, r, log, puts)
 }
 
-// deleteOrTell deletes the owner key of a runner that has stopped, or tells the owner that has taken the shard meanwhile what the puts say.
+// deleteOrTell deletes the owner key of a runner that has stopped. If the deletion is not known to be carried out, it tells the next owner
+// what the last one knew.
 func (o *ownedShards) deleteOrTell(ctx context.Context, r *runner, log *logrus.Entry, puts []kvstore.Put) {
-	if isTaken := o.deleteOwnerKey(ctx, r, log, puts...); isTaken && len(puts) > 0 {
+	if isDeleted := o.deleteOwnerKey(ctx, r, log, puts...); !isDeleted && len(puts) > 0 {
 		go o.tellNextOwner(ctx, r)
 	}
 }
 
 // deleteOwnerKey deletes the owner key of a runner that has stopped, and writes what the next owner reads in the same transaction. Each
 // write of the owner key changes the epoch key as well. With a guard on the latter, what the next owner reads is also written if the store
-// has ended the lease of the owner key meanwhile and no host has taken the shard yet. It returns whether one has.
-func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, log *logrus.Entry, puts ...kvstore.Put) (isTaken bool) {
+// has ended the lease of the owner key meanwhile and no host has taken the shard yet. It returns whether the deletion is
+// known to be carried out.
+func (o *ownedShards) deleteOwnerKey(ctx context.Context, r *runner, log *logrus.Entry, puts ...kvstore.Put) (isDeleted bool) {
 	t := kvstore.Txn{
 		Deletes: []string{ownerKey(r.shard)}, Guards: []kvstore.Guard{{Key: epochKey(r.shard), Revision: r.epochRevision()}}, Puts: puts,
 	}
 	err := o.deleteOrTakeBack(ctx, r, t)
-	isTaken = errors.Is(err, errShardTaken)
-	if err != nil && !isTaken {
+	if err != nil && !errors.Is(err, errShardTaken) {
 		log.WithError(err).Warn("failed to delete the owner key of the shard; it expires with the host's lease")
 	}
-	return isTaken
+	return err == nil
 }
 
 // deleteOrTakeBack carries out the transaction that deletes the owner key of a runner. The guards make repeated attempts harmless.
