--- a/internal/entry/failedload.go
+++ b/internal/entry/failedload.go
@@ -96,8 +96,8 @@
 	return d.hosts[hostPrefix+to.Host], ok
 }
 
-// loadStore returns the store from which the runner loads the shard and its workers. It notes failed reads: a load that takes long because the shard has
-// many records or the store is slow is not given up as long as no read fails.
+// loadStore returns the store from which the runner loads the shard and its workers. It notes failed reads: a load that takes long because
+// the shard has many records or the store is slow is not given up as long as no read fails.
 func (r *runner) loadStore() kvstore.Store {
 	s := r.host.platform.Store
 	read := s.Range
