Use one check each for limits per worker and for what all hosts know

Cause: the metric of waiting tasks counted the tasks of a step on a worker by a loop of its own, beside the one of placement, and two questions about all live hosts were the same loop.

Change: both callers use isAtSpreadLimit, which counts by countOf, and allHosts. Behaviour is the same.

--- a/internal/entry/compactrecords.go
+++ b/internal/entry/compactrecords.go
@@ -20,12 +20,5 @@
 
 // allReadCompact reports whether all live hosts read compact records of jobs.
 func (d *directory) allReadCompact() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, h := range d.hosts {
-		if !h.ReadsCompact {
-			return false
-		}
-	}
-	return len(d.hosts) > 0
+	return d.allHosts(func(h hostRecord) bool { return h.ReadsCompact })
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -296,10 +296,15 @@
 
 // allShareJobs reports whether all live hosts know jobs whose tasks are held by several shards.
 func (d *directory) allShareJobs() bool {
+	return d.allHosts(func(h hostRecord) bool { return h.SharesJobs })
+}
+
+// allHosts reports whether a condition holds for each live host. It is false if no host is known.
+func (d *directory) allHosts(holds func(hostRecord) bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range d.hosts {
-		if !h.SharesJobs {
+		if !holds(h) {
 			return false
 		}
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -321,7 +321,12 @@
 	if w.Service != t.job.queue.Service || !w.takesTasks(now) || !w.HasLabel(s.Label) {
 		return false
 	}
-	return s.PerWorker == 0 || w.countOf(t.job.ID, t.key) < s.PerWorker
+	return !w.isAtSpreadLimit(t)
+}
+
+// isAtSpreadLimit reports whether the worker has as many tasks of the step as the step allows.
+func (w *worker) isAtSpreadLimit(t *task) bool {
+	return t.step.PerWorker > 0 && w.countOf(t.job.ID, t.key) >= t.step.PerWorker
 }
 
 // countOf returns the number of attempts on the worker that are of the same step and occurrence of a job as a task.
--- a/internal/shard/waitroom.go
+++ b/internal/shard/waitroom.go
@@ -88,17 +88,3 @@
 	return w.registered && !w.Draining && !w.isSilent() && w.Service == t.job.queue.Service && w.HasLabel(t.step.Label) &&
 		!t.isAdvisedAgainst(w) && !w.isAtSpreadLimit(t) && w.reserved.Add(reservation(t.step)).FitsIn(w.Capacity)
 }
-
-// isAtSpreadLimit reports whether the worker has as many tasks of the step as the step allows.
-func (w *worker) isAtSpreadLimit(t *task) bool {
-	if t.step.PerWorker == 0 {
-		return false
-	}
-	same := 0
-	for _, at := range w.attempts {
-		if at.task.step == t.step && at.task.key.Occurrence == t.key.Occurrence {
-			same++
-		}
-	}
-	return same >= t.step.PerWorker
-}
