Set no timers of zero duration in code that runs in virtual time

In a synctest bubble, a timer that is due when it is set runs its function inside the runtime call that sets it, which the race detector does not survive. A stress test of 300 bubbles with timers of 0 crashed with that CHECK failure within seconds, for AfterFunc and for NewTimer; with timers of 1 ns it passed.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -40,7 +40,7 @@
 
 // finishWithin lets no further claim begin, and waits until none is under way. Claims that take longer than a timeout are given up.
 func (c *claims) finishWithin(timeout time.Duration) {
-	defer time.AfterFunc(timeout, c.cancel).Stop()
+	defer time.AfterFunc(max(timeout, retry.ShortestTimer), c.cancel).Stop()
 	c.finish()
 }
 
--- a/internal/entry/latehandover_test.go
+++ b/internal/entry/latehandover_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // Guards against a wait for leases that the last owner knows to be over: it lost its lease while it was cut off from the store, and the next
@@ -53,7 +54,7 @@
 			time.Sleep(12 * time.Second)
 			first, began := f.owner(), time.Now()
 			for _, id := range cut {
-				time.AfterFunc(time.Duration(f.int(2500))*time.Millisecond, func() {
+				time.AfterFunc(max(time.Duration(f.int(2500))*time.Millisecond, retry.ShortestTimer), func() {
 					f.workers[id].setCut(true)
 					_, err := f.store.txn(kvstore.Txn{Deletes: []string{id}})
 					assert.Check(t, err == nil, "%v", err)
--- a/internal/entry/memorystore_test.go
+++ b/internal/entry/memorystore_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // rangeTimeout bounds a read of keys, as in the platform's client.
@@ -268,7 +269,7 @@
 	case fault.delay > 0:
 		// The caller changes the guards of its next attempt, and must not change those of the late one.
 		t.Guards = slices.Clone(t.Guards)
-		time.AfterFunc(fault.delay, func() { _, _ = s.txn(t) })
+		time.AfterFunc(max(fault.delay, retry.ShortestTimer), func() { _, _ = s.txn(t) })
 		<-ctx.Done()
 		return kvstore.TxnResult{}, kvstore.ErrUnknownOutcome
 	}
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -145,7 +146,7 @@
 	for ctx.Err() == nil {
 		changed := o.host.directory.nextChange()
 		pause := o.electionRound(ctx)
-		t := time.NewTimer(pause)
+		t := time.NewTimer(max(pause, retry.ShortestTimer))
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -199,7 +199,7 @@
 // loop runs a scheduling round when it is woken and when the owner's next step is due. While this host may not act as the owner,
 // it only checks again every electionInterval.
 func (r *runner) loop() {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(retry.ShortestTimer)
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -78,7 +79,7 @@
 
 // sleep waits for a time or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+	t := time.NewTimer(max(d, retry.ShortestTimer))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 )
 
@@ -63,7 +64,7 @@
 		},
 		changed: make(chan struct{}), highestEnded: map[string]int{}, runs: map[string]shard.Start{}, started: time.Now(), tasks: tasks,
 	}
-	w.expiry = time.AfterFunc(0, func() {
+	w.expiry = time.AfterFunc(retry.ShortestTimer, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.expire()
@@ -101,7 +102,7 @@
 	}
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
-		w.expiry.Reset(time.Until(end) + 1)
+		w.expiry.Reset(max(time.Until(end), 0) + retry.ShortestTimer)
 	}
 	return true
 }
@@ -137,7 +138,7 @@
 	}
 	duration, cause := w.tasks.started(w.ID, s)
 	if duration > 0 {
-		time.AfterFunc(duration, func() {
+		time.AfterFunc(max(duration, retry.ShortestTimer), func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.runs[name].Run == s.Run && !time.Now().After(w.leaseEnd) {
@@ -264,7 +265,7 @@
 		w.mu.Unlock()
 		select {
 		case <-changed:
-		case <-time.After(p.Wait):
+		case <-time.After(max(p.Wait, retry.ShortestTimer)):
 		case <-ctx.Done():
 		}
 		w.mu.Lock()
--- a/internal/entry/timeout.go
+++ b/internal/entry/timeout.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 )
 
 // The last part of a timeout consists of timeoutTicks waits of timeoutTick each.
@@ -28,7 +30,7 @@
 			time.AfterFunc(timeoutTick, func() { tick(left - 1) })
 		}
 	}
-	first := time.AfterFunc(timeout-timeoutTicks*timeoutTick, func() { tick(timeoutTicks) })
+	first := time.AfterFunc(max(timeout-timeoutTicks*timeoutTick, retry.ShortestTimer), func() { tick(timeoutTicks) })
 	return ctx, func() {
 		first.Stop()
 		cancel(nil)
--- a/internal/entry/unansweredrenewal.go
+++ b/internal/entry/unansweredrenewal.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -75,10 +76,10 @@
 func (r *renewals) probe(ctx context.Context) {
 	left := r.gap.until.Sub(r.session.now())
 	if r.gap.ignoresProbes || r.session.store.Get == nil {
-		r.next.Reset(left)
+		r.next.Reset(max(left, retry.ShortestTimer))
 		return
 	}
-	r.next.Reset(min(sessionRenewInterval, left))
+	r.next.Reset(max(min(sessionRenewInterval, left), retry.ShortestTimer))
 	probed, record := r.gap.probed, hostPrefix+r.session.record.Host
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, renewalTimeout)
@@ -100,5 +101,5 @@
 	}
 	r.gap.until, r.gap.ignoresProbes = time.Time{}, true
 	r.unanswered = newUnansweredRenewals()
-	r.next.Reset(0)
+	r.next.Reset(retry.ShortestTimer)
 }
