Keep a silent shard as a candidate when the others are asked

What callers saw: a job that requires a label was sent to a shard none of whose workers has it, while the owner of the only shard that has some was late. A job whose steps end never starts there; long-running tasks have to be transferred first.

Cause: if neither of the two drawn shards can take the job, chooseShard asks the others and forgot the drawn ones. One of them may only have been silent. If all others can't hold the job, it went to one of these.

Evidence: TestSilentShardComesBeforeUnsuitableOnes, four shards of which three report that they can't hold the job, 40 choices, before the change:

- 0: 7, - 1: 20, + 1: 40, - 2: 5, - 3: 8,

Change: the loads of all shards are compared then. A shard that says nothing ranks before one that can't hold the job, as it does among the drawn ones. Result: all 40 choices are the silent shard.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -88,8 +88,8 @@
 	// Owners that don't answer are probably overloaded, so their silence alone is no reason to ask the others.
 	hasUnsuitable := slices.ContainsFunc(loads, func(l cachedLoad) bool { return l.isUnsuitable })
 	if hasUnsuitable && !slices.ContainsFunc(loads, cachedLoad.mayTake) && len(order) > shardChoices {
-		candidates = order[shardChoices:]
-		loads = h.queryLoads(ctx, q.Service, candidates, demands)
+		candidates = order
+		loads = slices.Concat(loads, h.queryLoads(ctx, q.Service, order[shardChoices:], demands))
 	}
 	candidates, loads = suitable(candidates, loads)
 	best := 0
--- /dev/null
+++ b/internal/entry/choosesilent_test.go
@@ -0,0 +1,68 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/entry"
+	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// ownerState is how the owner of a shard answers queries of its load.
+type ownerState int
+
+const (
+	ownerSilent ownerState = iota
+	ownerSuitable
+	ownerUnsuitable
+)
+
+// hostWithOwners returns a host that knows the shards of some owners.
+func hostWithOwners(owners map[string]ownerState) *entry.Host {
+	h := newHost(1, kvstore.Store{})
+	var names []string
+	for n := range len(owners) {
+		names = append(names, fmt.Sprint(n))
+	}
+	h.SetOwners(names...)
+	h.SetRequest(func(ctx context.Context, owner string, _ peer.Message) (peer.Message, error) {
+		if owners[owner] == ownerSilent {
+			<-ctx.Done()
+			return peer.Message{}, ctx.Err()
+		}
+		return peer.Message{LoadReply: &peer.LoadReply{
+			Free: 1000, Known: true, Room: 1000, Unsuitable: owners[owner] == ownerUnsuitable,
+		}}, nil
+	})
+	return h
+}
+
+// chosenShards returns how often each shard is chosen for a job whose step requires a label.
+func chosenShards(t *testing.T, h *entry.Host, choices int) map[int]int {
+	chosen := map[int]int{}
+	for range choices {
+		n, ok := h.ChooseShard(t.Context(), workflow.Job{
+			Settings: &workflow.QueueSettings{Service: "s"}, Steps: []workflow.Step{{Count: 1, Label: "special"}},
+		})
+		assert.Assert(t, ok)
+		chosen[n]++
+	}
+	return chosen
+}
+
+// Guards against a job that goes to a shard without a worker that could hold its tasks, although the only shard that may have one does not
+// say that it has none: its owner is silent.
+func TestSilentShardComesBeforeUnsuitableOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := hostWithOwners(map[string]ownerState{"0": ownerUnsuitable, "1": ownerSilent, "2": ownerUnsuitable, "3": ownerUnsuitable})
+		assert.DeepEqual(t, chosenShards(t, h, 40), map[int]int{1: 40})
+		time.Sleep(time.Second) // messages to owners end
+	})
+}
