Remember that a shard can't hold a job while its owner is silent

What callers saw: on a machine so busy that answers to load queries take longer than 60 ms, new jobs that require a label went to the shard that had lost its last worker with that label.

Cause: the last load of a shard is used for 500 ms while its owner does not answer, but without the owner's answer that its workers can't hold the job. The shard then ranked before one that says nothing. After these 500 ms nothing was known of either.

Evidence: TestUnsuitableShardStaysUnsuitableWhileItsOwnerIsSilent before the change:

- 0: 1, - 1: 1, + 1: 2,

Change: what an owner has answered about the demands of a job is kept for 10 s and used while the owner is silent. The check of a step's rack has its own time, so that a silent owner still delays such jobs at most once per second. Result: the test passes; all choices are the other shard.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -187,21 +187,15 @@
 	}, func() bool { return h.ownedShards.expectJob(k.shard, j.ID, k.service, demand) })
 }
 
-// shardLoad returns a shard's load and whether its workers can hold the demands: the owner's answer, or if there is none the last load
-// if that is younger than maxUnansweredLoadAge, else a load without room.
+// shardLoad returns a shard's load and whether its workers can hold the demands: the owner's answer, or if there is none what is known
+// without it.
 func (h *Host) shardLoad(ctx context.Context, k loadKey, demands []shard.Demand) cachedLoad {
 	if l, suits, ok := h.ownedShards.serviceLoad(k.shard, k.service, demands); ok {
 		return cachedLoad{isUnsuitable: !suits, receivedAt: time.Now(), Load: l}
 	}
-	h.loads.mu.Lock()
-	last := h.loads.loads[k]
-	h.loads.mu.Unlock()
-	if time.Since(last.receivedAt) > maxUnansweredLoadAge {
-		last = cachedLoad{}
-	}
 	o, ok := h.directory.owner(k.shard)
 	if !ok {
-		return last
+		return h.unansweredLoad(k, demands)
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -209,15 +203,29 @@
 		Demands: encodeDemands(demands), Service: k.service, Shard: k.shard,
 	}})
 	if err != nil || m.LoadReply == nil || !m.LoadReply.Known {
-		return last
+		return h.unansweredLoad(k, demands)
 	}
-	last = cachedLoad{receivedAt: time.Now(), Load: shard.Load{
+	last := cachedLoad{receivedAt: time.Now(), Load: shard.Load{
 		Expected: m.LoadReply.Expected, Fill: m.LoadReply.Fill, Free: m.LoadReply.Free, Interrupted: m.LoadReply.Interrupted,
 		Left: m.LoadReply.Left, Room: m.LoadReply.Room,
 	}}
+	h.noteSuitability(k.shard, demands, !m.LoadReply.Unsuitable)
 	h.loads.mu.Lock()
 	defer h.loads.mu.Unlock()
 	h.loads.loads[k] = last
 	last.isUnsuitable = m.LoadReply.Unsuitable
 	return last
 }
+
+// unansweredLoad returns what is known of a shard whose owner does not answer: the last load if that is younger than
+// maxUnansweredLoadAge, else a load without room, and whether its workers can hold the demands.
+func (h *Host) unansweredLoad(k loadKey, demands []shard.Demand) cachedLoad {
+	h.loads.mu.Lock()
+	last := h.loads.loads[k]
+	h.loads.mu.Unlock()
+	if time.Since(last.receivedAt) > maxUnansweredLoadAge {
+		last = cachedLoad{}
+	}
+	last.isUnsuitable = h.isKnownUnsuitable(k.shard, demands)
+	return last
+}
--- a/internal/entry/choosesilent_test.go
+++ b/internal/entry/choosesilent_test.go
@@ -61,8 +61,23 @@
 // say that it has none: its owner is silent.
 func TestSilentShardComesBeforeUnsuitableOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // messages to owners end
 		h := hostWithOwners(map[string]ownerState{"0": ownerUnsuitable, "1": ownerSilent, "2": ownerUnsuitable, "3": ownerUnsuitable})
 		assert.DeepEqual(t, chosenShards(t, h, 40), map[int]int{1: 40})
-		time.Sleep(time.Second) // messages to owners end
+	})
+}
+
+// Guards against a job that goes to a shard whose owner has just said that its workers can't hold the job, because the owner is silent now
+// and its last load is used without that.
+func TestUnsuitableShardStaysUnsuitableWhileItsOwnerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // messages to owners end
+		owners := map[string]ownerState{"0": ownerUnsuitable, "1": ownerSuitable}
+		h := hostWithOwners(owners)
+		assert.DeepEqual(t, chosenShards(t, h, 5), map[int]int{1: 5})
+		owners["0"], owners["1"] = ownerSilent, ownerSilent
+		for range 20 { // the loads are out of date after the first choices, but not what the workers can hold
+			assert.DeepEqual(t, chosenShards(t, h, 2), map[int]int{1: 2})
+		}
 	})
 }
--- a/internal/entry/suitability.go
+++ b/internal/entry/suitability.go
@@ -13,14 +13,18 @@
 const (
 	// suitabilityAge is how long it is relied on that the workers of a shard can or can't hold some demands.
 	suitabilityAge = time.Second
+	// unansweredSuitabilityAge replaces suitabilityAge while the owner does not answer. An owner that is overloaded or being replaced may
+	// be silent for seconds, and the labels and sizes of a shard's workers seldom change.
+	unansweredSuitabilityAge = 10 * time.Second
 	// maxSuitabilities limits the cache; it is cleared when it is full.
 	maxSuitabilities = 1024
 )
 
 // suitability says whether the workers of a shard can hold some demands.
 type suitability struct {
-	receivedAt time.Time
-	suits      bool
+	// answeredAt is when the shard's owner said so last; zero if another host did not say it. checkedAt is when it was last asked.
+	answeredAt, checkedAt time.Time
+	suits                 bool
 }
 
 // suitabilityCache holds suitabilities by the shard and the demands.
@@ -29,23 +33,46 @@
 	mu      sync.Mutex
 }
 
-// shardSuits reports whether the workers of a shard can hold some demands. Without an answer they are assumed to.
-func (h *Host) shardSuits(ctx context.Context, n int, service string, demands []shard.Demand) bool {
-	key := fmt.Sprint(n, demands)
-	c := &h.suitabilities
+func (c *suitabilityCache) get(n int, demands []shard.Demand) suitability {
 	c.mu.Lock()
-	known, ok := c.entries[key]
-	c.mu.Unlock()
-	if ok && time.Since(known.receivedAt) < suitabilityAge {
-		return known.suits
-	}
-	l := h.shardLoad(ctx, loadKey{service, n}, demands)
+	defer c.mu.Unlock()
+	return c.entries[suitabilityKey(n, demands)]
+}
+
+func (c *suitabilityCache) update(n int, demands []shard.Demand, change func(*suitability)) {
+	key := suitabilityKey(n, demands)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.entries == nil || len(c.entries) >= maxSuitabilities {
+	s, ok := c.entries[key]
+	if c.entries == nil || !ok && len(c.entries) >= maxSuitabilities {
 		c.entries = map[string]suitability{}
 	}
-	c.entries[key] = suitability{receivedAt: time.Now(), suits: !l.isUnsuitable}
+	change(&s)
+	c.entries[key] = s
+}
+
+func suitabilityKey(n int, demands []shard.Demand) string { return fmt.Sprint(n, demands) }
+
+// noteSuitability notes what the owner of a shard has answered.
+func (h *Host) noteSuitability(n int, demands []shard.Demand, suits bool) {
+	if len(demands) > 0 {
+		h.suitabilities.update(n, demands, func(s *suitability) { s.answeredAt, s.suits = time.Now(), suits })
+	}
+}
+
+// isKnownUnsuitable reports whether the workers of a shard can't hold some demands, as far as is known without its owner.
+func (h *Host) isKnownUnsuitable(n int, demands []shard.Demand) bool {
+	s := h.suitabilities.get(n, demands)
+	return !s.suits && time.Since(s.answeredAt) < unansweredSuitabilityAge
+}
+
+// shardSuits reports whether the workers of a shard can hold some demands. If nothing is known they are assumed to.
+func (h *Host) shardSuits(ctx context.Context, n int, service string, demands []shard.Demand) bool {
+	if s := h.suitabilities.get(n, demands); time.Since(s.checkedAt) < suitabilityAge {
+		return s.suits
+	}
+	l := h.shardLoad(ctx, loadKey{service, n}, demands)
+	h.suitabilities.update(n, demands, func(s *suitability) { s.checkedAt, s.suits = time.Now(), !l.isUnsuitable })
 	return !l.isUnsuitable
 }
 
