Use the registry where the owner of a shard is silent

What callers saw: on a machine so busy that no load query is answered within 60 ms, the shard of a new job that requires a label is drawn at random ("owner unknown or silent" for both). Long-running tasks have to be transferred from there; a job whose steps end never starts.

Cause: only the owner of a shard said what its workers can hold. Each host that owns a shard follows the whole registry and the layout, and did not use them.

Evidence: TestHostWithShardKnowsUnsuitableShardsWithoutTheirOwners, four shards of which one has the label, no answer to load queries, before the change: "assertion failed: 0 (n int) != 2 (int): strong-1".

Change: a host that owns a shard derives from the registry which shards can't hold a job, if their owners don't answer. Other hosts still rely on the owner's last answer. Result: all choices of the four owners are the shard with the label.

--- a/internal/entry/choosesilent_test.go
+++ b/internal/entry/choosesilent_test.go
@@ -81,3 +81,34 @@
 		}
 	})
 }
+
+// Guards against a job that goes to a shard without a worker that could hold its tasks, because no owner answers, although the host that
+// chooses follows the registry itself.
+func TestHostWithShardKnowsUnsuitableShardsWithoutTheirOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const shards, jobs = 4, 20
+		f := newExchangeFleet(t, 1, shards, shards)
+		f.setPeerDelay(loadQueriesLost)
+		special := f.worker(2, 0)
+		special.Labels = []string{"special"}
+		f.store.put(special.ID, nil)
+		time.Sleep(time.Second)
+		for name := range f.owners() {
+			for i := range jobs {
+				j := workflow.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Steps: []workflow.Step{{Count: 1, Label: "special"}}}
+				n, ok := f.host(name).daemon.ChooseShard(t.Context(), j)
+				assert.Assert(t, ok)
+				assert.Equal(t, n, 2, name)
+			}
+		}
+		f.end()
+	})
+}
+
+// loadQueriesLost loses all queries of loads.
+func loadQueriesLost(_ string, m peer.Message) time.Duration {
+	if m.LoadQuery != nil {
+		return -1
+	}
+	return 0
+}
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -117,8 +118,10 @@
 	// logHook, if set, receives the log entries of the hosts that are started.
 	logHook logrus.Hook
 	mu      sync.Mutex
-	random  *rand.Rand
-	shards  int
+	// peerDelay is set by setPeerDelay.
+	peerDelay func(to string, m peer.Message) time.Duration
+	random    *rand.Rand
+	shards    int
 	// stopLoad ends the load of short jobs.
 	stopLoad     context.CancelFunc
 	store        *memoryStore
--- a/internal/entry/simulatedpeers_test.go
+++ b/internal/entry/simulatedpeers_test.go
@@ -33,9 +33,14 @@
 	}
 	sleep(ctx, peerLatency/2)
 	h.fleet.mu.Lock()
-	to := h.fleet.hosts[address]
+	to, peerDelay := h.fleet.hosts[address], h.fleet.peerDelay
 	h.fleet.mu.Unlock()
-	if to == nil || to.isCut.Load() || h.isCut.Load() {
+	delay := time.Duration(0)
+	if peerDelay != nil {
+		delay = peerDelay(address, m)
+	}
+	sleep(ctx, delay)
+	if to == nil || to.isCut.Load() || h.isCut.Load() || delay < 0 {
 		<-ctx.Done()
 		return peer.Message{}, ctx.Err()
 	}
@@ -48,3 +53,10 @@
 	}
 	return reply, err
 }
+
+// setPeerDelay sets how much longer messages to a host take; a negative time means that they are lost.
+func (f *simulatedFleet) setPeerDelay(delay func(to string, m peer.Message) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerDelay = delay
+}
--- a/internal/entry/suitability.go
+++ b/internal/entry/suitability.go
@@ -60,8 +60,17 @@
 	}
 }
 
-// isKnownUnsuitable reports whether the workers of a shard can't hold some demands, as far as is known without its owner.
+// isKnownUnsuitable reports whether the workers of a shard can't hold some demands, as far as is known without its owner: by the registry
+// if this host follows it, else by the owner's last answer.
 func (h *Host) isKnownUnsuitable(n int, demands []shard.Demand) bool {
+	if room, ok := h.ownedShards.registryRoom(demands); ok {
+		for i, d := range demands {
+			if room.of(n, i) < d.Count {
+				return true
+			}
+		}
+		return false
+	}
 	s := h.suitabilities.get(n, demands)
 	return !s.suits && time.Since(s.answeredAt) < unansweredSuitabilityAge
 }
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -77,11 +77,26 @@
 
 // fit returns how many of the tasks a worker can hold in some free resources, at most limit.
 func (d Demand) fit(w *worker, free fleet.Resources, limit int) int {
-	if w.Service != d.Service || !w.HasLabel(d.Label) {
+	if d.PerWorker > 0 {
+		limit = min(limit, d.PerWorker-w.countOf(d.Job, workflow.TaskKey{Step: d.Step}))
+	}
+	return d.fitIn(w.Worker, free, limit)
+}
+
+// FitEmpty returns how many of the tasks, at most limit, a worker of the registry could hold if it were empty. One that drains holds none.
+func (d Demand) FitEmpty(w Worker, limit int) int {
+	if w.Draining {
 		return 0
 	}
 	if d.PerWorker > 0 {
-		limit = min(limit, d.PerWorker-w.countOf(d.Job, workflow.TaskKey{Step: d.Step}))
+		limit = min(limit, d.PerWorker)
+	}
+	return d.fitIn(w, w.Capacity, limit)
+}
+
+func (d Demand) fitIn(w Worker, free fleet.Resources, limit int) int {
+	if w.Service != d.Service || !w.HasLabel(d.Label) {
+		return 0
 	}
 	n := 0
 	for n < limit && d.Resources.FitsIn(free) {
