Ask only shards for room that could hold the tasks, in turn

What callers saw: in a fleet of many shards, tasks that require a label waited long after the last worker of their shard with that label was lost, although another shard had idle ones. The more shards, the longer.

Cause: the owner asks two other shards each half second, drawn anew each time, and most of them have no worker with the label. With 20 shards it asks the only suitable one after 9 rounds on average, without a bound.

Evidence: TestTasksFindTheOnlySuitableShardOfMany, 20 shards, before the change: "nothing running for 4.125048465s" beyond the grace of 6 s (3 s allowed).

Change: the owner follows the registry of all shards. It leaves out the shards whose workers could hold none of the offered tasks if they were empty, and asks each of the others before one is asked again. It sends no more requests than before.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -24,26 +24,62 @@
 	promiseTime = 300 * time.Millisecond
 )
 
+// askingOrder is the order in which an owner asks other shards for room: each of them before one is asked again, so that a shard with room
+// is found among many in a bounded time.
+type askingOrder []int
+
+// next returns the next of a number of shards, own excepted.
+func (o *askingOrder) next(shards, own int) int {
+	if len(*o) == 0 {
+		*o = slices.DeleteFunc(rand.Perm(shards), func(n int) bool { return n == own })
+	}
+	n := (*o)[0]
+	*o = (*o)[1:]
+	return n
+}
+
 // exchangeTasks gives tasks that wait in the shard for too long to other shards that have room for them. Other hosts may have to act for
 // these tasks later, so all live ones must know shared jobs.
 func (r *runner) exchangeTasks() {
+	var order askingOrder
 	for r.ctx.Err() == nil {
 		retry.Sleep(r.ctx, exchangeInterval)
-		shards := r.host.directory.shardCount()
-		if shards < 2 || !r.host.directory.allShareJobs() {
-			continue
+		if shards := r.host.directory.shardCount(); shards >= 2 && r.host.directory.allShareJobs() {
+			r.askForRoom(&order, shards)
 		}
-		others := slices.DeleteFunc(rand.Perm(shards), func(n int) bool { return n == r.shard })
-		for _, n := range others[:min(len(others), shardsAsked)] {
-			offers := r.offers()
-			if len(offers) == 0 {
-				break
+	}
+}
+
+// askForRoom asks the next shardsAsked shards for room whose workers could hold some of the offered tasks if they were empty.
+func (r *runner) askForRoom(order *askingOrder, shards int) {
+	offers := r.offers()
+	room, _ := r.registryRoom(demandsOf(offers))
+	for left, asked := shards-1, 0; left > 0 && asked < shardsAsked && len(offers) > 0; left-- {
+		n := order.next(shards, r.shard)
+		var held []shard.Offer
+		for i, f := range offers {
+			if room.of(n, i) > 0 {
+				held = append(held, f)
 			}
-			r.give(n, offers)
 		}
+		if len(held) == 0 {
+			continue
+		}
+		asked++
+		r.give(n, held)
+		offers = r.offers()
+		room, _ = r.registryRoom(demandsOf(offers))
 	}
 }
 
+func demandsOf(offers []shard.Offer) []shard.Demand {
+	demands := make([]shard.Demand, len(offers))
+	for i, f := range offers {
+		demands[i] = f.Demand
+	}
+	return demands
+}
+
 // offers returns the tasks that may move to another shard, or none while this host may not act for the shard.
 func (r *runner) offers() []shard.Offer {
 	r.mu.Lock()
@@ -57,11 +93,7 @@
 
 // give gives as many of the offered tasks to another shard as it has room for.
 func (r *runner) give(to int, offers []shard.Offer) {
-	demands := make([]shard.Demand, len(offers))
-	for i, f := range offers {
-		demands[i] = f.Demand
-	}
-	room := r.host.shardRoom(r.ctx, to, demands)
+	room := r.host.shardRoom(r.ctx, to, demandsOf(offers))
 	if len(room) != len(offers) {
 		return
 	}
--- /dev/null
+++ b/internal/entry/unansweredroom_test.go
@@ -0,0 +1,48 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// loseSpecialWorkers plays a shard that loses the workers with a label, while one other shard has some. It returns how many tasks of the job
+// run that the first shard has accepted, and the longest time that one of them had nothing running, as the rule counts it. waits is how
+// much longer than the rule requires the play lasts.
+func loseSpecialWorkers(t *testing.T, shards, tasks int, waits time.Duration, prepare func(f *simulatedFleet)) (runs int, longest time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newExchangeFleet(t, 1, shards, shards)
+		for _, n := range []int{0, shards - 1} {
+			for i := range 2 {
+				w := f.worker(n, i)
+				w.Labels = []string{"special"}
+				f.store.put(w.ID, nil)
+			}
+		}
+		time.Sleep(time.Second)
+		id := f.addLasting(0, 1, tasks, "special")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.runsOf(id), tasks)
+		prepare(f)
+		for i := range 2 {
+			f.leave(fmt.Sprintf("servers/w0-%d", i))
+		}
+		f.tasks.calm()
+		time.Sleep(restartGrace + restartWindow + contactTime + waits)
+		runs = f.runsOf(id)
+		longest, _ = f.tasks.longestCounted()
+		f.end()
+	})
+	return runs, longest
+}
+
+// Guards against tasks that wait in a shard whose last suitable worker is lost for longer the more shards there are, because the owner asks
+// shards at random, and most of them can't hold the tasks.
+func TestTasksFindTheOnlySuitableShardOfMany(t *testing.T) {
+	runs, longest := loseSpecialWorkers(t, 20, 3, 0, func(*simulatedFleet) {})
+	assert.Equal(t, runs, 3)
+	assert.Check(t, longest <= restartWindow, "nothing running for %s", longest)
+}
