Give tasks to a silent shard that alone could hold them

What callers saw: after the loss of a rack, its tasks never ran again while the other rack of the same kind was idle, if the owner of that rack's shard answered more slowly than in 500 ms or could not be reached by other hosts. New jobs that the slow host's peers sent to the wrong shard did not start either. The only thing in order was the store, and all else that a transfer needs is in the store.

Cause: a task was only given to a shard whose owner had answered that it has room. Each request has 500 ms; without an answer nothing is given, and the next request starts anew. An owner that is always slower, or that no message reaches, is asked for ever.

Evidence: TestTasksLeaveShardWithoutSuitableWorkerBesideSilentOwner before the change:

--- FAIL: TestTasksLeaveShardWithoutSuitableWorkerBesideSilentOwner/late (0.01s) unansweredroom_test.go:52: assertion failed: 0 (runs int) != 3 (int) --- FAIL: TestTasksLeaveShardWithoutSuitableWorkerBesideSilentOwner/lost (0.01s) unansweredroom_test.go:52: assertion failed: 0 (runs int) != 3 (int)

Change: after two requests in a row without an answer, the shard is given the tasks that no worker of their own shard could hold if it were empty, as many as its registered workers could hold if they were.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -22,54 +22,81 @@
 	// promiseTime is how long a shard that has promised room to one owner promises none to others, so that they don't count on the
 	// same room.
 	promiseTime = 300 * time.Millisecond
+	// maxUnansweredRoom is how many questions for room a shard may leave without an answer in a row until tasks are given to it unasked that
+	// its workers could hold and no worker of their own shard could. A single answer may be lost.
+	maxUnansweredRoom = 2
 )
 
-// askingOrder is the order in which an owner asks other shards for room: each of them before one is asked again, so that a shard with room
-// is found among many in a bounded time.
-type askingOrder []int
+// roomQueries are the questions for room that an owner asks other shards.
+type roomQueries struct {
+	// turn holds the shards that are still to be asked, until each has been asked once. A shard with room is found among many in a bounded
+	// time so.
+	turn []int
+	// unanswered is how many of the last questions to a shard got no answer.
+	unanswered map[int]int
+}
 
 // next returns the next of a number of shards, own excepted.
-func (o *askingOrder) next(shards, own int) int {
-	if len(*o) == 0 {
-		*o = slices.DeleteFunc(rand.Perm(shards), func(n int) bool { return n == own })
+func (q *roomQueries) next(shards, own int) int {
+	if len(q.turn) == 0 {
+		q.turn = slices.DeleteFunc(rand.Perm(shards), func(n int) bool { return n == own })
 	}
-	n := (*o)[0]
-	*o = (*o)[1:]
+	n := q.turn[0]
+	q.turn = q.turn[1:]
 	return n
 }
 
+// note notes whether a shard has answered, and reports whether it has left maxUnansweredRoom questions unanswered.
+func (q *roomQueries) note(n int, isAnswered bool) bool {
+	if isAnswered {
+		delete(q.unanswered, n)
+	} else {
+		q.unanswered[n]++
+	}
+	return q.unanswered[n] >= maxUnansweredRoom
+}
+
 // exchangeTasks gives tasks that wait in the shard for too long to other shards that have room for them. Other hosts may have to act for
 // these tasks later, so all live ones must know shared jobs.
 func (r *runner) exchangeTasks() {
-	var order askingOrder
+	q := roomQueries{unanswered: map[int]int{}}
 	for r.ctx.Err() == nil {
 		retry.Sleep(r.ctx, exchangeInterval)
 		if shards := r.host.directory.shardCount(); shards >= 2 && r.host.directory.allShareJobs() {
-			r.askForRoom(&order, shards)
+			r.askForRoom(&q, shards)
 		}
 	}
 }
 
 // askForRoom asks the next shardsAsked shards for room whose workers could hold some of the offered tasks if they were empty.
-func (r *runner) askForRoom(order *askingOrder, shards int) {
-	offers := r.offers()
-	room, _ := r.registryRoom(demandsOf(offers))
-	for left, asked := shards-1, 0; left > 0 && asked < shardsAsked && len(offers) > 0; left-- {
-		n := order.next(shards, r.shard)
+func (r *runner) askForRoom(q *roomQueries, shards int) {
+	for left, asked := shards-1, 0; left > 0 && asked < shardsAsked; asked++ {
+		offers := r.offers()
+		if len(offers) == 0 {
+			return
+		}
+		could, _ := r.registryRoom(demandsOf(offers))
 		var held []shard.Offer
-		for i, f := range offers {
-			if room.of(n, i) > 0 {
-				held = append(held, f)
-			}
+		n := 0
+		for ; len(held) == 0 && left > 0; left-- {
+			n = q.next(shards, r.shard)
+			held = could.offersFor(n, offers)
 		}
-		if len(held) == 0 {
-			continue
+		if len(held) > 0 {
+			r.give(q, n, held)
+		}
+	}
+}
+
+// offersFor returns the offers of which a shard could hold some tasks if it were empty, with the number of these tasks.
+func (r registryRoom) offersFor(n int, offers []shard.Offer) []shard.Offer {
+	var out []shard.Offer
+	for i, f := range offers {
+		if f.Count = r.of(n, i); f.Count > 0 {
+			out = append(out, f)
 		}
-		asked++
-		r.give(n, held)
-		offers = r.offers()
-		room, _ = r.registryRoom(demandsOf(offers))
 	}
+	return out
 }
 
 func demandsOf(offers []shard.Offer) []shard.Demand {
@@ -91,9 +118,19 @@
 	return r.owner.Offers(now)
 }
 
-// give gives as many of the offered tasks to another shard as it has room for.
-func (r *runner) give(to int, offers []shard.Offer) {
-	room := r.host.shardRoom(r.ctx, to, demandsOf(offers))
+// give gives as many of the offered tasks to another shard as it has room for. If the shard does not answer, it gets tasks that no worker
+// of this one could hold: they lose nothing, and are returned if they find no room there.
+func (r *runner) give(q *roomQueries, to int, offers []shard.Offer) {
+	room, isAnswered := r.host.shardRoom(r.ctx, to, demandsOf(offers))
+	isSilent := q.note(to, isAnswered)
+	if isSilent {
+		room = make([]int, len(offers))
+		for i, f := range offers {
+			if f.IsUnsuited {
+				room[i] = f.Count
+			}
+		}
+	}
 	if len(room) != len(offers) {
 		return
 	}
@@ -105,28 +142,30 @@
 		for i, f := range offers {
 			given += r.owner.Give(now, f, room[i], to)
 		}
-		r.log.WithFields(logrus.Fields{"decision": "exchange", "given": given, "room": room, "to": to}).
-			Info("another shard has room for tasks that wait")
+		if given > 0 {
+			r.log.WithFields(logrus.Fields{"decision": "exchange", "given": given, "room": room, "silent": isSilent, "to": to}).
+				Info("another shard has room for tasks that wait, or is silent and could hold them")
+		}
 	})
 }
 
-// shardRoom asks the owner of a shard how many tasks of each demand its workers could take at once. It returns nil if that is none, or
-// if the owner does not answer in time.
-func (h *Host) shardRoom(ctx context.Context, n int, demands []shard.Demand) []int {
+// shardRoom asks the owner of a shard how many tasks of each demand its workers could take at once. It returns nil if that is none, and
+// false if there is no answer in time.
+func (h *Host) shardRoom(ctx context.Context, n int, demands []shard.Demand) (room []int, isAnswered bool) {
 	if h.ownedShards.runner(n) != nil {
-		return h.ownedShards.promiseRoom(n, demands)
+		return h.ownedShards.promiseRoom(n, demands), true
 	}
 	o, ok := h.directory.owner(n)
 	if !ok {
-		return nil
+		return nil, false
 	}
 	ctx, cancel := withTimeout(ctx, queryTimeout)
 	defer cancel()
 	m, err := h.request(ctx, o.PeerAddress, peer.Message{RoomQuery: &peer.RoomQuery{Demands: encodeDemands(demands), Shard: n}})
 	if err != nil || m.RoomReply == nil {
-		return nil
+		return nil, false
 	}
-	return m.RoomReply.Room
+	return m.RoomReply.Room, true
 }
 
 // promiseRoom returns how many tasks of each demand the workers of a shard could take at once. It returns nil if that is none, if this
--- a/internal/entry/unansweredroom_test.go
+++ b/internal/entry/unansweredroom_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/peer"
 )
 
 // loseSpecialWorkers plays a shard that loses the workers with a label, while one other shard has some. It returns how many tasks of the job
@@ -39,6 +41,19 @@
 	return runs, longest
 }
 
+// Guards against tasks that wait for ever in a shard whose last suitable worker is lost, because the owner of the only other shard with
+// suitable workers does not answer when it is asked for room: it is too slow, or no message reaches it.
+func TestTasksLeaveShardWithoutSuitableWorkerBesideSilentOwner(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"late": 600 * time.Millisecond, "lost": -1} {
+		t.Run(name, func(t *testing.T) {
+			runs, _ := loseSpecialWorkers(t, 2, 3, restartWindow, func(f *simulatedFleet) {
+				f.setPeerDelay(func(string, peer.Message) time.Duration { return delay })
+			})
+			assert.Equal(t, runs, 3)
+		})
+	}
+}
+
 // Guards against tasks that wait in a shard whose last suitable worker is lost for longer the more shards there are, because the owner asks
 // shards at random, and most of them can't hold the tasks.
 func TestTasksFindTheOnlySuitableShardOfMany(t *testing.T) {
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -32,11 +32,12 @@
 // Offer is a class of equal tasks that may move to another shard.
 type Offer struct {
 	Demand
-	tasks []*task
+	// IsUnsuited is set if no worker of this shard could hold one of the tasks if it were empty.
+	IsUnsuited bool
+	tasks      []*task
 }
 
-// Offers returns the tasks that wait in their home shard for too long: half of the classes are those that have waited the longest, the
-// others those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
+// Offers returns the tasks that wait in their home shard for too long.
 func (o *Owner) Offers(now time.Time) []Offer {
 	if o.isHandingOver {
 		return nil
@@ -57,7 +58,16 @@
 	slices.SortStableFunc(tasks, func(a, b *task) int {
 		return cmp.Or(compareNew(a.run == 0, b.run == 0), a.waitsSince(a.job.acceptedAt).Compare(b.waitsSince(b.job.acceptedAt)))
 	})
-	offers := classify(tasks)
+	offers := mostPressing(classify(tasks))
+	for i := range offers {
+		offers[i].IsUnsuited = !o.suitsStep(offers[i].tasks[0].step, offers[i].Service, suits)
+	}
+	return offers
+}
+
+// mostPressing returns at most maxOffers of some offers: half of them are those that have waited the longest, which come first, the others
+// those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
+func mostPressing(offers []Offer) []Offer {
 	if len(offers) <= maxOffers {
 		return offers
 	}
