Let owners send nothing to workers in evacuated zones

Cause: the operator could not keep a zone free of new tasks. Change: an owner is told the evacuated zones. Their workers count as not usable wherever capacity, load, suitability, headroom, room for other shards or a worker for a task is looked for. The summary counts the runs that are left in each zone and the tasks that only its workers suit, and wait lines name the reason. Nothing tells owners of zones yet.

--- a/internal/evacuation/source.go
+++ b/internal/evacuation/source.go
@@ -23,6 +23,8 @@
 	// onChange is called after each change of the zones.
 	onChange func()
 	prefix   string
+	// unknown holds the evacuated zones that were reported as having no worker.
+	unknown map[string]bool
 }
 
 // NewSource returns a source without a set. Keys with the prefix request evacuations, and decode returns the zone that such a key names. An
@@ -141,3 +143,21 @@
 	}
 	return isChanged
 }
+
+// ReportUnknown logs each evacuated zone that is not among those of the registered workers, once while that lasts.
+func (s *Source) ReportUnknown(known map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unknown := map[string]bool{}
+	for _, zone := range s.current.Names() {
+		if known[zone] {
+			continue
+		}
+		unknown[zone] = true
+		if !s.unknown[zone] {
+			s.log.WithFields(logrus.Fields{"decision": "evacuation_unknown_zone", "key": s.prefix + zone, "zone": zone}).
+				Error("evacuation key names a zone without a registered worker; it counts for workers that register later")
+		}
+	}
+	s.unknown = unknown
+}
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -48,21 +48,21 @@
 	return Demand{Count: s.Count, Label: s.Label, PerWorker: s.PerWorker, Resources: reservation(s), Service: service}
 }
 
-// Suits reports whether the shard's workers could hold each of the demands by itself if they were empty. Workers that drain don't
-// count.
+// Suits reports whether the shard's workers could hold each of the demands by itself if they were empty. Workers that drain or
+// are in evacuated zones don't count.
 func (o *Owner) Suits(demands []Demand) bool {
-	for _, d := range demands {
-		n := 0
-		for _, w := range o.sortedWorkers() {
-			if n < d.Count && w.registered && !w.Draining {
-				n += d.fit(w, w.Capacity, d.Count-n)
-			}
-		}
-		if n < d.Count {
-			return false
+	return !slices.ContainsFunc(demands, func(d Demand) bool { return !o.holds(d, (*worker).isUsable) })
+}
+
+// holds reports whether those of the shard's workers that count could hold a demand if they were empty.
+func (o *Owner) holds(d Demand, counts func(*worker) bool) bool {
+	n := 0
+	for _, w := range o.sortedWorkers() {
+		if n < d.Count && counts(w) {
+			n += d.fit(w, w.Capacity, d.Count-n)
 		}
 	}
-	return true
+	return n >= d.Count
 }
 
 // suitsStep reports whether the shard's workers could hold a task of a step, or all tasks of a gang, if they were empty. known holds what
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -30,7 +30,7 @@
 func (o *Owner) Load(service string) Load {
 	var l Load
 	for _, w := range o.workers {
-		if w.registered && !w.Draining && w.Service == service {
+		if w.isUsable() && w.Service == service {
 			l.Room += w.Capacity.CPUMilli
 			l.Free += w.Capacity.CPUMilli - w.reserved.CPUMilli
 			l.Left += int64(o.viewOf(w).leftoverCPU)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -26,6 +27,8 @@
 	ended      endedJobs
 	// earlierLeasesEnd is when the leases that earlier owners granted have ended, by their claims; zero if that is not known.
 	earlierLeasesEnd time.Time
+	// evacuated is the set of zones to whose workers nothing is sent.
+	evacuated *evacuation.Set
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
@@ -202,6 +205,7 @@
 			}).Info("worker is draining")
 		}
 		w.Worker, w.registered = entry, true
+		o.updateEvacuated(w)
 		if entry.Born != 0 && w.incarnation != 0 && entry.Born > w.incarnation {
 			o.handleRestart(now, w, entry.Born)
 		}
@@ -259,6 +263,7 @@
 	o.openOccurrences(now, &a)
 	o.expireLeases(now, &a)
 	o.stopOnDrainingWorkers(now, &a)
+	o.withdrawEvacuated()
 	if !o.isHandingOver {
 		o.replaceOverdue(now)
 		o.renewTickets(now, &a)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -124,7 +124,7 @@
 
 // takesTasks reports whether the worker is in a state in which it may be given any tasks.
 func (w *worker) takesTasks(now time.Time) bool {
-	return w.registered && !w.Draining && w.fenced && w.pollFailures == 0 && w.orphans == 0 && w.health.accepts(now)
+	return w.isUsable() && w.fenced && w.pollFailures == 0 && w.orphans == 0 && w.health.accepts(now)
 }
 
 // placeTask assigns a task to the best worker. It returns false if no worker can take the task now.
@@ -219,7 +219,7 @@
 func (o *Owner) usedFraction(service string) float64 {
 	used, capacity := 0.0, 0.0
 	for _, w := range o.sortedWorkers() {
-		if !w.registered || w.Service != service {
+		if !w.registered || w.isEvacuated || w.Service != service {
 			continue
 		}
 		capacity += float64(w.Capacity.CPUMilli)
@@ -278,7 +278,7 @@
 func (o *Owner) racks() []string {
 	var racks []string
 	for _, w := range o.sortedWorkers() {
-		if w.registered && !slices.Contains(racks, w.Rack) {
+		if w.registered && !w.isEvacuated && !slices.Contains(racks, w.Rack) {
 			racks = append(racks, w.Rack)
 		}
 	}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -349,8 +349,7 @@
 // urgency and at the pace of the records. Runs without an attempt take room of unknown size.
 func (o *Owner) mayResend(w *worker, at *attempt) bool {
 	s, j := at.task.step, at.task.job
-	return s.LongRunning && !s.Gang && j.final == "" && at.born == w.incarnation && at.born != 0 && w.orphans == 0 && w.registered &&
-		!w.Draining
+	return s.LongRunning && !s.Gang && j.final == "" && at.born == w.incarnation && at.born != 0 && w.orphans == 0 && w.isUsable()
 }
 
 // stopOrphan stops a run that is not on record, or that already counts as ended.
--- a/internal/shard/roomreport.go
+++ b/internal/shard/roomreport.go
@@ -41,7 +41,7 @@
 	}
 	var n roomCounts
 	for _, w := range o.sortedWorkers() {
-		if w.registered && !w.Draining && w.Service == longest.job.queue.Service && w.HasLabel(longest.step.Label) {
+		if w.isUsable() && w.Service == longest.job.queue.Service && w.HasLabel(longest.step.Label) {
 			w.countRoom(now, longest, &n)
 		}
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -238,6 +238,8 @@
 	clock         int64
 	clockAt       time.Time
 	drainingSince time.Time
+	// isEvacuated is set while the worker's zone is evacuated.
+	isEvacuated bool
 	// endKnownAt is when this owner learned of the last end of a run on the worker.
 	endKnownAt time.Time
 	// fenced is true once the worker has accepted the owner's token.
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -7,6 +7,8 @@
 	// BestEffortPace is the mean pace of the best-effort tasks, in percent.
 	BestEffortPace int
 	BestEffort     int
+	// EvacuatedRuns is the number of runs that may still be on the workers of each evacuated zone. It has all zones of such workers.
+	EvacuatedRuns map[string]int
 	// HeadroomAvailable is the CPU that short tasks can use, and HeadroomTarget the part of it that is kept free of long-running
 	// tasks which have never run, in thousandths of a core. They are 0 if the last placement round needed no headroom. With several
 	// services or priorities, those of the smallest remainder are given.
@@ -31,6 +33,8 @@
 	// also counted by themselves.
 	Waiting           int
 	WaitingBestEffort int
+	// WaitingEvacuated counts the waiting tasks that only workers in evacuated zones suit.
+	WaitingEvacuated int
 	// WaitingBesideRoom is the number of tasks that have waited for longer than the longest lease while several workers that suit them have
 	// room, as far as ReportWaits has seen.
 	WaitingBesideRoom int
@@ -41,7 +45,8 @@
 
 // Summary returns the counts and ages at now.
 func (o *Owner) Summary(now time.Time) Summary {
-	s := Summary{Jobs: len(o.jobs)}
+	s := Summary{EvacuatedRuns: o.evacuatedRuns(), Jobs: len(o.jobs)}
+	zoneWaits := map[Demand]bool{}
 	var oldest time.Time
 	s.Uncommitted, oldest = o.uncommitted(now)
 	s.OldestUncommitted = now.Sub(oldest)
@@ -78,6 +83,9 @@
 		for _, t := range j.readyTasks() {
 			if t.isWaiting() {
 				s.Waiting++
+				if len(s.EvacuatedRuns) > 0 && o.waitsForZone(t, zoneWaits) {
+					s.WaitingEvacuated++
+				}
 				switch {
 				case t.step.BestEffort:
 					s.WaitingBestEffort++
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -141,6 +141,9 @@
 	if now.Before(t.notBefore) {
 		fields["not_before_in"] = t.notBefore.Sub(now).String()
 	}
+	if o.waitsForZone(t, map[Demand]bool{}) {
+		fields["only_in_evacuated_zones"] = true
+	}
 	for _, w := range o.sortedWorkers() {
 		if reason := o.waitReason(now, w, t); reason != "" {
 			n, _ := fields[reason].(int)
--- a/internal/shard/waitreason.go
+++ b/internal/shard/waitreason.go
@@ -12,6 +12,8 @@
 		return ""
 	case !w.registered, w.Draining:
 		return "leaving"
+	case w.isEvacuated:
+		return "evacuated"
 	case w.isSilent():
 		return "unreachable"
 	case w.orphans > 0:
--- a/internal/shard/waitroom.go
+++ b/internal/shard/waitroom.go
@@ -85,6 +85,6 @@
 
 // isIdleFor reports whether the worker answers, suits the task and has room for it by its reservations.
 func (w *worker) isIdleFor(t *task) bool {
-	return w.registered && !w.Draining && !w.isSilent() && w.Service == t.job.queue.Service && w.HasLabel(t.step.Label) &&
+	return w.isUsable() && !w.isSilent() && w.Service == t.job.queue.Service && w.HasLabel(t.step.Label) &&
 		!t.isAdvisedAgainst(w) && !w.isAtSpreadLimit(t) && w.reserved.Add(reservation(t.step)).FitsIn(w.Capacity)
 }
