Prefer warm workers while others are slow after their start

Cause: workers of a zone that is returned to service are cold, which their registry entries tell (coldRemainingMs) and nothing read. Change: the entry is decoded, and placement ranks cold workers behind warm ones until the time is over. Result: the tests of internal/shard pass.

--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -13,9 +13,11 @@
 	// Born is when the current lifetime of the worker began, in Unix milliseconds. It changes with each restart.
 	Born     int64
 	Capacity fleet.Resources
-	Draining bool
-	ID       string
-	Labels   []string
+	// ColdRemaining is for how long the worker is still slow after its start, at the time of the registry entry.
+	ColdRemaining time.Duration
+	Draining      bool
+	ID            string
+	Labels        []string
 	// Machine identifies the machine across restarts of the worker.
 	Machine string
 	Rack    string
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -204,6 +204,9 @@
 				"runs": len(w.attempts),
 			}).Info("worker is draining")
 		}
+		if entry.ColdRemaining != w.ColdRemaining || entry.Born != w.Born {
+			w.coldUntil = now.Add(entry.ColdRemaining)
+		}
 		w.Worker, w.registered = entry, true
 		o.updateEvacuated(w)
 		if entry.Born != 0 && w.incarnation != 0 && entry.Born > w.incarnation {
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -21,6 +21,8 @@
 	// avoidPenalty avoids the worker that the task's last run failed on or was moved away from, if there is another
 	// one.
 	avoidPenalty = 3
+	// coldPenalty ranks workers that are slow after their start behind all warm ones that can take the task, also those far from its data.
+	coldPenalty = 3
 )
 
 // score returns how well a worker suits a task; higher is better.
@@ -47,6 +49,9 @@
 	if t.avoidWorker == w.ID {
 		score -= avoidPenalty
 	}
+	if o.now.Before(w.coldUntil) {
+		score -= coldPenalty
+	}
 	return score
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -235,8 +235,10 @@
 	// tokenOffset is how often the token was raised for this worker alone.
 	tokenOffset int64
 	// clock is a reading of the worker's clock in milliseconds, taken at clockAt or earlier.
-	clock         int64
-	clockAt       time.Time
+	clock   int64
+	clockAt time.Time
+	// coldUntil is until when the worker is slow after its start.
+	coldUntil     time.Time
 	drainingSince time.Time
 	// isEvacuated is set while the worker's zone is evacuated.
 	isEvacuated bool
