Watch the operator's evacuation keys on all hosts

Cause: no code read the keys below op/evacuate/. Change: the watch of the config covers all keys of the operator, and hosts take no shard before they know the evacuated zones. Peers pass them on with the config. Owners are told of each change. Malformed keys and zones without workers are logged. Evacuated zones and the runs left there are in expvar.

--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
@@ -24,13 +26,29 @@
 
 // configSource holds the newest config that the host has seen.
 type configSource struct {
-	current  atomic.Pointer[activeConfig]
-	decode   func([]byte) (workflow.Config, error)
-	key      string
-	log      *logrus.Entry
-	onChange func(workflow.Config)
+	current atomic.Pointer[activeConfig]
+	decode  func([]byte) (workflow.Config, error)
+	// evacuations holds the evacuated zones, which come with the config.
+	evacuations *evacuation.Source
+	key         string
+	log         *logrus.Entry
+	onChange    func(workflow.Config)
+	// prefix is the prefix of the operator's keys.
+	prefix string
 }
 
+// newConfigSource returns the source of what the operator writes into the store.
+func newConfigSource(p Platform, log *logrus.Entry, shards *ownedShards) *configSource {
+	return &configSource{
+		decode:      p.DecodeConfig,
+		evacuations: evacuation.NewSource(p.EvacuationPrefix, p.DecodeEvacuation, log, shards.evacuationsChanged),
+		key:         p.ConfigKey, log: log, onChange: shards.configChanged, prefix: cmp.Or(p.OperatorPrefix, p.ConfigKey),
+	}
+}
+
+// isKnown reports whether there is a config and it is known which zones are evacuated.
+func (c *configSource) isKnown() bool { return c.current.Load() != nil && c.evacuations.IsKnown() }
+
 func (c *configSource) config() workflow.Config {
 	if active := c.current.Load(); active != nil {
 		return active.config
@@ -39,11 +57,13 @@
 }
 
 func (c *configSource) run(ctx context.Context, s kvstore.Store) {
-	watchPrefix(ctx, s, c.log, c.key, func(kvs []kvstore.KV, _ int64) {
+	watchPrefix(ctx, s, c.log, c.prefix, func(kvs []kvstore.KV, revision int64) {
+		c.evacuations.Load(kvs, revision)
 		for _, kv := range kvs {
 			c.activateIfNewer(kv.Key, kv.Value, "store")
 		}
 	}, func(events []kvstore.Event) {
+		c.evacuations.Apply(events)
 		for _, ev := range events {
 			if !ev.Deleted {
 				c.activateIfNewer(ev.KV.Key, ev.KV.Value, "store")
@@ -103,11 +123,12 @@
 	defer cancel()
 	p := peers[h.random(len(peers))]
 	reply, err := h.request(ctx, p.PeerAddress, peer.Message{
-		ConfigQuery: &peer.ConfigQuery{Version: h.config.config().Version},
+		ConfigQuery: &peer.ConfigQuery{Evacuations: h.config.evacuations.Revision(), Version: h.config.config().Version},
 	})
 	if err != nil || reply.ConfigReply == nil {
 		return // the next poll asks another peer
 	}
+	h.config.evacuations.Merge(reply.ConfigReply.Evacuations, p.Host)
 	if data := reply.ConfigReply.Data; len(data) > 0 {
 		h.config.activateIfNewer(h.config.key, data, "peer "+p.Host)
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -66,7 +66,7 @@
 	h.pool = peer.NewPool(entry, h.handlePeerMessage)
 	h.request = h.pool.Request
 	h.ownedShards = newOwnedShards(h)
-	h.config = &configSource{decode: p.DecodeConfig, key: p.ConfigKey, log: entry, onChange: h.ownedShards.configChanged}
+	h.config = newConfigSource(p, entry, h.ownedShards)
 	h.session = &session{
 		log: entry, now: h.now, onLease: func(int64) { h.ownedShards.wakeElection() }, record: h.self, store: p.Store,
 	}
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -93,6 +93,7 @@
 		}
 		r.owner.SetWorkers(now, own)
 		r.appliedLayout, r.hasUnassigned = revision, len(unassigned) > 0
+		r.reportUnknownZones()
 	})
 	if len(unassigned) > 0 && r.shard == 0 {
 		r.host.addRacks(r.ctx, unassigned)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -31,8 +31,14 @@
 	timerLag           = metrics.NewHistogram("entry_timer_lag_ms")
 )
 
-// setGauges publishes the state of the shard, by name.
+// setGauges publishes the state of the shard, by name, and withdraws the gauges that it no longer has.
 func (r *runner) setGauges(values map[string]int) {
+	for name := range r.gauges {
+		if _, ok := values[name]; !ok {
+			shardGauges.Delete(r.gaugeName(name))
+			delete(r.gauges, name)
+		}
+	}
 	for name, n := range values {
 		v := new(expvar.Int)
 		v.Set(int64(n))
--- a/internal/entry/ownedshards.go
+++ b/internal/entry/ownedshards.go
@@ -202,7 +202,7 @@
 	}
 	lease, expires := h.session.currentLease()
 	now := h.now()
-	if h.draining.Load() || lease == 0 || !now.Before(expires) || h.config.current.Load() == nil {
+	if h.draining.Load() || lease == 0 || !now.Before(expires) || !h.config.isKnown() {
 		return 0
 	}
 	if r == nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,7 +43,7 @@
 		room := h.ownedShards.promiseRoom(m.RoomQuery.Shard, decodeDemands(m.RoomQuery.Demands))
 		return peer.Message{RoomReply: &peer.RoomReply{Room: room}}, nil
 	case m.ConfigQuery != nil:
-		reply := &peer.ConfigReply{}
+		reply := &peer.ConfigReply{Evacuations: h.config.evacuations.NewerThan(m.ConfigQuery.Evacuations)}
 		if active := h.config.current.Load(); active != nil && active.config.Version > m.ConfigQuery.Version {
 			reply.Data = active.data
 		}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -17,10 +17,16 @@
 	// ConfigKey is the store key to which the operator writes the config.
 	ConfigKey    string
 	DecodeConfig func(value []byte) (workflow.Config, error)
+	// DecodeEvacuation returns the zone that a key with EvacuationPrefix names.
+	DecodeEvacuation func(key string) (zone string, err error)
 	// DecodeWorker decodes an entry of the worker registry.
 	DecodeWorker func(kv kvstore.KV) (shard.Worker, error)
+	// EvacuationPrefix is the prefix of the keys that request that nothing be sent to the workers of a zone; "" if there are none.
+	EvacuationPrefix string
 	// Handler serves the callers' interface.
 	Handler func(Service) http.Handler
+	// OperatorPrefix is the common prefix of ConfigKey and EvacuationPrefix; "" stands for ConfigKey.
+	OperatorPrefix string
 	// Poll, Pace, Start and Stop call a worker.
 	Poll  func(ctx context.Context, l shard.Poll) (shard.Listing, shard.Outcome)
 	Pace  func(ctx context.Context, p shard.Pace) shard.Reply
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -103,6 +103,7 @@
 
 func (r *runner) start() {
 	r.owner.SetConfig(r.host.config.config())
+	r.applyEvacuations()
 	for _, task := range []func(){
 		r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle, r.followBuilds,
 		r.followLateHandover,
@@ -240,17 +241,24 @@
 	}
 	r.lastSummary = now
 	s := r.owner.Summary(now)
-	r.setGauges(map[string]int{
+	gauges := map[string]int{
 		"fills": s.BestEffort, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
 		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom,
-	})
+		"waiting_evacuated": s.WaitingEvacuated,
+	}
+	for zone, n := range s.EvacuatedRuns {
+		gauges["evacuated_runs_"+zone] = n
+	}
+	r.setGauges(gauges)
 	r.log.WithFields(logrus.Fields{
-		"decision": "summary", "fill_pace": s.BestEffortPace, "fills": s.BestEffort, "headroom_milli": s.HeadroomAvailable,
+		"decision": "summary", "evacuated_runs": s.EvacuatedRuns, "fill_pace": s.BestEffortPace, "fills": s.BestEffort,
+		"headroom_milli": s.HeadroomAvailable,
 		"headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
 		"serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
-		"waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom, "waiting_fills": s.WaitingBestEffort,
+		"waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom, "waiting_evacuated": s.WaitingEvacuated,
+		"waiting_fills": s.WaitingBestEffort,
 		"waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
 	}).Info("shard summary")
 	r.owner.ReportWaits(now)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/slots"
@@ -246,12 +247,16 @@
 
 // ConfigQuery requests a config newer than Version.
 type ConfigQuery struct {
-	Version int64 `json:"version"`
+	// Evacuations is the store revision of the set of evacuated zones that the sender knows; 0 if it knows none.
+	Evacuations int64 `json:"evacuations,omitempty"`
+	Version     int64 `json:"version"`
 }
 
 // ConfigReply contains the config as the operator wrote it. Data is empty if the replying host has no newer one.
 type ConfigReply struct {
 	Data []byte `json:"data,omitempty"`
+	// Evacuations is nil if the replying host has no newer set, or is of an older build.
+	Evacuations *evacuation.Set `json:"evacuations,omitempty"`
 }
 
 // Message is the content of one frame; at most one of its message pointers is set. A request has an ID above 0, and its
