--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -252,14 +252,12 @@
 	r.setGauges(gauges)
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "evacuated_runs": s.EvacuatedRuns, "fill_pace": s.BestEffortPace, "fills": s.BestEffort,
-		"headroom_milli": s.HeadroomAvailable,
-		"headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs,
-		"serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
+		"headroom_milli": s.HeadroomAvailable, "headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget,
+		"runs": s.Runs, "serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
 		"unstarted": s.Unstarted, "unstarted_age": s.OldestUnstarted.String(),
 		"waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom, "waiting_evacuated": s.WaitingEvacuated,
-		"waiting_fills": s.WaitingBestEffort,
-		"waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
+		"waiting_fills": s.WaitingBestEffort, "waiting_long_running": s.WaitingLongRunning, "workers": s.Workers,
 	}).Info("shard summary")
 	r.owner.ReportWaits(now)
 	r.owner.ReportRoom(now)
