--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -104,6 +105,9 @@
 	ignoresAdviceRequests bool
 	storeUp               bool
 	starts                int
+	// evacuated holds the zones that the owner is told to be evacuated, and evacuatedAt since when.
+	evacuated   *evacuation.Set
+	evacuatedAt time.Time
 	// clockError is by how much the time of day is off.
 	clockError time.Duration
 	// history holds the events of each task, which are printed if a guarantee is violated.
@@ -163,6 +167,7 @@
 	sim.owner = shard.NewOwner(sim.epoch, sim.now, shard.WithTiming(timing), shard.WithLog(logrus.NewEntry(sim.log)),
 		shard.WithWallClock(func() time.Time { return sim.now.Add(sim.clockError) }))
 	sim.owner.SetConfig(sim.config)
+	sim.owner.SetEvacuated(sim.now, sim.evacuated)
 	for _, h := range handedOver {
 		sim.owner.Inherit(h)
 	}
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -168,6 +168,9 @@
 	if !f.reserved().Add(demand).FitsIn(f.Capacity) {
 		sim.fail(name, "run %d exceeds worker %s: %s reserved", s.Run, f.ID, f.reserved())
 	}
+	if late := sim.now.Sub(sim.evacuatedAt); sim.evacuated.Contains(f.Zone) && late > evacuationBound {
+		sim.fail(name, "run %d starts on worker %s %s after the evacuation of its zone", s.Run, f.ID, late)
+	}
 	if sim.completed[name] {
 		sim.fail(name, "run %d starts after the task's completion was acknowledged", s.Run)
 	}
