--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -179,6 +179,13 @@
 			return workflow.NewConfig(1+int64(len(data)), []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
 				[]workflow.Service{{Name: "s"}}, workflow.Limits{}), nil
 		},
+		DecodeEvacuation: func(key string) (string, error) {
+			if zone := strings.TrimPrefix(key, evacuationPrefix); zone != "" {
+				return zone, nil
+			}
+			return "", errNoZone
+		},
+		EvacuationPrefix: evacuationPrefix, OperatorPrefix: "op/",
 		DecodeWorker: func(kv kvstore.KV) (shard.Worker, error) { return f.workers[kv.Key].entry(), nil },
 		Poll: func(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
 			h.use(ctx, f.callCost)
