--- a/internal/shard/evacuate_test.go
+++ b/internal/shard/evacuate_test.go
@@ -202,6 +202,26 @@
 	assert.Equal(t, c.startsIn("z", 0), 6, "workers are cold for a time only")
 }
 
+// Guards against runs that are stopped, with their work lost, because their worker is cold and slow, and against its quarantine.
+func TestSlowRunOnColdWorkerGoesOn(t *testing.T) {
+	for _, cold := range []time.Duration{0, 10 * time.Second} {
+		c := newZonedHarness(t)
+		for _, f := range c.workers[:2] {
+			f.ColdRemaining = cold
+		}
+		c.register()
+		c.endCause = func(s shard.Start) shard.EndCause {
+			if c.age(s) > 500*time.Millisecond && (c.worker(s.Worker).Zone == "y" || c.age(s) > 3*time.Second) {
+				return shard.EndDone
+			}
+			return ""
+		}
+		c.add(workflow.Job{ID: "0000000000000001", Queue: "q", Steps: []workflow.Step{{Count: 4, PerWorker: 1, Resources: fleet.Resources{CPUMilli: 1000}}}})
+		c.run(4 * time.Second)
+		assert.Equal(t, len(c.starts) == 4, cold > 0, "%d starts while workers are cold for %s", len(c.starts), cold)
+	}
+}
+
 // Guards against starts in evacuated zones beyond the bound, tasks that run twice and jobs that never end, while zones are evacuated and
 // returned at random beside lost and late calls, crashes and owner changes.
 func TestEvacuationsHoldUnderRandomFaults(t *testing.T) {
--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -80,15 +80,16 @@
 	t := at.task
 	t.avoidWorker = at.worker.ID
 	other := o.choose(now, t, "")
-	if other == nil || other == at.worker || t.job.final != "" {
-		return
+	isCold := now.Before(at.worker.coldUntil)
+	if other == nil || other == at.worker || t.job.final != "" || isCold && !t.step.Speculative {
+		return // a run on a cold worker is slow without a fault, and a stop would discard its work
 	}
 	t.copies++
 	o.log.WithFields(logrus.Fields{
 		"decision": "overdue", "job": t.job.ID, "task": t.key.String(), "run": at.run, "worker": at.worker.ID,
 		"runs_for": now.Sub(at.confirmedAt).String(), "limit": limit.String(), "copy": t.step.Speculative,
 	}).Info("run is overdue; replacing it")
-	if at.worker.health.failed(now) {
+	if !isCold && at.worker.health.failed(now) {
 		o.logQuarantine(at.worker)
 	}
 	if t.step.Speculative {
