--- a/internal/entry/registryroom.go
+++ b/internal/entry/registryroom.go
@@ -3,7 +3,7 @@
 import "github.com/laburnumridge/laburnumridge/internal/shard"
 
 // registryRoom is, by shard and demand, how many tasks the registered workers could hold if they were empty, at most as many as the demand
-// counts. Shards whose workers can hold none are left out.
+// counts. Workers in evacuated zones and shards whose workers can hold none are left out.
 type registryRoom map[int][]int
 
 // of returns the room of a shard for the demand with an index.
@@ -33,10 +33,10 @@
 	if r.appliedLayout == 0 {
 		return nil, false
 	}
-	out := registryRoom{}
+	out, evacuated := registryRoom{}, r.host.config.evacuations.Current()
 	for _, w := range r.registry {
 		n, ok := l.shardOf(w)
-		if !ok {
+		if !ok || evacuated.Contains(w.Zone) {
 			continue
 		}
 		for i, d := range demands {
