Offer tasks at once that no worker of their shard could hold

What callers saw: if the owner of a shard was lost together with the last workers that suit some of its tasks, these tasks had nothing running for 3.3 to 3.7 s beyond the grace of 6 s, where 3 s are allowed.

Cause: the next owner waits for the leases of the lost workers, which it knows by the takeover only, and then each task waited 1.5 s more until it was offered to other shards. That wait is for a worker of its own shard, and none can hold it.

Evidence: TestTasksLeaveShardInTimeIfItsOwnerIsLostToo before the change, 4 of 4 plays:

unansweredroom_test.go:73: assertion failed: longest is greater than restartWindow: nothing running for 3.334284442s

Change: a task that no worker of its shard could hold if it were empty is offered at the next request for room. After a transfer its wait doubles as before.

--- a/internal/entry/unansweredroom_test.go
+++ b/internal/entry/unansweredroom_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 )
 
@@ -61,3 +62,26 @@
 	assert.Equal(t, runs, 3)
 	assert.Check(t, longest <= restartWindow, "nothing running for %s", longest)
 }
+
+// Guards against tasks that have nothing running for too long when the owner of their shard is lost together with its last suitable workers:
+// the next owner waits for the leases of these workers, and the tasks then waited for a worker of the shard.
+func TestTasksLeaveShardInTimeIfItsOwnerIsLostToo(t *testing.T) {
+	for i := range 4 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			runs, longest := loseSpecialWorkers(t, 2, 3, 0, func(f *simulatedFleet) { f.kill(f.ownerOf(0)) })
+			assert.Equal(t, runs, 3)
+			assert.Check(t, longest <= restartWindow, "nothing running for %s", longest)
+		})
+	}
+}
+
+// ownerOf returns the host that owns a shard, or "".
+func (f *simulatedFleet) ownerOf(shard int) string {
+	kvs, _ := f.store.readRange(fmt.Sprint(entry.OwnerPrefix, shard))
+	for _, kv := range kvs {
+		name, err := entry.RecordedHost(kv.Value)
+		assert.NilError(f.t, err)
+		return name
+	}
+	return ""
+}
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -12,7 +12,9 @@
 
 const (
 	// giveAfter is how long a task waits in its home shard until it is offered to others. It doubles with each hop of the task, up to
-	// maxGiveAfter, so that tasks don't swing between shards that are full.
+	// maxGiveAfter, so that tasks don't swing between shards that are full. A task that no worker of its shard could hold is offered at once
+	// for its first hop: it has nothing to wait for, and the lease of its lost worker may have used up most of the time in which it has to
+	// run again.
 	giveAfter    = 1500 * time.Millisecond
 	maxGiveAfter = 4 * giveAfter
 	// giveNewAfter replaces giveAfter for a task that never ran and that a worker of its shard could hold: there its job waits for its
@@ -49,8 +51,12 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			isInTurn := t.run > 0 || now.Sub(j.acceptedAt) >= giveNewAfter || !o.suitsStep(t.step, j.queue.Service, suits)
-			if isInTurn && mayGive(now, t) {
+			if !t.isWaiting() {
+				continue
+			}
+			isUnsuited := !o.suitsStep(t.step, j.queue.Service, suits)
+			isInTurn := t.run > 0 || now.Sub(j.acceptedAt) >= giveNewAfter || isUnsuited
+			if isInTurn && mayGive(now, t, isUnsuited) {
 				tasks = append(tasks, t)
 			}
 		}
@@ -126,12 +132,13 @@
 	return true
 }
 
-// mayGive reports whether a task of a job that may be shared has waited for long enough to move.
-func mayGive(now time.Time, t *task) bool {
-	if !t.isWaiting() {
-		return false
-	}
+// mayGive reports whether a waiting task of a job that may be shared has waited for long enough to move. isUnsuited is set if no worker of
+// the shard could hold it.
+func mayGive(now time.Time, t *task, isUnsuited bool) bool {
 	wait, since := giveAfter, t.waitsSince(t.job.acceptedAt)
+	if isUnsuited {
+		wait = 0
+	}
 	if s := t.job.shared; s != nil && s.transfers[t.key] != nil {
 		tr := s.transfers[t.key]
 		wait = min(giveAfter<<min(tr.hop, 4), maxGiveAfter)
