--- a/internal/entry/choosesilent_test.go
+++ b/internal/entry/choosesilent_test.go
@@ -89,9 +89,7 @@
 		const shards, jobs = 4, 20
 		f := newExchangeFleet(t, 1, shards, shards)
 		f.setPeerDelay(loadQueriesLost)
-		special := f.worker(2, 0)
-		special.Labels = []string{"special"}
-		f.store.put(special.ID, nil)
+		f.setLabels(f.worker(2, 0), "special")
 		time.Sleep(time.Second)
 		for name := range f.owners() {
 			for i := range jobs {
--- a/internal/entry/unansweredroom_test.go
+++ b/internal/entry/unansweredroom_test.go
@@ -20,9 +20,7 @@
 		f := newExchangeFleet(t, 1, shards, shards)
 		for _, n := range []int{0, shards - 1} {
 			for i := range 2 {
-				w := f.worker(n, i)
-				w.Labels = []string{"special"}
-				f.store.put(w.ID, nil)
+				f.setLabels(f.worker(n, i), "special")
 			}
 		}
 		time.Sleep(time.Second)
@@ -85,3 +83,11 @@
 	}
 	return ""
 }
+
+// setLabels replaces the labels of a registered worker.
+func (f *simulatedFleet) setLabels(w *simulatedWorker, labels ...string) {
+	w.mu.Lock()
+	w.Labels = labels
+	w.mu.Unlock()
+	f.store.put(w.ID, nil)
+}
