Bound connections, headers, bodies and messages of clients by the memory of the machine

Cause: a listener kept up to 4,096 connections, each body was read whole with io.ReadAll without a deadline (platform with the JSON store), messages of peers of up to 4 MB were kept until their end, and 256 KiB of empty steps were decoded to 22 MB before their number was checked.

Change: limits.memory_mb (filled in from limits.memoryMb; derived from GOMEMLIMIT without it) sets the budgets. A new connection beyond the limit takes the place of the most silent one whose request is not being worked on; headers are charged 16 times their size, as measured. The kernel's receive buffers have 32 KiB except for peers, and 256 connections wait to be accepted. Bodies that don't arrive within the caller's time budget get 408, those without memory 503 with Retry-After 1. Lists of steps and of "after" are decoded up to 256 elements, long bodies one for each processor. A header may exceed its limit by 16 KiB instead of 64 KiB before net/http responds itself.

--- a/internal/caller/headerlimit.go
+++ b/internal/caller/headerlimit.go
@@ -11,7 +11,7 @@
 
 // HeaderSlack is the number of bytes that http.Server.MaxHeaderBytes should exceed the limit of LimitHeaders, so that
 // LimitHeaders can respond with problem details before net/http responds in plain text and closes the connection.
-const HeaderSlack = 64 << 10
+const HeaderSlack = 16 << 10
 
 // LimitHeaders returns a middleware that refuses requests with a header larger than limit bytes.
 func LimitHeaders(limit int) echo.MiddlewareFunc {
--- a/internal/caller/register.go
+++ b/internal/caller/register.go
@@ -14,12 +14,15 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/operator"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
 
 // Limits are the limits of callers' requests.
 type Limits struct {
+	// Bodies is the budget for the bodies of requests; nil means no limit.
+	Bodies         *clientmemory.Budget
 	MaxBodyBytes   int64
 	ReadTimeout    time.Duration
 	RequestTimeout time.Duration
@@ -64,7 +67,9 @@
 }
 
 func (a *api) handle(c echo.Context) error {
-	r, problem := a.readRequest(c)
+	hold := clientmemory.OpenForRequest(a.limits.Bodies, c.Response(), c.Request())
+	defer hold.Close() // the body is kept for retries until the request ends
+	r, problem := a.readRequest(c, hold)
 	c.Response().Header().Set(HeaderRequestID, r.ID)
 	c.Response().Header().Set(HeaderZone, a.svc.Zone)
 	if problem != nil {
@@ -86,7 +91,7 @@
 
 // readRequest validates the request and reads the complete body before anything runs, so that each problem has the
 // outcome not_run.
-func (a *api) readRequest(c echo.Context) (Request, *laburnumridge.Problem) {
+func (a *api) readRequest(c echo.Context, hold *clientmemory.Hold) (Request, *laburnumridge.Problem) {
 	in := c.Request()
 	r := Request{
 		Arrived: time.Now(),
@@ -115,22 +120,34 @@
 		r.Deadline = r.Arrived.Add(timeout)
 	}
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(r.Arrived.Add(a.limits.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), in.Body, a.limits.MaxBodyBytes))
-	if err == nil {
-		// After an error the deadline is kept: net/http reads the rest of the body before it responds, and without a
-		// deadline it would wait for a slow sender indefinitely.
-		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	body, err := clientmemory.ReadBody(hold, http.MaxBytesReader(c.Response(), in.Body, a.limits.MaxBodyBytes), in.ContentLength)
+	if err != nil {
+		return r, a.bodyProblem(c, hold, err)
 	}
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	r.Body = body.Join()
+	return r, nil
+}
+
+// bodyProblem returns the problem of a request whose body was not received, and prepares the end of its connection.
+func (a *api) bodyProblem(c echo.Context, hold *clientmemory.Hold, err error) *laburnumridge.Problem {
+	hold.Release()
+	clientmemory.CloseAfterResponse(c.Response())
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return r, notRunProblem(http.StatusRequestEntityTooLarge, "body_too_large",
+		return notRunProblem(http.StatusRequestEntityTooLarge, "body_too_large",
 			"the body exceeds "+strconv.FormatInt(a.limits.MaxBodyBytes, 10)+" bytes")
-	case err != nil:
-		return r, notRunProblem(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive whole in time")
+	case errors.Is(err, clientmemory.ErrShort), errors.Is(err, clientmemory.ErrStalled):
+		if errors.Is(err, clientmemory.ErrShort) {
+			hold.Refuse(clientmemory.ReasonBody)
+		}
+		p := notRunProblem(http.StatusServiceUnavailable, "body_memory", err.Error())
+		p.RetryAfter = clientmemory.RetryAfterSeconds
+		return p
 	}
-	r.Body = body
-	return r, nil
+	hold.Refuse(clientmemory.ReasonLate)
+	return notRunProblem(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive whole in time")
 }
 
 func (a *api) writeProblem(c echo.Context, p *laburnumridge.Problem) error {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -17,6 +18,7 @@
 
 // Host is the daemon of an entry host.
 type Host struct {
+	clients     *clientmemory.Limits
 	commitRelay commitRelay
 	config      *configSource
 	directory   *directory
@@ -47,6 +49,7 @@
 	p.DecodeConfig = safeDecoder(entry, "config", p.DecodeConfig)
 	p.DecodeWorker = safeDecoder(entry, "worker_entry", p.DecodeWorker)
 	h := &Host{
+		clients:     clientmemory.NewLimits(clientmemory.MachineMemory(s.Limits.MemoryMB), entry),
 		commitRelay: commitRelay{turn: rand.IntN(1 << 16)},
 		directory:   newDirectory(entry, BootTime),
 		locations:   newLocationCache(),
@@ -63,7 +66,7 @@
 	}
 	timing := h.timing()
 	h.self.LeaseFromOrder, h.self.LeaseFromRenewal = timing.WorkerLease, timing.LeaseFromRenewal
-	h.pool = peer.NewPool(entry, h.handlePeerMessage)
+	h.pool = peer.NewPool(entry, h.handlePeerMessage, peer.WithPoolBudget(h.clients.PeerBytes))
 	h.request = h.pool.Request
 	h.ownedShards = newOwnedShards(h)
 	h.config = &configSource{decode: p.DecodeConfig, key: p.ConfigKey, log: entry, onChange: h.ownedShards.configChanged}
@@ -112,7 +115,7 @@
 
 func (h *Host) service() Service {
 	return Service{
-		Cancel: h.Cancel, Config: func() workflow.Config { return h.config.config() }, IsDraining: h.draining.Load,
+		Bodies: h.clients.CallerBytes, Cancel: h.Cancel, Config: func() workflow.Config { return h.config.config() }, IsDraining: h.draining.Load,
 		Pending: h.Pending, State: h.State, Submit: h.Submit,
 	}
 }
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -33,19 +33,22 @@
 	debug := http.NewServeMux()
 	debug.Handle("/debug/vars", expvar.Handler())
 	g := listener.NewGroup(listener.Limits{
-		Connections: h.settings.Limits.MaxConnections, HeaderBytes: h.settings.Limits.MaxHeaderBytes,
-		HeaderTimeout: h.settings.Limits.ReadTimeout.Duration, IdleTimeout: idleTimeout,
+		HeaderBytes: h.settings.Limits.MaxHeaderBytes, HeaderTimeout: h.settings.Limits.ReadTimeout.Duration, IdleTimeout: idleTimeout,
 	})
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{h.settings.Listen.Peer, peers},
-		{h.settings.Listen.Debug, debug},
-		{h.settings.Listen.Ready, ready},
-		{h.settings.Listen.Caller, h.platform.Handler(h.service())},
+	c := h.clients
+	for _, l := range []listener.Server{
+		{
+			Address: h.settings.Listen.Peer, Connections: c.Peers.Connections, Handler: peers, HeaderBytes: c.PeerBytes, LongMessages: true,
+		},
+		{Address: h.settings.Listen.Debug, Connections: c.Operators.Connections, Handler: debug, HeaderBytes: c.OperatorBytes},
+		{Address: h.settings.Listen.Ready, Connections: c.Operators.Connections, Handler: ready, HeaderBytes: c.OperatorBytes},
+		{
+			Address: h.settings.Listen.Caller, Connections: c.Callers.Connections, Handler: h.platform.Handler(h.service()),
+			HeaderBytes: c.CallerBytes,
+		},
 	} {
-		if err := g.Open(l.address, l.handler, nil); err != nil {
+		l.Connections, l.Report = min(l.Connections, h.settings.Limits.MaxConnections), c.Report
+		if err := g.Open(l); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -61,6 +62,8 @@
 
 // Service is the set of operations that the callers' interface invokes on the host.
 type Service struct {
+	// Bodies is the budget for the bodies of requests; nil means no limit.
+	Bodies *clientmemory.Budget
 	Cancel func(ctx context.Context, q workflow.Queue, id string) Answer
 	Config func() workflow.Config
 	// IsDraining reports whether connections should be closed after the current request.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/admission"
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/invariant"
@@ -57,6 +58,7 @@
 	peers          *peerStates
 	policies       *policies
 	quickStart     bool
+	clients        *clientmemory.Limits
 	decisions      *explain.Ring
 	incarnation    string
 	session        *session
@@ -118,6 +120,7 @@
 	h.ownerCtx, h.ownerStop = context.WithCancel(context.Background())
 	h.invariants = invariant.New(h.log, invariant.WithViolationHandler(h.onViolation))
 	h.decisions = explain.New(h.id, h.log)
+	h.clients = clientmemory.NewLimits(clientmemory.MachineMemory(h.settings.Limits.MemoryMB), h.log)
 	h.session = &session{host: h.id, log: h.log, store: h.storeFor(kvstore.ClassOwnership)}
 	h.peers = newPeerStates()
 	h.hosts = &hostList{onChange: func(fleet.Snapshot) { h.refreshPeers() }, log: h.log, store: h.storeFor(kvstore.ClassReads)}
@@ -149,6 +152,7 @@
 	}
 	self := peer.Hello{Host: h.id, PeerAddress: h.settings.Listen.Peer, Incarnation: h.incarnation, Zone: h.zone}
 	h.mesh = peer.NewMesh(self, h.log,
+		peer.WithBudget(h.clients.PeerBytes),
 		peer.WithHeartbeat(h.heartbeat),
 		peer.WithMessages(h.handlePeerMessage),
 		peer.WithRequests(h.handlePeerRequest),
--- a/internal/host/listen.go
+++ b/internal/host/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"expvar"
 	"net/http"
 	"time"
@@ -27,6 +26,7 @@
 
 func (h *Host) listen() (*listener.Group, error) {
 	limits := caller.Limits{
+		Bodies:         h.clients.CallerBytes,
 		MaxBodyBytes:   h.settings.Limits.MaxBodyBytes,
 		ReadTimeout:    h.settings.Limits.ReadTimeout.Duration,
 		RequestTimeout: h.settings.Limits.RequestTimeout.Duration,
@@ -37,30 +37,36 @@
 	callers.Use(caller.LimitHeaders(h.settings.Limits.MaxHeaderBytes))
 	callers.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	callers.GET("/readyz", h.ready)
-	operator.Register(callers, h.operatorService(), operator.WithToken(h.settings.Security.OperatorToken))
+	operator.Register(callers, h.operatorService(), operator.WithBodies(h.clients.OperatorBytes),
+		operator.WithToken(h.settings.Security.OperatorToken))
 	caller.Register(callers, svc, limits, h.log)
 
 	peers := newEcho()
 	peers.GET("/peer", echo.WrapHandler(h.mesh))
+	limits.Bodies = h.clients.PeerBytes
 	caller.RegisterForward(peers, svc, limits, h.log)
 
 	debug := http.NewServeMux()
 	debug.Handle("/debug/vars", expvar.Handler())
 
 	g := listener.NewGroup(listener.Limits{
-		Connections: h.settings.Limits.MaxConnections, HeaderBytes: h.settings.Limits.MaxHeaderBytes + caller.HeaderSlack,
-		HeaderTimeout: h.settings.Limits.ReadTimeout.Duration, IdleTimeout: idleTimeout,
+		HeaderBytes: h.settings.Limits.MaxHeaderBytes + caller.HeaderSlack, HeaderTimeout: h.settings.Limits.ReadTimeout.Duration,
+		IdleTimeout: idleTimeout,
 	})
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-		tls     *tls.Config
-	}{
-		{h.settings.Listen.Peer, peers, h.tls.peerServer},
-		{h.settings.Listen.Debug, debug, nil},
-		{h.settings.Listen.Caller, callers, h.tls.caller},
+	c := h.clients
+	for _, l := range []listener.Server{
+		{
+			Address: h.settings.Listen.Peer, Connections: c.Peers.Connections, Handler: peers, HeaderBytes: c.PeerBytes, LongMessages: true,
+			TLS: h.tls.peerServer,
+		},
+		{Address: h.settings.Listen.Debug, Connections: c.Operators.Connections, Handler: debug, HeaderBytes: c.OperatorBytes},
+		{
+			Address: h.settings.Listen.Caller, Connections: c.Callers.Connections, Handler: callers, HeaderBytes: c.CallerBytes,
+			TLS: h.tls.caller,
+		},
 	} {
-		if err := g.Open(l.address, l.handler, l.tls); err != nil {
+		l.Connections, l.Report = min(l.Connections, h.settings.Limits.MaxConnections), c.Report
+		if err := g.Open(l); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/listener/group.go
+++ b/internal/listener/group.go
@@ -4,26 +4,40 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
+
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 )
 
 // maxServers is the capacity of Group.failed. Up to this many servers can report an error without blocking when nobody
 // receives from the channel.
 const maxServers = 8
 
-// Limits restricts the connections and request headers of each server of a Group.
+// Limits restricts the request headers of each server of a Group.
 type Limits struct {
-	Connections   int
 	HeaderBytes   int
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
 
+// Server is what a Group opens.
+type Server struct {
+	Address string
+	// Connections limits the open connections. When they are in use, a new one takes the place of the one that was silent longest.
+	Connections int
+	Handler     http.Handler
+	// HeaderBytes is the budget for received headers; nil means no limit.
+	HeaderBytes *clientmemory.Budget
+	// LongMessages is true if single messages are long, so that the kernel may choose the size of its buffers.
+	LongMessages bool
+	Report       *clientmemory.Reporter
+	// TLS is nil for plain text.
+	TLS *tls.Config
+}
+
 // Group manages the HTTP servers of a process.
 type Group struct {
 	failed  chan error
@@ -34,26 +48,26 @@
 // NewGroup returns a Group without servers.
 func NewGroup(l Limits) *Group { return &Group{failed: make(chan error, maxServers), limits: l} }
 
-// Open listens on an address and serves requests in the background, with TLS if tlsConfig is not nil. If it can't
-// listen on the address, it closes all servers of the group.
-func (g *Group) Open(address string, handler http.Handler, tlsConfig *tls.Config) error {
-	ln, err := net.Listen("tcp", address)
+// Open listens on an address and serves requests in the background. If it can't listen on the address, it closes all servers of the group.
+func (g *Group) Open(s Server) error {
+	plain, err := listen(s.Address, s.LongMessages)
 	if err != nil {
 		g.Close()
 		return eris.Wrap(err, "listening")
 	}
-	ln = netutil.LimitListener(ln, g.limits.Connections)
-	if tlsConfig != nil {
-		ln = tls.NewListener(ln, tlsConfig)
-	}
+	ln := newBoundedListener(plain, s)
 	server := &http.Server{
-		Handler: handler, IdleTimeout: g.limits.IdleTimeout, MaxHeaderBytes: g.limits.HeaderBytes,
-		ReadHeaderTimeout: g.limits.HeaderTimeout,
+		ConnContext: withConn, ConnState: noteState, Handler: trackRequests(s.Handler), IdleTimeout: g.limits.IdleTimeout,
+		MaxHeaderBytes: g.limits.HeaderBytes, ReadHeaderTimeout: g.limits.HeaderTimeout,
 	}
 	g.servers = append(g.servers, server)
+	serve := func() error { return server.Serve(ln) }
+	if s.TLS != nil {
+		serve = func() error { return server.Serve(tls.NewListener(ln, s.TLS)) }
+	}
 	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			g.failed <- eris.Wrapf(err, "serving %s", address)
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			g.failed <- eris.Wrapf(err, "serving %s", s.Address)
 		}
 	}()
 	return nil
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -5,9 +5,9 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/note"
 	"github.com/laburnumridge/laburnumridge/pkg/laburnumridge"
 )
@@ -23,6 +24,7 @@
 const defaultTimeout = 15 * time.Second
 
 type api struct {
+	bodies  *clientmemory.Budget
 	svc     Service
 	timeout time.Duration
 	token   string
@@ -31,6 +33,9 @@
 // Option configures Register.
 type Option func(*api)
 
+// WithBodies sets the budget for the bodies of requests; the default is no limit.
+func WithBodies(b *clientmemory.Budget) Option { return func(a *api) { a.bodies = b } }
+
 // WithTimeout sets the timeout of requests without a shorter one in their header.
 func WithTimeout(d time.Duration) Option { return func(a *api) { a.timeout = d } }
 
@@ -68,7 +73,9 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), a.requestTimeout(r.Header))
 		defer cancel()
-		c.SetRequest(r.WithContext(ctx))
+		hold := clientmemory.OpenForRequest(a.bodies, c.Response(), r)
+		defer hold.Close()
+		c.SetRequest(r.WithContext(context.WithValue(ctx, holdKey{}, hold)))
 		if err := handle(c); err != nil {
 			return WriteProblem(c, ProblemOf(err))
 		}
@@ -95,21 +102,52 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// readBody reads a body of at most note.MaxNoteBytes. Errors are a problem with status 413, or match
-// laburnumridge.ErrInvalid.
+// holdKey is the key of a request's hold in its context.
+type holdKey struct{}
+
+// readBody reads a body of at most note.MaxNoteBytes within the time of the request. Errors are a problem with status 408, 413 or 503, or
+// match laburnumridge.ErrInvalid.
 func readBody(c echo.Context) ([]byte, error) {
-	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, note.MaxNoteBytes))
+	in := c.Request()
+	hold, _ := in.Context().Value(holdKey{}).(*clientmemory.Hold)
+	controller := http.NewResponseController(c.Response())
+	if deadline, ok := in.Context().Deadline(); ok {
+		_ = controller.SetReadDeadline(deadline)
+	}
+	body, err := clientmemory.ReadBody(hold, http.MaxBytesReader(c.Response(), in.Body, note.MaxNoteBytes), in.ContentLength)
+	if err != nil {
+		hold.Release()
+		clientmemory.CloseAfterResponse(c.Response())
+		return nil, bodyProblem(hold, err)
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return body.Join(), nil
+}
+
+// bodyProblem returns the problem of a request whose body was not received.
+func bodyProblem(hold *clientmemory.Hold, err error) error {
 	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, &laburnumridge.Problem{
-			Detail:  "allowed are " + strconv.Itoa(note.MaxNoteBytes) + " bytes",
-			Outcome: laburnumridge.OutcomeNotRun,
-			Reason:  "too_large",
-			Status:  http.StatusRequestEntityTooLarge,
-			Title:   http.StatusText(http.StatusRequestEntityTooLarge),
+	switch {
+	case errors.As(err, &tooLong):
+		return notRunProblem(http.StatusRequestEntityTooLarge, "too_large", "allowed are "+strconv.Itoa(note.MaxNoteBytes)+" bytes")
+	case errors.Is(err, clientmemory.ErrShort), errors.Is(err, clientmemory.ErrStalled):
+		if errors.Is(err, clientmemory.ErrShort) {
+			hold.Refuse(clientmemory.ReasonBody)
 		}
+		p := notRunProblem(http.StatusServiceUnavailable, "body_memory", err.Error())
+		p.RetryAfter = clientmemory.RetryAfterSeconds
+		return p
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		hold.Refuse(clientmemory.ReasonLate)
+		return notRunProblem(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive whole in time")
+	}
+	return eris.Wrap(wrapInvalid(err), "reading the body")
+}
+
+func notRunProblem(status int, reason, detail string) *laburnumridge.Problem {
+	return &laburnumridge.Problem{
+		Detail: detail, Outcome: laburnumridge.OutcomeNotRun, Reason: reason, Status: status, Title: http.StatusText(status),
 	}
-	return text, eris.Wrap(wrapInvalid(err), "reading the body")
 }
 
 // wrapInvalid makes an error match laburnumridge.ErrInvalid.
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,11 +11,20 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 )
 
+// longMessageBytes is the length from which messages are decoded one at a time.
+const longMessageBytes = 64 << 10
+
 // conn is one WebSocket connection to another entry host.
 type conn struct {
+	// budget limits the bytes of messages that are being received.
+	budget *clientmemory.Budget
 	cancel context.CancelFunc
+	// client is the address of the other host, to which its messages are charged.
+	client string
 	ctx    context.Context
 	// outbound is true if this host opened the connection.
 	outbound      bool
@@ -32,11 +43,13 @@
 	ws              *websocket.Conn
 }
 
-func newConn(ctx context.Context, ws *websocket.Conn) *conn {
+func newConn(ctx context.Context, ws *websocket.Conn, client string, budget *clientmemory.Budget) *conn {
 	ws.SetReadLimit(maxMessageBytes)
 	ctx, cancel := context.WithCancel(ctx)
 	c := &conn{
+		budget:    budget,
 		cancel:    cancel,
+		client:    client,
 		ctx:       ctx,
 		done:      ctx.Done(),
 		sendQueue: make(chan []byte, maxQueuedFrames),
@@ -105,14 +118,32 @@
 }
 
 func (c *conn) read() (Message, error) {
-	_, frame, err := c.ws.Read(c.ctx)
+	_, r, err := c.ws.Reader(c.ctx)
+	if err != nil {
+		return Message{}, err
+	}
+	hold := c.budget.Open(c.client, c.cancel)
+	defer hold.Close()
+	body, err := clientmemory.ReadBody(hold, r, -1)
 	if err != nil {
+		if errors.Is(err, clientmemory.ErrShort) {
+			hold.Refuse(clientmemory.ReasonMessage)
+		}
 		return Message{}, err
 	}
 	c.lastRead.Store(time.Now().UnixNano())
 	c.unansweredSince.Store(0)
-	bytesIn.Add(int64(len(frame)))
-	return Decode(frame)
+	bytesIn.Add(int64(body.Len()))
+	if body.Len() <= longMessageBytes {
+		return Decode(body.Join())
+	}
+	var msg Message
+	err = clientmemory.Decode(c.ctx, func() error {
+		var err error
+		msg, err = Decode(body.Join())
+		return err
+	})
+	return msg, err
 }
 
 func (c *conn) send(msg Message) error { return c.sendFrame(encode(msg)) }
@@ -131,6 +162,14 @@
 	}
 }
 
+// clientOf returns the client that a host:port address belongs to.
+func clientOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 func (c *conn) sinceLastRead() time.Duration { return time.Since(time.Unix(0, c.lastRead.Load())) }
 
 func (c *conn) writeLoop() {
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -41,7 +41,7 @@
 		started := time.Now()
 		ws, err := m.openWebSocket(ctx, h)
 		if err == nil {
-			m.serveConn(ctx, ws, h.ID)
+			m.serveConn(ctx, ws, h.ID, h.PeerAddress)
 		}
 		if time.Since(started) > maxRedialDelay {
 			delay = minRedialDelay
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 )
 
@@ -49,6 +50,7 @@
 
 // Mesh keeps a persistent connection to each configured entry host and exchanges messages over them.
 type Mesh struct {
+	budget    *clientmemory.Budget
 	conns     map[string]*conn
 	dialing   map[string]bool
 	heartbeat func() Heartbeat
@@ -108,6 +110,9 @@
 	return func(m *Mesh) { m.onRequest = f }
 }
 
+// WithBudget limits the bytes of messages that are being received; the default is no limit.
+func WithBudget(b *clientmemory.Budget) Option { return func(m *Mesh) { m.budget = b } }
+
 // WithTLS makes the mesh dial with TLS.
 func WithTLS(c *tls.Config) Option {
 	return func(m *Mesh) {
@@ -203,7 +208,7 @@
 		m.log.WithError(err).Warn("WebSocket handshake of a peer failed")
 		return
 	}
-	m.serveConn(r.Context(), ws, "")
+	m.serveConn(r.Context(), ws, "", r.RemoteAddr)
 }
 
 // SetPeers replaces the set of hosts to connect to; the mesh's own id is ignored.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -12,6 +12,8 @@
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/clientmemory"
 )
 
 const (
@@ -27,6 +29,7 @@
 // Pool dials other entry hosts on demand and serves their inbound connections. Unlike a Mesh it opens no connection
 // before it is needed, so its cost does not grow with the number of hosts.
 type Pool struct {
+	budget    *clientmemory.Budget
 	conns     map[string]*conn
 	dialing   map[string]*dialAttempt
 	log       *logrus.Entry
@@ -65,6 +68,9 @@
 // the default is 1 s.
 func WithSilenceLimit(d time.Duration) PoolOption { return func(p *Pool) { p.silenceLimit = d } }
 
+// WithPoolBudget limits the bytes of messages that are being received; the default is no limit.
+func WithPoolBudget(b *clientmemory.Budget) PoolOption { return func(p *Pool) { p.budget = b } }
+
 // Request sends a message to a host:port address and waits for the reply. Errors match ErrNotConnected if nothing was
 // sent, ErrRefused, or the cause of the end of ctx; an error that matches none of them means that the connection ended before
 // the reply. If the timeout of ctx passes and nothing at all was read since the request, the connection may be dead without an
@@ -110,7 +116,7 @@
 		p.log.WithError(err).Warn("WebSocket handshake of a peer failed")
 		return
 	}
-	p.readLoop(newConn(context.Background(), ws))
+	p.readLoop(newConn(context.Background(), ws, clientOf(r.RemoteAddr), p.budget))
 }
 
 // Close closes all connections that the pool dialled, except for replaced ones on which requests still wait.
@@ -203,7 +209,7 @@
 	if err != nil {
 		attempt.err = eris.Wrapf(ErrNotConnected, "%s: %s", address, err)
 	} else {
-		attempt.conn = newConn(context.Background(), ws)
+		attempt.conn = newConn(context.Background(), ws, clientOf(address), p.budget)
 		attempt.conn.hello.Host = address
 		p.conns[address] = attempt.conn
 		go p.readLoop(attempt.conn)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -9,9 +9,9 @@
 )
 
 // serveConn exchanges hellos and then dispatches messages until the connection ends. expectedID is the id of the host
-// that was dialled, or empty for an inbound connection.
-func (m *Mesh) serveConn(ctx context.Context, ws *websocket.Conn, expectedID string) {
-	c := newConn(ctx, ws)
+// that was dialled, or empty for an inbound connection; address is the other host's.
+func (m *Mesh) serveConn(ctx context.Context, ws *websocket.Conn, expectedID, address string) {
+	c := newConn(ctx, ws, clientOf(address), m.budget)
 	defer c.close("ended")
 	go c.writeLoop()
 	if err := c.send(Message{Hello: &m.self}); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,9 @@
 	ProtocolJSON = "json"
 )
 
+// minMemoryMB is the least memory of a machine, below which the program itself does not fit.
+const minMemoryMB = 32
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // Duration is a time.Duration that is written as a string such as "1.5s".
@@ -45,9 +48,11 @@
 
 // Limits restricts the requests and connections of callers.
 type Limits struct {
-	MaxBodyBytes   int64    `toml:"max_body_bytes"`
-	MaxConnections int      `toml:"max_connections"`
-	MaxHeaderBytes int      `toml:"max_header_bytes"`
+	MaxBodyBytes   int64 `toml:"max_body_bytes"`
+	MaxConnections int   `toml:"max_connections"`
+	MaxHeaderBytes int   `toml:"max_header_bytes"`
+	// MemoryMB is the memory of the machine in megabytes (10^6 bytes), as the platform states it; 0 derives it from GOMEMLIMIT.
+	MemoryMB       float64  `toml:"memory_mb"`
 	ReadTimeout    Duration `toml:"read_timeout"`
 	RequestTimeout Duration `toml:"request_timeout"`
 }
@@ -223,6 +228,7 @@
 		{"limits.max_body_bytes", float64(s.Limits.MaxBodyBytes), 1, 1 << 30},
 		{"limits.max_connections", float64(s.Limits.MaxConnections), 1, 1 << 20},
 		{"limits.max_header_bytes", float64(s.Limits.MaxHeaderBytes), 1024, 1 << 20},
+		{"limits.memory_mb", s.Limits.MemoryMB, 0, 1 << 24},
 		{"limits.read_timeout (seconds)", s.Limits.ReadTimeout.Seconds(), 0.01, 3600},
 		{"limits.request_timeout (seconds)", s.Limits.RequestTimeout.Seconds(), 0.01, 3600},
 	} {
@@ -230,6 +236,9 @@
 			return invalidValue(c.key, fmt.Sprint(c.value), fmt.Sprintf("%g to %g", c.low, c.high))
 		}
 	}
+	if mb := s.Limits.MemoryMB; mb != 0 && mb < minMemoryMB {
+		return invalidValue("limits.memory_mb", fmt.Sprint(mb), fmt.Sprintf("0 or at least %d", minMemoryMB))
+	}
 	if s.Platform.Protocol != ProtocolEtcd && s.Platform.Protocol != ProtocolJSON {
 		return invalidValue("platform.protocol", s.Platform.Protocol, "etcd or json")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,10 @@
 		{`writes_per_second = 30.0`, `writes_per_second = -1.0`, "platform.writes_per_second"},
 		{`caller = "127.0.0.1:8400"`, `caller = "localhost"`, "listen.caller"},
 		{`timeout = "2s"`, `timeout = "soon"`, "timeout"},
+		{`memory_mb = 0.0`, `memory_mb = -1.0`, "limits.memory_mb"},
+		{`memory_mb = 0.0`, `memory_mb = 31.9`, "limits.memory_mb"},
+		{`memory_mb = 0.0`, `memory_mb = nan`, "limits.memory_mb"},
+		{`memory_mb = 0.0`, `memory_mb = "much"`, "memory_mb"},
 		{`host = "kelaniya-entry-1"`, `host = ""`, "host"},
 	} {
 		t.Run(tc.new, func(t *testing.T) {
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -14,7 +14,8 @@
 
 // Limits of a job, which keep its records within the store's limits for a value and a transaction.
 const (
-	maxSteps = 256
+	// MaxSteps is the largest number of steps.
+	MaxSteps = 256
 	// MaxTasks is the largest number of tasks of an occurrence.
 	MaxTasks     = 20_000
 	maxSpecBytes = 4000
@@ -92,8 +93,8 @@
 	if len(j.Spec) > maxSpecBytes {
 		return eris.Wrapf(ErrInvalid, "spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return eris.Wrapf(ErrInvalid, "%d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return eris.Wrapf(ErrInvalid, "%d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
 	}
 	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences || j.Occurrences > 1 && j.Interval <= 0 {
 		return eris.Wrapf(ErrInvalid, "%d occurrences each %s", j.Occurrences, j.Interval)
