--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -18,6 +18,8 @@
 	"github.com/laburnumridge/laburnumridge/internal/entry"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
+	"github.com/laburnumridge/laburnumridge/internal/peer"
+	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/settings"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -78,7 +80,7 @@
 
 // sleep waits for a time or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+	t := time.NewTimer(max(d, retry.ShortestTimer))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -117,8 +119,10 @@
 	// logHook, if set, receives the log entries of the hosts that are started.
 	logHook logrus.Hook
 	mu      sync.Mutex
-	random  *rand.Rand
-	shards  int
+	// peerDelay is set by setPeerDelay.
+	peerDelay func(to string, m peer.Message) time.Duration
+	random    *rand.Rand
+	shards    int
 	// stopLoad ends the load of short jobs.
 	stopLoad     context.CancelFunc
 	store        *memoryStore
@@ -179,6 +183,13 @@
 			return workflow.NewConfig(1+int64(len(data)), []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
 				[]workflow.Service{{Name: "s"}}, workflow.Limits{}), nil
 		},
+		DecodeEvacuation: func(key string) (string, error) {
+			if zone := strings.TrimPrefix(key, evacuationPrefix); zone != "" {
+				return zone, nil
+			}
+			return "", errNoZone
+		},
+		EvacuationPrefix: evacuationPrefix, OperatorPrefix: "op/",
 		DecodeWorker: func(kv kvstore.KV) (shard.Worker, error) { return f.workers[kv.Key].entry(), nil },
 		Poll: func(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
 			h.use(ctx, f.callCost)
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -12,7 +12,9 @@
 
 const (
 	// giveAfter is how long a task waits in its home shard until it is offered to others. It doubles with each hop of the task, up to
-	// maxGiveAfter, so that tasks don't swing between shards that are full.
+	// maxGiveAfter, so that tasks don't swing between shards that are full. A task that no worker of its shard could hold is offered at once
+	// for its first hop: it has nothing to wait for, and the lease of its lost worker may have used up most of the time in which it has to
+	// run again.
 	giveAfter    = 1500 * time.Millisecond
 	maxGiveAfter = 4 * giveAfter
 	// giveNewAfter replaces giveAfter for a task that never ran and that a worker of its shard could hold: there its job waits for its
@@ -32,11 +34,12 @@
 // Offer is a class of equal tasks that may move to another shard.
 type Offer struct {
 	Demand
-	tasks []*task
+	// IsUnsuited is set if no worker of this shard could hold one of the tasks if it were empty.
+	IsUnsuited bool
+	tasks      []*task
 }
 
-// Offers returns the tasks that wait in their home shard for too long: half of the classes are those that have waited the longest, the
-// others those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
+// Offers returns the tasks that wait in their home shard for too long.
 func (o *Owner) Offers(now time.Time) []Offer {
 	if o.isHandingOver {
 		return nil
@@ -48,8 +51,12 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			isInTurn := t.run > 0 || now.Sub(j.acceptedAt) >= giveNewAfter || !o.suitsStep(t.step, j.queue.Service, suits)
-			if isInTurn && mayGive(now, t) {
+			if !t.isWaiting() {
+				continue
+			}
+			isUnsuited := !o.suitsStep(t.step, j.queue.Service, suits)
+			isInTurn := t.run > 0 || now.Sub(j.acceptedAt) >= giveNewAfter || isUnsuited
+			if isInTurn && mayGive(now, t, isUnsuited) {
 				tasks = append(tasks, t)
 			}
 		}
@@ -57,7 +64,16 @@
 	slices.SortStableFunc(tasks, func(a, b *task) int {
 		return cmp.Or(compareNew(a.run == 0, b.run == 0), a.waitsSince(a.job.acceptedAt).Compare(b.waitsSince(b.job.acceptedAt)))
 	})
-	offers := classify(tasks)
+	offers := mostPressing(classify(tasks))
+	for i := range offers {
+		offers[i].IsUnsuited = !o.suitsStep(offers[i].tasks[0].step, offers[i].Service, suits)
+	}
+	return offers
+}
+
+// mostPressing returns at most maxOffers of some offers: half of them are those that have waited the longest, which come first, the others
+// those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
+func mostPressing(offers []Offer) []Offer {
 	if len(offers) <= maxOffers {
 		return offers
 	}
@@ -116,12 +132,13 @@
 	return true
 }
 
-// mayGive reports whether a task of a job that may be shared has waited for long enough to move.
-func mayGive(now time.Time, t *task) bool {
-	if !t.isWaiting() {
-		return false
-	}
+// mayGive reports whether a waiting task of a job that may be shared has waited for long enough to move. isUnsuited is set if no worker of
+// the shard could hold it.
+func mayGive(now time.Time, t *task, isUnsuited bool) bool {
 	wait, since := giveAfter, t.waitsSince(t.job.acceptedAt)
+	if isUnsuited {
+		wait = 0
+	}
 	if s := t.job.shared; s != nil && s.transfers[t.key] != nil {
 		tr := s.transfers[t.key]
 		wait = min(giveAfter<<min(tr.hop, 4), maxGiveAfter)
