Adopt recorded weights of other shards at once

An owner read the weights that other shards have recorded every two seconds, and doubled the variance of what its predecessor had recorded for the same shard. Owners now watch the records, and a successor takes those of its own shard as they are.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -105,7 +105,7 @@
 	r.owner.SetConfig(r.host.config.config())
 	r.applyEvacuations()
 	for _, task := range []func(){
-		r.loop, r.deleteExpiredStates, r.syncWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle, r.followBuilds,
+		r.loop, r.deleteExpiredStates, r.followWeights, r.recordWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle, r.followBuilds,
 		r.followLateHandover,
 	} {
 		r.run(task)
--- a/internal/entry/weights.go
+++ b/internal/entry/weights.go
@@ -14,18 +14,15 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// weightsInterval is how often an owner writes its learned interference weights and reads those of other owners. The weight
-// of a pair of images can be estimated after about a second of samples.
+// weightsInterval is how often an owner writes its learned interference weights. The weight of a pair of images can be estimated
+// after about a second of samples.
 const weightsInterval = 2 * time.Second
 
-// syncWeights writes the learned interference weights to the store, for the shard's next owner and for the owners of other
-// shards, and adopts theirs.
-func (r *runner) syncWeights() {
+// recordWeights writes the learned interference weights to the store, for the shard's next owner and for the owners of other
+// shards.
+func (r *runner) recordWeights() {
 	var lastWritten []byte
-	for first := true; r.ctx.Err() == nil; first = false {
-		if first || r.host.directory.shardCount() > 1 {
-			r.adoptRecordedWeights()
-		}
+	for r.ctx.Err() == nil {
 		retry.Sleep(r.ctx, weightsInterval)
 		r.mu.Lock()
 		var learned []interference.PairWeight
@@ -52,32 +49,42 @@
 	}
 }
 
-// adoptRecordedWeights reads the interference weights recorded for all shards. The owner of this shard adopts those that are
-// more certain than its own.
-func (r *runner) adoptRecordedWeights() {
-	ctx, cancel := context.WithTimeout(r.ctx, storeCallTimeout)
-	defer cancel()
-	kvs, _, err := r.host.platform.Store.Range(ctx, weightsPrefix)
+// followWeights adopts what the last owner of this shard and the owners of other shards have recorded, at the start and whenever a
+// record changes. A pair that is known in one shard would otherwise be tried again in the others.
+func (r *runner) followWeights() {
+	watchPrefix(r.ctx, r.host.platform.Store, r.log, weightsPrefix, func(kvs []kvstore.KV, _ int64) {
+		for _, kv := range kvs {
+			r.adoptWeights(kv)
+		}
+	}, func(events []kvstore.Event) {
+		for _, ev := range events {
+			// This runner wrote the record of its own shard, if not an owner that it replaced.
+			if !ev.Deleted && ev.KV.Key != weightsKey(r.shard) {
+				r.adoptWeights(ev.KV)
+			}
+		}
+	})
+}
+
+// adoptWeights passes on the weights of a record that are more certain than the owner's.
+func (r *runner) adoptWeights(kv kvstore.KV) {
+	learned, err := workflow.Decode[[]interference.PairWeight](kv.Value)
 	if err != nil {
-		r.log.WithError(err).WithField("decision", "weights_unread").
-			Debug("failed to read interference weights; retrying in the next round")
+		r.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed interference weights")
 		return
 	}
-	for _, kv := range kvs {
-		learned, err := workflow.Decode[[]interference.PairWeight](kv.Value)
-		if err != nil {
-			r.log.WithError(err).WithField("key", kv.Key).Error("ignoring malformed interference weights")
-			continue
-		}
-		adopted := 0
-		r.mu.Lock()
-		adopted = r.owner.AdoptWeights(r.host.now(), learned)
-		r.mu.Unlock()
-		if adopted > 0 {
-			r.log.WithFields(logrus.Fields{
-				"decision": "adopt_weights", "from_shard": strings.TrimPrefix(kv.Key, weightsPrefix), "pairs": adopted,
-				"revision": kv.ModRevision,
-			}).Info("adopted interference weights from the store")
+	adopted := 0
+	r.locked(func() {
+		if kv.Key == weightsKey(r.shard) {
+			adopted = r.owner.RestoreWeights(r.host.now(), learned)
+		} else {
+			adopted = r.owner.AdoptWeights(r.host.now(), learned)
 		}
+	})
+	if adopted > 0 {
+		r.log.WithFields(logrus.Fields{
+			"decision": "adopt_weights", "from_shard": strings.TrimPrefix(kv.Key, weightsPrefix), "pairs": adopted,
+			"revision": kv.ModRevision,
+		}).Info("adopted interference weights from the store")
 	}
 }
--- a/internal/interference/weightexchange.go
+++ b/internal/interference/weightexchange.go
@@ -38,12 +38,22 @@
 	return out
 }
 
-// ImportWeights replaces local estimates by those of another owner that are more certain even with the increased
+// ImportWeights replaces local estimates by those of the owner of another shard that are more certain even with the increased
 // variance, and returns their number.
 func (p *PressureModel) ImportWeights(now time.Time, known []PairWeight) int {
+	return p.adopt(now, known, mergedVarianceFactor)
+}
+
+// RestoreWeights replaces local estimates by more certain ones of the last owner of the same shard, and returns their number. That
+// owner had the samples that this one would have had, so their variance is not increased.
+func (p *PressureModel) RestoreWeights(now time.Time, known []PairWeight) int {
+	return p.adopt(now, known, 1)
+}
+
+func (p *PressureModel) adopt(now time.Time, known []PairWeight, varianceFactor float64) int {
 	adopted := 0
 	for _, k := range known {
-		variance := mergedVarianceFactor * k.Variance
+		variance := varianceFactor * k.Variance
 		if k.Mean < 0 || k.Variance <= 0 || variance >= p.pair(k.BestEffort, k.Serving).predict(now).variance {
 			continue
 		}
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -324,6 +324,11 @@
 	return o.pressure.ExportWeights(now)
 }
 
+// RestoreWeights takes over what the last owner of the shard has learned, and returns the number of pairs.
+func (o *Owner) RestoreWeights(now time.Time, known []interference.PairWeight) int {
+	return o.pressure.RestoreWeights(now, known)
+}
+
 // AdoptWeights takes over the pairs of images that another owner knows better, and returns their number.
 func (o *Owner) AdoptWeights(now time.Time, known []interference.PairWeight) int {
 	return o.pressure.ImportWeights(now, known)
