Look at workers as soon as serving tasks could exceed their target

Paces followed tails by up to 0.7 s, however close a serving task was to its target. The wait of a poll now follows from the time until the predicted tail reaches its target, between 0.2 and 0.7 s; paces change when the last change shows, and halts count reports that show the paces, with the fixed times as bounds. Of an image that is unknown beside a serving image which it could bring above its target, two runs are tried at a time, where the least is at stake. A best-effort task that takes an unsuitable worker after its wait starts at the pace that is borne there. An interference line and entry_over_target_seconds name the state of serving tasks above their target.

TestPacesFollowSwingOfServingLoad (one worker, two minutes of virtual time): 13.9 s over target instead of 29.0 s, 148 s of best-effort work instead of 154 s, 493 polls instead of 172. go test -race ./internal/shard ./internal/interference and go test ./internal/entry pass.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,6 +18,7 @@
 	pollsSent          = expvar.NewInt("entry_looks")
 	workerCallOutcomes = expvar.NewMap("entry_orders")
 	workerCallTime     = metrics.NewHistogram("entry_order_ms")
+	overTargetSeconds  = expvar.NewMap("entry_over_target_seconds")
 	ownerChanges       = expvar.NewMap("entry_owner_changes")
 	panics             = expvar.NewMap("entry_panics")
 	ownersFenced       = expvar.NewInt("entry_owners_fenced")
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -112,6 +112,7 @@
 			at.phase = phaseRunning
 			o.observeStart(now.Sub(at.plannedAt))
 			o.logRestart(now, at)
+			o.paceStart(at)
 		}
 		at.confirmedAt, at.retryAt = now, time.Time{}
 		at.worker.nextPollAt = minTime(at.worker.nextPollAt, now.Add(o.timing.PollInterval))
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -15,6 +15,7 @@
 
 // Owner schedules the jobs of one shard. It is not safe for concurrent use.
 type Owner struct {
+	interferenceState
 	// adviceInFlight is true while a placement advice request is outstanding. After a failed request the next one is
 	// not sent before nextAdviceAt.
 	adviceInFlight bool
@@ -132,6 +133,8 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
+		interferenceState: interferenceState{observeInterference: func(interference.State, time.Duration) {}},
+
 		guestJobs:    map[*job]bool{},
 		headrooms:    map[shortTasks]*headroom{},
 		heldBack:     map[string]bool{},
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -26,7 +26,7 @@
 	// when a best-effort task is placed: the pressure swings by a factor of two within seconds.
 	pressureHeadroom = 1.25
 	// minAllowedPressure lets tasks that do little harm continue next to a serving task whose own load is already high.
-	minAllowedPressure = 0.04
+	minAllowedPressure = interference.MinAllowedPressure
 	// minShare is the minimum fraction of its CPU demand that a best-effort task has to get from a worker. With less it
 	// would take more than twice its time and also slow down others.
 	minShare = 0.55
@@ -42,16 +42,10 @@
 	minUse          = 1e-3
 	// warmUpTime is how long a serving task has to run before its measurements count.
 	warmUpTime = 600 * time.Millisecond
-	// paceInterval is the minimum time between two pace changes on a worker: measurements cover the last half second,
-	// and a change takes 100 ms to show in them.
-	paceInterval = 500 * time.Millisecond
-	// If a serving task stays above its target for haltHarmfulAfter although the paces follow the model, best-effort
-	// tasks with a weight of harmfulWeight or more are halted (set to pace 0); after haltAllAfter all of them are.
-	// Measurements, polls and the queue behind a long tail add about 1.5 s, and four seconds over the target count as
-	// harm.
-	haltHarmfulAfter = 1100 * time.Millisecond
-	haltAllAfter     = 1700 * time.Millisecond
-	harmfulWeight    = 0.7
+	// paceInterval is the minimum time between two pace changes on a worker, after which the measurements show the earlier one.
+	paceInterval = interference.PaceShown
+	// loadAhead is how far ahead the own load is predicted that a pace set now has to suit. A day with 1.2 s was worth less.
+	loadAhead = 500 * time.Millisecond
 	// haltCooldown is how long a worker gets no new best-effort tasks of the halted weights after it had to halt some.
 	haltCooldown = 1500 * time.Millisecond
 	// slowPace is the pace at or below which a best-effort task is better moved to another worker.
@@ -61,19 +55,23 @@
 )
 
 // cpuFraction returns the fraction of a worker's CPU that a best-effort task uses. Until there is a measurement for the
-// last half second, it is derived from the task's demand and pace, which counts as full while it is unknown.
+// last half second, it is derived from the task's demand and pace.
 func cpuFraction(w *worker, at *attempt) float64 {
 	cpu := at.measurement
 	if cpu <= 0 {
-		pace := at.pace
-		if pace < 0 {
-			pace = fullPace
-		}
-		cpu = float64(at.task.step.Resources.CPUMilli) * float64(pace) / fullPace
+		cpu = float64(at.task.step.Resources.CPUMilli) * at.paceFraction()
 	}
 	return cpu / float64(max(w.Capacity.CPUMilli, 1))
 }
 
+// paceFraction returns the pace as a fraction of full speed, which it counts as while it is unknown.
+func (at *attempt) paceFraction() float64 {
+	if at.pace < 0 {
+		return 1
+	}
+	return float64(at.pace) / fullPace
+}
+
 // tailRatio returns the measured tail latency of a serving task divided by its target.
 func tailRatio(at *attempt) float64 {
 	return at.measurement / float64(max(at.task.step.TailTarget.Milliseconds(), 1))
@@ -87,7 +85,7 @@
 // expectedLoad returns the own load that a serving task is expected to have when a pace set now takes effect.
 func (at *attempt) expectedLoad(now time.Time) float64 {
 	if l := at.load(); l != nil {
-		return l.At(now.Add(paceInterval))
+		return l.At(now.Add(loadAhead))
 	}
 	return interference.InitialLoad
 }
@@ -102,6 +100,7 @@
 // controlPaces updates the model from a worker's measurements, and sets the paces of its best-effort tasks to what the
 // serving tasks tolerate.
 func (o *Owner) controlPaces(now time.Time, w *worker) {
+	sinceReport := now.Sub(w.usesAt)
 	w.smoothUses(now)
 	worstTail, hasBestEffort := 0.0, false
 	excess, samples := 0.0, 0
@@ -121,27 +120,11 @@
 		samples++
 		o.pressure.Observe(now, at.task.step.Image, load, tail, w.uses)
 		worstTail = max(worstTail, tail)
-		switch {
-		case tail <= targetTail:
-			at.overTargetSince = time.Time{}
-		case at.overTargetSince.IsZero():
-			at.overTargetSince = now
-			if now.Sub(o.acquiredAt) < haltAllAfter {
-				at.overTargetSince = o.acquiredAt // the task may have exceeded its target before this owner took over
-				if at.plannedAt.IsZero() {
-					// Counted from the takeover alone, a series of owners would never halt the harmful tasks.
-					at.overTargetSince = minTime(o.acquiredAt, now.Add(-haltHarmfulAfter-time.Millisecond))
-				}
-			}
-		}
-		if !at.overTargetSince.IsZero() {
-			switch over := now.Sub(at.overTargetSince); {
-			case over > haltAllAfter:
-				limit = 0
-			case over > haltHarmfulAfter:
-				limit = min(limit, harmfulWeight)
-			}
+		wasOver := at.over.IsOver()
+		if at.over = at.over.WithReport(now, w.pacedAt, tail); !wasOver {
+			at.over = at.over.WithTakeover(now, o.acquiredAt, at.plannedAt.IsZero())
 		}
+		limit = min(limit, at.over.HaltedWeight(now))
 	}
 	o.evacuateStalled(now, w, worstTail)
 	if samples > 0 {
@@ -150,6 +133,9 @@
 	if !hasBestEffort {
 		w.excess = 0
 	}
+	if hasBestEffort && worstTail > targetTail {
+		o.observeOverTarget(now, w, sinceReport)
+	}
 	if !hasBestEffort || now.Sub(w.pacedAt) < paceInterval {
 		return
 	}
@@ -183,7 +169,7 @@
 // first. Tasks whose weight reaches the limit are halted.
 func (o *Owner) setPaces(now time.Time, w *worker, worstTail, limit float64) {
 	v := o.viewOf(w)
-	share := min(max(v.leftoverCPU, 0)/max(v.demand, 1), 1)
+	share := v.share()
 	var bestEffort []*attempt
 	halted := 0
 	factor := o.excessFactor(w, v)
@@ -305,18 +291,23 @@
 
 // bestEffortCost returns the highest fraction of the pressure tolerated by a worker's serving tasks that would be used up
 // with one more best-effort task, at most 1, and whether the worker is suitable: its serving tasks stay below their
-// targets, the task gets at least minShare, and tasks of its weight have not just been halted.
+// targets, the task gets at least minShare, and tasks of its weight have not just been halted. Next to serving tasks that an unknown
+// pair could bring above their targets, only a few tasks of the image are tried at a time, where the least is at stake.
 func (o *Owner) bestEffortCost(w *worker, t *task, share float64) (float64, bool) {
 	v := o.viewOf(w)
 	use := share * float64(t.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
-	worst, weight := 0.0, 0.0
+	worst, weight, stake, isTried := 0.0, 0.0, 0.0, true
 	for image, s := range v.serving {
-		weight = max(weight, o.pressure.Weight(t.step.Image, image))
-		cost := o.pressure.Weight(t.step.Image, image) * use
-		worst = max(worst, pressureHeadroom*(s.pressure+cost)/s.allowedPeak)
+		mean, upper := o.pressure.Bounds(o.now, t.step.Image, image)
+		weight = max(weight, mean)
+		worst = max(worst, pressureHeadroom*(s.pressure+mean*use)/s.allowedPeak)
+		if risk := pressureHeadroom * (s.pressure + upper*use); upper > mean && risk > s.allowedPeak {
+			stake = max(stake, interference.Stake(v.servingTasks, risk, s.allowedPeak))
+			isTried = isTried && !o.currentTrials().IsFull(t.step.Image, image)
+		}
 	}
 	halted := o.now.Sub(w.haltedAt) < haltCooldown && weight >= w.haltWeight
-	return min(worst, 1), worst <= 1 && share >= minShare && !halted
+	return min(max(worst, stake), 1), worst <= 1 && share >= minShare && !halted && isTried
 }
 
 // LearnedWeights returns the well-known part of the interference model, for the shard's next owner and for other shards.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -257,6 +257,7 @@
 		o.recordLongRunning(w, t)
 	}
 	w.add(at)
+	o.countTrial(at)
 	w.health.assigned(o.now)
 	o.markDirty(t.job)
 	o.placed[t.job] = append(o.placed[t.job], t.key.String()+"#"+strconv.Itoa(run)+"@"+w.ID)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -50,12 +50,12 @@
 		}
 		if w.fenced && len(w.attempts) > 0 && w.recordedEnd == w.lastEnd {
 			p.Wait = o.timing.PollWait
-			if w.mixesBestEffortAndServing() {
-				p.Wait = o.timing.MixedPollWait
-			}
 			if w.hasTaskOverTarget() {
 				p.Wait = o.timing.OverTargetPollWait
 			}
+			if w.mixesBestEffortAndServing() {
+				p.Wait = o.mixedPollWait(now, w)
+			}
 		}
 		a.Polls = append(a.Polls, p)
 	}
@@ -75,7 +75,7 @@
 // hasTaskOverTarget reports whether a serving task exceeded its latency target at the last poll.
 func (w *worker) hasTaskOverTarget() bool {
 	for _, at := range w.attempts {
-		if !at.overTargetSince.IsZero() {
+		if at.over.IsOver() {
 			return true
 		}
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -42,8 +42,8 @@
 	runningSince time.Time
 	// inFlight is true while an order for the attempt is unanswered.
 	inFlight bool
-	// overTargetSince is the start of the period in which every listing has shown the run above its latency target.
-	overTargetSince time.Time
+	// over is the period in which every listing has shown the run above its latency target.
+	over interference.Excursion
 	// pace is the percentage of full speed that was requested last: 100 after a start, -1 if unknown.
 	pace  int
 	phase phase
@@ -240,6 +240,8 @@
 	// coldUntil is until when the worker is slow after its start.
 	coldUntil     time.Time
 	drainingSince time.Time
+	// interferenceLoggedAt is when a serving task of the worker above its target was last logged.
+	interferenceLoggedAt time.Time
 	// isEvacuated is set while the worker's zone is evacuated.
 	isEvacuated bool
 	// endKnownAt is when this owner learned of the last end of a run on the worker.
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -30,9 +30,10 @@
 	MaxWorkerLease time.Duration
 	// OverTargetPollWait is the wait for workers with a serving task above its latency target.
 	OverTargetPollWait time.Duration
-	// MixedPollWait is the wait for workers that run best-effort tasks next to serving tasks: the owner has to react
-	// within seconds to a tail above its target.
-	MixedPollWait time.Duration
+	// MixedPollWait and MinMixedPollWait bound the wait for workers that run best-effort tasks next to serving tasks, which follows
+	// from how soon a tail could exceed its target. A measurement covers half a second and a pace takes 100 ms, so with a wait
+	// of less than 0.2 s successive reports would show much the same.
+	MixedPollWait, MinMixedPollWait time.Duration
 	// UnrecordedPollInterval replaces PollInterval while ends that the worker has listed are not recorded. The worker lists
 	// them again in each poll, which adds work to an owner whose commits are already late. The interval is well below
 	// maxAckGap, so that late timers don't make the owner exceed that.
@@ -74,6 +75,7 @@
 		MaxWorkerLease:         10 * time.Second,
 		OverTargetPollWait:     300 * time.Millisecond,
 		MixedPollWait:          700 * time.Millisecond,
+		MinMixedPollWait:       200 * time.Millisecond,
 		UnrecordedPollInterval: 300 * time.Millisecond,
 		WorkerLease:            7 * time.Second,
 	}
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -61,14 +61,22 @@
 	return v
 }
 
+// share returns the fraction of their CPU demand that the best-effort tasks get.
+func (v *view) share() float64 { return min(max(v.leftoverCPU, 0)/max(v.demand, 1), 1) }
+
 // potentialUses returns the CPU use by image that the best-effort tasks would have at full pace. Their use while slowed
 // down does not show how many more of them the worker could take.
 func (w *worker) potentialUses(v *view) interference.CPUUsage {
+	return w.usesOf(v, func(*attempt) float64 { return 1 })
+}
+
+// usesOf returns the CPU use by image that the best-effort tasks have at the given fractions of their full speed.
+func (w *worker) usesOf(v *view, fraction func(*attempt) float64) interference.CPUUsage {
 	uses := interference.CPUUsage{}
-	share := min(max(v.leftoverCPU, 0)/max(v.demand, 1), 1)
+	share := v.share()
 	for _, at := range w.attempts {
 		if at.task.step.BestEffort {
-			uses[at.task.step.Image] += share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
+			uses[at.task.step.Image] += fraction(at) * share * float64(at.task.step.Resources.CPUMilli) / float64(max(w.Capacity.CPUMilli, 1))
 		}
 	}
 	return uses
