--- a/internal/interference/situation.go
+++ b/internal/interference/situation.go
@@ -81,6 +81,8 @@
 type Situation struct {
 	Serving
 	BestEffort []Neighbour
+	// For is how long the task was above its target since the report before.
+	For time.Duration
 	// OwnerAge is the time since the takeover of the shard, PaceAge that since a pace on the worker was changed.
 	OwnerAge, PaceAge time.Duration
 }
@@ -122,33 +124,3 @@
 
 // round returns a number with three decimals.
 func round(x float64) float64 { return math.Round(1000*x) / 1000 }
-
-const (
-	// maxLines is the number of lines about situations that an owner logs per lineInterval.
-	maxLines     = 10
-	lineInterval = time.Second
-)
-
-// LineLimit bounds the number of log lines of an owner about situations.
-type LineLimit struct {
-	began          time.Time
-	lines, skipped int
-}
-
-// Allow reports whether a line may be logged now, and how many were not since the last one. lastLine is when the last line about the
-// same worker was logged.
-func (l *LineLimit) Allow(now, lastLine time.Time) (ok bool, skipped int) {
-	if now.Sub(lastLine) < lineInterval {
-		return false, 0
-	}
-	if now.Sub(l.began) >= lineInterval {
-		l.began, l.lines = now, 0
-	}
-	if l.lines >= maxLines {
-		l.skipped++
-		return false, 0
-	}
-	l.lines++
-	skipped, l.skipped = l.skipped, 0
-	return true, skipped
-}
--- a/internal/shard/neighbours.go
+++ b/internal/shard/neighbours.go
@@ -8,17 +8,14 @@
 
 // interferenceState is what an owner keeps about best-effort tasks next to serving tasks, apart from what it has learned.
 type interferenceState struct {
-	// lines bounds the log lines about serving tasks above their targets.
-	lines interference.LineLimit
-	// observeInterference is called with the time of a serving task above its target beside best-effort tasks.
-	observeInterference func(interference.State, time.Duration)
-	trials              interference.Trials
+	observer interference.Observer
+	trials   interference.Trials
 }
 
 // WithInterferenceObserver sets a function that receives the time of each serving task above its latency target beside best-effort
 // tasks, with the state that explains it.
 func WithInterferenceObserver(observe func(interference.State, time.Duration)) Option {
-	return func(o *Owner) { o.observeInterference = observe }
+	return func(o *Owner) { o.observer.Observe = observe }
 }
 
 // mixedPollWait returns how long a worker that runs best-effort tasks next to serving tasks may delay the answer to a poll. A worker
@@ -104,23 +101,16 @@
 		}
 	}
 	states, attempts := o.servingStates(now, w, nil)
-	var worst interference.Situation
+	var situations []interference.Situation
 	for i, s := range states {
-		if !attempts[i].over.IsOver() {
-			continue
-		}
-		situation := interference.Situation{
-			Serving: s, BestEffort: o.pressure.Neighbours(now, s.Image, paces, w.uses), OwnerAge: now.Sub(o.acquiredAt),
-			PaceAge: now.Sub(w.pacedAt),
-		}
-		o.observeInterference(situation.State(), attempts[i].over.LastedSince(now, min(sinceReport, o.timing.PollWait)))
-		if s.Tail > worst.Tail {
-			worst = situation
+		if over := attempts[i].over; over.IsOver() {
+			situations = append(situations, interference.Situation{
+				Serving: s, BestEffort: o.pressure.Neighbours(now, s.Image, paces, w.uses), OwnerAge: now.Sub(o.acquiredAt),
+				PaceAge: now.Sub(w.pacedAt), For: over.LastedSince(now, min(sinceReport, o.timing.PollWait)),
+			})
 		}
 	}
-	if ok, skipped := o.lines.Allow(now, w.interferenceLoggedAt); ok && worst.Tail > 0 {
+	if o.observer.Report(now, o.log.WithField("worker", w.ID), w.interferenceLoggedAt, situations) {
 		w.interferenceLoggedAt = now
-		o.log.WithFields(worst.LogFields()).WithField("worker", w.ID).WithField("skipped", skipped).
-			Info("serving task beside best-effort tasks is above its latency target")
 	}
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -133,8 +133,6 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
-		interferenceState: interferenceState{observeInterference: func(interference.State, time.Duration) {}},
-
 		guestJobs:    map[*job]bool{},
 		headrooms:    map[shortTasks]*headroom{},
 		heldBack:     map[string]bool{},
