--- a/internal/entry/weights_test.go
+++ b/internal/entry/weights_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,23 +14,30 @@
 )
 
 // adoptionHook records when an owner adopts weights, by the shard whose record has them.
-type adoptionHook map[any]time.Time
+type adoptionHook struct{ times sync.Map }
 
-func (h adoptionHook) Levels() []logrus.Level { return logrus.AllLevels }
+func (h *adoptionHook) Levels() []logrus.Level { return logrus.AllLevels }
 
-func (h adoptionHook) Fire(e *logrus.Entry) error {
+func (h *adoptionHook) Fire(e *logrus.Entry) error {
 	if e.Data["decision"] == "adopt_weights" {
-		h[e.Data["from_shard"]] = time.Now()
+		h.times.Store(e.Data["from_shard"], time.Now())
 	}
 	return nil
 }
 
+// at returns when weights of a shard were adopted last; zero if they were not.
+func (h *adoptionHook) at(shard string) time.Time {
+	at, _ := h.times.Load(shard)
+	t, _ := at.(time.Time)
+	return t
+}
+
 // Failure: a takeover of a shard with recorded weights. Guards against owners that learn again what the predecessor and the owners of
 // other shards have recorded, before the takeover and after it.
 func TestRecordedWeightsAreAdoptedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, 1, 1, 2)
-		adopted := adoptionHook{}
+		adopted := &adoptionHook{}
 		f.logHook = adopted
 		record := func(shard, image string) time.Time {
 			weights := []interference.PairWeight{{BestEffort: image, Serving: "s", Mean: 2, Variance: 0.1}}
@@ -40,11 +48,11 @@
 		record("7", "other")
 		f.start("strong-0", strongHost)
 		time.Sleep(10 * time.Second)
-		assert.Check(t, !adopted["0"].IsZero(), "the predecessor's weights")
-		assert.Check(t, !adopted["7"].IsZero(), "the weights of another shard")
+		assert.Check(t, !adopted.at("0").IsZero(), "the predecessor's weights")
+		assert.Check(t, !adopted.at("7").IsZero(), "the weights of another shard")
 		changedAt := record("8", "new")
 		time.Sleep(500 * time.Millisecond)
-		assert.Check(t, !adopted["8"].IsZero() && adopted["8"].Sub(changedAt) <= 100*time.Millisecond, "a new record")
+		assert.Check(t, !adopted.at("8").IsZero() && adopted.at("8").Sub(changedAt) <= 100*time.Millisecond, "a new record")
 		f.kill(f.names()...)
 		time.Sleep(contactTime)
 	})
