--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -15,6 +15,7 @@
 
 // Owner schedules the jobs of one shard. It is not safe for concurrent use.
 type Owner struct {
+	interferenceState
 	// adviceInFlight is true while a placement advice request is outstanding. After a failed request the next one is
 	// not sent before nextAdviceAt.
 	adviceInFlight bool
