--- /dev/null
+++ b/internal/forecast/view.go
@@ -0,0 +1,100 @@
+package forecast
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
+
+// Work is an amount of CPU time, in core milliseconds, by the kind of tasks: those that reserve CPU, and best-effort tasks.
+type Work struct {
+	BestEffort int64 `json:"best_effort,omitempty"`
+	Reserving  int64 `json:"reserving,omitempty"`
+}
+
+// Plus returns the sum of two amounts.
+func (w Work) Plus(other Work) Work {
+	return Work{w.BestEffort + other.BestEffort, w.Reserving + other.Reserving}
+}
+
+// Total returns the sum of both kinds.
+func (w Work) Total() int64 { return w.BestEffort + w.Reserving }
+
+// WorkOf returns the work of a number of tasks of a step.
+func WorkOf(s *workflow.Step, tasks int, expected time.Duration, f Fit) Work {
+	n := int64(tasks) * s.Resources.CPUMilli * expected.Milliseconds() / 1000
+	if s.BestEffort {
+		return Work{BestEffort: int64(float64(n) * f.cpuShare())}
+	}
+	return Work{Reserving: n}
+}
+
+// Backlog is the work that waits and goes before a new job of a priority.
+type Backlog struct {
+	Priority int  `json:"priority"`
+	Work     Work `json:"work"`
+}
+
+// ClassFit is the regression of a class of tasks.
+type ClassFit struct {
+	Class Class `json:"class"`
+	Fit   Fit   `json:"fit"`
+}
+
+// View is what the owner of a shard reports of one service for forecasts. It is not changed after it was made.
+type View struct {
+	// Backlogs holds the waiting work by priority, that of each priority by itself.
+	Backlogs []Backlog `json:"backlogs,omitempty"`
+	// BestEffortCPU is the CPU that other tasks leave to best-effort tasks, ReservingCPU what long-running tasks leave to tasks that reserve
+	// CPU, in thousandths of a core.
+	BestEffortCPU int64      `json:"best_effort_cpu"`
+	ReservingCPU  int64      `json:"reserving_cpu"`
+	Errors        Errors     `json:"errors"`
+	Fits          []ClassFit `json:"fits,omitempty"`
+}
+
+// Ahead returns the waiting work that goes before a new job of a priority.
+func (v View) Ahead(priority int) Work {
+	var sum Work
+	for _, b := range v.Backlogs {
+		if b.Priority <= priority {
+			sum = sum.Plus(b.Work)
+		}
+	}
+	return sum
+}
+
+// Fit returns the regression of a class of tasks.
+func (v View) Fit(c Class) Fit {
+	i := slices.IndexFunc(v.Fits, func(f ClassFit) bool { return f.Class == c })
+	if i < 0 {
+		return Fit{}
+	}
+	return v.Fits[i].Fit
+}
+
+// Wait returns how long all the waiting work takes: that of the kind which takes longer.
+func (v View) Wait() time.Duration {
+	all := v.Ahead(math.MaxInt)
+	return max(v.timeFor(all, true), v.timeFor(all, false))
+}
+
+// timeFor returns how long some work takes with the CPU that its kind has. Without any CPU it is maxForecast.
+func (v View) timeFor(work Work, bestEffort bool) time.Duration {
+	n, cpu := work.Reserving, v.ReservingCPU
+	if bestEffort {
+		n, cpu = work.BestEffort, v.BestEffortCPU
+	}
+	switch {
+	case n <= 0:
+		return 0
+	case cpu <= 0:
+		return maxForecast
+	}
+	return min(time.Duration(float64(n)/float64(cpu)*float64(time.Second)), maxForecast)
+}
+
+// maxForecast bounds a forecast. The backlog of an hour is not worked off in an order that is known now.
+const maxForecast = time.Hour
