Order started jobs by the work that is left, with learned durations

Started jobs now come first, those with the least work left ahead, bounded by their late limit. Owners learn durations and the errors of their forecasts, and add what forecasts need to their loads.

--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -117,6 +117,7 @@
 		return
 	}
 	n := o.newJob(now, j, nil)
+	o.forecastEnd(n)
 	o.jobs[j.ID] = n
 	o.backlog, o.backlogUnsorted = append(o.backlog, n), true
 	tasks := 0
@@ -306,6 +307,7 @@
 	}
 	if j.doneThrough >= j.OccurrenceCount() && j.final == "" {
 		j.final = workflow.StateCompleted
+		o.observeForecast(j)
 		o.markDirty(j)
 	}
 }
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -14,6 +15,8 @@
 	Expected int64
 	// Fill is the CPU demand of unfinished best-effort tasks. Left is the CPU that the other tasks leave to them.
 	Fill, Left int64
+	// Forecast is what forecasts of the ends of jobs need; nil if it is not known.
+	Forecast *forecast.View
 	// Free is the CPU that is neither reserved nor requested by waiting tasks that reserve CPU. It may be negative.
 	Free int64
 	// Interrupted is the number of long-running tasks that ran before and have waited for a worker for longer than
@@ -28,7 +31,7 @@
 
 // Load returns the current load of the workers of a service.
 func (o *Owner) Load(service string) Load {
-	var l Load
+	l := Load{Forecast: o.forecastView(service)}
 	for _, w := range o.workers {
 		if w.isUsable() && w.Service == service {
 			l.Room += w.Capacity.CPUMilli
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -52,6 +53,8 @@
 	isHandingOver bool
 	jobs          map[string]*job
 	lastCommit    time.Time
+	// learned is what this owner has learned for forecasts. The next one begins without.
+	learned forecast.Learned
 	// lastWritten is when the store last confirmed a record of a job.
 	lastWritten time.Time
 	lastPlace   time.Time
@@ -102,8 +105,10 @@
 	tokenOffsets map[string]int64
 	// unholdable holds the classes of tasks for which the current placement round found no worker to hold.
 	unholdable map[taskClass]bool
-	wallClock  func() time.Time
-	workers    map[string]*worker
+	// waitingWork is the work that waits and goes before that of a new job.
+	waitingWork map[backlogWork]forecast.Work
+	wallClock   func() time.Time
+	workers     map[string]*worker
 }
 
 // Option configures an Owner.
@@ -150,6 +155,7 @@
 		token:         token,
 		tokenOffsets:  map[string]int64{},
 		unholdable:    map[taskClass]bool{},
+		waitingWork:   map[backlogWork]forecast.Work{},
 		wallClock:     time.Now,
 		workers:       map[string]*worker{},
 	}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -240,6 +240,7 @@
 			times := &t.job.occurrences[t.key.Occurrence].times[t.key.Step]
 			times.count++
 			times.total += now.Sub(at.confirmedAt)
+			o.observeDuration(at, now.Sub(at.confirmedAt))
 		}
 		o.removeAttempt(at, string(e.Cause))
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -149,6 +149,8 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// forecastEnd is how long after its acceptance the job was expected to end; 0 if nothing was learned then.
+	forecastEnd time.Duration
 	// isCompactRecorded is set once the job's own record says that its progress may be compact.
 	isCompactRecorded bool
 	// isLimitLogged is set once it was logged that the job has as many open occurrences as it may have.
@@ -177,8 +179,15 @@
 	writeNotBefore time.Time
 	// shared is nil unless tasks of the job have moved between shards.
 	shared *sharing
+	// since is when the time to the objective begins, as of the last sorting of the backlog.
+	since time.Time
 	// started is set once any task of the job has been started.
 	started bool
+	// placeRank is lastRank, or the rank to which the job is promoted. turn orders the jobs of a rank, and workLeft is the job's remaining work in core milliseconds, both as of the last sorting of the
+	// backlog.
+	placeRank int
+	turn      time.Time
+	workLeft  int64
 	// version counts the changes of the job, and recordedVersion is the one in the store.
 	version, recordedVersion int
 }
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -9,6 +9,10 @@
 	BestEffort     int
 	// EvacuatedRuns is the number of runs that may still be on the workers of each evacuated zone. It has all zones of such workers.
 	EvacuatedRuns map[string]int
+	// ForecastBias and ForecastError are the mean error of the forecasts of the ends of jobs and its mean deviation, in percent.
+	ForecastBias, ForecastError int
+	// ForecastWait is how long the waiting work takes that goes before a new job of the least priority.
+	ForecastWait time.Duration
 	// HeadroomAvailable is the CPU that short tasks can use, and HeadroomTarget the part of it that is kept free of long-running
 	// tasks which have never run, in thousandths of a core. They are 0 if the last placement round needed no headroom. With several
 	// services or priorities, those of the smallest remainder are given.
@@ -46,6 +50,10 @@
 // Summary returns the counts and ages at now.
 func (o *Owner) Summary(now time.Time) Summary {
 	s := Summary{EvacuatedRuns: o.evacuatedRuns(), Jobs: len(o.jobs)}
+	s.ForecastBias, s.ForecastError = o.learned.Errors().Percent()
+	for service := range o.services() {
+		s.ForecastWait = max(s.ForecastWait, o.forecastView(service).Wait())
+	}
 	zoneWaits := map[Demand]bool{}
 	var oldest time.Time
 	s.Uncommitted, oldest = o.uncommitted(now)
