Refuse submissions that would end after their late limit

The host that gets a submission asks for loads as before, also when there is one shard only, and refuses the job if each shard that it may go to would serve it too late and the store has no record of it. Refused callers get increasing delays in the order of arrival.

go test ./internal/entry -run 'Choose|Shard|Load|Suit|Submit|Refus' passes.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -66,11 +67,12 @@
 
 // chooseShard returns the shard for a new job: the shard of the first assigned rack that a step names, otherwise the one of
 // shardChoices random shards whose load suits the job best. Shards whose workers can't hold the job are left out, and others are asked
-// if none of the random ones can. It returns false while the layout has no shards.
-func (h *Host) chooseShard(ctx context.Context, j workflow.Job) (int, bool) {
+// if none of the random ones can. It returns false while the layout has no shards. The decision says whether the job is to be refused; its
+// owner does not expect it then.
+func (h *Host) chooseShard(ctx context.Context, j workflow.Job) (int, forecast.Decision, bool) {
 	l, _, _ := h.directory.currentLayout()
-	if l.Shards <= 1 {
-		return 0, l.Shards == 1
+	if l.Shards == 0 {
+		return 0, forecast.Decision{}, false
 	}
 	q, hasQueue := h.queueSettings(j)
 	var demands []shard.Demand
@@ -79,9 +81,12 @@
 	}
 	for _, s := range j.Steps {
 		if n, ok := l.Racks[s.Rack]; ok && s.Rack != "" && h.shardSuits(ctx, n, q.Service, demands) {
-			return n, true
+			return n, forecast.Decision{Reason: forecast.ReasonNoView}, true
 		}
 	}
+	if l.Shards == 1 {
+		return 0, h.decide(j, q, []int{0}, h.queryLoads(ctx, q.Service, []int{0}, demands)), true
+	}
 	order := rand.Perm(l.Shards)
 	candidates := order[:shardChoices]
 	loads := h.queryLoads(ctx, q.Service, candidates, demands)
@@ -92,12 +97,12 @@
 		loads = slices.Concat(loads, h.queryLoads(ctx, q.Service, order[shardChoices:], demands))
 	}
 	candidates, loads = suitable(candidates, loads)
-	best := 0
-	if len(candidates) > 1 {
+	best, d := 0, h.decide(j, q, candidates, loads)
+	if len(candidates) > 1 && !d.IsRefused {
 		best = h.choose(j, q.Service, candidates, loads)
 	}
-	h.logChoice(j, candidates, loads, candidates[best])
-	return candidates[best], true
+	h.logChoice(j, candidates, loads, candidates[best], d)
+	return candidates[best], d, true
 }
 
 // queueSettings returns the settings of a job's queue: those with which the job was accepted, if it has any.
@@ -164,8 +169,8 @@
 }
 
 // logChoice logs the choice of a shard with the loads that decided it: of each candidate the free CPU, the CPU left to best-effort
-// tasks, the room and the age of these figures.
-func (h *Host) logChoice(j workflow.Job, candidates []int, loads []cachedLoad, chosen int) {
+// tasks, the room and the age of these figures, and when the job would end there.
+func (h *Host) logChoice(j workflow.Job, candidates []int, loads []cachedLoad, chosen int, d forecast.Decision) {
 	considered := make([]string, len(candidates))
 	for i, n := range candidates {
 		considered[i] = fmt.Sprintf("%d: owner unknown or silent", n)
@@ -176,8 +181,10 @@
 				time.Since(l.receivedAt).Round(time.Millisecond))
 		}
 	}
-	h.log.WithFields(logrus.Fields{"decision": "choose_shard", "candidates": considered, "job": j.ID, "queue": j.Queue, "shard": chosen}).
-		Info("chose the shard of a new job")
+	h.log.WithFields(logrus.Fields{
+		"admission": string(d.Reason), "candidates": considered, "decision": "choose_shard", "forecasts": d.Considered, "job": j.ID,
+		"queue": j.Queue, "shard": chosen,
+	}).Info("chose the shard of a new job")
 }
 
 // announceJob tells the owner of the chosen shard to expect a job, so that it counts for the hosts that choose next.
@@ -206,8 +213,8 @@
 		return h.unansweredLoad(k, demands)
 	}
 	last := cachedLoad{receivedAt: time.Now(), Load: shard.Load{
-		Expected: m.LoadReply.Expected, Fill: m.LoadReply.Fill, Free: m.LoadReply.Free, Interrupted: m.LoadReply.Interrupted,
-		Left: m.LoadReply.Left, Room: m.LoadReply.Room,
+		Expected: m.LoadReply.Expected, Fill: m.LoadReply.Fill, Forecast: m.LoadReply.Forecast, Free: m.LoadReply.Free,
+		Interrupted: m.LoadReply.Interrupted, Left: m.LoadReply.Left, Room: m.LoadReply.Room,
 	}}
 	h.noteSuitability(k.shard, demands, !m.LoadReply.Unsuitable)
 	h.loads.mu.Lock()
@@ -226,6 +233,6 @@
 	if time.Since(last.receivedAt) > maxUnansweredLoadAge {
 		last = cachedLoad{}
 	}
-	last.isUnsuitable = h.isKnownUnsuitable(k.shard, demands)
+	last.isUnsuitable, last.Forecast = h.isKnownUnsuitable(k.shard, demands), nil // no refusal rests on an earlier answer
 	return last
 }
--- a/internal/entry/exportchoose_test.go
+++ b/internal/entry/exportchoose_test.go
@@ -11,7 +11,8 @@
 
 // ChooseShard returns the shard for a new job.
 func (h *Host) ChooseShard(ctx context.Context, j workflow.Job) (int, bool) {
-	return h.chooseShard(ctx, j)
+	n, _, ok := h.chooseShard(ctx, j)
+	return n, ok
 }
 
 // KnowsLoad asks for the load of a shard and reports whether the host has one that is recent enough to be used.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -30,6 +30,8 @@
 	pending     *pendingCache
 	platform    Platform
 	pool        *peer.Pool
+	// retrySlots spreads the callers that are refused.
+	retrySlots retrySlots
 	// request sends a message to a peer and returns its reply.
 	request  func(ctx context.Context, address string, m peer.Message) (peer.Message, error)
 	self     hostRecord
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -12,6 +12,7 @@
 	answers            = expvar.NewMap("entry_answers")
 	commitRelays       = expvar.NewMap("entry_commit_relays")
 	commitTime         = metrics.NewHistogram("entry_commit_ms")
+	admissions         = expvar.NewMap("entry_admissions")
 	leasesLost         = expvar.NewInt("entry_lease_losses")
 	pollTimeBeyondWait = metrics.NewHistogram("entry_look_beyond_wait_ms")
 	pollsFailed        = expvar.NewInt("entry_looks_failed")
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -36,8 +36,8 @@
 	case m.LoadQuery != nil:
 		l, suits, known := h.ownedShards.serviceLoad(m.LoadQuery.Shard, m.LoadQuery.Service, decodeDemands(m.LoadQuery.Demands))
 		return peer.Message{LoadReply: &peer.LoadReply{
-			Expected: l.Expected, Fill: l.Fill, Free: l.Free, Interrupted: l.Interrupted, Known: known, Left: l.Left, Room: l.Room,
-			Unsuitable: known && !suits,
+			Expected: l.Expected, Fill: l.Fill, Forecast: l.Forecast, Free: l.Free, Interrupted: l.Interrupted, Known: known, Left: l.Left,
+			Room: l.Room, Unsuitable: known && !suits,
 		}}, nil
 	case m.RoomQuery != nil:
 		room := h.ownedShards.promiseRoom(m.RoomQuery.Shard, decodeDemands(m.RoomQuery.Demands))
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -48,12 +48,15 @@
 	if location, ok := h.locations.get(j.ID); ok {
 		return h.logAnswer("submit", j.ID, j.Queue, Answer{Outcome: OutcomeAccepted, Reason: "accepted before", State: location.State})
 	}
-	shard, ok := h.chooseShard(ctx, j)
+	shard, d, ok := h.chooseShard(ctx, j)
 	if !ok {
 		return h.logAnswer("submit", j.ID, j.Queue, Answer{
 			Outcome: OutcomeRefused, Reason: "no shard exists yet", RetryAfter: retryAfter,
 		})
 	}
+	if d.IsRefused && h.isUnrecorded(ctx, j.ID) {
+		return h.refuse(j, d)
+	}
 	started := time.Now()
 	j.AcceptedAt = started.UnixMilli()
 	a, record := h.recordOrRelay(ctx, j, shard)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -4,6 +4,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/evacuation"
 	"github.com/laburnumridge/laburnumridge/internal/explain"
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/slots"
 )
 
@@ -213,7 +214,9 @@
 type LoadReply struct {
 	Expected int64 `json:"expected,omitempty"`
 	Fill     int64 `json:"fill"`
-	Free     int64 `json:"free"`
+	// Forecast is nil in replies of older builds.
+	Forecast *forecast.View `json:"forecast,omitempty"`
+	Free     int64          `json:"free"`
 	// Interrupted is the number of long-running tasks that ran before and wait for a worker.
 	Interrupted int   `json:"interrupted,omitempty"`
 	Known       bool  `json:"known"`
