Move the order of the backlog into the package of forecasts

The ranks, the turns of started jobs and the promotion of overdue ones are now pure functions in internal/forecast, with a test that no size starves. Summaries have the wait by the forecast and its error.

go test ./internal/forecast ./internal/shard passes.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -244,7 +244,7 @@
 	gauges := map[string]int{
 		"fills": s.BestEffort, "forecast_bias": s.ForecastBias, "forecast_error": s.ForecastError,
 		"forecast_wait_ms": int(s.ForecastWait.Milliseconds()),
-		"jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
+		"jobs":             s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
 		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom,
 		"waiting_evacuated": s.WaitingEvacuated,
 	}
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -1,6 +1,7 @@
 package forecast_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -172,10 +173,28 @@
 	assert.Equal(t, delay, time.Second)
 }
 
-// Guards against an order in which small jobs starve a large one, or large ones come first.
-func TestTurnIsBoundedByTheLateLimit(t *testing.T) {
+// Guards against an order in which small jobs starve a large one, started jobs lose their turn to new ones, or jobs that can't be served any
+// more stay behind for ever or take more than a tenth of the turns.
+func TestOrderStarvesNoSize(t *testing.T) {
 	now := time.Unix(1000, 0)
-	small, large := forecast.Turn(now, 20*time.Second, 10, 50), forecast.Turn(now, 20*time.Second, 1e12, 50)
-	assert.Assert(t, small.Before(large))
-	assert.Assert(t, large.Before(forecast.Turn(now.Add(20*time.Second), 20*time.Second, 0, 50).Add(time.Nanosecond)))
+	started := func(age time.Duration, work int64) *forecast.Candidate {
+		return &forecast.Candidate{IsStarted: true, Objective: now.Add(6*time.Second - age), Since: now.Add(-age), Work: work}
+	}
+	small, large, half := started(0, 10), started(0, 1e6), started(0, 5)
+	oldLarge, fresh := started(18*time.Second, 1e12), started(0, 1)
+	late := make([]*forecast.Candidate, 20)
+	for i := range late {
+		late[i] = &forecast.Candidate{Objective: now.Add(-time.Minute - time.Duration(i)*time.Second), Since: now.Add(-time.Minute - time.Duration(i+1)*time.Second), Remaining: time.Second}
+	}
+	inTime := &forecast.Candidate{Objective: now.Add(time.Minute), Since: now, Remaining: time.Second}
+	all := append([]*forecast.Candidate{small, large, half, oldLarge, fresh, inTime}, late...)
+	forecast.RankAll(now, all)
+	slices.SortStableFunc(all, (*forecast.Candidate).Compare)
+	for i := range 3 {
+		assert.Assert(t, all[i] == late[19-i], "job %d", i)
+	}
+	at := func(c *forecast.Candidate) int { return slices.Index(all, c) }
+	assert.Assert(t, at(oldLarge) < at(fresh) && at(fresh) < at(half) && at(half) < at(small) && at(small) < at(large))
+	assert.Assert(t, at(large) < at(inTime) && at(inTime) < at(late[0]))
+	assert.Equal(t, late[19].Rank, forecast.RankLate)
 }
--- a/internal/forecast/view.go
+++ b/internal/forecast/view.go
@@ -37,6 +37,19 @@
 	Work     Work `json:"work"`
 }
 
+// Backlogs holds the waiting work by priority.
+type Backlogs []Backlog
+
+// With returns the backlogs with more work of a priority. The receiver must not be used any more.
+func (b Backlogs) With(priority int, w Work) Backlogs {
+	i := slices.IndexFunc(b, func(b Backlog) bool { return b.Priority == priority })
+	if i < 0 {
+		return append(b, Backlog{priority, w})
+	}
+	b[i].Work = b[i].Work.Plus(w)
+	return b
+}
+
 // ClassFit is the regression of a class of tasks.
 type ClassFit struct {
 	Class Class `json:"class"`
@@ -46,7 +59,7 @@
 // View is what the owner of a shard reports of one service for forecasts. It is not changed after it was made.
 type View struct {
 	// Backlogs holds the waiting work by priority, that of each priority by itself.
-	Backlogs []Backlog `json:"backlogs,omitempty"`
+	Backlogs Backlogs `json:"backlogs,omitempty"`
 	// BestEffortCPU is the CPU that other tasks leave to best-effort tasks, ReservingCPU what long-running tasks leave to tasks that reserve
 	// CPU, in thousandths of a core.
 	BestEffortCPU int64      `json:"best_effort_cpu"`
--- a/internal/shard/commitorder.go
+++ b/internal/shard/commitorder.go
@@ -80,6 +80,6 @@
 		if u := urgencies[a]; u != urgencies[b] || u != urgencyCaller {
 			return cmp.Compare(u, urgencies[b])
 		}
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lastRank, b.lastRank))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.order.Rank, b.order.Rank))
 	})
 }
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -307,7 +307,9 @@
 	}
 	if j.doneThrough >= j.OccurrenceCount() && j.final == "" {
 		j.final = workflow.StateCompleted
-		o.observeForecast(j)
+		if j.forecastEnd > 0 {
+			o.learned.ObserveEnd(j.forecastEnd, o.now.Sub(j.acceptedAt))
+		}
 		o.markDirty(j)
 	}
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -105,10 +105,10 @@
 	tokenOffsets map[string]int64
 	// unholdable holds the classes of tasks for which the current placement round found no worker to hold.
 	unholdable map[taskClass]bool
-	// waitingWork is the work that waits and goes before that of a new job.
-	waitingWork map[backlogWork]forecast.Work
-	wallClock   func() time.Time
-	workers     map[string]*worker
+	// waiting is the work that waits and goes before that of a new job, by service.
+	waiting   map[string]forecast.Backlogs
+	wallClock func() time.Time
+	workers   map[string]*worker
 }
 
 // Option configures an Owner.
@@ -155,7 +155,6 @@
 		token:         token,
 		tokenOffsets:  map[string]int64{},
 		unholdable:    map[taskClass]bool{},
-		waitingWork:   map[backlogWork]forecast.Work{},
 		wallClock:     time.Now,
 		workers:       map[string]*worker{},
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -157,12 +158,12 @@
 	isLimitLogged bool
 	// hasArrived is set once a placement round has counted the job's short tasks as arrivals.
 	hasArrived bool
-	// lastRank is the rank at the last sorting of the backlog.
-	lastRank int
 	// objective is the time after which the job counts as late.
 	objective   time.Time
 	occurrences map[int]*occurrence
-	priority    int
+	// order is the job's place in the order of the backlog as of its last sorting.
+	order    forecast.Candidate
+	priority int
 	// queue holds the settings of the job's queue; the last ones if the queue has been removed.
 	queue workflow.QueueSettings
 	// recordedQueue holds the settings on record; nil if there are none.
@@ -179,15 +180,8 @@
 	writeNotBefore time.Time
 	// shared is nil unless tasks of the job have moved between shards.
 	shared *sharing
-	// since is when the time to the objective begins, as of the last sorting of the backlog.
-	since time.Time
 	// started is set once any task of the job has been started.
 	started bool
-	// placeRank is lastRank, or the rank to which the job is promoted. turn orders the jobs of a rank, and workLeft is the job's remaining work in core milliseconds, both as of the last sorting of the
-	// backlog.
-	placeRank int
-	turn      time.Time
-	workLeft  int64
 	// version counts the changes of the job, and recordedVersion is the one in the store.
 	version, recordedVersion int
 }
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -51,7 +51,7 @@
 func (o *Owner) Summary(now time.Time) Summary {
 	s := Summary{EvacuatedRuns: o.evacuatedRuns(), Jobs: len(o.jobs)}
 	s.ForecastBias, s.ForecastError = o.learned.Errors().Percent()
-	for service := range o.services() {
+	for service := range o.waiting {
 		s.ForecastWait = max(s.ForecastWait, o.forecastView(service).Wait())
 	}
 	zoneWaits := map[Demand]bool{}
