--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -243,8 +243,8 @@
 	s := r.owner.Summary(now)
 	gauges := map[string]int{
 		"fills": s.BestEffort, "forecast_bias": s.ForecastBias, "forecast_error": s.ForecastError,
-		"forecast_wait_ms": int(s.ForecastWait.Milliseconds()),
-		"jobs":             s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
+		"forecast_wait_ms": int(s.ForecastWait.Milliseconds()), "late_wait_ms": int(s.LateWait.Milliseconds()),
+		"jobs": s.Jobs, "over": s.OverTarget, "runs": s.Runs, "silent_runs": s.SilentRuns,
 		"uncommitted": s.Uncommitted, "unstarted": s.Unstarted, "waiting": s.Waiting, "waiting_beside_room": s.WaitingBesideRoom,
 		"waiting_evacuated": s.WaitingEvacuated,
 	}
@@ -255,6 +255,7 @@
 	r.log.WithFields(logrus.Fields{
 		"decision": "summary", "evacuated_runs": s.EvacuatedRuns, "fill_pace": s.BestEffortPace, "fills": s.BestEffort,
 		"forecast_bias": s.ForecastBias, "forecast_error": s.ForecastError, "forecast_wait": s.ForecastWait.String(),
+		"late_wait":      s.LateWait.String(),
 		"headroom_milli": s.HeadroomAvailable, "headroom_target_milli": s.HeadroomTarget, "jobs": s.Jobs, "over": s.OverTarget,
 		"runs": s.Runs, "serving": s.Serving, "silent_runs": s.SilentRuns, "stopping": s.Stopping, "timer_lag": r.maxTimerLag.String(),
 		"uncommitted": s.Uncommitted, "uncommitted_age": s.OldestUncommitted.String(),
--- a/internal/forecast/admission.go
+++ b/internal/forecast/admission.go
@@ -43,7 +43,8 @@
 	Considered []string
 	IsRefused  bool
 	Reason     Reason
-	// Delay is when the job could be served in time, by the forecast. Slot is how often a shard has room for such a job.
+	// Delay is when the job could be served in time, by the forecast: when the backlog has shrunk enough. After the time of an objective,
+	// all jobs that are ahead now have started or are late themselves, and no longer go before a new one. Slot is how often a shard has room for such a job.
 	Delay, Slot time.Duration
 }
 
@@ -72,7 +73,7 @@
 		case f.IsLearned && !f.IsHopeless() && d.Reason != ReasonNoView:
 			d.Reason = ReasonServable
 		}
-		if delay := f.End - f.Objective; i == 0 || delay < d.Delay {
+		if delay := min(f.End-f.Objective, f.Objective); i == 0 || delay < d.Delay {
 			d.Delay, d.Slot = delay, f.Slot
 		}
 	}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -56,7 +56,7 @@
 // kind that is ahead is done. A step that is wider than the CPU of its kind takes as long as its work does.
 func (v View) Of(j workflow.Job, q workflow.QueueSettings) Forecast {
 	f := Forecast{IsTimed: true}
-	ahead := v.Ahead(q.Priority)
+	ahead, late := v.Ahead(q.Priority)
 	durations, widths := make([]time.Duration, len(j.Steps)), make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -68,8 +68,13 @@
 		f.Slot += work
 	}
 	f.Objective = Objective(Chain(j.Steps, AtOnce, func(i int) time.Duration { return durations[i] }), q)
-	f.End = Chain(j.Steps, func(i int) time.Duration { return v.timeFor(ahead, j.Steps[i].BestEffort) },
-		func(i int) time.Duration { return widths[i] })
+	endAfter := func(ahead Work) time.Duration {
+		return Chain(j.Steps, func(i int) time.Duration { return v.timeFor(ahead, j.Steps[i].BestEffort) },
+			func(i int) time.Duration { return widths[i] })
+	}
+	if f.End = endAfter(ahead); f.End > f.Objective {
+		f.End = endAfter(ahead.Plus(late)) // by then the job is late itself
+	}
 	f.IsLearned = f.IsTimed && v.Errors.IsLearned()
 	f.Earliest = v.Errors.Earliest(f.End)
 	return f
--- a/internal/forecast/order.go
+++ b/internal/forecast/order.go
@@ -23,7 +23,7 @@
 	// slackFactor is the multiple of the expected remaining time that must be left until the objective for a job to count as able to
 	// meet it.
 	slackFactor = 1.4
-	// promotedShare is the part of the jobs of a priority, one in so many, that pass others because they have waited longest.
+	// promotedShare is the part of the started jobs of a priority, one in so many, that may pass others because they have waited longest.
 	promotedShare = 10
 )
 
@@ -45,11 +45,14 @@
 
 // RankAll ranks jobs for Compare.
 func RankAll(now time.Time, jobs []*Candidate) {
-	work, counts := map[int]int64{}, map[int]int64{}
+	work, counts, started := map[int]int64{}, map[int]int64{}, map[int]int64{}
 	for _, c := range jobs {
 		c.Rank = c.rank(now)
 		work[c.Priority] += c.Work
 		counts[c.Priority]++
+		if c.Rank == RankStarted {
+			started[c.Priority]++
+		}
 	}
 	for _, c := range jobs {
 		c.placeRank, c.turn = c.Rank, c.Objective
@@ -57,7 +60,7 @@
 			c.turn = turn(c.Since, c.lateLimit(), c.Work, work[c.Priority]/counts[c.Priority])
 		}
 	}
-	promote(now, jobs, counts)
+	promote(now, jobs, started)
 }
 
 // Compare orders jobs that were ranked together, the most urgent first.
@@ -90,19 +93,24 @@
 	return since.Add(time.Duration(float64(lateLimit) * float64(work) / float64(work+max(typical, 1))))
 }
 
-// promote gives jobs that have not started by their late limit the turn of their arrival among the started ones, the oldest tenth of each
-// priority at a time. They are of no use any more, so they get no more than that, but each gets its turn. Their Rank stays.
-func promote(now time.Time, jobs []*Candidate, counts map[int]int64) {
+// promote gives jobs that have not started by their late limit the turn of their arrival among the started ones, the oldest first, as long
+// as jobs past their late limit are at most a tenth of the jobs of the priority that run. They are of no use any more, so they get no more
+// than that, but each gets its turn. Their Rank stays.
+func promote(now time.Time, jobs []*Candidate, started map[int]int64) {
 	var overdue []*Candidate
+	promoted := map[int]int64{}
 	for _, c := range jobs {
-		if c.Rank > RankStarted && now.Sub(c.Since) > c.lateLimit() {
+		switch {
+		case c.Rank == RankLongRunning || now.Sub(c.Since) <= c.lateLimit():
+		case c.IsStarted:
+			promoted[c.Priority]++
+		default:
 			overdue = append(overdue, c)
 		}
 	}
 	slices.SortStableFunc(overdue, func(a, b *Candidate) int { return a.Since.Compare(b.Since) })
-	promoted := map[int]int64{}
 	for _, c := range overdue {
-		if promoted[c.Priority]*promotedShare < counts[c.Priority] {
+		if promoted[c.Priority]*promotedShare <= started[c.Priority] {
 			promoted[c.Priority]++
 			c.placeRank, c.turn = RankStarted, c.Since
 		}
--- a/internal/forecast/view.go
+++ b/internal/forecast/view.go
@@ -1,7 +1,6 @@
 package forecast
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -31,8 +30,9 @@
 	return Work{Reserving: n}
 }
 
-// Backlog is the work that waits and goes before a new job of a priority.
+// Backlog is the waiting work of a priority. Late is that of jobs which can't meet their objective any more, so that new jobs go first.
 type Backlog struct {
+	Late     Work `json:"late"`
 	Priority int  `json:"priority"`
 	Work     Work `json:"work"`
 }
@@ -40,13 +40,17 @@
 // Backlogs holds the waiting work by priority.
 type Backlogs []Backlog
 
-// With returns the backlogs with more work of a priority. The receiver must not be used any more.
-func (b Backlogs) With(priority int, w Work) Backlogs {
+// With returns the backlogs with more work of a priority and rank. The receiver must not be used any more.
+func (b Backlogs) With(priority int, r Rank, w Work) Backlogs {
 	i := slices.IndexFunc(b, func(b Backlog) bool { return b.Priority == priority })
 	if i < 0 {
-		return append(b, Backlog{priority, w})
+		i, b = len(b), append(b, Backlog{Priority: priority})
+	}
+	if r == RankLate {
+		b[i].Late = b[i].Late.Plus(w)
+	} else {
+		b[i].Work = b[i].Work.Plus(w)
 	}
-	b[i].Work = b[i].Work.Plus(w)
 	return b
 }
 
@@ -68,15 +72,18 @@
 	Fits          []ClassFit `json:"fits,omitempty"`
 }
 
-// Ahead returns the waiting work that goes before a new job of a priority.
-func (v View) Ahead(priority int) Work {
-	var sum Work
+// Ahead returns the waiting work that goes before a new job of a priority while the job can still meet its objective, and the late work
+// that goes before it once it can't.
+func (v View) Ahead(priority int) (ahead, late Work) {
 	for _, b := range v.Backlogs {
-		if b.Priority <= priority {
-			sum = sum.Plus(b.Work)
+		switch {
+		case b.Priority < priority:
+			ahead = ahead.Plus(b.Work).Plus(b.Late)
+		case b.Priority == priority:
+			ahead, late = ahead.Plus(b.Work), b.Late
 		}
 	}
-	return sum
+	return ahead, late
 }
 
 // Fit returns the regression of a class of tasks.
@@ -88,10 +95,14 @@
 	return v.Fits[i].Fit
 }
 
-// Wait returns how long all the waiting work takes: that of the kind which takes longer.
-func (v View) Wait() time.Duration {
-	all := v.Ahead(math.MaxInt)
-	return max(v.timeFor(all, true), v.timeFor(all, false))
+// Waits returns how long the waiting work takes, of the kind which takes longer: that of jobs which can meet their objective or have
+// started, and that of the late ones.
+func (v View) Waits() (inTime, late time.Duration) {
+	var sum Backlog
+	for _, b := range v.Backlogs {
+		sum.Work, sum.Late = sum.Work.Plus(b.Work), sum.Late.Plus(b.Late)
+	}
+	return max(v.timeFor(sum.Work, true), v.timeFor(sum.Work, false)), max(v.timeFor(sum.Late, true), v.timeFor(sum.Late, false))
 }
 
 // timeFor returns how long some work takes with the CPU that its kind has. Without any CPU it is maxForecast.
--- a/internal/shard/joborder.go
+++ b/internal/shard/joborder.go
@@ -25,9 +25,7 @@
 	forecast.RankAll(now, candidates)
 	o.waiting = map[string]forecast.Backlogs{}
 	for i, j := range o.backlog {
-		if j.order.Rank < forecast.RankLate { // new jobs pass the others
-			o.waiting[j.queue.Service] = o.waiting[j.queue.Service].With(j.priority, waiting[i])
-		}
+		o.waiting[j.queue.Service] = o.waiting[j.queue.Service].With(j.priority, j.order.Rank, waiting[i])
 	}
 	slices.SortStableFunc(o.backlog, func(a, b *job) int { return a.order.Compare(&b.order) })
 }
--- a/internal/shard/summary.go
+++ b/internal/shard/summary.go
@@ -11,8 +11,8 @@
 	EvacuatedRuns map[string]int
 	// ForecastBias and ForecastError are the mean error of the forecasts of the ends of jobs and its mean deviation, in percent.
 	ForecastBias, ForecastError int
-	// ForecastWait is how long the waiting work takes that goes before a new job of the least priority.
-	ForecastWait time.Duration
+	// ForecastWait is how long the waiting work takes of jobs that have started or can meet their objective, LateWait that of all others.
+	ForecastWait, LateWait time.Duration
 	// HeadroomAvailable is the CPU that short tasks can use, and HeadroomTarget the part of it that is kept free of long-running
 	// tasks which have never run, in thousandths of a core. They are 0 if the last placement round needed no headroom. With several
 	// services or priorities, those of the smallest remainder are given.
@@ -52,7 +52,8 @@
 	s := Summary{EvacuatedRuns: o.evacuatedRuns(), Jobs: len(o.jobs)}
 	s.ForecastBias, s.ForecastError = o.learned.Errors().Percent()
 	for service := range o.waiting {
-		s.ForecastWait = max(s.ForecastWait, o.forecastView(service).Wait())
+		inTime, late := o.forecastView(service).Waits()
+		s.ForecastWait, s.LateWait = max(s.ForecastWait, inTime), max(s.LateWait, late)
 	}
 	zoneWaits := map[Demand]bool{}
 	var oldest time.Time
