--- a/internal/forecast/view.go
+++ b/internal/forecast/view.go
@@ -30,7 +30,8 @@
 	return Work{Reserving: n}
 }
 
-// Backlog is the waiting work of a priority. Late is that of jobs which can't meet their objective any more, so that new jobs go first.
+// Backlog is the waiting work of a priority. Late is that of jobs which can't meet their objective any more,
+// so that new jobs go first. That of jobs past their late limit is left out.
 type Backlog struct {
 	Late     Work `json:"late"`
 	Priority int  `json:"priority"`
@@ -46,9 +47,11 @@
 	if i < 0 {
 		i, b = len(b), append(b, Backlog{Priority: priority})
 	}
-	if r == RankLate {
+	switch r {
+	case RankOverdue: // goes after all jobs that are still of use
+	case RankLate:
 		b[i].Late = b[i].Late.Plus(w)
-	} else {
+	case RankLongRunning, RankStarted, RankInTime:
 		b[i].Work = b[i].Work.Plus(w)
 	}
 	return b
