--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -85,7 +85,10 @@
 		}
 	}
 	if l.Shards == 1 {
-		return 0, h.decide(j, q, []int{0}, h.queryLoads(ctx, q.Service, []int{0}, demands)), true
+		loads := h.queryLoads(ctx, q.Service, []int{0}, demands)
+		d := h.decide(j, q, []int{0}, loads)
+		h.logChoice(j, []int{0}, loads, 0, d)
+		return 0, d, true
 	}
 	order := rand.Perm(l.Shards)
 	candidates := order[:shardChoices]
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -75,7 +75,8 @@
 	if f.End = endAfter(ahead); f.End > f.Objective {
 		f.End = endAfter(ahead.Plus(late)) // by then the job is late itself
 	}
-	f.IsLearned = f.IsTimed && v.Errors.IsLearned()
+	// A forecast at its bound means that a kind of tasks has no CPU at the moment, which says little of the time after it.
+	f.IsLearned = f.IsTimed && v.Errors.IsLearned() && f.End < maxForecast
 	f.Earliest = v.Errors.Earliest(f.End)
 	return f
 }
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -102,6 +102,7 @@
 	full := learnedView(time.Second)
 	full.BestEffortCPU = 0
 	assert.Assert(t, full.Of(batchJob(), queue).End >= time.Hour)
+	assert.Assert(t, !full.Of(batchJob(), queue).IsHopeless(), "there may be CPU a moment later")
 }
 
 // Guards against refusals of jobs that may be served, or of which too little is known: no answer, an older host, a new owner, an old view,
