--- a/internal/shard/joborder.go
+++ b/internal/shard/joborder.go
@@ -3,64 +3,70 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 )
 
 // sortInterval is how long the order of the backlog is kept if no job was added or removed.
 const sortInterval = 250 * time.Millisecond
 
+// sortJobs orders the backlog, and sums up the work that waits.
 func (o *Owner) sortJobs(now time.Time) {
 	if !o.backlogUnsorted && now.Sub(o.backlogSortedAt) < sortInterval {
 		return
 	}
 	o.backlogUnsorted, o.backlogSortedAt = false, now
 	o.backlog = slices.DeleteFunc(o.backlog, func(j *job) bool { return o.jobs[j.ID] != j })
-	for _, j := range o.backlog {
-		j.lastRank = j.rank(now)
+	candidates := make([]*forecast.Candidate, len(o.backlog))
+	waiting := make([]forecast.Work, len(o.backlog))
+	for i, j := range o.backlog {
+		candidates[i], waiting[i] = &j.order, o.updateOrder(j, now)
 	}
-	slices.SortStableFunc(o.backlog, func(a, b *job) int {
-		if a.priority != b.priority {
-			return a.priority - b.priority
-		}
-		if a.lastRank != b.lastRank {
-			return a.lastRank - b.lastRank
-		}
-		return a.objective.Compare(b.objective)
-	})
-}
-
-// rank orders jobs of equal priority. Long-running jobs come first, since their tasks have to run whenever there are
-// resources. Then come started jobs that can meet their objective, jobs that can meet it if they start now, and all
-// others. Otherwise jobs that are late anyway would delay others until these are late as well.
-func (j *job) rank(now time.Time) int {
-	switch {
-	case j.IsLongRunning():
-		return -1
-	case j.objective.Sub(now) < time.Duration(slackFactor*float64(j.remaining())):
-		return 2
-	case !j.started:
-		return 1
+	forecast.RankAll(now, candidates)
+	o.waiting = map[string]forecast.Backlogs{}
+	for i, j := range o.backlog {
+		o.waiting[j.queue.Service] = o.waiting[j.queue.Service].With(j.priority, j.order.Rank, waiting[i])
 	}
-	return 0
+	slices.SortStableFunc(o.backlog, func(a, b *job) int { return a.order.Compare(&b.order) })
 }
 
-// slackFactor is the multiple of the estimated remaining time that must be left until the objective for a job to count
-// as able to meet it.
-const slackFactor = 1.4
-
-// remaining returns the estimated duration of the longest chain of unfinished steps.
-func (j *job) remaining() time.Duration {
-	longest := time.Duration(0)
+// updateOrder updates what the job's place in the order depends on, by what is known of the durations of its tasks, and returns its work
+// that waits. The objective counts from the job's acceptance, or from when its first open occurrence is due.
+func (o *Owner) updateOrder(j *job, now time.Time) forecast.Work {
+	since := j.acceptedAt
+	if j.Occurrences > 0 {
+		since = now.Add(time.Duration(j.DueAt(j.doneThrough)-o.wallClock().UnixMilli()) * time.Millisecond)
+	}
+	chain := forecast.Chain(j.Steps, forecast.AtOnce, func(i int) time.Duration { return o.expected(j, j.occurrences[j.doneThrough], i) })
+	j.objective = since.Add(forecast.Objective(chain, j.queue))
+	j.order = forecast.Candidate{
+		IsLongRunning: j.IsLongRunning(), IsStarted: j.started, Objective: j.objective, Priority: j.priority, Rank: j.order.Rank, Since: since,
+	}
+	var waits forecast.Work
 	for _, occ := range j.occurrences {
-		ends := make([]time.Duration, len(j.Steps))
-		for i, s := range j.Steps {
-			for _, before := range s.After {
-				ends[i] = max(ends[i], ends[before])
+		j.order.Remaining = max(j.order.Remaining, forecast.Chain(j.Steps, forecast.AtOnce, func(i int) time.Duration {
+			if occ.undone[i] == 0 {
+				return 0
 			}
-			if occ.undone[i] > 0 {
-				ends[i] += s.Estimate
+			return o.expected(j, occ, i)
+		}))
+		for i, undone := range occ.undone {
+			if undone > 0 && !j.Steps[i].LongRunning {
+				expected, fit := o.expected(j, occ, i), o.learned.Fit(classOf(j, i))
+				j.order.Work += forecast.WorkOf(&j.Steps[i], undone, expected, fit).Total()
+				waits = waits.Plus(forecast.WorkOf(&j.Steps[i], occ.waitingTasks(i), expected, fit))
 			}
-			longest = max(longest, ends[i])
 		}
 	}
-	return longest
+	return waits
+}
+
+// waitingTasks returns the number of tasks of a step that no worker has.
+func (occ *occurrence) waitingTasks(step int) (n int) {
+	for _, t := range occ.tasks[step] {
+		if t.isWaiting() {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
+	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -149,18 +150,20 @@
 	// final is the final state, whether already recorded or not.
 	final         workflow.State
 	finalRecorded bool
+	// forecastEnd is how long after its acceptance the job was expected to end; 0 if nothing was learned then.
+	forecastEnd time.Duration
 	// isCompactRecorded is set once the job's own record says that its progress may be compact.
 	isCompactRecorded bool
 	// isLimitLogged is set once it was logged that the job has as many open occurrences as it may have.
 	isLimitLogged bool
 	// hasArrived is set once a placement round has counted the job's short tasks as arrivals.
 	hasArrived bool
-	// lastRank is the rank at the last sorting of the backlog.
-	lastRank int
 	// objective is the time after which the job counts as late.
 	objective   time.Time
 	occurrences map[int]*occurrence
-	priority    int
+	// order is the job's place in the order of the backlog as of its last sorting.
+	order    forecast.Candidate
+	priority int
 	// queue holds the settings of the job's queue; the last ones if the queue has been removed.
 	queue workflow.QueueSettings
 	// recordedQueue holds the settings on record; nil if there are none.
