Count joint failures of one job's runs apart in the quarantine of workers

Seen by callers: a task that waits for a worker on which four runs of another job have just failed together is not started for 10 s, although the worker has room and works. Cause: each failed run counted against the worker, so three runs of one job that end in one listing put it into quarantine, with probation afterwards. Several ends of one job that come together say no more of the worker than one of them. Overdue runs and refused starts count one by one as before, and so do failures on probation.

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -11,6 +11,9 @@
 	// maxQuarantine, until a run succeeds.
 	firstQuarantine = 2 * time.Second
 	maxQuarantine   = 16 * time.Second
+	// jointFailureTime is the longest time between the first and the last failure of runs of one job that count as joint.
+	// The ends of runs that fail together reach the owner in one or a few polls.
+	jointFailureTime = time.Second
 )
 
 // probeInterval is the minimum time between two runs that a worker on probation is given after its quarantine, until
@@ -20,6 +23,11 @@
 // health tracks the failed and successful runs of a worker.
 type health struct {
 	failures int
+	// jointJob is the job of the first of the failures, and jointSince is when that failure became known.
+	jointJob   string
+	jointSince time.Time
+	// separate is set if at least one of the failures is not joint with the first.
+	separate bool
 	// nextProbe is the earliest time of the next run while the worker is on probation.
 	nextProbe  time.Time
 	quarantine time.Duration
@@ -31,8 +39,24 @@
 	until time.Time
 }
 
-// failed counts a failed run and reports whether the worker was put into quarantine.
+// runFailed counts a run of a job that ended as failed and reports whether the worker was put into quarantine. Failures of
+// one job that come together are usually the fault of the job: as long as there are no others, they do not lead to a
+// quarantine. The failure of a run that was sent after the first of them is a new sign against the worker.
+func (h *health) runFailed(now time.Time, job string, sentAt time.Time) bool {
+	if h.failures == 0 {
+		h.jointJob, h.jointSince, h.separate = job, now, false
+	}
+	isJoint := job == h.jointJob && !sentAt.After(h.jointSince) && now.Sub(h.jointSince) <= jointFailureTime
+	if isJoint && !h.separate && !h.probation {
+		h.failures++
+		return false
+	}
+	return h.failed(now)
+}
+
+// failed counts a failure that is not joint with others, and reports whether the worker was put into quarantine.
 func (h *health) failed(now time.Time) bool {
+	h.separate = true
 	h.failures++
 	if h.failures < quarantineAfter && !h.probation || now.Before(h.until) {
 		return false
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -38,3 +38,40 @@
 	assert.Assert(t, !h.accepts(now.Add(firstQuarantine)))
 	assert.Assert(t, h.accepts(now.Add(2*firstQuarantine)))
 }
+
+// Guards against the quarantine of a worker on which only runs of one job failed, together.
+func TestJointFailuresOfOneJobDoNotQuarantine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sent := now.Add(-time.Second)
+	var h health
+	for i := range 2 * quarantineAfter {
+		assert.Assert(t, !h.runFailed(now.Add(time.Duration(i)*100*time.Millisecond), "a", sent))
+	}
+	assert.Assert(t, h.accepts(now.Add(jointFailureTime)))
+}
+
+// Guards against a failing worker that is quarantined later since some of its failures are joint.
+func TestJointFailuresCountBesideOthers(t *testing.T) {
+	type failure struct {
+		job string
+		// sent and at are when the run was sent, and when its failure became known.
+		sent, at time.Duration
+	}
+	const ms = time.Millisecond
+	for name, failures := range map[string][]failure{
+		"another job last":        {{"a", 0, 500 * ms}, {"a", 0, 500 * ms}, {"b", 0, 500 * ms}},
+		"another job between":     {{"a", 0, 500 * ms}, {"b", 0, 500 * ms}, {"a", 0, 500 * ms}},
+		"after a placement":       {{"a", 0, 500 * ms}, {"a", 0, 500 * ms}, {"a", 0, 500 * ms}, {"a", 0, 500 * ms}, {"a", 600 * ms, 700 * ms}},
+		"one by one":              {{"a", 0, 500 * ms}, {"a", 600 * ms, 700 * ms}, {"a", 800 * ms, 900 * ms}},
+		"runs that end far apart": {{"a", 0, 500 * ms}, {"a", 0, 5 * time.Second}, {"a", 0, 10 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var h health
+			for i, f := range failures {
+				quarantined := h.runFailed(start.Add(f.at), f.job, start.Add(f.sent))
+				assert.Equal(t, quarantined, i == len(failures)-1, "after failure %d", i+1)
+			}
+		})
+	}
+}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -248,7 +248,7 @@
 		w.health.succeeded()
 		o.completeTask(t)
 	case EndFailed:
-		o.handleFailure(now, w, t)
+		o.handleFailure(now, at)
 	case EndGangTimeout, EndGangBroken, EndLeaseExpired, EndStopped:
 	default:
 		o.log.WithFields(logrus.Fields{"job": e.Job, "task": e.Key.String(), "cause": string(e.Cause)}).
@@ -279,7 +279,9 @@
 	}
 }
 
-func (o *Owner) handleFailure(now time.Time, w *worker, t *task) {
+// handleFailure processes the end of a run that failed.
+func (o *Owner) handleFailure(now time.Time, at *attempt) {
+	w, t := at.worker, at.task
 	t.failures++
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(restartDelay)
@@ -289,7 +291,7 @@
 		// The next run would otherwise wait for the commit of the failure. Older changes of the job are not delayed.
 		t.job.recordNotBefore = t.notBefore.Add(minPlaceInterval)
 	}
-	if w.health.failed(now) {
+	if w.health.runFailed(now, t.job.ID, at.sentAt) {
 		o.logQuarantine(w)
 	}
 	limit := t.job.queue.MaxAttempts
--- a/internal/shard/quarantineroom_test.go
+++ b/internal/shard/quarantineroom_test.go
@@ -7,7 +7,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
-	"github.com/laburnumridge/laburnumridge/internal/knownred"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -15,7 +14,6 @@
 // Guards against room that stays unused beside a task that waits because several tasks of one job failed together, which says no more of
 // their worker than the failure of one of them.
 func TestTasksOfOneJobThatFailTogetherLeaveTheirRoomInUse(t *testing.T) {
-	knownred.Skip(t)
 	const batch, waiting = "0000000000000001", "0000000000000002"
 	// A quarantine begins with 2 s. Rule LOST looks at the room for 3 s.
 	const most = time.Second
