Require a second sign before a stalled worker is left

Cause: one listing with one tail above 40 times its target was enough to move all runs. Workers without a fault were thought to stay below 16. One slow request is out of the measured tails before 0.6 s have passed, while the tail of a worker that stands still stays or grows. A lack of progress of other runs is not used as a sign. The tests of internal/shard pass (56 s on a busy machine, without the race detector).

--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -99,6 +99,11 @@
 
 func (at *attempt) isServing() bool { return at.task.step.TailTarget > 0 && at.phase == phaseRunning }
 
+// hasTail reports whether the last listing has a tail latency of a serving task that counts.
+func (at *attempt) hasTail(now time.Time) bool {
+	return at.isServing() && at.measurement > 0 && now.Sub(at.confirmedAt) >= warmUpTime
+}
+
 // controlPaces updates the model from a worker's measurements, and sets the paces of its best-effort tasks to what the
 // serving tasks tolerate.
 func (o *Owner) controlPaces(now time.Time, w *worker) {
@@ -108,7 +113,7 @@
 	limit := math.Inf(1)
 	for _, at := range w.attempts {
 		hasBestEffort = hasBestEffort || at.task.step.BestEffort
-		if !at.isServing() || at.measurement <= 0 || now.Sub(at.confirmedAt) < warmUpTime {
+		if !at.hasTail(now) {
 			continue
 		}
 		tail := tailRatio(at)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -56,6 +56,9 @@
 			if w.hasTaskOverTarget() {
 				p.Wait = o.timing.OverTargetPollWait
 			}
+			if !w.longTailSince.IsZero() {
+				p.Wait = 0 // further listings decide whether the worker is stalled
+			}
 		}
 		a.Polls = append(a.Polls, p)
 	}
@@ -194,7 +197,7 @@
 	w.unrecordedEnds = nil
 	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.nextPollAt = time.Time{}
-	w.health, w.refusal = health{}, refusal{}
+	w.health, w.refusal, w.longTailSince = health{}, refusal{}, time.Time{}
 	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
 	for _, at := range w.attempts {
 		// A start may have reached the new lifetime before this owner learned of the restart, so the next listing
--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -7,9 +7,17 @@
 )
 
 const (
-	// stalledTail is the ratio of tail latency to target above which a worker is considered stalled. A task on a
-	// saturated worker was seen at 16 times its target, one on a hung worker at 300 times and more.
+	// stalledTail is the ratio of tail latency to target above which a worker may be stalled. A task on a saturated worker
+	// was seen at 16 times its target, one on a hung worker at 300 times and more. A single tail of 51.6 times the target
+	// was seen on a worker without a fault, so a second sign is required.
 	stalledTail = 40
+	// stalledConfirmTime is the time after which a further listing above stalledTail is a second sign. Tails cover half a
+	// second, so that earlier listings may show the same requests.
+	stalledConfirmTime = 600 * time.Millisecond
+	// clearlyStalledConfirmTime replaces stalledConfirmTime for tails above clearlyStalledTail, a ratio between the tails
+	// that were seen on workers without a fault and on hung workers. A task has to leave a hung worker within 300 ms.
+	clearlyStalledTail        = 100
+	clearlyStalledConfirmTime = 150 * time.Millisecond
 	// stalledQuarantine is how long a stalled worker gets no tasks. Hangs of workers last 5 to 7 s.
 	stalledQuarantine = 6 * time.Second
 	// overdueFactor and overdueSlack define how much longer than the mean of its siblings a run may take: tasks of a
@@ -99,11 +107,44 @@
 	o.stopRun(at, "overdue")
 }
 
+// isStalled reports whether a second sign confirms that a worker with the given longest tail is stalled: tasks of
+// two jobs are above the limit, or the worker was above it in all listings for long enough.
+func (w *worker) isStalled(now time.Time, tail float64) bool {
+	if tail < stalledTail || now.Before(w.health.stalledUntil) {
+		w.longTailSince = time.Time{}
+		return false
+	}
+	if w.longTailSince.IsZero() {
+		w.longTailSince = now
+	}
+	confirmTime := stalledConfirmTime
+	if tail >= clearlyStalledTail {
+		confirmTime = clearlyStalledConfirmTime
+	}
+	return now.Sub(w.longTailSince) >= confirmTime || w.hasLongTailsOfTwoJobs(now)
+}
+
+// hasLongTailsOfTwoJobs reports whether serving tasks of at least two jobs are above stalledTail.
+func (w *worker) hasLongTailsOfTwoJobs(now time.Time) bool {
+	var first *job
+	for _, at := range w.attempts {
+		if !at.hasTail(now) || tailRatio(at) < stalledTail {
+			continue
+		}
+		if first != nil && first != at.task.job {
+			return true
+		}
+		first = at.task.job
+	}
+	return false
+}
+
 // evacuateStalled stops all runs on a stalled worker and quarantines it, also if it is in quarantine for failed runs.
 func (o *Owner) evacuateStalled(now time.Time, w *worker, tail float64) {
-	if tail < stalledTail || now.Before(w.health.stalledUntil) {
+	if !w.isStalled(now, tail) {
 		return
 	}
+	w.longTailSince = time.Time{}
 	w.health.quarantineStalled(now)
 	o.log.WithFields(logrus.Fields{"decision": "stalled", "worker": w.ID, "tail": tail, "runs": len(w.attempts)}).
 		Warn("worker is stalled; moving its runs")
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -253,6 +253,8 @@
 	haltedAt   time.Time
 	haltWeight float64
 	health     health
+	// longTailSince is the first of the successive listings in which a serving task was above stalledTail.
+	longTailSince time.Time
 	// The worker is held for the task heldFor until heldUntil.
 	heldUntil time.Time
 	heldFor   *task
