--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -56,6 +56,9 @@
 			if w.mixesBestEffortAndServing() {
 				p.Wait = o.mixedPollWait(now, w)
 			}
+			if !w.longTailSince.IsZero() {
+				p.Wait = 0 // further listings decide whether the worker is stalled
+			}
 		}
 		a.Polls = append(a.Polls, p)
 	}
@@ -194,7 +197,7 @@
 	w.unrecordedEnds = nil
 	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
 	w.nextPollAt = time.Time{}
-	w.health, w.refusal = health{}, refusal{}
+	w.health, w.refusal, w.longTailSince = health{}, refusal{}, time.Time{}
 	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
 	for _, at := range w.attempts {
 		// A start may have reached the new lifetime before this owner learned of the restart, so the next listing
@@ -249,7 +252,7 @@
 		w.health.succeeded()
 		o.completeTask(t)
 	case EndFailed:
-		o.handleFailure(now, w, t)
+		o.handleFailure(now, at)
 	case EndGangTimeout, EndGangBroken, EndLeaseExpired, EndStopped:
 	default:
 		o.log.WithFields(logrus.Fields{"job": e.Job, "task": e.Key.String(), "cause": string(e.Cause)}).
@@ -280,7 +283,9 @@
 	}
 }
 
-func (o *Owner) handleFailure(now time.Time, w *worker, t *task) {
+// handleFailure processes the end of a run that failed.
+func (o *Owner) handleFailure(now time.Time, at *attempt) {
+	w, t := at.worker, at.task
 	t.failures++
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(restartDelay)
@@ -290,7 +295,7 @@
 		// The next run would otherwise wait for the commit of the failure. Older changes of the job are not delayed.
 		t.job.recordNotBefore = t.notBefore.Add(minPlaceInterval)
 	}
-	if w.health.failed(now) {
+	if w.health.runFailed(now, t.job.ID, at.sentAt) {
 		o.logQuarantine(w)
 	}
 	limit := t.job.queue.MaxAttempts
