--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -181,3 +181,14 @@
 	}
 	return longest
 }
+
+// ChainAfter returns the estimated duration of the longest chain of steps that follow a step.
+func (j Job) ChainAfter(step int) time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i > step; i-- {
+		for _, before := range j.Steps[i].After {
+			chains[before] = max(chains[before], chains[i]+j.Steps[i].Estimate)
+		}
+	}
+	return chains[step]
+}
