Let tasks wait for room near their data if that pays

Cause: a step that names a rack (affinity) went elsewhere as soon as no worker of the rack had room; rackBonus is a part of the score only. A gang with sameRack was spread over racks if no rack could hold it at that moment, and sameRack had no effect on steps that are no gangs. Jobs that name no rack took the room of a rack for which others queue. A run away from its data was replaced as overdue, and its healthy worker counted as failing, since it takes longer than its siblings near the data.

No worker is reserved for a task that waits. Tasks prefer other racks than those for which tasks wait or run elsewhere. The limit from which a run is overdue counts the remote factor. Log lines local_wait, counters entry_local_waits.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"strconv"
+	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/metrics"
 )
@@ -13,6 +14,7 @@
 	commitRelays       = expvar.NewMap("entry_commit_relays")
 	commitTime         = metrics.NewHistogram("entry_commit_ms")
 	leasesLost         = expvar.NewInt("entry_lease_losses")
+	localWaits         = expvar.NewMap("entry_local_waits")
 	pollTimeBeyondWait = metrics.NewHistogram("entry_look_beyond_wait_ms")
 	pollsFailed        = expvar.NewInt("entry_looks_failed")
 	pollsSent          = expvar.NewInt("entry_looks")
@@ -31,6 +33,12 @@
 	timerLag           = metrics.NewHistogram("entry_timer_lag_ms")
 )
 
+// countLocalWait counts the waits for local placements by how they begin and end, and the time that they took.
+func countLocalWait(event string, waited time.Duration) {
+	localWaits.Add(event, 1)
+	localWaits.Add("waited_ms", waited.Milliseconds())
+}
+
 // setGauges publishes the state of the shard, by name, and withdraws the gauges that it no longer has.
 func (r *runner) setGauges(values map[string]int) {
 	for name := range r.gauges {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -95,7 +95,7 @@
 		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: now, epochKeyRevision: revision,
 		expected: expectedJobs{}, gauges: map[string]bool{}, host: h, lease: lease, log: log, takenAt: now,
 		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithShard(n), shard.WithTiming(h.timing()),
-			shard.WithStartObserver(startWait.Observe)),
+			shard.WithStartObserver(startWait.Observe), shard.WithRemoteFactor(h.settings.Worker.RemoteFactor, countLocalWait)),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
 		callSemaphores: map[string]chan struct{}{}, wake: make(chan struct{}, 1),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,12 +86,14 @@
 	WritesPerSecond float64  `toml:"writes_per_second"`
 }
 
-// Worker holds the lease limits of the platform's workers.
+// Worker holds the limits of leases and the speeds of the platform's workers.
 type Worker struct {
 	// LeaseReserve is subtracted from MaxLease: the scheduler requests leases that are at least this much shorter.
 	LeaseReserve Duration `toml:"lease_reserve"`
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease Duration `toml:"max_lease"`
+	// RemoteFactor is how many times as long a task takes away from the rack of its data or of its group; 1 if it is not slower there.
+	RemoteFactor float64 `toml:"remote_factor"`
 }
 
 // Security holds TLS files and the token of operators. An empty value disables TLS or authentication for that
@@ -220,6 +222,7 @@
 		{"zone_settings.shards", float64(s.ZoneSettings.Shards), 1, 64},
 		{"worker.lease_reserve (seconds)", s.Worker.LeaseReserve.Seconds(), 0, 60},
 		{"worker.max_lease (seconds)", s.Worker.MaxLease.Seconds(), 1, 600},
+		{"worker.remote_factor", s.Worker.RemoteFactor, 1, 100},
 		{"limits.max_body_bytes", float64(s.Limits.MaxBodyBytes), 1, 1 << 30},
 		{"limits.max_connections", float64(s.Limits.MaxConnections), 1, 1 << 20},
 		{"limits.max_header_bytes", float64(s.Limits.MaxHeaderBytes), 1024, 1 << 20},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,9 @@
 		{`writes_per_second = 30.0`, `writes_per_second = -1.0`, "platform.writes_per_second"},
 		{`caller = "127.0.0.1:8400"`, `caller = "localhost"`, "listen.caller"},
 		{`timeout = "2s"`, `timeout = "soon"`, "timeout"},
+		{`remote_factor = 1.0`, `remote_factor = 0.5`, "worker.remote_factor"},
+		{`remote_factor = 1.0`, `remote_factor = nan`, "worker.remote_factor"},
+		{`remote_factor = 1.0`, `remote_factor = "three"`, "remote_factor"},
 		{`host = "kelaniya-entry-1"`, `host = ""`, "host"},
 	} {
 		t.Run(tc.new, func(t *testing.T) {
@@ -36,3 +39,12 @@
 		})
 	}
 }
+
+// Guards against a platform whose numbers can't be read because they have no fraction, or one.
+func TestRemoteFactorMayBeFraction(t *testing.T) {
+	for text, want := range map[string]float64{"1": 1, "3": 3, "1.5": 1.5} {
+		s, err := settings.Parse([]byte(strings.Replace(settings.Example, "remote_factor = 1.0", "remote_factor = "+text, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Worker.RemoteFactor, want)
+	}
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -51,6 +51,7 @@
 	// isHandingOver is set once the shard is handed over to another owner.
 	isHandingOver bool
 	jobs          map[string]*job
+	local         localPlacement
 	lastCommit    time.Time
 	// lastWritten is when the store last confirmed a record of a job.
 	lastWritten time.Time
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -37,6 +37,7 @@
 	clear(o.headrooms)
 	clear(o.heldBack)
 	o.observeShortDemand(now)
+	demand := o.beginLocalRound()
 	o.placeRestarts(now, unplaceable)
 	for _, j := range o.backlog {
 		if j.final != "" {
@@ -47,19 +48,19 @@
 				if !occ.ready[s] || occ.undone[s] == 0 {
 					continue
 				}
-				if j.Steps[s].Gang {
+				switch {
+				case j.Steps[s].Gang:
 					o.placeGang(now, tasks)
-					continue
-				}
-				// Skip steps for which no worker has enough CPU. Long-running tasks are still tried, since a worker may be
-				// held for them.
-				if !j.Steps[s].BestEffort && !j.Steps[s].LongRunning && j.Steps[s].Resources.CPUMilli > free[j.queue.Service] {
-					continue
+				case !j.Steps[s].BestEffort && !j.Steps[s].LongRunning && j.Steps[s].Resources.CPUMilli > free[j.queue.Service]:
+					// No worker has enough CPU. Long-running tasks are still tried, since a worker may be held for them.
+				default:
+					o.placeTasks(now, tasks, unplaceable)
 				}
-				o.placeTasks(now, tasks, unplaceable)
+				addRackDemand(demand, tasks)
 			}
 		}
 	}
+	o.local.demand = demand
 	a.wakeAt(o.placeableAt)
 	o.logPlaced(now)
 }
@@ -150,6 +151,10 @@
 		}
 		return false
 	}
+	if o.takesLocalWait(now, t) {
+		return true
+	}
+	t.local.rack = o.localRack(t)
 	w := o.choose(now, t, "")
 	if w == nil && t.isInterrupted() {
 		w = o.chooseAhead(now, t)
@@ -173,6 +178,10 @@
 		unplaceable[class] = true
 		return false
 	}
+	if o.waitsForRack(now, t, w) {
+		return true
+	}
+	o.endLocalWait(now, t, w.Rack == t.local.rack)
 	o.assign(t, w, t.run+1)
 	return true
 }
--- a/internal/shard/placegang.go
+++ b/internal/shard/placegang.go
@@ -1,6 +1,11 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
 
 // placeGang places all tasks of a gang step together. A gang that is slower when spread over racks is placed in one
 // rack if it fits.
@@ -16,20 +21,31 @@
 		}
 		run = max(run, t.run)
 	}
-	racks := []string{""}
-	if tasks[0].step.SameRack {
-		racks = append(o.racks(), "")
-	}
-	for _, rack := range racks {
-		if o.tryGang(now, tasks, rack, run+1) {
+	local, tried := o.gangRacks(tasks[0].step)
+	for _, rack := range tried {
+		if o.tryGang(now, tasks, rack, run+1, local) {
 			return
 		}
 	}
 }
 
+// gangRacks returns the racks in which the tasks of a gang are fastest if all of them run in one, and those to try in turn. An empty rack
+// stands for workers of any rack.
+func (o *Owner) gangRacks(s *workflow.Step) (local, tried []string) {
+	switch {
+	case s.Rack != "" && s.SameRack:
+		return []string{s.Rack}, append(append([]string{s.Rack}, o.racks()...), "")
+	case s.Rack != "":
+		return []string{s.Rack}, []string{""}
+	case s.SameRack:
+		return o.racks(), append(o.racks(), "")
+	}
+	return nil, []string{""}
+}
+
 // tryGang assigns all tasks of a gang to workers, or none. An empty rack stands for workers of any rack. All tasks
-// resume from the same checkpoint.
-func (o *Owner) tryGang(now time.Time, tasks []*task, rack string, run int) bool {
+// resume from the same checkpoint. The gang may wait for one of its local racks instead.
+func (o *Owner) tryGang(now time.Time, tasks []*task, rack string, run int, local []string) bool {
 	checkpoint := ""
 	for _, t := range tasks {
 		if t.checkpoint != "" {
@@ -43,6 +59,15 @@
 		}
 		return false
 	}
+	isLocal := slices.Contains(local, workers[0].Rack) &&
+		!slices.ContainsFunc(workers, func(w *worker) bool { return w.Rack != workers[0].Rack })
+	if !isLocal && len(local) > 0 && o.mayWaitForRack(tasks[0]) {
+		o.decideLocal(now, tasks[0], len(tasks), local)
+		if o.takesLocalWait(now, tasks[0]) {
+			return true
+		}
+	}
+	o.endLocalWait(now, tasks[0], isLocal)
 	for i, t := range tasks {
 		t.checkpoint = checkpoint
 		o.assign(t, workers[i], run)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -239,7 +239,7 @@
 		if e.Cause == EndDone && !at.confirmedAt.IsZero() {
 			times := &t.job.occurrences[t.key.Occurrence].times[t.key.Step]
 			times.count++
-			times.total += now.Sub(at.confirmedAt)
+			times.total += time.Duration(float64(now.Sub(at.confirmedAt)) / o.slowdown(at))
 		}
 		o.removeAttempt(at, string(e.Cause))
 	}
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -4,6 +4,9 @@
 const (
 	// rackBonus prefers the rack that holds the data: a task in another rack takes up to three times as long.
 	rackBonus = 2
+	// rackDemandPenalty keeps the room of a rack for the tasks that name it, as far as they wait or run elsewhere: a task that is as fast in
+	// any rack prefers other workers with room.
+	rackDemandPenalty = 1
 	// harmPenalty ranks workers whose serving tasks would miss their targets behind all others.
 	harmPenalty = 2
 	// imageBonus groups serving tasks of the same image. Best-effort tasks disturb some images and not others, so
@@ -43,8 +46,10 @@
 	} else {
 		score = 1 - used
 	}
-	if t.step.Rack != "" && w.Rack == t.step.Rack {
+	if (t.step.Rack != "" || t.local.rack != "") && (w.Rack == t.step.Rack || w.Rack == t.local.rack) {
 		score += rackBonus
+	} else if !t.step.BestEffort {
+		score -= rackDemandPenalty * w.rackDemand
 	}
 	if t.avoidWorker == w.ID {
 		score -= avoidPenalty
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -105,6 +105,9 @@
 	ignoresAdviceRequests bool
 	storeUp               bool
 	starts                int
+	// remoteFactor is the remote factor of owners, and localWaits counts their waits for local placements by event.
+	remoteFactor float64
+	localWaits   map[string]int
 	// evacuated holds the zones that the owner is told to be evacuated, and evacuatedAt since when.
 	evacuated   *evacuation.Set
 	evacuatedAt time.Time
@@ -129,7 +132,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), epoch: 1, storeUp: true, faultsEnabled: true,
 		jobs: map[string]workflow.Job{}, storedProgress: map[string]workflow.Progress{}, final: map[string]workflow.State{},
 		cancelled: map[string]bool{}, completed: map[string]bool{}, failures: map[string]int{},
-		highestStarted: map[string]int{}, history: map[string][]string{},
+		highestStarted: map[string]int{}, history: map[string][]string{}, localWaits: map[string]int{},
 	}
 	sim.config = workflow.NewConfig(1, []workflow.Queue{{
 		Name: "q", Service: "s", Host: "h", Prefix: "/", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second,
@@ -165,7 +168,8 @@
 	timing := shard.DefaultTiming()
 	timing.MaxWorkerLease = maxLease
 	sim.owner = shard.NewOwner(sim.epoch, sim.now, shard.WithTiming(timing), shard.WithLog(logrus.NewEntry(sim.log)),
-		shard.WithWallClock(func() time.Time { return sim.now.Add(sim.clockError) }))
+		shard.WithWallClock(func() time.Time { return sim.now.Add(sim.clockError) }),
+		shard.WithRemoteFactor(sim.remoteFactor, func(event string, _ time.Duration) { sim.localWaits[event]++ }))
 	sim.owner.SetConfig(sim.config)
 	sim.owner.SetEvacuated(sim.now, sim.evacuated)
 	for _, h := range handedOver {
--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -66,7 +66,7 @@
 			if at.phase != phaseRunning || at.pace < fullPace || at.confirmedAt.IsZero() {
 				continue
 			}
-			limit := at.overdueLimit()
+			limit := time.Duration(o.slowdown(at) * float64(at.overdueLimit()))
 			if limit == 0 || now.Sub(at.confirmedAt) < limit || at.task.copies >= maxCopies || len(at.task.attempts) > 1 {
 				continue
 			}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -100,6 +100,7 @@
 	isAway bool
 	job    *job
 	key    workflow.TaskKey
+	local  localWait
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	run       int
@@ -270,7 +271,9 @@
 	// unrecordedEnds holds the listed ends that wait for a record, in ascending order.
 	unrecordedEnds []unrecordedEnd
 	// pacedAt is when the pace of a task on the worker was last changed.
-	pacedAt    time.Time
+	pacedAt time.Time
+	// rackDemand is the part of the room of the worker's rack that tasks would take which name it and don't run there.
+	rackDemand float64
 	registered bool
 	reserved   fleet.Resources
 	lastEnd    int64
