Keep tasks that wait for a rack in their shard

Cause: a task that waits for room near its data for longer than 1.5 s would be offered to other shards, where it is as slow as elsewhere in its own. Result: TestTaskThatWaitsForRackIsNotOffered fails without the change.

--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if !t.isWaiting() {
+			if !t.isWaiting() || t.isInLocalWait(now) {
 				continue
 			}
 			isUnsuited := !o.suitsStep(t.step, j.queue.Service, suits)
--- a/internal/shard/local.go
+++ b/internal/shard/local.go
@@ -27,6 +27,8 @@
 	// reason is the reason of the last decision on the step whose first task it is.
 	reason locality.Reason
 	since  time.Time
+	// until is the limit of the wait by the last decision on the step whose first task it is.
+	until time.Time
 }
 
 // WithRemoteFactor sets how many times as long a task takes away from the rack of its data or of its group; 1 means that it is not slower.
@@ -136,6 +138,11 @@
 	return true
 }
 
+// isInLocalWait reports whether the task waits by choice for a local placement. Other shards have none to offer.
+func (t *task) isInLocalWait(now time.Time) bool {
+	return !t.local.since.IsZero() && now.Before(t.siblings()[0].local.until)
+}
+
 // endLocalWait notes that a task is placed.
 func (o *Owner) endLocalWait(now time.Time, t *task, isLocal bool) {
 	if !t.local.since.IsZero() {
@@ -174,7 +181,8 @@
 	}
 	d := o.local.round.Decide(first, q, group, candidates)
 	if d.Waits() > 0 {
-		o.waitUntil(now.Add(d.Limit))
+		first.local.until = now.Add(d.Limit)
+		o.waitUntil(first.local.until)
 	}
 	if d.Reason != first.local.reason {
 		first.local.reason = d.Reason
--- a/internal/shard/local_test.go
+++ b/internal/shard/local_test.go
@@ -245,6 +245,30 @@
 	}
 }
 
+// Guards against tasks that wait for room near their data and move to another shard, where they are as slow as elsewhere in their own.
+func TestTaskThatWaitsForRackIsNotOffered(t *testing.T) {
+	for _, factor := range []float64{1, 3} {
+		c := newLocalHarness(t, 4, factor)
+		c.owner.AllowSharedEnds(true)
+		slow := twoCores
+		slow.Estimate = 20 * time.Second
+		c.add(workflow.Job{ID: fillingJob, Queue: "q", Steps: inRack(slow, "r", 8)})
+		c.run(16 * time.Second)
+		if factor == 1 { // no room elsewhere either: the task waits without a choice
+			c.add(workflow.Job{ID: otherJob, Queue: "q", Steps: inRack(slow, "", 8)})
+			c.run(time.Second)
+		}
+		c.add(workflow.Job{ID: localJob, Queue: "q", Steps: inRack(slow, "r", 1)})
+		for range 5 {
+			c.run(500 * time.Millisecond)
+			c.owner.ReportWaits(c.now)
+		}
+		all, _ := c.startsOf(localJob)
+		assert.Equal(t, all, 0, "the task waits")
+		assert.Equal(t, len(c.owner.Offers(c.now)) == 0, factor > 1)
+	}
+}
+
 // Guards against runs away from their data that are replaced as overdue, and against the quarantine of their workers, which are healthy.
 func TestRemoteRunIsNotOverdue(t *testing.T) {
 	c := newLocalHarness(t, 4, 3)
