--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -96,7 +96,8 @@
 		ctx: ctx, cancel: cancel, cancellations: map[string]bool{}, changedAt: now, epochKeyRevision: revision,
 		expected: expectedJobs{}, gauges: map[string]bool{}, host: h, lease: lease, log: log, takenAt: now,
 		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithShard(n), shard.WithTiming(h.timing()),
-			shard.WithStartObserver(startWait.Observe), shard.WithInterferenceObserver(func(s interference.State, d time.Duration) {
+			shard.WithRemoteFactor(h.settings.Worker.RemoteFactor, countLocalWait), shard.WithStartObserver(startWait.Observe),
+			shard.WithInterferenceObserver(func(s interference.State, d time.Duration) {
 				overTargetSeconds.AddFloat(string(s), d.Seconds())
 			})),
 		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,6 +30,9 @@
 		{`memory_mb = 0.0`, `memory_mb = 31.9`, "limits.memory_mb"},
 		{`memory_mb = 0.0`, `memory_mb = nan`, "limits.memory_mb"},
 		{`memory_mb = 0.0`, `memory_mb = "much"`, "memory_mb"},
+		{`remote_factor = 1.0`, `remote_factor = 0.5`, "worker.remote_factor"},
+		{`remote_factor = 1.0`, `remote_factor = nan`, "worker.remote_factor"},
+		{`remote_factor = 1.0`, `remote_factor = "three"`, "remote_factor"},
 		{`host = "kelaniya-entry-1"`, `host = ""`, "host"},
 	} {
 		t.Run(tc.new, func(t *testing.T) {
@@ -40,3 +43,12 @@
 		})
 	}
 }
+
+// Guards against a platform whose numbers can't be read because they have no fraction, or one.
+func TestRemoteFactorMayBeFraction(t *testing.T) {
+	for text, want := range map[string]float64{"1": 1, "3": 3, "1.5": 1.5} {
+		s, err := settings.Parse([]byte(strings.Replace(settings.Example, "remote_factor = 1.0", "remote_factor = "+text, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Worker.RemoteFactor, want)
+	}
+}
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -138,6 +139,20 @@
 	return false
 }
 
+// Lasts reports whether all tasks of the job run until it is cancelled.
+func (j Job) Lasts() bool {
+	return !slices.ContainsFunc(j.Steps, func(s Step) bool { return !s.LongRunning })
+}
+
+// TaskCount returns the number of tasks of an occurrence.
+func (j Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // TaskKey identifies a task within its job.
 type TaskKey struct {
 	_          struct{} `cbor:",toarray"`
@@ -182,3 +197,14 @@
 	}
 	return longest
 }
+
+// ChainAfter returns the estimated duration of the longest chain of steps that follow a step.
+func (j Job) ChainAfter(step int) time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i > step; i-- {
+		for _, before := range j.Steps[i].After {
+			chains[before] = max(chains[before], chains[i]+j.Steps[i].Estimate)
+		}
+	}
+	return chains[step]
+}
