Serve started jobs that can be in time by the share of their work that is left

Jobs that can't meet their objective any more kept the room of those that could. Change: a started job keeps its rank while it can still meet its objective by its learned durations (0.8 of the remaining time, 1.4 before it starts). Among these, the least share of work left goes first.

--- a/internal/forecast/order.go
+++ b/internal/forecast/order.go
@@ -9,11 +9,9 @@
 // Rank orders jobs of equal priority.
 type Rank int
 
-// Long-running jobs come first, since their tasks have to run whenever there are resources. Then come jobs that have started in time, also
-// if they are late meanwhile: a job that is left half done has used room for nothing. Then come jobs that can meet their objective if they
-// start now, those that can't, and those past their late limit. Otherwise jobs that are late anyway would delay others until these are late
-// as well. A job that could not meet its objective when it started does not pass those in time once it has a first task on room that they
-// left.
+// Long-running jobs come first, since their tasks have to run whenever there are resources. Then come started jobs that can meet their
+// objective: a job that is left half done has used room for nothing. Then come jobs that can meet it if they start now, those that can't,
+// and those past their late limit. Otherwise jobs that are late anyway would delay others until these are late as well.
 const (
 	RankLongRunning Rank = iota - 1
 	RankStarted
@@ -23,9 +21,11 @@
 )
 
 const (
-	// slackFactor is the multiple of the expected remaining time that must be left until the objective for a job to count as able to
-	// meet it.
-	slackFactor = 1.4
+	// slackFactor is the multiple of the expected remaining time that must be left until the objective for a job that has not started to
+	// count as able to meet it. A started job keeps its rank for longer, by startedSlackFactor: its remaining time is mostly that of runs
+	// under way, which the estimate counts in full.
+	slackFactor        = 1.4
+	startedSlackFactor = 0.8
 	// promotionFactor is the multiple of its late limit after which a job that has not ended may pass others. Under usual load late jobs
 	// have room without that: with a factor of 1 they took more than what was left, and after a burst at a load of 0.8 a quarter of the
 	// later jobs was late as well.
@@ -40,50 +40,56 @@
 	// Objective is until when the job is to end, and Since when the time to it began.
 	Objective, Since time.Time
 	Priority         int
-	// Rank is set by RankAll. Before, it is that of the last time.
+	// Rank is set by RankAll.
 	Rank Rank
-	// Remaining is the expected duration of the longest chain of unfinished steps, and Work the work that is left, in core milliseconds.
+	// Remaining is the expected duration of the longest chain of unfinished steps.
 	Remaining time.Duration
-	Work      int64
-	// placeRank is Rank, or the rank to which the job is promoted. turn orders the jobs of a rank.
-	placeRank Rank
-	turn      time.Time
+	// Work is the work that is left of the open occurrences, and TotalWork that of all their tasks, in core milliseconds.
+	Work, TotalWork int64
+	// placeRank is Rank, or RankStarted if the job is promoted.
+	placeRank  Rank
+	isPromoted bool
 }
 
 // RankAll ranks jobs for Compare.
 func RankAll(now time.Time, jobs []*Candidate) {
-	work, counts, started := map[int]int64{}, map[int]int64{}, map[int]int64{}
+	started := map[int]int64{}
 	for _, c := range jobs {
 		c.Rank = c.rank(now)
-		work[c.Priority] += c.Work
-		counts[c.Priority]++
+		c.placeRank, c.isPromoted = c.Rank, false
 		if c.Rank == RankStarted {
 			started[c.Priority]++
 		}
 	}
-	for _, c := range jobs {
-		c.placeRank, c.turn = c.Rank, c.Objective
-		if c.Rank == RankStarted || c.Rank == RankLate {
-			c.turn = turn(c.Since, c.lateLimit(), c.Work, work[c.Priority]/counts[c.Priority])
-		}
-	}
 	promote(now, jobs, started)
 }
 
-// Compare orders jobs that were ranked together, the most urgent first.
+// Compare orders jobs that were ranked together, the most urgent first. Among jobs that can meet their objective, those with the least
+// share of their work left come first: with too little room for all, more of them end in time than by objective, where each new job delays
+// those that are half done. The work itself would serve more jobs, but starve large ones.
 func (c *Candidate) Compare(other *Candidate) int {
-	return cmp.Or(cmp.Compare(c.Priority, other.Priority), cmp.Compare(c.placeRank, other.placeRank), c.turn.Compare(other.turn))
+	switch byRank := cmp.Or(cmp.Compare(c.Priority, other.Priority), cmp.Compare(c.placeRank, other.placeRank)); {
+	case byRank != 0:
+		return byRank
+	case c.isPromoted != other.isPromoted:
+		if c.isPromoted {
+			return -1
+		}
+		return 1
+	case c.placeRank == RankStarted || c.placeRank == RankInTime:
+		return cmp.Or(cmp.Compare(c.shareLeft(), other.shareLeft()), c.Objective.Compare(other.Objective))
+	}
+	return c.Objective.Compare(other.Objective)
 }
 
 func (c *Candidate) rank(now time.Time) Rank {
-	left := c.Objective.Sub(now)
-	isInTime := left >= time.Duration(slackFactor*float64(c.Remaining))
+	left := float64(c.Objective.Sub(now))
 	switch {
 	case c.IsLongRunning:
 		return RankLongRunning
-	case c.IsStarted && (c.Rank < RankLate || left >= c.Remaining):
+	case c.IsStarted && left >= startedSlackFactor*float64(c.Remaining):
 		return RankStarted
-	case isInTime:
+	case !c.IsStarted && left >= slackFactor*float64(c.Remaining):
 		return RankInTime
 	case now.Sub(c.Since) <= c.lateLimit():
 		return RankLate
@@ -91,21 +97,13 @@
 	return RankOverdue
 }
 
+func (c *Candidate) shareLeft() float64 { return float64(c.Work) / float64(max(c.TotalWork, 1)) }
+
 // lateLimit returns how long after Since the job is still of some use.
 func (c *Candidate) lateLimit() time.Duration { return LateLimit(c.Objective.Sub(c.Since)) }
 
-// turn returns the time by which jobs of a rank are ordered, the earliest first. Those with less work left come first, so that most of
-// them end soon. The work adds at most the job's late limit to the time at which it came, so a job is never passed by those that come later
-// than its late limit, and no size starves. typical is the mean work of the jobs of the priority.
-func turn(since time.Time, lateLimit time.Duration, work, typical int64) time.Time {
-	if work <= 0 {
-		return since
-	}
-	return since.Add(time.Duration(float64(lateLimit) * float64(work) / float64(work+max(typical, 1))))
-}
-
-// promote gives jobs that have waited for promotionFactor times their late limit the turn of their arrival among the started ones, the
-// oldest first, at most one in promotedShare and always one. They are of no use any more, so they get no more than that, but each gets its
+// promote gives jobs that have waited for promotionFactor times their late limit a turn before the started ones, the oldest first, at most one
+// for each promotedShare of these, and always one. They are of no use any more, so they get no more than that, but each gets its
 // turn. Their Rank stays.
 func promote(now time.Time, jobs []*Candidate, started map[int]int64) {
 	var waiting []*Candidate
@@ -119,7 +117,7 @@
 	for _, c := range waiting {
 		if promoted[c.Priority]*promotedShare <= started[c.Priority] {
 			promoted[c.Priority]++
-			c.placeRank, c.turn = RankStarted, c.Since
+			c.placeRank, c.isPromoted = RankStarted, true
 		}
 	}
 }
--- a/internal/shard/joborder.go
+++ b/internal/shard/joborder.go
@@ -51,8 +51,12 @@
 			return o.expected(j, occ, i)
 		}))
 		for i, undone := range occ.undone {
-			if undone > 0 && !j.Steps[i].LongRunning {
-				expected, fit := o.expected(j, occ, i), o.learned.Fit(classOf(j, i))
+			if j.Steps[i].LongRunning {
+				continue
+			}
+			expected, fit := o.expected(j, occ, i), o.learned.Fit(classOf(j, i))
+			j.order.TotalWork += forecast.WorkOf(&j.Steps[i], j.Steps[i].Count, expected, fit).Total()
+			if undone > 0 {
 				j.order.Work += forecast.WorkOf(&j.Steps[i], undone, expected, fit).Total()
 				waits = waits.Plus(forecast.WorkOf(&j.Steps[i], occ.waitingTasks(i), expected, fit))
 			}
