--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -215,6 +215,19 @@
 }
 
 // leave ends the worker for good, and with it all its runs. It returns how many of them were long-running.
+// longRunning returns how many long-running tasks run on the worker.
+func (w *simulatedWorker) longRunning() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, s := range w.runs {
+		if w.tasks.isExpected(s.Job) {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *simulatedWorker) leave() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/entry/takeoverseries_test.go
+++ b/internal/entry/takeoverseries_test.go
@@ -51,16 +51,22 @@
 	}
 }
 
-// leaveSoon lets six of the workers leave after half a second, some of which have long-running tasks.
+// leaveSoon lets six of the workers leave after half a second, some of which have long-running tasks: the first six, or those from the
+// first one with such a task on.
 func (f *simulatedFleet) leaveSoon() {
 	time.Sleep(500 * time.Millisecond)
-	left := 0
+	first, left := 0, 0
+	for f.worker(0, first).longRunning() == 0 && f.worker(0, first+6) != nil {
+		first++
+	}
 	for i := range 6 {
-		left += f.leave(fmt.Sprintf("servers/w0-%d", i))
+		left += f.leave(workerID(first + i))
 	}
 	assert.Assert(f.t, left > 0, "no long-running task was on the workers that left")
 }
 
+func workerID(n int) string { return fmt.Sprintf("servers/w0-%d", n) }
+
 // leave lets a worker leave at once, and returns how many long-running tasks it had.
 func (f *simulatedFleet) leave(id string) int {
 	n := f.workers[id].leave()
