--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -214,7 +214,6 @@
 	}
 }
 
-// leave ends the worker for good, and with it all its runs. It returns how many of them were long-running.
 // longRunning returns how many long-running tasks run on the worker.
 func (w *simulatedWorker) longRunning() int {
 	w.mu.Lock()
@@ -228,6 +227,7 @@
 	return n
 }
 
+// leave ends the worker for good, and with it all its runs. It returns how many of them were long-running.
 func (w *simulatedWorker) leave() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/shard/recordsize.go
+++ b/internal/shard/recordsize.go
@@ -6,7 +6,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Limits that keep the progress record of a job within a value of the store. docs/design-notes/platform.md has the size of a record.
+// Limits that keep the progress record of a job within a value of the store. docs/design/platform.md has the size of a record.
 const (
 	// compactFrom is the number of done tasks in open occurrences from which they have no records of their own. Smaller records keep the form
 	// that builds before this one read. While a live host can't read compact records, the number is compactAlwaysFrom: larger records would
