--- a/internal/interference/trials.go
+++ b/internal/interference/trials.go
@@ -7,7 +7,7 @@
 
 const (
 	// MaxTrials is the number of runs of a best-effort image in a shard that may at the same time be next to a serving image of
-	// an unknown pair where much is at stake. A trial in virtual time with one run did 1.6% and 3.8% less best-effort work.
+	// an unknown pair where much is at stake. With one run, 1.6% and 3.8% less best-effort work was done in virtual time.
 	MaxTrials = 2
 	// trialDeviations is the number of standard deviations that a weight is taken to exceed its mean by. Two put an unknown pair
 	// at 2.25; harmful ones measured between 2.4 and 3.5.
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -44,7 +44,8 @@
 	warmUpTime = 600 * time.Millisecond
 	// paceInterval is the minimum time between two pace changes on a worker, after which the measurements show the earlier one.
 	paceInterval = interference.PaceShown
-	// loadAhead is how far ahead the own load is predicted that a pace set now has to suit. A day with 1.2 s was worth less.
+	// loadAhead is how far ahead the own load is predicted that a pace set now has to suit. Further ahead, the slope of the load is
+	// too uncertain, and best-effort work is slowed down for peaks that don't come.
 	loadAhead = 500 * time.Millisecond
 	// haltCooldown is how long a worker gets no new best-effort tasks of the halted weights after it had to halt some.
 	haltCooldown = 1500 * time.Millisecond
