Set the memory and the remote factor by the command instead of the settings template

A platform without such a figure would also have left the value empty, which is no TOML. Result: TestOverridesReplaceSingleSettings; the figures reach the host as before.

--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -27,7 +27,8 @@
 var errDemoTooShort = errors.New("--duration must be at least 1s")
 
 type serveCmd struct {
-	Config string `arg:"--config,required" help:"settings file in TOML"`
+	Config string   `arg:"--config,required" help:"settings file in TOML"`
+	Set    []string `arg:"--set,separate" help:"replace a setting of the file, such as limits.memory_mb=284; an empty value changes nothing" placeholder:"KEY=VALUE"`
 }
 
 // checkSettingsOnSIGHUP reads and validates the settings file at each SIGHUP and logs the result. Changed settings take
@@ -38,7 +39,7 @@
 	go func() {
 		for range hup {
 			entry := log.WithFields(logrus.Fields{"decision": "reload", "file": c.Config})
-			if _, err := settings.Load(c.Config); err != nil {
+			if _, err := settings.Load(c.Config, c.Set...); err != nil {
 				entry.WithError(err).Error("settings file is invalid; the settings read at start stay in effect")
 				continue
 			}
@@ -49,7 +50,7 @@
 
 // run runs an entry host until SIGTERM or SIGINT, then drains it.
 func (c *serveCmd) run(streams *ioStreams) int {
-	s, err := settings.Load(c.Config)
+	s, err := settings.Load(c.Config, c.Set...)
 	if err != nil {
 		return streams.fail(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,24 +142,45 @@
 }
 
 // Load reads and validates a settings file. Errors match ErrInvalid or the error of reading the file.
-func Load(file string) (Settings, error) {
+func Load(file string, overrides ...string) (Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, eris.Wrap(err, "reading settings")
 	}
-	return Parse(text)
+	return Parse(text, overrides...)
 }
 
-// Parse reads and validates settings in TOML. Errors match ErrInvalid.
-func Parse(text []byte) (Settings, error) {
+// Parse reads and validates settings in TOML. An override, KEY=VALUE with the section in the key, replaces the value of a setting; one with
+// an empty value, which a platform may fill in for a figure that it does not have, changes nothing. Errors match ErrInvalid.
+func Parse(text []byte, overrides ...string) (Settings, error) {
 	s := Default()
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, eris.Wrap(ErrInvalid, decodeErrorText(err))
+	if err := s.decode(text); err != nil {
+		return Settings{}, err
+	}
+	for _, o := range overrides {
+		key, value, ok := strings.Cut(o, "=")
+		if !ok {
+			return Settings{}, eris.Wrapf(ErrInvalid, "override %q must have the form KEY=VALUE", o)
+		}
+		if value == "" {
+			continue
+		}
+		if err := s.decode([]byte(o)); err != nil {
+			return Settings{}, eris.Wrapf(err, "override of %s", key)
+		}
 	}
 	return s, s.Check()
 }
 
+// decode replaces the settings that the text has.
+func (s *Settings) decode(text []byte) error {
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return eris.Wrap(ErrInvalid, decodeErrorText(err))
+	}
+	return nil
+}
+
 // Check returns an error for the first invalid value. Errors match ErrInvalid.
 func (s Settings) Check() error {
 	for _, c := range []struct{ key, value string }{
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,3 +52,18 @@
 		assert.Equal(t, s.Worker.RemoteFactor, want)
 	}
 }
+
+// Guards against overrides that reset the settings beside them, and against a platform without a figure, which fills in nothing.
+func TestOverridesReplaceSingleSettings(t *testing.T) {
+	s, err := settings.Parse([]byte(settings.Example), "worker.remote_factor=1.5", "limits.memory_mb=284", "worker.max_lease=")
+	assert.NilError(t, err)
+	want, err := settings.Parse([]byte(settings.Example))
+	assert.NilError(t, err)
+	want.Worker.RemoteFactor, want.Limits.MemoryMB = 1.5, 284
+	assert.DeepEqual(t, s, want)
+	for _, override := range []string{"limits.memory_mb=8", "limits.memory_mb=much", "limits.memori=1", "limits"} {
+		_, err := settings.Parse([]byte(settings.Example), override)
+		assert.ErrorIs(t, err, settings.ErrInvalid)
+		assert.ErrorContains(t, err, "limits")
+	}
+}
