--- a/internal/entry/refusedowner_test.go
+++ b/internal/entry/refusedowner_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumridge/laburnumridge/internal/knownred"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 )
 
@@ -147,6 +148,7 @@
 
 // Guards against the same if the store refuses most transactions of all hosts, as if they made too many calls.
 func TestOwnersStayWhileMostTransactionsAreRefused(t *testing.T) {
+	knownred.Skip(t)
 	const hosts = 5
 	runRefusals(t, hosts, func(f *simulatedFleet, r *refusals, _ []string) {
 		f.checkRefusals(r, 60, hostNames(hosts)...)
--- a/internal/knownred/skip.go
+++ b/internal/knownred/skip.go
@@ -7,17 +7,20 @@
 	"testing"
 )
 
-// listPath is relative to the directories of packages directly below internal, since go test runs a test in the
-// directory of its package.
-const listPath = "../../KNOWN-RED.txt"
+// listPaths are relative to the directories of packages directly below the root or internal, since go test runs a test in
+// the directory of its package.
+var listPaths = []string{"../KNOWN-RED.txt", "../../KNOWN-RED.txt"}
 
 // Skip skips t if an entry of KNOWN-RED.txt has the line "test: NAME" with its name, and prints the entry. Entries are
 // separated by empty lines.
 func Skip(t testing.TB) {
 	t.Helper()
-	text, err := os.ReadFile(listPath)
-	if err != nil {
-		return // no file means no known failures
+	var text []byte // no file means no known failures
+	for _, path := range listPaths {
+		if found, err := os.ReadFile(path); err == nil {
+			text = found
+			break
+		}
 	}
 	for entry := range strings.SplitSeq(string(text), "\n\n") {
 		for line := range strings.Lines(entry) {
