Remove what the order of jobs does not need any more

Cause: the order by the share of the work left sets each job's rank anew, but the former rank was still carried over; Decision.String was called by nothing; a comment named started jobs that are late among those in time. Change: the three are removed or corrected. No behaviour changes. Result: the tests of internal/forecast and the load tests of internal/shard pass; the whole script was not run on this commit.

--- a/internal/forecast/admission.go
+++ b/internal/forecast/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -82,6 +81,3 @@
 }
 
 func rounded(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
-
-// String returns the decision for the log.
-func (d Decision) String() string { return string(d.Reason) + ": " + strings.Join(d.Considered, "; ") }
--- a/internal/forecast/view.go
+++ b/internal/forecast/view.go
@@ -98,8 +98,8 @@
 	return v.Fits[i].Fit
 }
 
-// Waits returns how long the waiting work takes, of the kind which takes longer: that of jobs which can meet their objective or have
-// started, and that of the late ones.
+// Waits returns how long the waiting work takes, of the kind which takes longer: that of jobs which can meet their
+// objective, and that of the late ones.
 func (v View) Waits() (inTime, late time.Duration) {
 	var sum Backlog
 	for _, b := range v.Backlogs {
--- a/internal/shard/joborder.go
+++ b/internal/shard/joborder.go
@@ -40,7 +40,7 @@
 	chain := forecast.Chain(j.Steps, forecast.AtOnce, func(i int) time.Duration { return o.expected(j, j.occurrences[j.doneThrough], i) })
 	j.objective = since.Add(forecast.Objective(chain, j.queue))
 	j.order = forecast.Candidate{
-		IsLongRunning: j.IsLongRunning(), IsStarted: j.started, Objective: j.objective, Priority: j.priority, Rank: j.order.Rank, Since: since,
+		IsLongRunning: j.IsLongRunning(), IsStarted: j.started, Objective: j.objective, Priority: j.priority, Since: since,
 	}
 	var waits forecast.Work
 	for _, occ := range j.occurrences {
