Log the lifetime, the lease and the unanswered calls when runs count as ended

From the log of an owner one could not tell for which lifetime of a worker a call was meant, which lifetime the owner knew when it counted runs as ended, what bound their lease, or which calls could still be carried out.

Orders name the lifetime that they are meant for. The owner counts starts and polls without a response (new package workercall), and lease_over, worker_lost and worker_reborn name them with the lifetime and the end of the lease on both clocks. entry_worker_lifetimes counts calls that outlast a lifetime and runs that are found after they had counted as ended. No decision changes.

The tests of internal/shard and internal/workercall pass.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -32,6 +32,7 @@
 	storeConflicts     = expvar.NewInt("entry_store_conflicts")
 	storeFailures      = expvar.NewInt("entry_store_failures")
 	storeWrites        = expvar.NewInt("entry_store_writes")
+	workerLifetimes    = expvar.NewMap("entry_worker_lifetimes")
 	timerLag           = metrics.NewHistogram("entry_timer_lag_ms")
 )
 
@@ -41,6 +42,9 @@
 	localWaits.Add("waited_ms", waited.Milliseconds())
 }
 
+// countLifetimeEvent counts what owners learn of the lifetimes of workers.
+func countLifetimeEvent(event string, n int) { workerLifetimes.Add(event, int64(n)) }
+
 // setGauges publishes the state of the shard, by name, and withdraws the gauges that it no longer has.
 func (r *runner) setGauges(values map[string]int) {
 	for name := range r.gauges {
--- a/internal/shard/acknowledge.go
+++ b/internal/shard/acknowledge.go
@@ -13,7 +13,7 @@
 		return Poll{}, false
 	}
 	o.seq++
-	w.pollInFlight, w.pollSeq = true, o.seq
+	w.pollInFlight, w.pollSeq, w.polls = true, o.seq, w.polls.WithSent()
 	next = p
 	next.LastSeen, next.Seq, next.Until, next.omitsAcknowledgement = w.recordedEnd, o.seq, w.renewLease(now, o.renewedAt, o.timing), false
 	if w.recordedEnd < w.lastEnd {
--- a/internal/shard/actions.go
+++ b/internal/shard/actions.go
@@ -43,8 +43,11 @@
 // Order holds the fields that all calls to a worker share.
 type Order struct {
 	Address string
-	Token   int64
-	Worker  string
+	// Born is the lifetime of the worker that the order is meant for, as far as the owner knows. The worker can't tell: it may carry the
+	// order out in a later lifetime.
+	Born   int64
+	Token  int64
+	Worker string
 }
 
 // Start asks a worker to start a run of a task.
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -79,7 +79,7 @@
 
 func (o *Owner) startOrder(now time.Time, at *attempt) Start {
 	at.inFlight = true
-	at.sentAt, at.phase, at.born = now, phaseSent, at.lifetime()
+	at.sentAt, at.phase, at.born, at.starts = now, phaseSent, at.lifetime(), at.starts.WithSent()
 	t := at.task
 	t.started, t.job.started = true, true
 	return Start{
@@ -100,7 +100,7 @@
 	if at == nil {
 		return
 	}
-	at.inFlight = false
+	at.inFlight, at.starts = false, o.timing.withOutcome(at.starts, now, r.Outcome)
 	at.worker.observeClock(r.Clock, now)
 	if at.phase != phaseSent && r.Outcome != OutcomeDone {
 		return // the run is being stopped, and the answer to the stop decides
@@ -140,7 +140,7 @@
 
 func (o *Owner) logRefusedStart(s Start, outcome string) {
 	o.log.WithFields(logrus.Fields{
-		"decision": "start_refused", "job": s.Job, "task": s.Key.String(), "run": s.Run, "worker": s.Worker,
+		"decision": "start_refused", "job": s.Job, "task": s.Key.String(), "run": s.Run, "worker": s.Worker, "born": s.Born,
 		"outcome": outcome,
 	}).Warn("worker refused a start")
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -66,6 +66,8 @@
 	// lentUntil is when the headroom of a service is kept again.
 	lentUntil map[string]time.Time
 	log       *logrus.Entry
+	// observeLifetime is called with the events of workers' lifetimes.
+	observeLifetime func(event string, n int)
 	// observeStart is called with the time from the plan of an attempt to its confirmed start.
 	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
@@ -117,17 +119,18 @@
 // owners.
 func NewOwner(token int64, now time.Time, opts ...Option) *Owner {
 	o := &Owner{
-		guestJobs:    map[*job]bool{},
-		headrooms:    map[shortTasks]*headroom{},
-		heldBack:     map[string]bool{},
-		jobs:         map[string]*job{},
-		mostlyIdle:   map[string]bool{},
-		placed:       map[*job][]string{},
-		pressure:     interference.NewPressureModel(),
-		lentUntil:    map[string]time.Time{},
-		log:          logrus.NewEntry(logrus.StandardLogger()),
-		observeStart: func(time.Duration) {},
-		shortDemand:  map[shortTasks]shortDemand{},
+		guestJobs:       map[*job]bool{},
+		headrooms:       map[shortTasks]*headroom{},
+		heldBack:        map[string]bool{},
+		jobs:            map[string]*job{},
+		mostlyIdle:      map[string]bool{},
+		placed:          map[*job][]string{},
+		pressure:        interference.NewPressureModel(),
+		lentUntil:       map[string]time.Time{},
+		log:             logrus.NewEntry(logrus.StandardLogger()),
+		observeLifetime: func(string, int) {},
+		observeStart:    func(time.Duration) {},
+		shortDemand:     map[shortTasks]shortDemand{},
 		// Jobs that are restored count as arrivals before the first placement round.
 		shortDemandAt: now,
 		acquiredAt:    now,
@@ -152,7 +155,7 @@
 func (o *Owner) orderToken(w *worker) int64 { return o.token<<tokenBits | w.tokenOffset }
 
 func (o *Owner) newOrder(w *worker) Order {
-	return Order{Address: w.Address, Token: o.orderToken(w), Worker: w.ID}
+	return Order{Address: w.Address, Born: w.incarnation, Token: o.orderToken(w), Worker: w.ID}
 }
 
 // raiseToken raises the worker's fencing token. This invalidates all earlier calls that are still in flight and might
@@ -295,9 +298,8 @@
 		if w.pollFailures == 0 {
 			reason = "lease of the worker was not renewed in time; its runs count as ended"
 		}
-		o.log.WithFields(logrus.Fields{
-			"decision": "lease_over", "worker": w.ID, "runs": len(sent), "clock_age": now.Sub(w.clockAt).String(),
-			"poll_failures": w.pollFailures, "registered": w.registered, "counts_from": string(bound.origin),
+		o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
+			"decision": "lease_over", "runs": len(sent), "poll_failures": w.pollFailures, "registered": w.registered,
 		}).Warn(reason)
 		for _, at := range sent {
 			o.removeAttempt(at, "lease over")
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -41,7 +41,7 @@
 			firstPolls++
 		}
 		o.seq++
-		w.pollInFlight, w.pollSeq, w.polledAt = true, o.seq, now
+		w.pollInFlight, w.pollSeq, w.polledAt, w.polls = true, o.seq, now, w.polls.WithSent()
 		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.renewedAt, o.timing)}
 		if now.Sub(w.answeredAt) < maxAckGap {
 			p.LastSeen = w.recordedEnd
@@ -95,7 +95,11 @@
 // Polled handles a worker's answer to a poll that was sent at sent.
 func (o *Owner) Polled(now time.Time, p Poll, sent time.Time, list Listing) {
 	w := o.workers[p.Worker]
-	if w == nil || p.Seq != w.pollSeq {
+	if w == nil {
+		return
+	}
+	w.polls = w.polls.WithResponse()
+	if p.Seq != w.pollSeq {
 		return // superseded by a later poll
 	}
 	w.pollInFlight = false
@@ -152,17 +156,19 @@
 // PollFailed handles a poll that was refused or not answered.
 func (o *Owner) PollFailed(now time.Time, p Poll, outcome Outcome) {
 	w := o.workers[p.Worker]
-	if w == nil || p.Seq != w.pollSeq {
+	if w == nil {
+		return
+	}
+	w.polls = o.timing.withOutcome(w.polls, now, outcome)
+	if p.Seq != w.pollSeq {
 		return
 	}
 	w.pollInFlight = false
 	w.pollFailures++
 	w.nextPollAt = now.Add(o.timing.PollRetryDelay * time.Duration(min(w.pollFailures, 4)))
 	if w.pollFailures == 1 {
-		bound := w.leaseBound(o.timing)
-		o.log.WithFields(logrus.Fields{
-			"decision": "worker_lost", "worker": w.ID, "outcome": outcome.String(), "runs": len(w.attempts),
-			"lease_over_in": bound.end.Sub(now).String(), "counts_from": string(bound.origin),
+		o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
+			"decision": "worker_lost", "outcome": outcome.String(), "runs": len(w.attempts),
 		}).Warn("worker did not answer a poll")
 		return
 	}
@@ -190,8 +196,11 @@
 
 // handleRestart resets the state of a worker that has restarted. All runs of its earlier lifetime have ended.
 func (o *Owner) handleRestart(now time.Time, w *worker, incarnation int64) {
-	o.log.WithFields(logrus.Fields{
-		"decision": "worker_reborn", "worker": w.ID, "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
+	starts, polls, _ := w.callsWithoutResponse()
+	o.observeLifetime(eventRestart, 1)
+	o.observeLifetime(eventCallOutlastsLifetime, starts+polls)
+	o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
+		"decision": "worker_reborn", "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
 	}).Warn("worker restarted; its earlier runs have ended")
 	w.incarnation, w.lastEnd, w.recordedEnd, w.ackedEnd = incarnation, 0, 0, 0
 	w.unrecordedEnds = nil
@@ -337,8 +346,14 @@
 
 // stopOrphan stops a run that is not on record, or that already counts as ended.
 func (o *Owner) stopOrphan(w *worker, r RunningRow) {
+	t := o.task(r.Job, r.Key)
+	hasEnded := t != nil && r.Run <= t.run
+	if hasEnded {
+		o.observeLifetime(eventRunAfterEnd, 1)
+	}
 	o.log.WithFields(logrus.Fields{
-		"decision": "stop_stray", "job": r.Job, "task": r.Key.String(), "run": r.Run, "worker": w.ID,
+		"decision": "stop_stray", "job": r.Job, "task": r.Key.String(), "run": r.Run, "worker": w.ID, "born": w.incarnation,
+		"counted_as_ended": hasEnded,
 	}).Warn("worker runs a task without a recorded attempt; stopping the run")
 	o.orphanStops = append(o.orphanStops, Stop{Order: o.newOrder(w), Job: r.Job, Key: r.Key, Run: r.Run, Reason: "stray"})
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -7,6 +7,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/workercall"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -57,6 +58,8 @@
 	sentAt  time.Time
 	// slowSince is when the pace fell to slowPace or below; zero while it is above.
 	slowSince time.Time
+	// starts holds the starts of the run that may still be carried out.
+	starts    workercall.Pending
 	stopCause string
 	task      *task
 	ticket    string
@@ -272,6 +275,8 @@
 	// polledAt is when the last poll was due.
 	polledAt time.Time
 	pollSeq  int64
+	// polls holds the polls of all lifetimes that may still be carried out.
+	polls workercall.Pending
 	// lastEnd is the number of the newest end that the worker listed, recordedEnd that of the newest end that is
 	// durably recorded, and ackedEnd that of the newest end acknowledged to the worker, which may forget ends up to it.
 	recordedEnd, ackedEnd int64
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -4,6 +4,8 @@
 
 // Timing holds the intervals and timeouts of an owner.
 type Timing struct {
+	// CallDelay is the longest time after the sending of a call without a response at which a worker may still carry it out.
+	CallDelay time.Duration
 	// ClockDrift is the fraction by which a worker's clock may run slower than the owner's.
 	ClockDrift float64
 	// CommitGap is the minimum time between two commits, so that changes are written in batches.
@@ -63,6 +65,7 @@
 // DefaultTiming returns the timing for workers that grant leases of 10 s.
 func DefaultTiming() Timing {
 	return Timing{
+		CallDelay:              12 * time.Second,
 		ClockDrift:             0.02,
 		CommitGap:              15 * time.Millisecond,
 		EvaluationGap:          10 * time.Microsecond,
--- /dev/null
+++ b/internal/shard/workercalls.go
@@ -0,0 +1,65 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumridge/laburnumridge/internal/workercall"
+)
+
+// Events of the lifetimes of workers that WithLifetimeObserver counts.
+const (
+	// eventCallOutlastsLifetime: a call had no response when its worker restarted.
+	eventCallOutlastsLifetime = "call_outlasts_lifetime"
+	// eventRunAfterEnd: a run is found on a worker that had counted as ended, or that had been given up.
+	eventRunAfterEnd = "run_after_end"
+	eventRestart     = "restart"
+)
+
+// WithLifetimeObserver sets a function that counts what the owner learns of the lifetimes of workers, by event.
+func WithLifetimeObserver(observe func(event string, n int)) Option {
+	return func(o *Owner) { o.observeLifetime = observe }
+}
+
+// withOutcome returns the summary of calls after one of them had an outcome, at a time that is not before its sending.
+func (t Timing) withOutcome(p workercall.Pending, now time.Time, outcome Outcome) workercall.Pending {
+	switch outcome {
+	case OutcomeUnknown:
+		return p.Without(now, t.CallDelay).WithLoss(now)
+	case OutcomeNotSent:
+		return p.WithoutCall()
+	case OutcomeDone, OutcomeFenced, OutcomeWorkerRestarted, OutcomeLeaseExpired, OutcomeNoRoom, OutcomeNoTicket, OutcomeOldRun, OutcomeRefused:
+	}
+	return p.WithResponse()
+}
+
+// callsWithoutResponse returns the numbers of starts and polls of a worker that have no response, and when the first of them was given
+// up; the time is zero if all are in flight.
+func (w *worker) callsWithoutResponse() (starts, polls int, since time.Time) {
+	polls, since = w.polls.Count(), w.polls.Since()
+	for _, at := range w.attempts {
+		starts += at.starts.Count()
+		if s := at.starts.Since(); !s.IsZero() && (since.IsZero() || s.Before(since)) {
+			since = s
+		}
+	}
+	return starts, polls, since
+}
+
+// lifetimeFields describes the lifetime of a worker that the owner knows, its lease on both clocks, and the calls without a response.
+func (o *Owner) lifetimeFields(now time.Time, w *worker) logrus.Fields {
+	starts, polls, since := w.callsWithoutResponse()
+	bound := w.leaseBound(o.timing)
+	fields := logrus.Fields{
+		"born": w.incarnation, "counts_from": string(bound.origin), "lease_over_in": bound.end.Sub(now).String(), "worker": w.ID,
+		"starts_without_response": starts, "polls_without_response": polls,
+	}
+	if !w.clockAt.IsZero() {
+		fields["clock_ms"], fields["clock_age"], fields["lease_end_ms"] = w.clock, now.Sub(w.clockAt).String(), w.leaseEnd
+	}
+	if !since.IsZero() {
+		fields["without_response_for"] = now.Sub(since).String()
+	}
+	return fields
+}
