Let simulated workers of whole hosts carry out calls late

Starts, stops and polls may now be carried out 2 to 12 s after they were sent, by the lifetime that is there then, also behind a cut. A crash no longer counts as a cut, so that both overlap. The log of tasks also reports a start after an acknowledged end "done", unless the lease lapsed between the end and its acknowledgement, and prints the events of the task.

--- /dev/null
+++ b/internal/entry/latecalls_test.go
@@ -0,0 +1,100 @@
+package entry_test
+
+import (
+	"context"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+)
+
+// Calls without a response may be carried out between these times after they were sent.
+const (
+	shortestCallDelay = 2 * time.Second
+	longestCallDelay  = 12 * time.Second
+)
+
+// acknowledgementTime is how long ends may be listed without an acknowledgement once nothing is disturbed any more.
+const acknowledgementTime = 5 * time.Second
+
+// checkEndsAcknowledged checks that no worker lists ends that were not acknowledged for long.
+func (f *simulatedFleet) checkEndsAcknowledged(when string) {
+	f.t.Helper()
+	for id, w := range f.workers {
+		w.mu.Lock()
+		for _, e := range w.ended {
+			assert.Check(f.t, !w.isReachable() || time.Since(e.at) < acknowledgementTime, "%s: %s lists end number %d of %s, run %d (%s), since %s",
+				when, id, e.Number, e.Key.Name(e.Job), e.Run, e.Cause, time.Since(e.at))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// delayShare returns a function for simulatedWorker.callDelay by which a share of the calls, in percent, is late until the faults are over.
+func (s *handoverSeries) delayShare(percent int) func() time.Duration {
+	return func() time.Duration {
+		if s.isOver.Load() || s.int(100) >= percent {
+			return 0
+		}
+		s.lateCalls.Add(1)
+		return s.drawCallDelay()
+	}
+}
+
+// drawCallDelay returns after what time a call without a response is carried out.
+func (f *simulatedFleet) drawCallDelay() time.Duration {
+	// Calls are on their way to the worker for half of storeLatency.
+	return shortestCallDelay + time.Duration(f.int(int(longestCallDelay-shortestCallDelay-storeLatency)))
+}
+
+// holds reports whether the worker carries a call out late and without a response. The lifetime that is there when the call is due
+// executes it, also behind a cut: the call has arrived before. Nothing does while the worker is down. execute is called with w.mu locked.
+func (w *simulatedWorker) holds(note func(delay time.Duration), execute func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.callDelay == nil || !w.isReachable() {
+		return false
+	}
+	delay := w.callDelay()
+	if delay == 0 {
+		return false
+	}
+	note(delay)
+	time.AfterFunc(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.hasLeft && !w.isDown {
+			execute()
+		}
+	})
+	return true
+}
+
+func (w *simulatedWorker) handleStart(ctx context.Context, s shard.Start) shard.Reply {
+	name := s.Key.Name(s.Job)
+	isHeld := w.holds(func(delay time.Duration) {
+		w.tasks.note(name, "start of run %d is sent to %s, lifetime %d, token %d; late by %s", s.Run, w.ID, w.Born, s.Token, delay)
+	}, func() { w.executeStart(s) })
+	if isHeld {
+		<-ctx.Done()
+		return shard.Reply{Outcome: shard.OutcomeUnknown}
+	}
+	return w.start(s)
+}
+
+func (w *simulatedWorker) handleStop(ctx context.Context, s shard.Stop) shard.Reply {
+	if w.holds(func(time.Duration) {}, func() { w.executeStop(s) }) {
+		<-ctx.Done()
+		return shard.Reply{Outcome: shard.OutcomeUnknown}
+	}
+	return w.stop(s)
+}
+
+func (w *simulatedWorker) handlePoll(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
+	if w.holds(func(time.Duration) {}, func() { w.executePoll(p) }) {
+		<-ctx.Done()
+		return shard.Listing{}, shard.OutcomeUnknown
+	}
+	return w.poll(ctx, p)
+}
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -196,14 +196,14 @@
 			if ctx.Err() != nil {
 				return shard.Listing{}, shard.OutcomeNotSent
 			}
-			return f.workers[p.Worker].poll(ctx, p)
+			return f.workers[p.Worker].handlePoll(ctx, p)
 		},
 		Pace: func(context.Context, shard.Pace) shard.Reply { return shard.Reply{Outcome: shard.OutcomeDone} },
 		Start: func(ctx context.Context, s shard.Start) shard.Reply {
-			return call(ctx, func() shard.Reply { return f.workers[s.Worker].start(s) })
+			return call(ctx, func() shard.Reply { return f.workers[s.Worker].handleStart(ctx, s) })
 		},
 		Stop: func(ctx context.Context, s shard.Stop) shard.Reply {
-			return call(ctx, func() shard.Reply { return f.workers[s.Worker].stop(s) })
+			return call(ctx, func() shard.Reply { return f.workers[s.Worker].handleStop(ctx, s) })
 		},
 		Store:        f.store.client(h),
 		WorkerPrefix: "servers/",
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -20,16 +20,21 @@
 type simulatedWorker struct {
 	shard.Worker
 	changed chan struct{}
+	// callDelay, if set, returns after what time a call that arrives is carried out, without a response; 0 stands for at once, with one.
+	callDelay func() time.Duration
 	// clockRate is the speed of the worker's clock; 0 counts as 1.
 	clockRate float64
 	endCount  int64
-	ended     []shard.EndRow
+	ended     []listedEnd
 	// expiry ends the runs when the lease expires, also if no call arrives.
 	expiry       *time.Timer
 	highestEnded map[string]int
-	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call. isCut is set while no call reaches it.
-	hasLeft, isCut bool
-	leaseEnd       time.Time
+	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call. isCut is set while no call reaches it, and
+	// isDown from a crash until the next lifetime begins.
+	hasLeft, isCut, isDown bool
+	// lapsedEnd is the number of the latest end before the lease last expired. Ends up to it need not count.
+	lapsedEnd int64
+	leaseEnd  time.Time
 	// maxRuns is the number of runs for which the worker has room; 0 stands for no limit.
 	maxRuns int
 	mu      sync.Mutex
@@ -45,6 +50,12 @@
 	isUnreachable atomic.Bool
 }
 
+// listedEnd is the end of a run, with its time.
+type listedEnd struct {
+	shard.EndRow
+	at time.Time
+}
+
 // acceptedPoll is a poll with the time of its arrival.
 type acceptedPoll struct {
 	shard.Poll
@@ -113,16 +124,26 @@
 		for name := range w.runs {
 			w.end(name, shard.EndLeaseExpired)
 		}
+		w.lapsedEnd = w.endCount
 	}
 }
 
+// isReachable reports whether calls reach the worker. The caller holds w.mu.
+func (w *simulatedWorker) isReachable() bool { return !w.hasLeft && !w.isCut && !w.isDown }
+
 func (w *simulatedWorker) start(s shard.Start) shard.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.isReachable() {
+		return shard.Reply{Outcome: shard.OutcomeUnknown}
+	}
+	return w.executeStart(s)
+}
+
+// executeStart carries a start out. The caller holds w.mu.
+func (w *simulatedWorker) executeStart(s shard.Start) shard.Reply {
 	name := s.Key.Name(s.Job)
 	switch {
-	case w.hasLeft, w.isCut:
-		return shard.Reply{Outcome: shard.OutcomeUnknown}
 	case !w.accept(s.Token, s.Until):
 		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
 	case w.runs[name].Run == s.Run:
@@ -136,12 +157,12 @@
 	if free := w.free(); w.maxRuns > 0 && len(w.runs) > w.maxRuns || free.HasNegative() {
 		w.tasks.noteOver(w.ID, len(w.runs))
 	}
-	duration, cause := w.tasks.started(w.ID, s)
-	if duration > 0 {
+	duration, cause := w.tasks.started(w.ID, w.Born, s)
+	if born := w.Born; duration > 0 {
 		time.AfterFunc(max(duration, retry.ShortestTimer), func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if w.runs[name].Run == s.Run && !time.Now().After(w.leaseEnd) {
+			if w.Born == born && w.runs[name].Run == s.Run && !time.Now().After(w.leaseEnd) {
 				w.end(name, cause)
 			}
 		})
@@ -166,8 +187,8 @@
 	delete(w.runs, name)
 	w.endCount++
 	w.highestEnded[name] = s.Run
-	w.ended = append(w.ended, shard.EndRow{Cause: cause, Job: s.Job, Key: s.Key, Number: w.endCount, Run: s.Run})
-	w.tasks.ended(name)
+	w.ended = append(w.ended, listedEnd{shard.EndRow{Cause: cause, Job: s.Job, Key: s.Key, Number: w.endCount, Run: s.Run}, time.Now()})
+	w.tasks.ended(name, "run %d ends as number %d on %s, lifetime %d: %s", s.Run, w.endCount, w.ID, w.Born, cause)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -176,18 +197,19 @@
 func (w *simulatedWorker) crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isCut = true
+	w.isDown = true
 	for name := range w.runs {
 		w.end(name, shard.EndFailed)
 	}
 }
 
-// restart begins a new life of a worker that crashed, under the same id. It knows nothing of before.
+// restart begins a new life of a worker that crashed, under the same id. It knows nothing of before, but calls that were sent to the life
+// before may still reach it, see holds.
 func (w *simulatedWorker) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.Born++
-	w.isCut, w.endCount, w.ended, w.highestEnded, w.token = false, 0, nil, map[string]int{}, 0
+	w.isDown, w.endCount, w.lapsedEnd, w.ended, w.highestEnded, w.token = false, 0, 0, nil, map[string]int{}, 0
 	w.started, w.leaseEnd = time.Now(), time.Time{}
 }
 
@@ -245,9 +267,14 @@
 func (w *simulatedWorker) stop(s shard.Stop) shard.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.hasLeft || w.isCut {
+	if !w.isReachable() {
 		return shard.Reply{Outcome: shard.OutcomeUnknown}
 	}
+	return w.executeStop(s)
+}
+
+// executeStop carries a stop out. The caller holds w.mu.
+func (w *simulatedWorker) executeStop(s shard.Stop) shard.Reply {
 	if !w.accept(s.Token, 0) {
 		return shard.Reply{Clock: w.clock(), Outcome: shard.OutcomeFenced}
 	}
@@ -262,17 +289,16 @@
 func (w *simulatedWorker) poll(ctx context.Context, p shard.Poll) (shard.Listing, shard.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.hasLeft || w.isCut {
+	if !w.isReachable() {
 		w.mu.Unlock()
 		<-ctx.Done()
 		w.mu.Lock()
 		return shard.Listing{}, shard.OutcomeUnknown
 	}
-	if !w.accept(p.Token, p.Until) {
+	if !w.executePoll(p) {
 		return shard.Listing{}, shard.OutcomeFenced
 	}
-	w.polls = append(w.polls, acceptedPoll{p, time.Now()})
-	w.ended = slices.DeleteFunc(w.ended, func(e shard.EndRow) bool { return e.Number <= p.LastSeen })
+	born := w.Born
 	if len(w.ended) == 0 {
 		changed := w.changed
 		w.mu.Unlock()
@@ -283,12 +309,34 @@
 		}
 		w.mu.Lock()
 	}
-	if ctx.Err() != nil || w.hasLeft || w.isCut {
+	if ctx.Err() != nil || !w.isReachable() || w.Born != born {
 		return shard.Listing{}, shard.OutcomeUnknown
 	}
-	list := shard.Listing{Born: w.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	list := shard.Listing{Born: w.Born, Clock: w.clock()}
+	for _, e := range w.ended {
+		list.Ended = append(list.Ended, e.EndRow)
+	}
 	for _, s := range w.runs {
 		list.Running = append(list.Running, shard.RunningRow{Job: s.Job, Key: s.Key, Percent: 100, Run: s.Run})
 	}
 	return list, shard.OutcomeDone
 }
+
+// executePoll carries out what a poll orders: it renews the lease and drops the ends that the poll acknowledges. It returns false if the
+// token of the poll is refused. The caller holds w.mu.
+func (w *simulatedWorker) executePoll(p shard.Poll) bool {
+	if !w.accept(p.Token, p.Until) {
+		return false
+	}
+	w.polls = append(w.polls, acceptedPoll{p, time.Now()})
+	w.ended = slices.DeleteFunc(w.ended, func(e listedEnd) bool {
+		if e.Number > p.LastSeen {
+			return false
+		}
+		if e.Number > w.lapsedEnd {
+			w.tasks.acknowledged(w.ID, w.Born, e.EndRow, p)
+		}
+		return true
+	})
+	return true
+}
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -11,10 +11,15 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
+// maxReportedEvents is the number of events of a task that are printed if it ran twice.
+const maxReportedEvents = 20
+
 // taskLog records the starts and ends of tasks on all workers.
 type taskLog struct {
 	// failAfter returns how long a run of a long-running task lasts until it fails; 0 means that it does not fail.
 	failAfter func() time.Duration
+	// done holds the tasks with an end EndDone that was acknowledged.
+	done map[string]bool
 	// idleSince is when the last run of each expected task ended that does not run.
 	idleSince map[string]time.Time
 	calmSince time.Time
@@ -26,6 +31,8 @@
 	forgotten map[string]bool
 	// jobs holds the jobs that were handed in.
 	jobs map[string]workflow.Job
+	// history holds the events of each task, which are added to the description of a task that ran twice.
+	history map[string][]string
 	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
 	longest   time.Duration
 	longestOf string
@@ -33,14 +40,45 @@
 	// over describes the workers that were given more runs than they have room for.
 	over    []string
 	running map[string]string
-	// twice describes the tasks that ran on two workers at the same time.
+	// twice describes the tasks that ran on two workers at the same time, or again after they were done.
 	twice []string
 }
 
 func newTaskLog() *taskLog {
 	return &taskLog{
 		expected: map[string]bool{}, forgotten: map[string]bool{}, failAfter: func() time.Duration { return 0 },
-		idleSince: map[string]time.Time{}, jobs: map[string]workflow.Job{}, running: map[string]string{},
+		done: map[string]bool{}, history: map[string][]string{}, idleSince: map[string]time.Time{}, jobs: map[string]workflow.Job{},
+		running: map[string]string{},
+	}
+}
+
+// note adds an event to the history of a task.
+func (l *taskLog) note(name, format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.add(name, format, args...)
+}
+
+// add adds an event to the history of a task. The caller holds l.mu.
+func (l *taskLog) add(name, format string, args ...any) {
+	l.history[name] = append(l.history[name], time.Now().Format("04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// report adds a task to those that ran twice. The caller holds l.mu.
+func (l *taskLog) report(name, format string, args ...any) {
+	events := l.history[name]
+	events = events[max(len(events)-maxReportedEvents, 0):]
+	l.twice = append(l.twice, name+" "+fmt.Sprintf(format, args...)+"\n    "+strings.Join(events, "\n    "))
+}
+
+// acknowledged notes that a poll acknowledged the end of a run while it counted.
+func (l *taskLog) acknowledged(worker string, born int64, e shard.EndRow, p shard.Poll) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := e.Key.Name(e.Job)
+	l.add(name, "end number %d of %s, lifetime %d, is acknowledged by a poll up to %d, token %d", e.Number, worker, born, p.LastSeen, p.Token)
+	if e.Cause == shard.EndDone {
+		l.done[name] = true
 	}
 }
 
@@ -66,17 +104,21 @@
 	return l.expected[job]
 }
 
-func (l *taskLog) started(worker string, s shard.Start) (time.Duration, shard.EndCause) {
+func (l *taskLog) started(worker string, born int64, s shard.Start) (time.Duration, shard.EndCause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	name := s.Key.Name(s.Job)
 	j, isKnown := l.jobs[s.Job]
+	l.add(name, "run %d starts on %s, lifetime %d, token %d", s.Run, worker, born, s.Token)
 	if other, ok := l.running[name]; ok && !(isKnown && j.Steps[s.Key.Step].Speculative) {
-		l.twice = append(l.twice, fmt.Sprintf("%s runs on %s and %s", name, other, worker))
+		l.report(name, "runs on %s and %s", other, worker)
+	}
+	if l.done[name] {
+		l.report(name, "starts on %s after it was done", worker)
 	}
 	l.running[name] = worker
 	if since, ok := l.idleSince[name]; ok {
-		l.note(name, since)
+		l.noteIdle(name, since)
 		delete(l.idleSince, name)
 	}
 	if isKnown && l.endOf != nil {
@@ -111,9 +153,11 @@
 	l.over = append(l.over, fmt.Sprintf("%s has %d runs", worker, runs))
 }
 
-func (l *taskLog) ended(name string) {
+// ended notes the end of a task's run, which the arguments describe.
+func (l *taskLog) ended(name, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.add(name, format, args...)
 	delete(l.running, name)
 	if job, _, _ := strings.Cut(name, "."); l.expected[job] && !l.forgotten[job] {
 		l.idleSince[name] = time.Now()
@@ -132,9 +176,9 @@
 	}
 }
 
-// note records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
+// noteIdle records how long a task had nothing running that the rule counts: from restartGrace after its last run, while there is
 // calm. The caller holds l.mu.
-func (l *taskLog) note(name string, since time.Time) {
+func (l *taskLog) noteIdle(name string, since time.Time) {
 	from := since.Add(restartGrace)
 	if calm := l.calmSince.Add(contactTime); from.Before(calm) {
 		from = calm
@@ -156,7 +200,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, since := range l.idleSince {
-		l.note(name, since)
+		l.noteIdle(name, since)
 	}
 	return l.longest, l.longestOf
 }
--- a/internal/entry/waitingcheck_test.go
+++ b/internal/entry/waitingcheck_test.go
@@ -135,7 +135,7 @@
 			running[name]++
 			r.runs[stepName(s.Job, s.Key)]++
 		}
-		takesTasks := !w.hasLeft && !w.isCut && !w.Draining && f.store.get(id).ModRevision != 0
+		takesTasks := w.isReachable() && !w.Draining && f.store.get(id).ModRevision != 0
 		w.mu.Unlock()
 		if _, err := fmt.Sscanf(w.Rack, rackName(0)[:len("rack-")]+"%d", &r.shard); err == nil && takesTasks {
 			out = append(out, r)
