--- a/internal/entry/handoverseries_test.go
+++ b/internal/entry/handoverseries_test.go
@@ -47,6 +47,8 @@
 	isOver       atomic.Bool
 	lateCalls    atomic.Int64
 	lateExecuted atomic.Int64
+	// outlastLifetimes makes later lifetimes of a worker carry out the calls to earlier ones, up to longestCallDelay late.
+	outlastLifetimes bool
 }
 
 // Guards against tasks that run twice, or run on after their job was cancelled, around handovers in series: the next owner acts before
@@ -165,9 +167,12 @@
 	}
 	if s.int(2) == 0 {
 		s.lateCalls.Add(1)
-		life := w.entry().Born
-		time.AfterFunc(time.Duration(1+s.int(int(maxLateness/time.Millisecond)-1))*time.Millisecond, func() {
-			if w.entry().Born == life && execute(w) {
+		life, delay := w.entry().Born, time.Duration(1+s.int(int(maxLateness/time.Millisecond)-1))*time.Millisecond
+		if s.outlastLifetimes {
+			delay = s.drawCallDelay()
+		}
+		time.AfterFunc(delay, func() {
+			if (s.outlastLifetimes || w.entry().Born == life) && execute(w) {
 				s.lateExecuted.Add(1)
 			}
 		})
--- a/internal/entry/standstill_test.go
+++ b/internal/entry/standstill_test.go
@@ -42,7 +42,7 @@
 // Guards against accepted jobs that stand still beside free workers after disturbances that overlap, whatever their order: hosts are
 // killed, drained, cut off, frozen and slowed; the store is down, turns hosts away, loses answers, writes late, cuts watches and drops
 // their history; workers restart under the same id, leave, are silent while they run on, carry out orders late and fail all runs. In half
-// of the runs all hosts lose power at the end.
+// of the runs workers carry out calls for their earlier lifetimes, and in half all hosts lose power at the end.
 func TestNothingWaitsBesideRoomAfterDisturbances(t *testing.T) {
 	for i := range uint64(*standstillSeeds) {
 		seed := *standstillFirst + i
@@ -65,6 +65,7 @@
 			f.workers[id].clockRate = slowestClock
 		}
 	}
+	d.outlastLifetimes = rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0
 	f.tasks.endOf = d.endOf
 	f.changePlatform = d.delayCalls
 	f.store.setTxnFault(d.txnFault)
@@ -88,6 +89,7 @@
 	time.Sleep(quietTime)
 	when := fmt.Sprintf("seed %d", seed)
 	f.checkNothingWaits(when)
+	f.checkEndsAcknowledged(when)
 	t.Logf("%d changes of owners, %d late calls, %d tasks given", strings.Count(f.ownerHistory(began), ":none"), d.lateCalls.Load(),
 		f.decisions("give_task"))
 	close(done)
@@ -287,7 +289,11 @@
 			}
 			w.crash()
 			d.background.Go(func() {
-				time.Sleep(2*time.Second + pause/8) // longer than any call
+				away := 2*time.Second + pause/8 // longer than any sender waits for a response
+				if d.outlastLifetimes {
+					away = pause / 8
+				}
+				time.Sleep(away)
 				w.restart()
 				w.isUnreachable.Store(false)
 				d.store.put(id, nil)
