Test that tasks run once while workers restart and owners change

Workers restart under their ids and carry out calls to their earlier lifetimes, while owners are killed, frozen, cut off from the store or hand their shards over, in series and at once.

--- /dev/null
+++ b/internal/entry/restartedworkers_test.go
@@ -0,0 +1,153 @@
+package entry_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	restartedSeeds = flag.Int("restarted-seeds", 4, "number of seeds of the test of restarted workers while owners change")
+	restartedFirst = flag.Uint64("restarted-first", 1, "first of these seeds")
+)
+
+// restartedTime is how long workers restart and owners change.
+const restartedTime = 30 * time.Second
+
+// Guards against tasks that run twice at once, or again after an acknowledged end, after workers have restarted under their ids and carry
+// out calls to their earlier lifetimes up to 12 s late, while owners are killed, frozen, cut off from the store or hand their shards over,
+// in series and at once: the next owner must know which calls of the one before it have no response. Afterwards nothing may wait beside
+// room, and ends must be acknowledged.
+func TestTasksRunOnceWhileOwnersChange(t *testing.T) {
+	for i := range uint64(*restartedSeeds) {
+		seed := *restartedFirst + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { runRestartedWorkers(t, seed) }) })
+	}
+}
+
+func runRestartedWorkers(t *testing.T, seed uint64) {
+	f := newSimulatedFleet(t, seed, standstillShards, standstillWorkers)
+	f.callCost /= 10
+	f.logHook = &decisionCounter{counts: map[string]int{}}
+	d := &disturbances{handoverSeries: &handoverSeries{simulatedFleet: f}, failing: map[string]bool{}, refused: map[string]bool{}}
+	f.tasks.endOf = d.endOf
+	share := 1 + f.int(30)
+	for _, id := range d.workerIDs() {
+		f.workers[id].callDelay = d.delayShare(share)
+		if f.int(3) == 0 {
+			f.workers[id].Labels = []string{"special"}
+		}
+		if f.int(3) == 0 {
+			f.workers[id].clockRate = slowestClock
+		}
+	}
+	for i := range standstillHosts {
+		f.start(fmt.Sprintf("host-%d", i), strongHost)
+	}
+	time.Sleep(3 * time.Second)
+	began := time.Now()
+	done := make(chan struct{})
+	go d.runGangs(done)
+	for _, act := range []func(*rand.Rand){d.changeOwners, d.restartWorkers, d.changeJobs} {
+		random := rand.New(rand.NewPCG(seed, 100+uint64(f.int(1000))))
+		d.background.Go(func() { act(random) })
+	}
+	d.background.Wait()
+	d.end()
+	time.Sleep(quietTime)
+	when := fmt.Sprintf("seed %d", seed)
+	f.checkNothingWaits(when)
+	f.checkEndsAcknowledged(when)
+	t.Logf("%d changes of owners, %d late calls of %d %%, %d restarts of workers", strings.Count(f.ownerHistory(began), ":none"),
+		d.lateCalls.Load(), share, d.restarts())
+	close(done)
+	f.end()
+}
+
+// restarts returns how often workers have restarted.
+func (f *simulatedFleet) restarts() int64 {
+	n := int64(0)
+	for _, w := range f.workers {
+		n += w.entry().Born - 1
+	}
+	return n
+}
+
+// changeOwners lets up to four owners of a shard in a row fail or hand the shard over, of several shards at once.
+func (d *disturbances) changeOwners(random *rand.Rand) {
+	for deadline := time.Now().Add(restartedTime); time.Now().Before(deadline); {
+		time.Sleep(time.Duration(200+random.IntN(4000)) * time.Millisecond)
+		shardNumber, series := random.IntN(standstillShards), rand.New(rand.NewPCG(random.Uint64(), 1))
+		d.background.Go(func() {
+			for range 1 + series.IntN(4) {
+				d.changeOwner(shardNumber, series)
+				time.Sleep(time.Duration(300+series.IntN(3000)) * time.Millisecond)
+			}
+		})
+	}
+}
+
+// changeOwner disturbs the owner of a shard, if it has one, in the background.
+func (d *disturbances) changeOwner(shardNumber int, random *rand.Rand) {
+	h, kind, pause := d.host(d.ownerOf(shardNumber)), random.IntN(5), time.Duration(100+random.IntN(4000))*time.Millisecond
+	if h == nil || h.isStopping.Load() {
+		return
+	}
+	d.background.Go(func() {
+		switch kind {
+		case 0: // killed
+			d.restart(h.name, false)
+		case 1, 2: // hands its shards over
+			d.restart(h.name, true)
+		case 3: // cut off from the store and its peers
+			h.isCut.Store(true)
+			time.Sleep(pause)
+			h.isCut.Store(h.isStopping.Load())
+		case 4: // frozen
+			h.processor <- struct{}{}
+			time.Sleep(pause)
+			<-h.processor
+		}
+	})
+}
+
+// restartWorkers lets workers restart under their ids. Some are cut off afterwards, or are cut off without a restart.
+func (d *disturbances) restartWorkers(random *rand.Rand) {
+	ids, isBusy := d.workerIDs(), map[string]time.Time{}
+	for deadline := time.Now().Add(restartedTime); time.Now().Before(deadline); {
+		time.Sleep(time.Duration(100+random.IntN(1000)) * time.Millisecond)
+		id, kind := ids[random.IntN(len(ids))], random.IntN(4)
+		down, unread := time.Duration(20+random.IntN(2000))*time.Millisecond, time.Duration(0)
+		untilCut, cut := time.Duration(random.IntN(2500))*time.Millisecond, time.Duration(500+random.IntN(11_000))*time.Millisecond
+		if random.IntN(3) == 0 {
+			unread = time.Duration(random.IntN(3000)) * time.Millisecond
+		}
+		if time.Now().Before(isBusy[id]) {
+			continue
+		}
+		isBusy[id] = time.Now().Add(down + max(unread, untilCut+cut) + time.Second)
+		w := d.workers[id]
+		d.background.Go(func() {
+			if kind > 0 {
+				w.crash()
+				time.Sleep(down)
+				w.restart()
+				d.background.Go(func() {
+					time.Sleep(unread)
+					d.store.put(id, nil)
+				})
+			}
+			if kind > 1 {
+				return
+			}
+			time.Sleep(untilCut)
+			w.setCut(true)
+			time.Sleep(cut)
+			w.setCut(false)
+		})
+	}
+}
