--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -21,7 +21,8 @@
 	shard.Worker
 	changed chan struct{}
 	// callDelay, if set, returns after what time a call that arrives is carried out, without a response; 0 stands for at once, with one.
-	callDelay func() time.Duration
+	// It gets the job of a start, and "" for any other call.
+	callDelay func(job string) time.Duration
 	// clockRate is the speed of the worker's clock; 0 counts as 1.
 	clockRate float64
 	endCount  int64
@@ -29,6 +30,8 @@
 	// expiry ends the runs when the lease expires, also if no call arrives.
 	expiry       *time.Timer
 	highestEnded map[string]int
+	// closesPort makes calls fail at once while the worker is down, as if nothing listened there. They get no response otherwise.
+	closesPort bool
 	// hasLeft is set once the worker is gone for good: it runs nothing and answers no call. isCut is set while no call reaches it, and
 	// isDown from a crash until the next lifetime begins.
 	hasLeft, isCut, isDown bool
@@ -128,6 +131,14 @@
 	}
 }
 
+// unreachable returns the outcome of a call to a worker that is not reachable. The caller holds w.mu.
+func (w *simulatedWorker) unreachable() shard.Outcome {
+	if w.isDown && w.closesPort && !w.isCut && !w.hasLeft {
+		return shard.OutcomeNotSent
+	}
+	return shard.OutcomeUnknown
+}
+
 // isReachable reports whether calls reach the worker. The caller holds w.mu.
 func (w *simulatedWorker) isReachable() bool { return !w.hasLeft && !w.isCut && !w.isDown }
 
@@ -135,7 +146,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.isReachable() {
-		return shard.Reply{Outcome: shard.OutcomeUnknown}
+		return shard.Reply{Outcome: w.unreachable()}
 	}
 	return w.executeStart(s)
 }
@@ -268,7 +279,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.isReachable() {
-		return shard.Reply{Outcome: shard.OutcomeUnknown}
+		return shard.Reply{Outcome: w.unreachable()}
 	}
 	return w.executeStop(s)
 }
@@ -290,6 +301,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.isReachable() {
+		if w.unreachable() == shard.OutcomeNotSent {
+			return shard.Listing{}, shard.OutcomeNotSent
+		}
 		w.mu.Unlock()
 		<-ctx.Done()
 		w.mu.Lock()
