--- a/internal/entry/exchange_test.go
+++ b/internal/entry/exchange_test.go
@@ -281,7 +281,8 @@
 }
 
 // Guards against tasks that run twice or not at all, and against workers with more runs than they have room for, when owners are lost
-// and transactions are late or lost at any step of a transfer. Workers are cut off and connected again, so that tasks move to and fro.
+// and transactions are late or lost at any step of a transfer. Workers are cut off and connected again, so that tasks move to and fro. With
+// odd seeds workers also restart, and carry out calls for their earlier lifetimes.
 func TestTransfersSurviveLossOfOwnersAtEachStep(t *testing.T) {
 	for seed := range uint64(*exchangeSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTransfers(t, seed+uint64(*exchangeFirst)) })
@@ -301,12 +302,14 @@
 			ids[f.addLasting(f.int(shards), n, tasks, "")] = true
 		}
 		f.store.setTxnFault(f.exchangeFault)
-		cut := map[*simulatedWorker]bool{}
+		late, cut := f.delayTransfers(seed), map[*simulatedWorker]bool{}
 		for range rounds {
 			for len(cut) < exchangeWorkers {
 				w := f.worker(f.int(shards), f.int(exchangeWorkers))
+				if !cut[w] {
+					late.cut(w)
+				}
 				cut[w] = true
-				w.setCut(true)
 			}
 			time.Sleep(time.Duration(8000+f.int(6000)) * time.Millisecond)
 			for w := range cut {
@@ -323,6 +326,7 @@
 			}
 		}
 		f.store.setTxnFault(nil)
+		late.end()
 		time.Sleep(30 * time.Second) // late transactions, leases, takeovers and waits in a guest shard are over
 		f.tasks.setFailAfter(func() time.Duration { return 0 })
 		time.Sleep(40 * time.Second)
@@ -336,7 +340,9 @@
 			assert.Check(t, f.runsOf(id) == want, "seed %d: job %s has %d runs, not %d", seed, id, f.runsOf(id), want)
 		}
 		f.checkNothingWaits(fmt.Sprintf("seed %d", seed))
-		t.Logf("%d tasks given, %d held, %d returned", f.decisions("give_task"), f.decisions("hold_task"), f.decisions("return_task"))
+		f.checkEndsAcknowledged(fmt.Sprintf("seed %d", seed))
+		t.Logf("%d tasks given, %d held, %d returned, %d late calls", f.decisions("give_task"), f.decisions("hold_task"),
+			f.decisions("return_task"), late.lateCalls.Load())
 		assert.Check(t, f.decisions("give_task") > 0 && f.decisions("hold_task") > 0, "no task moved")
 		f.end()
 	})
--- a/internal/entry/exchangeends_test.go
+++ b/internal/entry/exchangeends_test.go
@@ -209,7 +209,8 @@
 }
 
 // Guards against tasks that run twice or not at all, steps that begin too early, jobs that never end and workers with more runs than they have
-// room for, when owners are lost and transactions are late or lost at any step of a transfer of tasks that end and fail.
+// room for, when owners are lost and transactions are late or lost at any step of a transfer of tasks that end and fail. With odd seeds workers also
+// restart, and carry out calls for their earlier lifetimes.
 func TestTransfersOfStepsThatEndSurviveLossOfOwners(t *testing.T) {
 	for seed := range uint64(*exchangeSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runEndingTransfers(t, seed+uint64(*exchangeFirst)) })
@@ -230,21 +231,23 @@
 		f.fillShard(0)
 		f.addLasting(1, 1, exchangeWorkers*runsPerWorker-3, "")
 		f.store.setTxnFault(f.exchangeFault)
-		jobs := map[string]workflow.Job{}
+		late, jobs := f.delayTransfers(seed), map[string]workflow.Job{}
 		for round := range rounds {
 			for n := range jobsPerRound {
 				j := twoSteps(fmt.Sprintf("a%013d%02d", round, n), 1+f.int(4))
 				jobs[j.ID] = j
 				f.addJob(f.int(2), j)
 			}
-			var cut []*simulatedWorker
+			cut := map[*simulatedWorker]bool{}
 			for range exchangeWorkers {
 				w := f.worker(f.int(shards), f.int(exchangeWorkers))
-				cut = append(cut, w)
-				w.setCut(true)
+				if !cut[w] {
+					late.cut(w)
+				}
+				cut[w] = true
 			}
 			time.Sleep(time.Duration(5000+f.int(6000)) * time.Millisecond)
-			for _, w := range cut {
+			for w := range cut {
 				w.setCut(false)
 			}
 			if id := fmt.Sprintf("a%013d%02d", f.int(round+1), f.int(jobsPerRound)); f.int(4) == 0 {
@@ -255,6 +258,7 @@
 			}
 		}
 		f.store.setTxnFault(nil)
+		late.end()
 		time.Sleep(120 * time.Second)
 		completed := 0
 		for id, j := range jobs {
@@ -270,8 +274,9 @@
 			}
 		}
 		e.checkOrder(t)
-		t.Logf("%d jobs, %d complete; %d tasks given, %d held, %d returned", len(jobs), completed, f.decisions("give_task"), f.decisions("hold_task"),
-			f.decisions("return_task"))
+		f.checkEndsAcknowledged(fmt.Sprintf("seed %d", seed))
+		t.Logf("%d jobs, %d complete; %d tasks given, %d held, %d returned, %d late calls", len(jobs), completed, f.decisions("give_task"),
+			f.decisions("hold_task"), f.decisions("return_task"), late.lateCalls.Load())
 		assert.Check(t, f.decisions("give_task") > 0 && f.decisions("hold_task") > 0, "no task moved")
 		f.end()
 	})
--- a/internal/entry/latecalls_test.go
+++ b/internal/entry/latecalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	longestCallDelay  = 12 * time.Second
 )
 
+// transferDelayPercent is the share of the calls that are late during transfers between shards.
+const transferDelayPercent = 5
+
 // acknowledgementTime is how long ends may be listed without an acknowledgement once nothing is disturbed any more.
 const acknowledgementTime = 5 * time.Second
 
@@ -33,14 +37,66 @@
 }
 
 // delayShare returns a function for simulatedWorker.callDelay by which a share of the calls, in percent, is late until the faults are over.
-func (s *handoverSeries) delayShare(percent int) func(string) time.Duration {
+// It counts them.
+func (f *simulatedFleet) delayShare(percent int, isOver *atomic.Bool, lateCalls *atomic.Int64) func(string) time.Duration {
 	return func(string) time.Duration {
-		if s.isOver.Load() || s.int(100) >= percent {
+		if isOver.Load() || f.int(100) >= percent {
 			return 0
 		}
-		s.lateCalls.Add(1)
-		return s.drawCallDelay()
+		lateCalls.Add(1)
+		return f.drawCallDelay()
+	}
+}
+
+// lateTransfers makes workers restart and carry out calls late during transfers between shards.
+type lateTransfers struct {
+	*simulatedFleet
+	background sync.WaitGroup
+	isOver     atomic.Bool
+	// isEnabled is set for half of the seeds.
+	isEnabled bool
+	lateCalls atomic.Int64
+}
+
+func (f *simulatedFleet) delayTransfers(seed uint64) *lateTransfers {
+	l := &lateTransfers{simulatedFleet: f, isEnabled: seed%2 == 1}
+	for _, w := range f.workers {
+		w.mu.Lock()
+		w.maxLease = f.maxLease
+		if l.isEnabled {
+			w.callDelay = f.delayShare(transferDelayPercent, &l.isOver, &l.lateCalls)
+		}
+		w.mu.Unlock()
+	}
+	return l
+}
+
+// cut cuts a worker off from all hosts. It may restart before, shortly or while it is cut off.
+func (l *lateTransfers) cut(w *simulatedWorker) {
+	if !l.isEnabled || l.int(2) == 0 {
+		w.setCut(true)
+		return
+	}
+	w.crash()
+	away, untilCut := time.Duration(50+l.int(2000))*time.Millisecond, time.Duration(l.int(4000))*time.Millisecond
+	l.background.Go(func() {
+		time.Sleep(away)
+		w.restart()
+		l.store.put(w.ID, nil)
+	})
+	l.background.Go(func() {
+		time.Sleep(untilCut)
+		w.setCut(true)
+	})
+}
+
+// end connects all workers again, once those that restart are back, and ends the delays of calls.
+func (l *lateTransfers) end() {
+	l.background.Wait()
+	for _, w := range l.workers {
+		w.setCut(false)
 	}
+	l.isOver.Store(true)
 }
 
 // drawCallDelay returns after what time a call without a response is carried out.
--- a/internal/entry/restartedworkers_test.go
+++ b/internal/entry/restartedworkers_test.go
@@ -42,7 +42,7 @@
 	f.tasks.endOf = d.endOf
 	share, closesPort := 1+f.int(30), f.int(2) == 0
 	for _, id := range d.workerIDs() {
-		f.workers[id].callDelay, f.workers[id].closesPort = d.delayShare(share), closesPort
+		f.workers[id].callDelay, f.workers[id].closesPort = d.delayShare(share, &d.isOver, &d.lateCalls), closesPort
 		if f.int(3) == 0 {
 			f.workers[id].Labels = []string{"special"}
 		}
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -38,6 +38,8 @@
 	// lapsedEnd is the number of the latest end before the lease last expired. Ends up to it need not count.
 	lapsedEnd int64
 	leaseEnd  time.Time
+	// maxLease is the longest lease that the worker grants, whatever a call says.
+	maxLease time.Duration
 	// maxRuns is the number of runs for which the worker has room; 0 stands for no limit.
 	maxRuns int
 	mu      sync.Mutex
@@ -76,7 +78,8 @@
 		Worker: shard.Worker{
 			Address: id, Born: 1, Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
 		},
-		changed: make(chan struct{}), highestEnded: map[string]int{}, runs: map[string]shard.Start{}, started: time.Now(), tasks: tasks,
+		changed: make(chan struct{}), highestEnded: map[string]int{}, maxLease: maxWorkerLease, runs: map[string]shard.Start{},
+		started: time.Now(), tasks: tasks,
 	}
 	w.expiry = time.AfterFunc(retry.ShortestTimer, func() {
 		w.mu.Lock()
@@ -111,7 +114,7 @@
 	w.token = token
 	w.expire()
 	end := w.started.Add(w.onHostClock(time.Duration(until) * time.Millisecond))
-	if latest := time.Now().Add(w.onHostClock(maxWorkerLease)); end.After(latest) {
+	if latest := time.Now().Add(w.onHostClock(w.maxLease)); end.After(latest) {
 		end = latest
 	}
 	if end.After(w.leaseEnd) {
