--- a/internal/entry/exchangeends_test.go
+++ b/internal/entry/exchangeends_test.go
@@ -209,8 +209,8 @@
 }
 
 // Guards against tasks that run twice or not at all, steps that begin too early, jobs that never end and workers with more runs than they have
-// room for, when owners are lost and transactions are late or lost at any step of a transfer of tasks that end and fail. With odd seeds workers also
-// restart, and carry out calls for their earlier lifetimes.
+// room for, when owners are lost and transactions are late or lost at any step of a transfer of tasks that end and fail. With odd seeds
+// workers also restart, and carry out calls for their earlier lifetimes.
 func TestTransfersOfStepsThatEndSurviveLossOfOwners(t *testing.T) {
 	for seed := range uint64(*exchangeSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runEndingTransfers(t, seed+uint64(*exchangeFirst)) })
--- a/internal/entry/restartedworkers_test.go
+++ b/internal/entry/restartedworkers_test.go
@@ -39,6 +39,8 @@
 	f.callCost /= 10
 	f.logHook = &decisionCounter{counts: map[string]int{}}
 	d := &disturbances{handoverSeries: &handoverSeries{simulatedFleet: f}, failing: map[string]bool{}, refused: map[string]bool{}}
+	d.faultRate = max(f.int(20)-10, 0)
+	f.store.setTxnFault(d.txnFault)
 	f.tasks.endOf = d.endOf
 	share, closesPort := 1+f.int(30), f.int(2) == 0
 	for _, id := range d.workerIDs() {
@@ -67,8 +69,8 @@
 	when := fmt.Sprintf("seed %d", seed)
 	f.checkNothingWaits(when)
 	f.checkEndsAcknowledged(when)
-	t.Logf("%d changes of owners, %d late calls of %d %%, %d restarts of workers", strings.Count(f.ownerHistory(began), ":none"),
-		d.lateCalls.Load(), share, d.restarts())
+	t.Logf("%d changes of owners, %d late calls (%d %%), %d restarts of workers, faults of %d %% of the transactions",
+		strings.Count(f.ownerHistory(began), ":none"), d.lateCalls.Load(), share, d.restarts(), d.faultRate)
 	close(done)
 	f.end()
 }
@@ -120,12 +122,13 @@
 	})
 }
 
-// restartWorkers lets workers restart under their ids. Some are cut off afterwards, or are cut off without a restart.
+// restartWorkers lets workers restart under their ids, some of which leave the registry meanwhile. Some are cut off afterwards, or are cut
+// off without a restart.
 func (d *disturbances) restartWorkers(random *rand.Rand) {
 	ids, isBusy := d.workerIDs(), map[string]time.Time{}
 	for deadline := time.Now().Add(restartedTime); time.Now().Before(deadline); {
 		time.Sleep(time.Duration(100+random.IntN(1000)) * time.Millisecond)
-		id, kind := ids[random.IntN(len(ids))], random.IntN(4)
+		id, kind, leaves := ids[random.IntN(len(ids))], random.IntN(4), random.IntN(3) == 0
 		down, unread := time.Duration(20+random.IntN(2000))*time.Millisecond, time.Duration(0)
 		untilCut, cut := time.Duration(random.IntN(2500))*time.Millisecond, time.Duration(500+random.IntN(11_000))*time.Millisecond
 		if random.IntN(3) == 0 {
@@ -139,6 +142,9 @@
 		d.background.Go(func() {
 			if kind > 0 {
 				w.crash()
+				if leaves {
+					d.store.remove(id)
+				}
 				time.Sleep(down)
 				w.restart()
 				d.background.Go(func() {
