Give each lifetime of a worker a token of its own

A worker that is back under its id carries out calls that were meant for its earlier lifetime. It refuses lower tokens only, and an owner used one token for all lifetimes. So a late renewal prolonged the lease of the later lifetime to the longest, beyond what the owner knew, and a late start began a run after the worker had answered that it has none. The lease was also bounded from the moment at which the owner learned of the restart, although late calls prolong it until the worker refuses them.

The owner raises a worker's token when it learns of a restart, sends nothing else before a poll with that token is answered, and bounds the lease from that answer. Responses to orders with an earlier token say nothing of the present lifetime. Runs that the earlier lifetime has listed, and whose starts all have a response, count as ended at once; the others are looked up. A run without an attempt, of a task that goes on, is stopped and its task waits for its end. An owner that can't raise a token any more renews its claim.

TestRestartedWorkerKeepsEndsUntilTheyAreRecorded let a run that the earlier lifetime had listed go on in the later one; its start is now lost and repeated instead.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -216,7 +216,7 @@
 		}
 		pause := electionInterval
 		r.locked(func() {
-			if now := r.host.now(); r.mayAct(now) {
+			if now := r.host.now(); r.mayAct(now) && !r.requestToken() {
 				r.owner.NoteRenewal(r.host.session.renewedAt())
 				r.reportSummary(now)
 				a := r.owner.Step(now)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -179,6 +179,18 @@
 		Warn("worker rejected the current token because it knows a higher one; this host stops acting until its claim is renewed")
 }
 
+// requestToken stops the runner from acting until its claim is renewed if the owner has used its token up, and reports whether it has.
+// The caller holds r.mu.
+func (r *runner) requestToken() bool {
+	if !r.owner.NeedsToken() {
+		return false
+	}
+	r.deposed = true
+	r.host.ownedShards.wakeElection()
+	r.log.WithField("decision", "token_used_up").Warn("the token was raised for a worker as often as it can be; renewing the claim of the shard")
+	return true
+}
+
 // commit writes records, retrying until all of them are durable, or can't be written, or the runner stops. A job is in one transaction
 // only, so the transactions are written at the same time.
 func (r *runner) commit(c *shard.Commit) {
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -101,6 +101,10 @@
 		return
 	}
 	at.inFlight, at.starts = false, o.timing.withOutcome(at.starts, now, r.Outcome)
+	if s.Token != o.orderToken(at.worker) {
+		at.retryAt = now.Add(resendDelay)
+		return // the response may be of an earlier lifetime of the worker
+	}
 	at.worker.observeClock(r.Clock, now)
 	if at.phase != phaseSent && r.Outcome != OutcomeDone {
 		return // the run is being stopped, and the answer to the stop decides
@@ -152,6 +156,10 @@
 		return
 	}
 	at.inFlight = false
+	if s.Token != o.orderToken(at.worker) {
+		at.retryAt = now.Add(resendDelay)
+		return // the response may be of an earlier lifetime of the worker
+	}
 	at.worker.observeClock(r.Clock, now)
 	if r.Outcome != OutcomeDone {
 		at.retryAt = now.Add(resendDelay)
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -89,9 +89,7 @@
 	}
 	for _, ra := range rec.Attempts {
 		w := o.workerByID(ra.Worker)
-		if w.incarnation == 0 {
-			w.incarnation = ra.Born
-		}
+		w.incarnation = max(w.incarnation, ra.Born)
 		at := &attempt{
 			born: ra.Born, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1,
 		}
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -16,7 +16,7 @@
 	leaseFromHandover leaseOrigin = "handover"
 	// leaseFromRefusal: the moment at which this owner got a new token because the worker had refused the last one.
 	leaseFromRefusal leaseOrigin = "refusal"
-	// leaseFromWorkerRestart: the moment at which this owner learned that the worker had restarted.
+	// leaseFromWorkerRestart: the moment until which calls for an earlier lifetime of the worker can have renewed its lease.
 	leaseFromWorkerRestart leaseOrigin = "worker_restart"
 )
 
@@ -31,8 +31,9 @@
 	return leaseBound{end: granted.Add(t.LeaseBound(t.MaxWorkerLease)), origin: origin}
 }
 
-// leaseBound returns the time by which everything on the worker has certainly ended, provided that nothing more is sent. Calls that
-// are executed late don't extend it, since the lease end that they carry is absolute.
+// leaseBound returns the time by which everything has certainly ended that the lifetime of the worker which the owner knows runs, provided
+// that nothing more is sent. Calls for that lifetime that are executed late don't extend it, since the lease end that they carry is
+// absolute. Those for an earlier lifetime are refused once the worker has answered this owner.
 func (w *worker) leaseBound(t Timing) leaseBound {
 	bound := w.inheritedLease
 	if w.leaseEnd > 0 {
@@ -44,6 +45,27 @@
 	return bound
 }
 
+// clockDifference bounds how much the times of day of a worker and of an owner differ.
+const clockDifference = 10 * time.Second
+
+// noteAcceptedToken bounds what calls for an earlier lifetime of a worker did to the lease of the present one until it accepted this owner's
+// token: they name times on another clock, and the worker shortens the lease to the longest. If this is the first lifetime that the owner
+// knows of, owners before it may know an earlier one, and their calls can be carried out for CallDelay after the restart.
+func (o *Owner) noteAcceptedToken(now time.Time, w *worker, isFirst bool) {
+	last := now
+	if !w.hasRestarted {
+		if !isFirst {
+			return
+		}
+		age := time.Duration(o.wallClock().UnixMilli()-w.incarnation) * time.Millisecond
+		last = minTime(now, now.Add(o.timing.CallDelay+clockDifference-age))
+	}
+	w.hasRestarted = false
+	if bound := o.timing.longestLeaseFrom(last, leaseFromWorkerRestart); bound.end.After(w.inheritedLease.end) {
+		w.inheritedLease = bound
+	}
+}
+
 // leaseExpiry returns the end of leaseBound.
 func (w *worker) leaseExpiry(t Timing) time.Time { return w.leaseBound(t).end }
 
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -149,7 +149,10 @@
 
 // tokenBits is the number of low-order token bits reserved for raising the token of a single worker within one
 // ownership.
-const tokenBits = 8
+const (
+	tokenBits      = 8
+	maxTokenOffset = 1<<tokenBits - 1
+)
 
 // orderToken returns the fencing token that orders to the worker carry.
 func (o *Owner) orderToken(w *worker) int64 { return o.token<<tokenBits | w.tokenOffset }
@@ -162,7 +165,17 @@
 // be executed late.
 func (o *Owner) raiseToken(w *worker) {
 	w.fenced, w.nextPollAt = false, time.Time{}
-	w.tokenOffset = min(w.tokenOffset+1, 1<<tokenBits-1)
+	w.tokenOffset = min(w.tokenOffset+1, maxTokenOffset)
+}
+
+// NeedsToken reports whether the token of a worker can't be raised any more, so that the owner has to renew its claim for a higher one.
+func (o *Owner) NeedsToken() bool {
+	for _, w := range o.workers {
+		if w.tokenOffset == maxTokenOffset {
+			return true
+		}
+	}
+	return false
 }
 
 // SetToken replaces the token after the shard was taken again with no other owner in between.
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -115,15 +116,18 @@
 	w.pollFailures, w.refusal = 0, w.withAnswer()
 	w.answeredAt = now
 	w.nextPollAt = now.Add(o.timing.PollInterval)
-	if list.Born != 0 && w.incarnation != list.Born {
-		if w.incarnation != 0 {
-			o.handleRestart(now, w, list.Born)
-		}
+	isNew := list.Born != 0 && w.incarnation == 0
+	if isNew {
 		w.incarnation = list.Born
 	}
+	if list.Born != 0 && w.incarnation != list.Born {
+		o.handleRestart(now, w, list.Born)
+		return // the poll carried the token of the earlier lifetime
+	}
 	w.observeClock(list.Clock, now)
 	if !w.fenced {
 		w.fenced = true
+		o.noteAcceptedToken(now, w, isNew)
 		if len(w.attempts) > 0 {
 			w.nextPollAt = now // renew the lease at once, as the worker's clock is now known
 		}
@@ -194,7 +198,8 @@
 	}
 }
 
-// handleRestart resets the state of a worker that has restarted. All runs of its earlier lifetime have ended.
+// handleRestart resets the state of a worker that has restarted. All runs of its earlier lifetime have ended. The token is raised, so that
+// the new lifetime refuses the calls for the earlier one as soon as it has answered a poll.
 func (o *Owner) handleRestart(now time.Time, w *worker, incarnation int64) {
 	starts, polls, _ := w.callsWithoutResponse()
 	o.observeLifetime(eventRestart, 1)
@@ -202,16 +207,21 @@
 	o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
 		"decision": "worker_reborn", "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
 	}).Warn("worker restarted; its earlier runs have ended")
+	before := w.incarnation
+	w.hasRestarted = true
 	w.incarnation, w.lastEnd, w.recordedEnd, w.ackedEnd = incarnation, 0, 0, 0
 	w.unrecordedEnds = nil
-	w.leaseEnd, w.clock, w.clockAt, w.fenced = 0, 0, time.Time{}, false
-	w.nextPollAt = time.Time{}
+	w.leaseEnd, w.clock, w.clockAt = 0, 0, time.Time{}
+	o.raiseToken(w)
 	w.health, w.refusal, w.longTailSince = health{}, refusal{}, time.Time{}
 	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
-	for _, at := range w.attempts {
-		// A start may have reached the new lifetime before this owner learned of the restart, so the next listing
-		// decides whether the run exists.
-		if at.isSent() && at.phase != phaseSent {
+	for _, at := range slices.Clone(w.attempts) {
+		switch {
+		case !at.isSent():
+		case at.listedIn == before && before != 0 && at.starts.Count() == 0:
+			o.removeAttempt(at, "worker restarted")
+		default:
+			// The new lifetime may have carried out a start, so the next listing decides whether the run exists.
 			at.phase = phaseInherited
 		}
 	}
@@ -299,12 +309,16 @@
 	for _, r := range list.Running {
 		t := o.task(r.Job, r.Key)
 		at := w.attemptOf(t, r.Run)
+		if at == nil {
+			at = o.adoptStray(now, w, t, r)
+		}
 		if at == nil {
 			o.stopOrphan(w, r)
 			w.orphans++
 			continue
 		}
 		listed[at] = true
+		at.listedIn, at.starts = w.incarnation, at.starts.WithEffect()
 		at.measurement = r.Measurement
 		if r.Checkpoint != "" {
 			t.checkpoint = r.Checkpoint
@@ -314,6 +328,9 @@
 			if !at.runningSince.IsZero() {
 				at.confirmedAt = at.runningSince
 			}
+			if at.stopCause != "" {
+				at.phase, at.retryAt = phaseStopping, time.Time{} // the earlier lifetime was told to stop the run
+			}
 		}
 		if at.pace < 0 {
 			at.pace = r.Percent
@@ -328,7 +345,7 @@
 		case at.phase == phaseInherited && o.mayResend(w, at):
 			at.markReady(now)
 		case at.phase == phaseInherited:
-			o.removeAttempt(at, "the earlier owner's start was not carried out")
+			o.removeAttempt(at, "the start was not carried out")
 		case at.phase == phaseRunning, at.phase == phaseStopped:
 			o.removeAttempt(at, "the worker no longer lists the run")
 		}
@@ -346,15 +363,7 @@
 
 // stopOrphan stops a run that is not on record, or that already counts as ended.
 func (o *Owner) stopOrphan(w *worker, r RunningRow) {
-	t := o.task(r.Job, r.Key)
-	hasEnded := t != nil && r.Run <= t.run
-	if hasEnded {
-		o.observeLifetime(eventRunAfterEnd, 1)
-	}
-	o.log.WithFields(logrus.Fields{
-		"decision": "stop_stray", "job": r.Job, "task": r.Key.String(), "run": r.Run, "worker": w.ID, "born": w.incarnation,
-		"counted_as_ended": hasEnded,
-	}).Warn("worker runs a task without a recorded attempt; stopping the run")
+	o.logStray(w, r, o.task(r.Job, r.Key))
 	o.orphanStops = append(o.orphanStops, Stop{Order: o.newOrder(w), Job: r.Job, Key: r.Key, Run: r.Run, Reason: "stray"})
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -38,6 +38,8 @@
 	born int64
 	// confirmedAt is when the worker answered the start or the stop, or first listed the run.
 	confirmedAt time.Time
+	// listedIn is the lifetime of the worker that listed the run last; 0 if none has.
+	listedIn int64
 	// measurement is the value that the worker listed last for the run: a tail latency or CPU use.
 	measurement float64
 	// runningSince is when the run of an earlier owner began, if that owner handed it over.
@@ -255,6 +257,8 @@
 	endKnownAt time.Time
 	// fenced is true once the worker has accepted the owner's token.
 	fenced bool
+	// hasRestarted is set from a restart that this owner learned of until the new lifetime has accepted its token.
+	hasRestarted bool
 	// excess is the smoothed difference between the measured pressure on the serving tasks and the pressure that the
 	// model expects.
 	excess float64
