Start a task elsewhere only when no lifetime can carry out its earlier start

A start without a response may be carried out seconds later, by whatever lifetime of the worker is there then. A worker that restarts behind a cut has not seen any token, and the lease that it gives the run, and that late renewals prolong, has nothing to do with the one that the owner granted. The owner counted the run as ended once that lease was over, or once one lifetime did not list it.

An owner now tracks the calls of a worker that have no response. A run with such a start counts as ended when the start can't be carried out any more (12 s) and the longest lease after that is over, or when the worker answers without it. In the latter case the next run may start on that worker only until the start is too old: what the worker may find there blocks the task. Polls of a worker that does not answer carry no lease end, since a later lifetime would be given the longest lease.

TestStartWithLostAnswerIsLookedUpInEvacuatedZone expected a start elsewhere within 2 s although the first one may be carried out late; it now expects none within 2 s and one within 12 s.

--- a/internal/shard/acknowledge.go
+++ b/internal/shard/acknowledge.go
@@ -13,9 +13,10 @@
 		return Poll{}, false
 	}
 	o.seq++
-	w.pollInFlight, w.pollSeq, w.polls = true, o.seq, w.polls.WithSent()
+	w.pollInFlight, w.pollSeq = true, o.seq
 	next = p
 	next.LastSeen, next.Seq, next.Until, next.omitsAcknowledgement = w.recordedEnd, o.seq, w.renewLease(now, o.renewedAt, o.timing), false
+	w.noteRenewal(next)
 	if w.recordedEnd < w.lastEnd {
 		next.Wait = 0
 	}
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -95,6 +95,7 @@
 		if len(done.Bits) > 0 {
 			p.Done = append(p.Done, done)
 		}
+		p.LateStarts = append(p.LateStarts, o.recordLateStarts(occ)...)
 	}
 	return p
 }
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -101,6 +101,9 @@
 		return
 	}
 	at.inFlight, at.starts = false, o.timing.withOutcome(at.starts, now, r.Outcome)
+	if r.Outcome == OutcomeUnknown {
+		o.markDirty(at.task.job) // the next owner has to know that the start may be carried out late
+	}
 	if s.Token != o.orderToken(at.worker) {
 		at.retryAt = now.Add(resendDelay)
 		return // the response may be of an earlier lifetime of the worker
--- a/internal/shard/evacuate_test.go
+++ b/internal/shard/evacuate_test.go
@@ -124,7 +124,7 @@
 }
 
 // Guards against a start that is repeated in an evacuated zone because its answer was lost, against a task that is started a second time
-// although its run exists there, and against one that waits until its worker's lease is over although no run exists.
+// although its run exists there, and against one that waits for longer than the start may be carried out late although no run exists.
 func TestStartWithLostAnswerIsLookedUpInEvacuatedZone(t *testing.T) {
 	const job = "0000000000000001"
 	for _, exists := range []bool{false, true} {
@@ -143,6 +143,9 @@
 		c.register()
 		c.run(2 * time.Second)
 		assert.Equal(t, c.startsIn("z", 0), 0)
+		assert.Equal(t, len(c.running), map[bool]int{false: 0, true: 1}[exists], "runs while the start may be carried out late")
+		c.run(10 * time.Second)
+		assert.Equal(t, c.startsIn("z", 0), 0)
 		assert.Equal(t, len(c.running), 1)
 		assert.Equal(t, c.running[0].Worker, map[bool]string{false: "c2", true: "a0"}[exists])
 	}
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if !t.isWaiting() || t.isInLocalWait(now) {
+			if !t.isWaiting() || t.isInLocalWait(now) || t.hasLateStart(now) {
 				continue
 			}
 			isUnsuited := !o.suitsStep(t.step, j.queue.Service, suits)
@@ -175,7 +175,7 @@
 		if given == limit {
 			break
 		}
-		if o.isHandingOver || o.jobs[j.ID] != j || !o.mayShare(j) || !t.isWaiting() {
+		if o.isHandingOver || o.jobs[j.ID] != j || !o.mayShare(j) || !t.isWaiting() || t.hasLateStart(now) {
 			continue
 		}
 		if j.shared == nil {
@@ -291,6 +291,10 @@
 			if tr.arrivedAt.IsZero() {
 				tr.arrivedAt = now // an earlier owner took the task
 			}
+			if t.hasLateStart(now) {
+				a.wakeAt(t.lateStarts.Until())
+				continue
+			}
 			since := t.waitsSince(tr.arrivedAt)
 			if since.IsZero() {
 				continue // the next placement round or report notes since when it waits
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -83,6 +83,7 @@
 // Handover returns what the next owner has to know. The caller must send no order after this call.
 func (o *Owner) Handover(now time.Time) Handover {
 	o.dropAttemptsWithoutRoom()
+	o.noteUnansweredStarts(now)
 	o.boundRefusedLeases(now)
 	h := Handover{Progress: o.unrecordedProgress(now), Waiting: o.interruptions(now)}
 	for _, w := range o.sortedWorkers() {
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -37,6 +37,7 @@
 	for _, rec := range p.Tasks {
 		o.restoreTask(now, n, rec)
 	}
+	o.restoreLateStarts(n, p.LateStarts)
 	if shared != nil || len(p.Guests) > 0 {
 		o.restoreSharing(now, n, p, shared)
 	}
@@ -91,7 +92,7 @@
 		w := o.workerByID(ra.Worker)
 		w.incarnation = max(w.incarnation, ra.Born)
 		at := &attempt{
-			born: ra.Born, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1,
+			born: ra.Born, isStartUnknown: o.inherited == nil, phase: phaseInherited, run: ra.Run, sentAt: now, task: t, worker: w, pace: -1,
 		}
 		if o.inherited != nil {
 			at.runningSince = o.since(o.inherited.Running, n.ID, k, ra.Run)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -16,6 +16,8 @@
 	leaseFromHandover leaseOrigin = "handover"
 	// leaseFromRefusal: the moment at which this owner got a new token because the worker had refused the last one.
 	leaseFromRefusal leaseOrigin = "refusal"
+	// leaseFromLateStart: the moment until which a later lifetime of the worker can carry out a start that has no response.
+	leaseFromLateStart leaseOrigin = "late_start"
 	// leaseFromWorkerRestart: the moment until which calls for an earlier lifetime of the worker can have renewed its lease.
 	leaseFromWorkerRestart leaseOrigin = "worker_restart"
 )
@@ -66,6 +68,26 @@
 	}
 }
 
+// endBound returns the bound for the end of a run, given the one for the lease of the lifetime that the owner knows. A later lifetime may
+// carry out a start that has no response, and then the renewals under way.
+func (o *Owner) endBound(now time.Time, at *attempt, lease leaseBound) leaseBound {
+	until := at.starts.Until(now, o.timing.CallDelay)
+	isOfEarlierLifetime := at.phase == phaseInherited && at.born != at.worker.incarnation && at.worker.incarnation != 0
+	if isOfEarlierLifetime && at.isStartUnknown {
+		until = maxTime(until, o.acquiredAt.Add(o.timing.CallDelay))
+	}
+	if isOfEarlierLifetime || !until.IsZero() {
+		until = maxTime(until, at.worker.renewals.Until(now, o.timing.CallDelay))
+	}
+	if until.IsZero() {
+		return lease
+	}
+	if bound := o.timing.longestLeaseFrom(until, leaseFromLateStart); bound.end.After(lease.end) {
+		return bound
+	}
+	return lease
+}
+
 // leaseExpiry returns the end of leaseBound.
 func (w *worker) leaseExpiry(t Timing) time.Time { return w.leaseBound(t).end }
 
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -224,7 +224,7 @@
 			o.log.WithFields(logrus.Fields{"decision": "worker_left", "worker": id, "runs": len(w.attempts)}).
 				Info("worker is no longer registered")
 		}
-		if len(w.attempts) == 0 && !now.Before(w.leaseExpiry(o.timing)) {
+		if len(w.attempts) == 0 && !now.Before(maxTime(w.leaseExpiry(o.timing), w.lateStartsUntil)) {
 			if w.tokenOffset > 0 {
 				o.tokenOffsets[id] = w.tokenOffset
 			}
@@ -288,8 +288,8 @@
 	}
 }
 
-// expireLeases removes the attempts on workers whose lease expired. A worker without attempts that were sent has nothing that a
-// lease could end. It was not polled, so it has to answer a poll before it is sent a start.
+// expireLeases removes the attempts whose runs have ended because the lease of their worker expired. A worker without attempts that were
+// sent has nothing that a lease could end. It was not polled, so it has to answer a poll before it is sent a start.
 func (o *Owner) expireLeases(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
 		if len(w.attempts) == 0 {
@@ -307,6 +307,16 @@
 			}
 			continue
 		}
+		sent = slices.DeleteFunc(sent, func(at *attempt) bool {
+			end := o.endBound(now, at, bound).end
+			if now.Before(end) {
+				a.wakeAt(end)
+			}
+			return now.Before(end)
+		})
+		if len(sent) == 0 {
+			continue
+		}
 		reason := "worker did not answer until its lease expired; its runs count as ended"
 		if w.pollFailures == 0 {
 			reason = "lease of the worker was not renewed in time; its runs count as ended"
@@ -327,6 +337,7 @@
 	at.worker.remove(at)
 	if at.isSent() {
 		at.worker.endKnownAt = o.now
+		o.noteLateStarts(at)
 	}
 	t := at.task
 	for i, other := range t.attempts {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -82,6 +82,8 @@
 		case !t.isWaiting(), !t.mayBegin():
 		case now.Before(t.notBefore):
 			o.waitUntil(t.notBefore)
+		case t.hasLateStart(now):
+			o.placeBesideLateStart(now, t)
 		case !isFull, t.hasHold(now), t.mayEvict(now) && o.mayHoldMore():
 			isFull = !o.placeTask(now, t, unplaceable) || isFull
 		}
--- a/internal/shard/placegang.go
+++ b/internal/shard/placegang.go
@@ -19,6 +19,10 @@
 			o.waitUntil(t.notBefore)
 			return
 		}
+		if t.hasLateStart(now) {
+			o.waitUntil(t.lateStarts.Until())
+			return
+		}
 		run = max(run, t.run)
 	}
 	local, tried := o.gangRacks(tasks[0].step)
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -42,8 +42,9 @@
 			firstPolls++
 		}
 		o.seq++
-		w.pollInFlight, w.pollSeq, w.polledAt, w.polls = true, o.seq, now, w.polls.WithSent()
+		w.pollInFlight, w.pollSeq, w.polledAt = true, o.seq, now
 		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.renewedAt, o.timing)}
+		w.noteRenewal(p)
 		if now.Sub(w.answeredAt) < maxAckGap {
 			p.LastSeen = w.recordedEnd
 		} else {
@@ -99,7 +100,7 @@
 	if w == nil {
 		return
 	}
-	w.polls = w.polls.WithResponse()
+	w.noteRenewalOutcome(now, p, OutcomeDone, o.timing)
 	if p.Seq != w.pollSeq {
 		return // superseded by a later poll
 	}
@@ -125,6 +126,7 @@
 		return // the poll carried the token of the earlier lifetime
 	}
 	w.observeClock(list.Clock, now)
+	w.isRenewalLost = w.isRenewalLost && p.Until == 0
 	if !w.fenced {
 		w.fenced = true
 		o.noteAcceptedToken(now, w, isNew)
@@ -163,12 +165,13 @@
 	if w == nil {
 		return
 	}
-	w.polls = o.timing.withOutcome(w.polls, now, outcome)
+	w.noteRenewalOutcome(now, p, outcome, o.timing)
 	if p.Seq != w.pollSeq {
 		return
 	}
 	w.pollInFlight = false
 	w.pollFailures++
+	w.isRenewalLost = w.isRenewalLost || p.Until > 0
 	w.nextPollAt = now.Add(o.timing.PollRetryDelay * time.Duration(min(w.pollFailures, 4)))
 	if w.pollFailures == 1 {
 		o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
@@ -201,9 +204,9 @@
 // handleRestart resets the state of a worker that has restarted. All runs of its earlier lifetime have ended. The token is raised, so that
 // the new lifetime refuses the calls for the earlier one as soon as it has answered a poll.
 func (o *Owner) handleRestart(now time.Time, w *worker, incarnation int64) {
-	starts, polls, _ := w.callsWithoutResponse()
+	starts, renewals, _ := w.callsWithoutResponse()
 	o.observeLifetime(eventRestart, 1)
-	o.observeLifetime(eventCallOutlastsLifetime, starts+polls)
+	o.observeLifetime(eventCallOutlastsLifetime, starts+renewals)
 	o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
 		"decision": "worker_reborn", "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
 	}).Warn("worker restarted; its earlier runs have ended")
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -38,6 +38,8 @@
 	born int64
 	// confirmedAt is when the worker answered the start or the stop, or first listed the run.
 	confirmedAt time.Time
+	// isStartUnknown is set if an earlier owner recorded the attempt and did not say whether its start has a response.
+	isStartUnknown bool
 	// listedIn is the lifetime of the worker that listed the run last; 0 if none has.
 	listedIn int64
 	// measurement is the value that the worker listed last for the run: a tail latency or CPU use.
@@ -106,7 +108,9 @@
 	isAway bool
 	job    *job
 	key    workflow.TaskKey
-	local  localWait
+	// lateStarts holds the starts of ended runs that may still be carried out.
+	lateStarts workercall.LateStarts
+	local      localWait
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	run       int
@@ -279,8 +283,12 @@
 	// polledAt is when the last poll was due.
 	polledAt time.Time
 	pollSeq  int64
-	// polls holds the polls of all lifetimes that may still be carried out.
-	polls workercall.Pending
+	// isRenewalLost is set while the last renewal of the lease has no response.
+	isRenewalLost bool
+	// renewals holds the polls that renew the lease and may still be carried out.
+	renewals workercall.Pending
+	// lateStartsUntil is until when starts of runs that have ended may be carried out.
+	lateStartsUntil time.Time
 	// lastEnd is the number of the newest end that the worker listed, recordedEnd that of the newest end that is
 	// durably recorded, and ackedEnd that of the newest end acknowledged to the worker, which may forget ends up to it.
 	recordedEnd, ackedEnd int64
@@ -307,30 +315,29 @@
 	view *view
 }
 
-// idleRenewalAt returns when the lease of a worker without runs is to be renewed, on a clock as fast as the owner's. If polls got no
-// answer, or this owner has not granted a lease yet, that is at once.
+// idleRenewalAt returns when the lease of a worker without runs is to be renewed, on a clock as fast as the owner's. If polls or the last
+// renewal got no answer, or this owner has not granted a lease yet, that is at once.
 func (w *worker) idleRenewalAt(t Timing) time.Time {
-	if w.pollFailures > 0 || w.leaseEnd == 0 {
+	if w.pollFailures > 0 || w.leaseEnd == 0 || w.isRenewalLost {
 		return time.Time{}
 	}
 	return w.clockAt.Add(time.Duration(w.leaseEnd-w.clock)*time.Millisecond - t.IdleRenewalMargin)
 }
 
 // renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not
-// answer is not extended, so that it expires and the tasks can be started elsewhere. Without a renewal of the owner's own lease, the
+// answer is not extended, so that it expires and the tasks can be started elsewhere: a repeated end could renew the lease of a later
+// lifetime, whose clock has begun anew. Without a renewal of the owner's own lease, the
 // worker's lease is extended up to LeaseFromRenewal only.
 func (w *worker) renewLease(now, ownerRenewedAt time.Time, t Timing) int64 {
-	if w.clockAt.IsZero() {
+	if w.clockAt.IsZero() || w.pollFailures > 0 {
 		return 0
 	}
-	if w.pollFailures == 0 {
-		lease := t.WorkerLease
-		if !ownerRenewedAt.IsZero() {
-			lease = min(lease, ownerRenewedAt.Add(t.LeaseFromRenewal).Sub(now))
-		}
-		leaseEnd := w.clock + now.Sub(w.clockAt).Milliseconds() + lease.Milliseconds()
-		w.leaseEnd = max(w.leaseEnd, leaseEnd)
+	lease := t.WorkerLease
+	if !ownerRenewedAt.IsZero() {
+		lease = min(lease, ownerRenewedAt.Add(t.LeaseFromRenewal).Sub(now))
 	}
+	leaseEnd := w.clock + now.Sub(w.clockAt).Milliseconds() + lease.Milliseconds()
+	w.leaseEnd = max(w.leaseEnd, leaseEnd)
 	return w.leaseEnd
 }
 
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -115,7 +115,7 @@
 func (o *Owner) logLeaseWait(now time.Time, d dueWait) {
 	t := d.task
 	w := t.attempts[0].worker
-	bound := w.leaseBound(o.timing)
+	bound := o.endBound(now, t.attempts[0], w.leaseBound(o.timing))
 	o.log.WithFields(logrus.Fields{
 		"decision": "wait_lease", "job": t.job.ID, "task": t.key.String(), "waited": d.waited.String(), "run": t.attempts[0].run,
 		"worker": w.ID, "registered": w.registered, "poll_failures": w.pollFailures, "lease_over_in": bound.end.Sub(now).String(),
--- a/internal/shard/workercalls.go
+++ b/internal/shard/workercalls.go
@@ -34,26 +34,26 @@
 	return p.WithResponse()
 }
 
-// callsWithoutResponse returns the numbers of starts and polls of a worker that have no response, and when the first of them was given
+// callsWithoutResponse returns the numbers of starts and renewals of the lease of a worker that have no response, and when the first of them was given
 // up; the time is zero if all are in flight.
-func (w *worker) callsWithoutResponse() (starts, polls int, since time.Time) {
-	polls, since = w.polls.Count(), w.polls.Since()
+func (w *worker) callsWithoutResponse() (starts, renewals int, since time.Time) {
+	renewals, since = w.renewals.Count(), w.renewals.Since()
 	for _, at := range w.attempts {
 		starts += at.starts.Count()
 		if s := at.starts.Since(); !s.IsZero() && (since.IsZero() || s.Before(since)) {
 			since = s
 		}
 	}
-	return starts, polls, since
+	return starts, renewals, since
 }
 
 // lifetimeFields describes the lifetime of a worker that the owner knows, its lease on both clocks, and the calls without a response.
 func (o *Owner) lifetimeFields(now time.Time, w *worker) logrus.Fields {
-	starts, polls, since := w.callsWithoutResponse()
+	starts, renewals, since := w.callsWithoutResponse()
 	bound := w.leaseBound(o.timing)
 	fields := logrus.Fields{
 		"born": w.incarnation, "counts_from": string(bound.origin), "lease_over_in": bound.end.Sub(now).String(), "worker": w.ID,
-		"starts_without_response": starts, "polls_without_response": polls,
+		"starts_without_response": starts, "renewals_without_response": renewals,
 	}
 	if !w.clockAt.IsZero() {
 		fields["clock_ms"], fields["clock_age"], fields["lease_end_ms"] = w.clock, now.Sub(w.clockAt).String(), w.leaseEnd
@@ -63,3 +63,17 @@
 	}
 	return fields
 }
+
+// noteRenewal notes a poll that is sent if it renews the lease.
+func (w *worker) noteRenewal(p Poll) {
+	if p.Until > 0 {
+		w.renewals = w.renewals.WithSent()
+	}
+}
+
+// noteRenewalOutcome notes the outcome of a poll if it renews the lease.
+func (w *worker) noteRenewalOutcome(now time.Time, p Poll, outcome Outcome, t Timing) {
+	if p.Until > 0 {
+		w.renewals = t.withOutcome(w.renewals, now, outcome)
+	}
+}
--- a/internal/workercall/pending.go
+++ b/internal/workercall/pending.go
@@ -55,13 +55,19 @@
 // Until returns the time until which a call may be carried out that was sent until now, given the longest delay of a call; it is the
 // zero time if there is none.
 func (p Pending) Until(now time.Time, delay time.Duration) time.Time {
-	switch {
-	case p.inFlight > 0:
+	if p.inFlight > 0 {
 		return now.Add(delay)
-	case p.lost > 0:
-		return p.lastLost.Add(delay)
 	}
-	return time.Time{}
+	return p.LostUntil(delay)
+}
+
+// LostUntil returns the time until which a lost call may be carried out, given the longest delay of a call; it is the zero time if there
+// are none.
+func (p Pending) LostUntil(delay time.Duration) time.Time {
+	if p.lost == 0 {
+		return time.Time{}
+	}
+	return p.lastLost.Add(delay)
 }
 
 // Count returns the number of calls without a response.
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -45,6 +45,14 @@
 	Run int
 }
 
+// LateStart is a start of a run that has no response. Its worker may carry it out in a later lifetime, also after the run has ended.
+type LateStart struct {
+	_      struct{} `cbor:",toarray"`
+	Key    TaskKey
+	Run    int
+	Worker string
+}
+
 // Progress is the recorded progress of a job, written by the owner of its shard.
 type Progress struct {
 	// DoneThrough is the number of leading occurrences whose tasks are all done; their tasks have no records.
@@ -56,6 +64,8 @@
 	Transfers []Transfer `cbor:"3,keyasint,omitempty"`
 	// Done lists the done tasks that have no record in Tasks; the job's own record is a CompactJob then.
 	Done []DoneTasks `cbor:"6,keyasint,omitempty"`
+	// LateStarts holds the starts without a response that may still be carried out.
+	LateStarts []LateStart `cbor:"7,keyasint,omitempty"`
 	// Settings holds the last settings of the job's queue if they are not those of the job's record.
 	Settings *QueueSettings `cbor:"5,keyasint,omitempty"`
 }
