Withhold acknowledgements while a lost start may begin a run again

The start of the run had been repeated; the first one, without a response until then, was carried out by a later lifetime of the worker after the run was done and acknowledged. And an acknowledgement for the earlier lifetime, carried out late, made the later one forget the end of such a run before the owner had seen it.

Ends of a worker are acknowledged only once no start without a response can be carried out there (12 s); until then they are kept, with the lease. If an acknowledgement gets no response, the token is raised, so that a lifetime that carries out a later start refuses it. Polls name the last recorded end only if it is not acknowledged yet.

--- a/internal/shard/acknowledge.go
+++ b/internal/shard/acknowledge.go
@@ -9,7 +9,7 @@
 	w := o.workers[p.Worker]
 	// The worker has answered after sent, however late the owner handles the answer.
 	if w == nil || !p.omitsAcknowledgement || now.Sub(sent) >= maxAckGap || p.Seq != w.pollSeq || w.pollInFlight ||
-		p.Token != o.orderToken(w) || !w.fenced || w.ackedEnd >= w.recordedEnd {
+		p.Token != o.orderToken(w) || !w.fenced || w.ackedEnd >= w.recordedEnd || o.withholdsAcknowledgement(now, w) {
 		return Poll{}, false
 	}
 	o.seq++
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +63,14 @@
 	}
 }
 
+// withholdsAcknowledgement reports whether the ends of a worker are not acknowledged yet because a start without a response may still be
+// carried out there: a task must not start after an end of it counts, and a late acknowledgement must not reach what such a start began.
+func (o *Owner) withholdsAcknowledgement(now time.Time, w *worker) bool {
+	return now.Before(w.lateStartsUntil) || slices.ContainsFunc(w.attempts, func(at *attempt) bool {
+		return now.Before(at.starts.LostUntil(o.timing.CallDelay))
+	})
+}
+
 // recordLateStarts returns the starts without a response of an occurrence's tasks for the record of the job.
 func (o *Owner) recordLateStarts(occ *occurrence) []workflow.LateStart {
 	var out []workflow.LateStart
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -29,9 +29,12 @@
 		}
 		due := maxTime(w.nextPollAt, w.shunnedUntil)
 		if !o.needsPoll(w) {
-			if len(w.unrecordedEnds) == 0 {
+			if len(w.unrecordedEnds) == 0 && w.ackedEnd >= w.recordedEnd {
 				continue
 			}
+			if now.Before(w.lateStartsUntil) {
+				a.wakeAt(w.lateStartsUntil)
+			}
 			due = maxTime(due, w.idleRenewalAt(o.timing))
 		}
 		if now.Before(due) {
@@ -45,10 +48,12 @@
 		w.pollInFlight, w.pollSeq, w.polledAt = true, o.seq, now
 		p := Poll{Order: o.newOrder(w), Seq: o.seq, Until: w.renewLease(now, o.renewedAt, o.timing)}
 		w.noteRenewal(p)
-		if now.Sub(w.answeredAt) < maxAckGap {
+		switch {
+		case w.ackedEnd >= w.recordedEnd, o.withholdsAcknowledgement(now, w):
+		case now.Sub(w.answeredAt) < maxAckGap:
 			p.LastSeen = w.recordedEnd
-		} else {
-			p.omitsAcknowledgement = w.ackedEnd < w.recordedEnd
+		default:
+			p.omitsAcknowledgement = true
 		}
 		if w.fenced && len(w.attempts) > 0 && w.recordedEnd == w.lastEnd {
 			p.Wait = o.timing.PollWait
@@ -91,7 +96,8 @@
 	if !w.fenced {
 		return w.registered || len(w.attempts) > 0
 	}
-	return w.ackedEnd < w.recordedEnd || w.orphans > 0 || w.pollFailures > 0 && w.registered || w.hasSentAttempts()
+	return w.ackedEnd < w.recordedEnd && !o.withholdsAcknowledgement(o.now, w) || w.orphans > 0 ||
+		w.pollFailures > 0 && w.registered || w.hasSentAttempts()
 }
 
 // Polled handles a worker's answer to a poll that was sent at sent.
@@ -147,7 +153,7 @@
 	if w.lastEnd == w.recordedEnd && len(list.Ended) == 0 && len(w.attempts) > 0 && w.nextPollAt.After(now) && p.Wait > 0 {
 		w.nextPollAt = now // the long poll timed out without an end, so no pause is needed
 	}
-	if w.recordedEnd < w.lastEnd && w.nextPollAt.After(now) {
+	if (w.recordedEnd < w.lastEnd || o.withholdsAcknowledgement(now, w)) && w.nextPollAt.After(now) {
 		w.nextPollAt = now.Add(o.timing.UnrecordedPollInterval)
 	}
 }
@@ -172,6 +178,9 @@
 	w.pollInFlight = false
 	w.pollFailures++
 	w.isRenewalLost = w.isRenewalLost || p.Until > 0
+	if p.LastSeen > 0 && outcome == OutcomeUnknown {
+		w.outdateAcknowledgement()
+	}
 	w.nextPollAt = now.Add(o.timing.PollRetryDelay * time.Duration(min(w.pollFailures, 4)))
 	if w.pollFailures == 1 {
 		o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
