--- a/internal/entry/latecalls_test.go
+++ b/internal/entry/latecalls_test.go
@@ -148,7 +148,7 @@
 func (w *simulatedWorker) handleStart(ctx context.Context, s shard.Start) shard.Reply {
 	name := s.Key.Name(s.Job)
 	isHeld := w.holds(s.Job, func(delay time.Duration) {
-		w.tasks.note(name, "start of run %d is sent to %s, lifetime %d, token %d; late by %s", s.Run, w.ID, w.Born, s.Token, delay)
+		w.tasks.note(name, "start of run %d is sent to %s, lifetime %d, token %d; late by %s", s.Run, w.ID, w.restarts+1, s.Token, delay)
 	}, func() { w.executeStart(s) })
 	if isHeld {
 		<-ctx.Done()
--- a/internal/entry/restartedworkers_test.go
+++ b/internal/entry/restartedworkers_test.go
@@ -76,10 +76,12 @@
 }
 
 // restarts returns how often workers have restarted.
-func (f *simulatedFleet) restarts() int64 {
-	n := int64(0)
+func (f *simulatedFleet) restarts() int {
+	n := 0
 	for _, w := range f.workers {
-		n += w.entry().Born - 1
+		w.mu.Lock()
+		n += w.restarts
+		w.mu.Unlock()
 	}
 	return n
 }
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -47,10 +47,12 @@
 	polls []acceptedPoll
 	// refused lists the orders that the worker refused because of their token.
 	refused []refusedOrder
-	runs    map[string]shard.Start
-	started time.Time
-	tasks   *taskLog
-	token   int64
+	// restarts is the number of lifetimes before the present one.
+	restarts int
+	runs     map[string]shard.Start
+	started  time.Time
+	tasks    *taskLog
+	token    int64
 	// isUnreachable is set while calls to the worker fail. Those that are late may still be carried out.
 	isUnreachable atomic.Bool
 }
@@ -76,7 +78,7 @@
 func newSimulatedWorker(id, rack string, tasks *taskLog) *simulatedWorker {
 	w := &simulatedWorker{
 		Worker: shard.Worker{
-			Address: id, Born: 1, Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
+			Address: id, Born: time.Now().Add(-time.Hour).UnixMilli(), Capacity: fleet.Resources{CPUMilli: 8_000, MemoryMiB: 64_000}, ID: id, Rack: rack, Service: "s", Zone: "z",
 		},
 		changed: make(chan struct{}), highestEnded: map[string]int{}, maxLease: maxWorkerLease, runs: map[string]shard.Start{},
 		started: time.Now(), tasks: tasks,
@@ -171,7 +173,7 @@
 	if free := w.free(); w.maxRuns > 0 && len(w.runs) > w.maxRuns || free.HasNegative() {
 		w.tasks.noteOver(w.ID, len(w.runs))
 	}
-	duration, cause := w.tasks.started(w.ID, w.Born, s)
+	duration, cause := w.tasks.started(w.ID, w.restarts+1, s)
 	if born := w.Born; duration > 0 {
 		time.AfterFunc(max(duration, retry.ShortestTimer), func() {
 			w.mu.Lock()
@@ -202,7 +204,7 @@
 	w.endCount++
 	w.highestEnded[name] = s.Run
 	w.ended = append(w.ended, listedEnd{shard.EndRow{Cause: cause, Job: s.Job, Key: s.Key, Number: w.endCount, Run: s.Run}, time.Now()})
-	w.tasks.ended(name, "run %d ends as number %d on %s, lifetime %d: %s", s.Run, w.endCount, w.ID, w.Born, cause)
+	w.tasks.ended(name, "run %d ends as number %d on %s, lifetime %d: %s", s.Run, w.endCount, w.ID, w.restarts+1, cause)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -222,7 +224,8 @@
 func (w *simulatedWorker) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Born++
+	w.Born = max(w.Born+1, time.Now().UnixMilli())
+	w.restarts++
 	w.isDown, w.endCount, w.lapsedEnd, w.ended, w.highestEnded, w.token = false, 0, 0, nil, map[string]int{}, 0
 	w.started, w.leaseEnd = time.Now(), time.Time{}
 }
@@ -351,7 +354,7 @@
 			return false
 		}
 		if e.Number > w.lapsedEnd {
-			w.tasks.acknowledged(w.ID, w.Born, e.EndRow, p)
+			w.tasks.acknowledged(w.ID, w.restarts+1, e.EndRow, p)
 		}
 		return true
 	})
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -72,11 +72,11 @@
 }
 
 // acknowledged notes that a poll acknowledged the end of a run while it counted.
-func (l *taskLog) acknowledged(worker string, born int64, e shard.EndRow, p shard.Poll) {
+func (l *taskLog) acknowledged(worker string, lifetime int, e shard.EndRow, p shard.Poll) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	name := e.Key.Name(e.Job)
-	l.add(name, "end number %d of %s, lifetime %d, is acknowledged by a poll up to %d, token %d", e.Number, worker, born, p.LastSeen, p.Token)
+	l.add(name, "end number %d of %s, lifetime %d, is acknowledged by a poll up to %d, token %d", e.Number, worker, lifetime, p.LastSeen, p.Token)
 	if e.Cause == shard.EndDone {
 		l.done[name] = true
 	}
@@ -104,12 +104,12 @@
 	return l.expected[job]
 }
 
-func (l *taskLog) started(worker string, born int64, s shard.Start) (time.Duration, shard.EndCause) {
+func (l *taskLog) started(worker string, lifetime int, s shard.Start) (time.Duration, shard.EndCause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	name := s.Key.Name(s.Job)
 	j, isKnown := l.jobs[s.Job]
-	l.add(name, "run %d starts on %s, lifetime %d, token %d", s.Run, worker, born, s.Token)
+	l.add(name, "run %d starts on %s, lifetime %d, token %d", s.Run, worker, lifetime, s.Token)
 	if other, ok := l.running[name]; ok && !(isKnown && j.Steps[s.Key.Step].Speculative) {
 		l.report(name, "runs on %s and %s", other, worker)
 	}
