Hand over starts in flight to workers that have restarted

An owner that learned of a worker's restart while a start was in flight, and then handed the shard over, did not tell the next owner of the start: the restart had changed the phase of the run, by which such starts were found. The next owner counted the run as ended with the lease, and a later lifetime carried the start out beside the next run.

Starts in flight are now found by their count.

--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -55,8 +55,9 @@
 func (o *Owner) noteUnansweredStarts(now time.Time) {
 	for _, w := range o.sortedWorkers() {
 		for _, at := range w.attempts {
-			if at.inFlight && at.phase == phaseSent {
-				at.starts = at.starts.WithLoss(now)
+			// The phase does not tell: after a restart of the worker a start in flight is one of an earlier lifetime.
+			if starts := at.starts.WithoutResponses(now); starts != at.starts {
+				at.starts = starts
 				o.markDirty(at.task.job)
 			}
 		}
--- a/internal/workercall/pending.go
+++ b/internal/workercall/pending.go
@@ -36,6 +36,14 @@
 	return p
 }
 
+// WithoutResponses returns the summary after the sender stopped waiting for responses to all calls.
+func (p Pending) WithoutResponses(now time.Time) Pending {
+	for p.inFlight > 0 {
+		p = p.WithLoss(now)
+	}
+	return p
+}
+
 // WithEffect returns the summary after the effect of the calls was seen. If there was only one, it has been carried out.
 func (p Pending) WithEffect() Pending {
 	if p.inFlight == 0 && p.reached == 0 && p.lost == 1 {
