Wait for late calls to a worker that restarted before a takeover

A worker that restarted behind a cut is known to the next owner by its registry entry, or by the handover, but not from its own answer. The owner counted its runs as ended with the lease that it knew of: the records had replaced the lifetime of the registry entry by the earlier one, and after a planned handover it took no call to be late.

--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -72,8 +72,10 @@
 // carry out a start that has no response, and then the renewals under way.
 func (o *Owner) endBound(now time.Time, at *attempt, lease leaseBound) leaseBound {
 	until := at.starts.Until(now, o.timing.CallDelay)
-	isOfEarlierLifetime := at.phase == phaseInherited && at.born != at.worker.incarnation && at.worker.incarnation != 0
-	if isOfEarlierLifetime && at.isStartUnknown {
+	lifetime := max(at.worker.incarnation, at.worker.Born) // the registry may tell of a restart before the worker does
+	isOfEarlierLifetime := at.phase == phaseInherited && at.born != lifetime && lifetime != 0
+	if isOfEarlierLifetime {
+		// Earlier owners don't tell of renewals without a response, nor of starts if they were lost.
 		until = maxTime(until, o.acquiredAt.Add(o.timing.CallDelay))
 	}
 	if isOfEarlierLifetime || !until.IsZero() {
