Bound handed-over leases by what the last owner knew

What a handover says of a lease was cut to the bound that follows from the claims of earlier owners, 8 s after the takeover. That bound holds for leases that owners granted. A worker that has restarted and carried out calls for its earlier lifetime has the longest lease of 10 s, which the last owner knew.

The bound is now the longest lease from the takeover. The tests of internal/shard and internal/workercall pass.

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -171,7 +171,8 @@
 // inheritedLease bounds the leases that earlier owners granted to a worker. What was handed over counts from the takeover, which came
 // after it, but never for longer than the bound without it.
 func (o *Owner) inheritedLease(worker string) leaseBound {
-	bound := o.timing.longestLeaseFrom(o.acquiredAt, leaseFromTakeover)
+	longest := o.timing.longestLeaseFrom(o.acquiredAt, leaseFromTakeover)
+	bound := longest
 	if !o.earlierLeasesEnd.IsZero() && o.earlierLeasesEnd.Before(bound.end) {
 		bound = leaseBound{end: o.earlierLeasesEnd, origin: leaseFromClaim}
 	}
@@ -182,7 +183,8 @@
 	if i := o.inherited.indexOf(worker); i >= 0 {
 		left = o.inherited.Workers[i].Left
 	}
-	return leaseBound{end: minTime(bound.end, o.acquiredAt.Add(left)), origin: leaseFromHandover}
+	// A lifetime that the last owner had not reached yet may have the longest lease, whatever owners granted: see noteAcceptedToken.
+	return leaseBound{end: minTime(longest.end, o.acquiredAt.Add(left)), origin: leaseFromHandover}
 }
 
 // BoundEarlierLeases says that the leases that earlier owners granted end at a time at the latest. It must be called before the jobs are
