Move tasks of a worker that is lost with its owner without the wait for late starts

Since starts without a response are tracked, an owner that took a shard over after a crash took the start of each attempt on record for unanswered.

The lease of the silent worker decides again for attempts of which no start is on record as unanswered. A start that the lost owner sent in its last second may still be carried out by a later lifetime; that case remains open.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -325,6 +325,8 @@
 			"decision": "lease_over", "runs": len(sent), "poll_failures": w.pollFailures, "registered": w.registered,
 		}).Warn(reason)
 		for _, at := range sent {
+			// Tasks would wait too long after the loss of a worker with its owner if each start of that owner counted as unanswered.
+			at.isStartUnknown = false
 			o.removeAttempt(at, "lease over")
 		}
 		o.raiseToken(w)
