Show that a late acknowledgement reaches a run whose start was in flight

Acknowledgements are withheld while a start is known to be lost, and the token is raised once an acknowledgement is known to be lost. If both are in flight at the same time, neither holds: both carry the same token. A later lifetime behind a cut carries out the start, and then the acknowledgement makes it forget the end, which the owner never sees. The task starts again after it (TWICE).

The simulation can hold acknowledgements back now.

--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -128,6 +128,8 @@
 	// orders holds the starts that owners sent. The next one is executed late by nextStartDelay, unless that is 0.
 	orders         []shard.Start
 	nextStartDelay time.Duration
+	// nextAckDelay is by how much the next poll that acknowledges ends is executed late, without a response, unless it is 0.
+	nextAckDelay time.Duration
 	// history holds the events of each task, which are printed if a guarantee is violated.
 	history map[string][]string
 }
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -254,6 +254,10 @@
 			}
 		}
 	}, func(bool) { failed(shard.OutcomeUnknown) })
+	if p.LastSeen > 0 && sim.nextAckDelay > 0 {
+		sim.holdLast(sim.nextAckDelay)
+		sim.nextAckDelay = 0
+	}
 }
 
 // acknowledgeEnds removes the ends up to a number from the worker's list. From then on they count as completions or
