Send a start again to a later lifetime if none of its run got a response

After a restart, a run whose start had no response was given a new number on the same worker, although a still later lifetime may carry the first start out. If the new start is late as well, that lifetime runs both (TWICE; seen as two runs on one worker in TestTasksRunOnceWhileOwnersChange).

The start is sent again with the number that it had, so that the worker knows the run. An attempt that is given up before it is sent again still counts as one that may be carried out.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -338,9 +338,9 @@
 // been sent.
 func (o *Owner) removeAttempt(at *attempt, reason string) {
 	at.worker.remove(at)
+	o.noteLateStarts(at)
 	if at.isSent() {
 		at.worker.endKnownAt = o.now
-		o.noteLateStarts(at)
 	}
 	t := at.task
 	for i, other := range t.attempts {
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -370,13 +370,15 @@
 	}
 }
 
-// mayResend reports whether an attempt that an earlier owner recorded, and that its worker does not list, may be sent as it is. The
-// worker has accepted the present token, so a start of the earlier owner can't be carried out any more; in a later lifetime of the worker
-// the run may have been carried out before. Only long-running tasks are sent at once. Others are planned anew, in the order of their
-// urgency and at the pace of the records. Runs without an attempt take room of unknown size.
+// mayResend reports whether an attempt that its worker does not list may be sent as it is. The worker has accepted the present token, so an
+// earlier start can't be carried out by this lifetime any more. In a later lifetime than the recorded one the run may have been carried out
+// before; its number is used again only if no start of it got a response, since a still later lifetime that carries such a start out has
+// the same run then. Of attempts that an earlier owner recorded, only long-running tasks are sent at once. Others are planned anew, in the
+// order of their urgency and at the pace of the records. Runs without an attempt take room of unknown size.
 func (o *Owner) mayResend(w *worker, at *attempt) bool {
 	s, j := at.task.step, at.task.job
-	return s.LongRunning && !s.Gang && j.final == "" && at.born == w.incarnation && at.born != 0 && w.orphans == 0 && w.isUsable()
+	isOfLifetime := s.LongRunning && at.born == w.incarnation && at.born != 0
+	return !s.Gang && j.final == "" && (isOfLifetime || at.starts.IsUnanswered()) && w.orphans == 0 && w.isUsable()
 }
 
 // stopOrphan stops a run that is not on record, or that already counts as ended.
--- a/internal/workercall/pending.go
+++ b/internal/workercall/pending.go
@@ -78,6 +78,9 @@
 	return p.lastLost.Add(delay)
 }
 
+// IsUnanswered reports whether calls were sent of which none has a response, and none is in flight.
+func (p Pending) IsUnanswered() bool { return p.lost > 0 && p.inFlight == 0 && p.reached == 0 }
+
 // Count returns the number of calls without a response.
 func (p Pending) Count() int { return p.inFlight + p.lost }
 
