Repeat a start only once its record says that the first one is lost

An owner that was cut off from the store repeated a start, and lost the shard before a record said that the first one has no response. The next owner found the run, and did not know that a second start may be carried out: its task started elsewhere after the run had failed, and again on the later lifetime of the first worker (TWICE, TestTasksRunOnceWhileOwnersChange).

The start is now repeated once the job's record names the lost one. Of a single start the next owner finds out by itself whether it has been carried out. The pace of a run that a later lifetime may have begun counts as unknown.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -36,8 +36,8 @@
 					o.markDirty(at.task.job)
 					continue
 				}
-				if !w.fenced || w.pollFailures > 0 {
-					continue // the answer to a poll that is in flight or due decides
+				if !w.fenced || w.pollFailures > 0 || !at.isLossRecorded() {
+					continue // the answer to a poll, or the record, is due
 				}
 				if !at.task.step.Gang && !w.hasRoomToSend(at) {
 					o.awaitRoom(now, at, a)
@@ -52,8 +52,8 @@
 				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseSent:
-				if w.pollFailures > 0 {
-					continue // the next listing will show whether the run exists
+				if w.pollFailures > 0 || !at.isLossRecorded() {
+					continue // the next listing will show whether the run exists, or the record is due
 				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseStopping:
@@ -102,7 +102,7 @@
 	}
 	at.inFlight, at.starts = false, o.timing.withOutcome(at.starts, now, r.Outcome)
 	if r.Outcome == OutcomeUnknown {
-		o.markDirty(at.task.job) // the next owner has to know that the start may be carried out late
+		o.recordLoss(at)
 	}
 	if s.Token != o.orderToken(at.worker) {
 		at.retryAt = now.Add(resendDelay)
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -35,6 +35,16 @@
 	return at.starts
 }
 
+// recordLoss makes the job's record say that a start of an attempt has no response. The start is repeated only then: of a single start, the
+// next owner finds out by itself whether it has been carried out.
+func (o *Owner) recordLoss(at *attempt) {
+	o.markDirty(at.task.job)
+	at.lossVersion = at.task.job.version
+}
+
+// isLossRecorded reports whether the record of the job says of each start of the attempt that has no response.
+func (a *attempt) isLossRecorded() bool { return a.task.job.isRecorded(a.lossVersion) }
+
 // lateRunsEnd returns when the runs have ended that starts began which were carried out until a time.
 func (o *Owner) lateRunsEnd(until time.Time) time.Time {
 	return until.Add(o.timing.LeaseBound(o.timing.MaxWorkerLease))
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -238,7 +238,7 @@
 			o.removeAttempt(at, "worker restarted")
 		default:
 			// The new lifetime may have carried out a start, so the next listing decides whether the run exists.
-			at.phase = phaseInherited
+			at.phase, at.pace = phaseInherited, -1
 		}
 	}
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -42,6 +42,8 @@
 	isStartUnknown bool
 	// listedIn is the lifetime of the worker that listed the run last; 0 if none has.
 	listedIn int64
+	// lossVersion is the version of the job from which its record says that a start of the run has no response; 0 if all have one.
+	lossVersion int
 	// measurement is the value that the worker listed last for the run: a tail latency or CPU use.
 	measurement float64
 	// runningSince is when the run of an earlier owner began, if that owner handed it over.
