Test what owners keep of earlier lifetimes on the platform with etcd

Three values of an earlier lifetime of a peer are used in a later one, by reading: the report of an earlier boot that is merged into that of the present one, the report of another worker at the same address that counts as a later boot, and the platform lease of an earlier process of a host, which it may renew although a later process has replaced its live key and takes its shards at once.

--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -125,3 +125,46 @@
 	err := h.shards.sendKeys(ctx, "b", peer.Handover{Epoch: 3, Zone: h.zone}, &keys)
 	return out, err
 }
+
+// Session gives tests access to the platform lease of one process of a host.
+type Session struct{ *session }
+
+// NewSession returns the session of a new process of a host.
+func NewSession(id string, store kvstore.Store, log *logrus.Entry) Session {
+	return Session{&session{host: id, log: log, store: store}}
+}
+
+// IsValid reports whether the process relies on its platform lease.
+func (s Session) IsValid(now time.Time) bool { return s.isValid(now) }
+
+// Renew renews the platform lease, or creates one and writes the live key.
+func (s Session) Renew(ctx context.Context) error { return s.renew(ctx) }
+
+// ReportedShard is the owner of a shard to which tests deliver the reports of workers, in any order.
+type ReportedShard struct{ owner *shardOwner }
+
+// NewReportedShard returns the owner of the first shard of the host's zone with the given records and the next epoch.
+func (h *Host) NewReportedShard(now time.Time, state ledger.State) ReportedShard {
+	o := newShardOwner(h, fleet.ShardID{Zone: h.zone}, state.Epoch()+1)
+	o.ledger = ledger.NewOwner(state, h.id, o.epoch, now)
+	o.ledger.Tick(now)
+	o.ledger.Committed(now)
+	return ReportedShard{owner: o}
+}
+
+// Bindable lists the tasks that may be bound to a worker.
+func (s ReportedShard) Bindable(now time.Time) []ledger.Candidate {
+	return s.owner.ledger.Bindable(now)
+}
+
+// Report handles the response of a worker to a fence or heartbeat.
+func (s ReportedShard) Report(now time.Time, c ledger.Contact, r worker.Report) {
+	s.owner.handleReport(now, c, r)
+}
+
+// Tick returns the actions that are due while the platform lease is held.
+func (s ReportedShard) Tick(now time.Time) ledger.Actions {
+	s.owner.ledger.LeaseRenewed(now)
+	s.owner.ledger.UpdateHosts(now, s.owner.workers())
+	return s.owner.ledger.Tick(now)
+}
