Test that calls for an earlier boot change nothing in a later one

The soak of the ledger covered this among random faults; two short tests show it for each call and for late responses.

--- a/internal/fake/worker_test.go
+++ b/internal/fake/worker_test.go
@@ -137,6 +137,37 @@
 	assert.Assert(t, fence(t, w, 2).BootID != report.BootID)
 }
 
+// Guards against a worker whose later boot carries out calls that were sent to the earlier one: a start, a heartbeat, or a stop,
+// throttle or checkpoint of an attempt of the earlier boot while a later attempt of the task runs.
+func TestCallsForEarlierBootChangeNothing(t *testing.T) {
+	w := fake.NewWorker()
+	late := fence(t, w, 1).Token
+	assert.Equal(t, start(t, w, startRequest("a", 1, late)), worker.Reason(""))
+	w.Kill()
+	assert.NilError(t, w.Restart())
+	defer w.Kill()
+	report := fence(t, w, 1)
+	assert.Equal(t, len(report.Tasks), 0)
+	assert.Equal(t, start(t, w, startRequest("b", 1, late)), worker.ReasonTokenExpired)
+	assert.Equal(t, start(t, w, startRequest("a", 2, report.Token)), worker.Reason(""))
+
+	earlier := worker.AttemptRef{Attempt: 1, Task: "a"}
+	_, reason := post[worker.Report](t, w, worker.PathHeartbeat, worker.HeartbeatRequest{
+		Acks: []worker.AttemptRef{{Attempt: 2, Task: "a"}}, Epoch: 1, Token: late,
+	})
+	assert.Equal(t, reason, worker.ReasonTokenExpired)
+	_, reason = post[worker.Task](t, w, worker.PathStop, worker.StopRequest{AttemptRef: earlier, Epoch: 1})
+	assert.Equal(t, reason, worker.ReasonStaleAttempt)
+	_, reason = post[worker.Task](t, w, worker.PathThrottle, worker.ThrottleRequest{AttemptRef: earlier, Epoch: 1, Fraction: 0.5})
+	assert.Equal(t, reason, worker.ReasonStaleAttempt)
+	_, reason = post[worker.Task](t, w, worker.PathCheckpoint, worker.CheckpointRequest{AttemptRef: earlier, Epoch: 1})
+	assert.Equal(t, reason, worker.ReasonStaleAttempt)
+	tasks := w.Tasks()
+	assert.Equal(t, len(tasks), 1)
+	assert.Equal(t, tasks[0].Attempt, int64(2))
+	assert.Equal(t, tasks[0].Phase, worker.PhaseRunning)
+}
+
 // Guards against progress that ignores the throttle, and checkpoints beyond the progress of the task.
 func TestProgressCheckpointsAndThrottle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/ledger/owner_test.go
+++ b/internal/ledger/owner_test.go
@@ -147,6 +147,31 @@
 	}
 }
 
+// Guards against an attempt of a worker's present boot that counts as running or as ended because of a response to a call that was
+// sent to the earlier boot, and against a start in the present boot with the number of an attempt of the earlier one, which a
+// late stop would end.
+func TestLateResponsesOfEarlierBootAreIgnored(t *testing.T) {
+	b := newOwnerFixture(t, boundState(t, false), 2, "w1")
+	b.respond("w1", "boot1", true)
+	b.advance(0)
+	assert.Equal(t, len(b.lastActions.Starts), 1)
+	earlier := b.lastActions.Starts[0]
+	stop := ledger.Stop{Attempt: earlier.Attempt, Epoch: 2, Task: earlier.Task, Worker: "w1"}
+	b.renewAndAdvance(2 * time.Second)
+	b.respond("w1", "boot2", true)
+	b.advance(0)
+	assert.Equal(t, len(b.lastActions.Starts), 1)
+	assert.Assert(t, b.lastActions.Starts[0].Attempt > earlier.Attempt)
+
+	b.Started(b.now, earlier)
+	b.StartRefused(b.now, earlier, earlier.Attempt, "task_running")
+	b.Stopped(b.now, stop, taskReport("job/0", earlier.Attempt, ledger.PhaseStopped, 0))
+	assert.Equal(t, b.bindableTasks(), "")
+	b.renewAndAdvance(2 * time.Second)
+	assert.Equal(t, len(b.lastActions.Starts), 1, "the unanswered start of the present boot is not repeated")
+	assert.Equal(t, len(b.lastActions.Stops), 0)
+}
+
 // Guards against ending an attempt because a report that was requested before the start does not list it.
 func TestReportRequestedBeforeStartEndsAttempt(t *testing.T) {
 	b := newOwnerFixture(t, boundState(t, false), 2, "w1")
