--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -149,7 +149,10 @@
 
 // tokenBits is the number of low-order token bits reserved for raising the token of a single worker within one
 // ownership.
-const tokenBits = 8
+const (
+	tokenBits      = 8
+	maxTokenOffset = 1<<tokenBits - 1
+)
 
 // orderToken returns the fencing token that orders to the worker carry.
 func (o *Owner) orderToken(w *worker) int64 { return o.token<<tokenBits | w.tokenOffset }
@@ -162,7 +165,17 @@
 // be executed late.
 func (o *Owner) raiseToken(w *worker) {
 	w.fenced, w.nextPollAt = false, time.Time{}
-	w.tokenOffset = min(w.tokenOffset+1, 1<<tokenBits-1)
+	w.tokenOffset = min(w.tokenOffset+1, maxTokenOffset)
+}
+
+// NeedsToken reports whether the token of a worker can't be raised any more, so that the owner has to renew its claim for a higher one.
+func (o *Owner) NeedsToken() bool {
+	for _, w := range o.workers {
+		if w.tokenOffset == maxTokenOffset {
+			return true
+		}
+	}
+	return false
 }
 
 // SetToken replaces the token after the shard was taken again with no other owner in between.
@@ -211,7 +224,7 @@
 			o.log.WithFields(logrus.Fields{"decision": "worker_left", "worker": id, "runs": len(w.attempts)}).
 				Info("worker is no longer registered")
 		}
-		if len(w.attempts) == 0 && !now.Before(w.leaseExpiry(o.timing)) {
+		if len(w.attempts) == 0 && !now.Before(maxTime(w.leaseExpiry(o.timing), w.lateStartsUntil)) {
 			if w.tokenOffset > 0 {
 				o.tokenOffsets[id] = w.tokenOffset
 			}
@@ -275,8 +288,8 @@
 	}
 }
 
-// expireLeases removes the attempts on workers whose lease expired. A worker without attempts that were sent has nothing that a
-// lease could end. It was not polled, so it has to answer a poll before it is sent a start.
+// expireLeases removes the attempts whose runs have ended because the lease of their worker expired. A worker without attempts that were
+// sent has nothing that a lease could end. It was not polled, so it has to answer a poll before it is sent a start.
 func (o *Owner) expireLeases(now time.Time, a *Actions) {
 	for _, w := range o.sortedWorkers() {
 		if len(w.attempts) == 0 {
@@ -294,6 +307,16 @@
 			}
 			continue
 		}
+		sent = slices.DeleteFunc(sent, func(at *attempt) bool {
+			end := o.endBound(now, at, bound).end
+			if now.Before(end) {
+				a.wakeAt(end)
+			}
+			return now.Before(end)
+		})
+		if len(sent) == 0 {
+			continue
+		}
 		reason := "worker did not answer until its lease expired; its runs count as ended"
 		if w.pollFailures == 0 {
 			reason = "lease of the worker was not renewed in time; its runs count as ended"
@@ -314,6 +337,7 @@
 	at.worker.remove(at)
 	if at.isSent() {
 		at.worker.endKnownAt = o.now
+		o.noteLateStarts(at)
 	}
 	t := at.task
 	for i, other := range t.attempts {
