--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -18,7 +18,7 @@
 		return
 	}
 	t, w := at.task, at.worker
-	t.lateStarts, o.hasLateStarts = t.lateStarts.With(workercall.LateStart{Run: at.run, Until: until, Worker: w.ID}), true
+	t.lateStarts, o.mayHaveLateStarts = t.lateStarts.With(workercall.LateStart{Run: at.run, Until: until, Worker: w.ID}), true
 	w.lateStartsUntil = maxTime(w.lateStartsUntil, until)
 	w.withheldUntil = maxTime(w.withheldUntil, at.starts.Until(o.now, o.timing.CallDelay))
 	o.log.WithFields(logrus.Fields{
@@ -70,16 +70,16 @@
 
 // placeLateStarted places the tasks that may run on one worker only because of a late start, before others take the room that they had there.
 func (o *Owner) placeLateStarted(now time.Time) {
-	if !o.hasLateStarts {
+	if !o.mayHaveLateStarts {
 		return
 	}
-	o.hasLateStarts = false
+	o.mayHaveLateStarts = false
 	for _, j := range o.backlog {
 		for _, t := range j.readyTasks() {
 			if len(t.lateStarts) == 0 || !o.hasLateStart(now, t) {
 				continue
 			}
-			o.hasLateStarts = true
+			o.mayHaveLateStarts = true
 			if t.isWaiting() && !t.step.Gang && !now.Before(t.notBefore) {
 				o.placeBesideLateStart(now, t)
 			}
@@ -187,6 +187,6 @@
 	}
 	w.lateStartsUntil, w.withheldUntil = maxTime(w.lateStartsUntil, s.Until), maxTime(w.withheldUntil, s.Until)
 	if t != nil {
-		t.lateStarts, o.hasLateStarts = t.lateStarts.With(s), true
+		t.lateStarts, o.mayHaveLateStarts = t.lateStarts.With(s), true
 	}
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -34,8 +34,8 @@
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
-	// hasLateStarts is false only if no task has a late start.
-	hasLateStarts bool
+	// mayHaveLateStarts is false only if no task has a late start.
+	mayHaveLateStarts bool
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
 	hasInterrupted bool
 	// guestJobs holds the jobs for which this shard is a guest.
