Acknowledge ends 6 s after a lost start at the latest

Ends of a worker were withheld for as long as a lost start may be carried out there, 12 s.

They are withheld for 6 s after the loss. A start that is carried out later, by a lifetime that has restarted meanwhile, may follow an acknowledged end; that is open.

--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -20,7 +20,7 @@
 	t, w := at.task, at.worker
 	t.lateStarts, o.mayHaveLateStarts = t.lateStarts.With(workercall.LateStart{Run: at.run, Until: until, Worker: w.ID}), true
 	w.lateStartsUntil = maxTime(w.lateStartsUntil, until)
-	w.withheldUntil = maxTime(w.withheldUntil, at.starts.Until(o.now, o.timing.CallDelay))
+	w.withheldUntil = maxTime(w.withheldUntil, at.starts.LostUntil(o.timing.AckDelay))
 	o.log.WithFields(logrus.Fields{
 		"decision": "late_start", "job": t.job.ID, "task": t.key.String(), "run": at.run, "worker": w.ID, "born": at.born,
 		"until_in": until.Sub(o.now).String(),
@@ -125,7 +125,7 @@
 // Starts of a crashed owner that may have a response don't count: after a crash, the ends of most workers would be withheld.
 func (o *Owner) withholdsAcknowledgement(now time.Time, w *worker) bool {
 	return now.Before(w.withheldUntil) || slices.ContainsFunc(w.attempts, func(at *attempt) bool {
-		return !at.isStartUnknown && now.Before(at.starts.LostUntil(o.timing.CallDelay))
+		return !at.isStartUnknown && now.Before(at.starts.LostUntil(o.timing.AckDelay))
 	})
 }
 
@@ -185,7 +185,8 @@
 		at.isStartUnknown, at.starts = false, workercall.NewLost(s.Until.Add(-o.timing.CallDelay), !s.IsSingle)
 		return
 	}
-	w.lateStartsUntil, w.withheldUntil = maxTime(w.lateStartsUntil, s.Until), maxTime(w.withheldUntil, s.Until)
+	w.lateStartsUntil = maxTime(w.lateStartsUntil, s.Until)
+	w.withheldUntil = maxTime(w.withheldUntil, s.Until.Add(o.timing.AckDelay-o.timing.CallDelay))
 	if t != nil {
 		t.lateStarts, o.mayHaveLateStarts = t.lateStarts.With(s), true
 	}
--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -4,6 +4,9 @@
 
 // Timing holds the intervals and timeouts of an owner.
 type Timing struct {
+	// AckDelay is the longest time for which ends of a worker are not acknowledged after a start was lost there. It is shorter than
+	// CallDelay, since ends have to be acknowledged in time.
+	AckDelay time.Duration
 	// CallDelay is the longest time after the sending of a call without a response at which a worker may still carry it out.
 	CallDelay time.Duration
 	// ClockDrift is the fraction by which a worker's clock may run slower than the owner's.
@@ -65,6 +68,7 @@
 // DefaultTiming returns the timing for workers that grant leases of 10 s.
 func DefaultTiming() Timing {
 	return Timing{
+		AckDelay:               6 * time.Second,
 		CallDelay:              12 * time.Second,
 		ClockDrift:             0.02,
 		CommitGap:              15 * time.Millisecond,
