Acknowledge ends 3 s after a lost start at the latest

TestRollingRestart failed: ends of workers that left were acknowledged 4.02 s after they had been listed (4 s allowed), since owners withheld them for 6 s after each lost start.

They are withheld for 3 s.

--- a/internal/shard/timing.go
+++ b/internal/shard/timing.go
@@ -68,7 +68,7 @@
 // DefaultTiming returns the timing for workers that grant leases of 10 s.
 func DefaultTiming() Timing {
 	return Timing{
-		AckDelay:               6 * time.Second,
+		AckDelay:               3 * time.Second,
 		CallDelay:              12 * time.Second,
 		ClockDrift:             0.02,
 		CommitGap:              15 * time.Millisecond,
