--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -1,6 +1,11 @@
 package shard
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // leaseOrigin is the event from which the bound for the end of a worker's lease counts, as it appears in logs.
 type leaseOrigin string
@@ -104,3 +109,53 @@
 func (b leaseBound) isFromTakeover() bool {
 	return b.origin == leaseFromTakeover || b.origin == leaseFromClaim
 }
+
+// expireLeases removes the attempts whose runs have ended because the lease of their worker expired. A worker without attempts that were
+// sent has nothing that a lease could end. It was not polled, so it has to answer a poll before it is sent a start.
+func (o *Owner) expireLeases(now time.Time, a *Actions) {
+	for _, w := range o.sortedWorkers() {
+		if len(w.attempts) == 0 {
+			continue
+		}
+		bound := w.leaseBound(o.timing)
+		if now.Before(bound.end) {
+			a.wakeAt(bound.end)
+			continue
+		}
+		sent := w.sentAttempts()
+		if len(sent) == 0 {
+			if w.fenced {
+				w.fenced, w.nextPollAt = false, time.Time{}
+			}
+			continue
+		}
+		sent = slices.DeleteFunc(sent, func(at *attempt) bool {
+			end := o.endBound(now, at, bound).end
+			if now.Before(end) {
+				a.wakeAt(end)
+			}
+			return now.Before(end)
+		})
+		if len(sent) == 0 {
+			continue
+		}
+		reason := "worker did not answer until its lease expired; its runs count as ended"
+		if w.pollFailures == 0 {
+			reason = "lease of the worker was not renewed in time; its runs count as ended"
+		}
+		for _, at := range sent {
+			if last := o.endBound(now, at, bound); last.end.After(bound.end) {
+				bound = last
+			}
+		}
+		o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
+			"counts_from": string(bound.origin), "decision": "lease_over", "lease_over_in": bound.end.Sub(now).String(), "runs": len(sent), "poll_failures": w.pollFailures, "registered": w.registered,
+		}).Warn(reason)
+		for _, at := range sent {
+			// Tasks would wait too long after the loss of a worker with its owner if each start of that owner counted as unanswered.
+			at.isStartUnknown = false
+			o.removeAttempt(at, "lease over")
+		}
+		o.raiseToken(w)
+	}
+}
--- /dev/null
+++ b/internal/shard/workerrestart.go
@@ -0,0 +1,37 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// handleRestart resets the state of a worker that has restarted. All runs of its earlier lifetime have ended. The token is raised, so that
+// the new lifetime refuses the calls for the earlier one as soon as it has answered a poll.
+func (o *Owner) handleRestart(now time.Time, w *worker, incarnation int64) {
+	starts, renewals, _ := w.callsWithoutResponse()
+	o.observeLifetime(eventRestart, 1)
+	o.observeLifetime(eventCallOutlastsLifetime, starts+renewals)
+	o.log.WithFields(o.lifetimeFields(now, w)).WithFields(logrus.Fields{
+		"decision": "worker_reborn", "runs": len(w.attempts), "born": incarnation, "before": w.incarnation,
+	}).Warn("worker restarted; its earlier runs have ended")
+	before := w.incarnation
+	w.hasRestarted = true
+	w.incarnation, w.lastEnd, w.recordedEnd, w.ackedEnd = incarnation, 0, 0, 0
+	w.unrecordedEnds = nil
+	w.leaseEnd, w.clock, w.clockAt = 0, 0, time.Time{}
+	o.raiseToken(w)
+	w.health, w.refusal, w.longTailSince = health{}, refusal{}, time.Time{}
+	w.inheritedLease = o.timing.longestLeaseFrom(now, leaseFromWorkerRestart)
+	for _, at := range slices.Clone(w.attempts) {
+		switch {
+		case !at.isSent():
+		case at.listedIn == before && before != 0 && at.starts.Count() == 0:
+			o.removeAttempt(at, "worker restarted")
+		default:
+			// The new lifetime may have carried out a start, so the next listing decides whether the run exists.
+			at.phase, at.pace = phaseInherited, -1
+		}
+	}
+}
