--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -84,7 +84,7 @@
 	lifetime := max(at.worker.incarnation, at.worker.Born) // the registry may tell of a restart before the worker does
 	isOfEarlierLifetime := at.phase == phaseInherited && at.born != lifetime && lifetime != 0
 	if isOfEarlierLifetime {
-		// Earlier owners don't tell of renewals without a response, nor of starts if they were lost.
+		// A handover does not name the renewals that got no response, and after a crash nothing names the last starts.
 		until = maxTime(until, o.acquiredAt.Add(o.timing.CallDelay))
 	}
 	if isOfEarlierLifetime || !until.IsZero() {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -327,10 +327,10 @@
 	return w.clockAt.Add(time.Duration(w.leaseEnd-w.clock)*time.Millisecond - t.IdleRenewalMargin)
 }
 
-// renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not
-// answer is not extended, so that it expires and the tasks can be started elsewhere: a repeated end could renew the lease of a later
-// lifetime, whose clock has begun anew. Without a renewal of the owner's own lease, the
-// worker's lease is extended up to LeaseFromRenewal only.
+// renewLease extends the worker's lease and returns its end on the worker's clock. The lease of a worker that does not answer is not extended,
+// so that it expires and the tasks can be started elsewhere. The return value is 0 then: if the last end were sent again, a later lifetime,
+// whose clock has begun anew, could take it for a renewal. Without a renewal of the owner's own lease, the worker's lease is extended up to
+// LeaseFromRenewal only.
 func (w *worker) renewLease(now, ownerRenewedAt time.Time, t Timing) int64 {
 	if w.clockAt.IsZero() || w.pollFailures > 0 {
 		return 0
