Show that completed jobs run again after a late write and a restart

Seen: with 0.35 of the store's writes unanswered for 4.5 s and carried out 1 to 6 s late, tasks of completed jobs start again once the hosts have been restarted in turn. Cause: the first record of a shared job is guarded by the absence of a key that the job's final write deletes.

--- /dev/null
+++ b/review/11/standin/worker.go
@@ -0,0 +1,340 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	workerCPU   = 8000
+	workerMemMB = 16000
+	// maxHold is the longest lease that a worker grants: maxHoldMs of the site.
+	maxHold = 10 * time.Second
+	// stopTime is how long a run takes to stop, at most stopTimeoutMs of the site.
+	stopTime = 100 * time.Millisecond
+	// startupTime is how long a task that lasts takes until it is at work.
+	tick = 5 * time.Millisecond
+)
+
+// run is a run on a worker.
+type run struct {
+	// cause is how the run ends at endsAt.
+	cause   string
+	endsAt  time.Time
+	number  int
+	percent int
+	task    string
+}
+
+// end is an end that was not acknowledged.
+type end struct {
+	cause    string
+	hasLapse bool
+	n        int64
+	run      int
+	task     string
+}
+
+// worker is a stand-in for a worker with the calls that PROTOCOL.md describes. It guards no capacity.
+type worker struct {
+	address string
+	changed chan struct{}
+	ends    []end
+	fleet   *fleet
+	// highest is, by task, the highest number of a run that was stopped or has ended.
+	highest  map[string]int
+	id, rack string
+	lastEnd  int64
+	// leaseEnd is on the worker's clock.
+	leaseEnd time.Duration
+	mu       sync.Mutex
+	runs     []*run
+	server   *http.Server
+	started  time.Time
+	token    int64
+}
+
+type call struct {
+	FencingToken int64
+	LastSeen     int64
+	Percent      int
+	Run          int
+	Spec         string
+	Task         string
+	UntilMs      int64
+	WaitMs       int64
+}
+
+func newWorker(f *fleet, id, rack string) (*worker, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{
+		address: ln.Addr().String(), changed: make(chan struct{}), fleet: f, highest: map[string]int{}, id: id, rack: rack,
+		started: time.Now(),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", w.serve(w.start))
+	mux.HandleFunc("POST /run-stop", w.serve(w.stop))
+	mux.HandleFunc("POST /hold", w.serve(w.hold))
+	mux.HandleFunc("POST /pace", w.serve(w.pace))
+	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(ln) }()
+	go func() {
+		for range time.Tick(tick) {
+			w.mu.Lock()
+			w.endDueRuns()
+			w.mu.Unlock()
+		}
+	}()
+	return w, nil
+}
+
+// entry is the worker's entry in the registry.
+func (w *worker) entry() map[string]any {
+	return map[string]any{
+		"service": "ripenctl", "address": w.address, "zone": "kelaniya", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"machine": "m-" + w.id, "capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemMB, "gpu": 0},
+		"labels": []string{"a", w.rack}, "seq": 1, "born": w.started.UnixMilli(), "clockMs": w.clock().Milliseconds(),
+	}
+}
+
+func (w *worker) clock() time.Duration { return time.Since(w.started) }
+
+// answer returns the body of a response.
+func (w *worker) answer(fields map[string]any) map[string]any {
+	fields["born"], fields["clockMs"] = w.started.UnixMilli(), w.clock().Milliseconds()
+	return fields
+}
+
+func (w *worker) serve(execute func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var c call
+		if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+			respond(rw, http.StatusBadRequest, struct{}{})
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.endDueRuns()
+		switch id := r.Header.Get("Expect-Instance"); {
+		case id != "" && id != w.id:
+			respond(rw, http.StatusMisdirectedRequest, w.answer(map[string]any{}))
+		case c.FencingToken < w.token:
+			w.refuse(rw, "fence")
+		default:
+			w.token = c.FencingToken
+			until := min(time.Duration(c.UntilMs)*time.Millisecond, w.clock()+maxHold)
+			w.leaseEnd = max(w.leaseEnd, until)
+			execute(rw, r, c)
+		}
+	}
+}
+
+func (w *worker) refuse(rw http.ResponseWriter, reason string) {
+	respond(rw, http.StatusConflict, w.answer(map[string]any{"reason": reason}))
+}
+
+func (w *worker) start(rw http.ResponseWriter, _ *http.Request, c call) {
+	for _, r := range w.runs {
+		if r.task == c.Task && r.number == c.Run {
+			respond(rw, http.StatusOK, w.answer(map[string]any{}))
+			return
+		}
+	}
+	switch {
+	case c.Run <= w.highest[c.Task]:
+		w.refuse(rw, "old")
+		return
+	case time.Duration(c.UntilMs)*time.Millisecond <= w.clock():
+		w.refuse(rw, "late")
+		return
+	}
+	r := &run{number: c.Run, percent: 100, task: c.Task}
+	if d := w.fleet.duration(c.Task); d > 0 {
+		r.cause, r.endsAt = "done", time.Now().Add(d)
+	}
+	w.runs = append(w.runs, r)
+	w.fleet.started(w, c)
+	respond(rw, http.StatusOK, w.answer(map[string]any{}))
+}
+
+func (w *worker) stop(rw http.ResponseWriter, _ *http.Request, c call) {
+	w.highest[c.Task] = max(w.highest[c.Task], c.Run)
+	for _, r := range w.runs {
+		if at := time.Now().Add(stopTime); r.task == c.Task && r.number == c.Run && (r.endsAt.IsZero() || r.endsAt.After(at)) {
+			r.cause, r.endsAt = "stopped", at
+		}
+	}
+	respond(rw, http.StatusOK, w.answer(map[string]any{}))
+}
+
+func (w *worker) pace(rw http.ResponseWriter, _ *http.Request, c call) {
+	for _, r := range w.runs {
+		if r.task == c.Task && r.number == c.Run {
+			r.percent = c.Percent
+		}
+	}
+	respond(rw, http.StatusOK, w.answer(map[string]any{}))
+}
+
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request, c call) {
+	for len(w.ends) > 0 && w.ends[0].n <= c.LastSeen {
+		w.fleet.noted(w, w.ends[0])
+		w.ends = w.ends[1:]
+	}
+	deadline := time.After(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond)
+	for isOver := c.WaitMs == 0; len(w.ends) == 0 && !isOver; {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			isOver = true
+		case <-r.Context().Done():
+			isOver = true
+		}
+		w.mu.Lock()
+	}
+	running, ended := [][]any{}, [][]any{}
+	for _, r := range w.runs {
+		running = append(running, []any{r.task, r.number, "", r.percent, 0})
+	}
+	for _, e := range w.ends[:min(len(w.ends), 500)] {
+		ended = append(ended, []any{e.n, e.task, e.run, e.cause, ""})
+	}
+	respond(rw, http.StatusOK, w.answer(map[string]any{"running": running, "ended": ended}))
+}
+
+// endDueRuns ends the runs whose time is over, and all runs if the lease has ended.
+func (w *worker) endDueRuns() {
+	isLapsed, now := w.clock() > w.leaseEnd, time.Now()
+	var rest []*run
+	for _, r := range w.runs {
+		cause := r.cause
+		switch {
+		case !r.endsAt.IsZero() && !now.Before(r.endsAt):
+		case isLapsed:
+			cause = "lapsed"
+		default:
+			rest = append(rest, r)
+			continue
+		}
+		w.lastEnd++
+		w.highest[r.task] = max(w.highest[r.task], r.number)
+		e := end{cause: cause, n: w.lastEnd, run: r.number, task: r.task}
+		w.ends = append(w.ends, e)
+		w.fleet.ended(w, e)
+	}
+	if len(rest) != len(w.runs) {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+	w.runs = rest
+	if isLapsed {
+		for i := range w.ends {
+			w.ends[i].hasLapse = true
+		}
+	}
+}
+
+// fleet records what the workers see, and checks rule TWICE.
+type fleet struct {
+	// durations is how long the tasks of a job run; 0 for tasks that last.
+	durations map[string]time.Duration
+	mu        sync.Mutex
+	// noticed holds the tasks of which an end as done was taken note of, doneAt when each task ended as done first.
+	noticed map[string]bool
+	doneAt  map[string]time.Time
+	record  *record
+	// running is the number of runs of each task.
+	running map[string]int
+	// lateStarts holds the starts after an end as done, by task, until that end is taken note of.
+	lateStarts map[string]string
+	starts     int
+	violations []string
+}
+
+func newFleet(r *record) *fleet {
+	return &fleet{
+		doneAt: map[string]time.Time{}, durations: map[string]time.Duration{}, lateStarts: map[string]string{}, noticed: map[string]bool{},
+		record: r, running: map[string]int{},
+	}
+}
+
+func (f *fleet) duration(task string) time.Duration {
+	job, _, _ := strings.Cut(task, ".")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.durations[job]
+}
+
+func (f *fleet) started(w *worker, c call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	f.running[c.Task]++
+	f.record.add("worker %s: start of %s, run %d, token %d", w.id, c.Task, c.Run, c.FencingToken)
+	if f.running[c.Task] > 1 {
+		f.violate("TWICE: " + strconv.Itoa(f.running[c.Task]) + " runs of " + c.Task + " at the same time")
+	}
+	if at, ok := f.doneAt[c.Task]; ok {
+		text := fmt.Sprintf("TWICE: run %d of %s starts on worker %s %s after a run of it has ended done, an end that was taken note of",
+			c.Run, c.Task, w.id, time.Since(at).Round(time.Millisecond))
+		if f.noticed[c.Task] {
+			f.violate(text)
+		} else {
+			f.lateStarts[c.Task] = text
+		}
+	}
+}
+
+func (f *fleet) ended(w *worker, e end) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[e.task]--
+	f.record.add("worker %s: end %d of %s, run %d: %s", w.id, e.n, e.task, e.run, e.cause)
+	if e.cause == "done" && f.doneAt[e.task].IsZero() {
+		f.doneAt[e.task] = time.Now()
+	}
+}
+
+// noted notes that an end was taken note of. It does not count if the lease ended meanwhile.
+func (f *fleet) noted(w *worker, e end) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.cause != "done" || e.hasLapse {
+		return
+	}
+	f.record.add("worker %s: end %d of %s was taken note of", w.id, e.n, e.task)
+	f.noticed[e.task] = true
+	if text := f.lateStarts[e.task]; text != "" {
+		f.violate(text)
+		delete(f.lateStarts, e.task)
+	}
+}
+
+func (f *fleet) violate(text string) {
+	f.violations = append(f.violations, text)
+	f.record.add("%s", text)
+}
+
+// hasNoticed reports whether the end of a task was taken note of.
+func (f *fleet) hasNoticed(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.noticed[task]
+}
+
+func (f *fleet) broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.violations
+}
