Make the jobs of case 11 come over the whole disturbance

Also, an end counts as taken note of only for the worker that listed it, and ports are taken from below those of outgoing connections.

--- a/review/11/standin/host.go
+++ b/review/11/standin/host.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,7 +21,10 @@
 	restartDelay = 300 * time.Millisecond
 )
 
-var errNotReady = errors.New("hosts are not ready in time")
+var (
+	errNoPort   = errors.New("no port is free")
+	errNotReady = errors.New("hosts are not ready in time")
+)
 
 // host is a process of the program under test, started as the deploy file says.
 type host struct {
@@ -33,13 +37,16 @@
 	done          chan struct{}
 }
 
+// freeAddress returns an address whose port is below those that the kernel gives to outgoing connections.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		if err == nil {
+			defer func() { _ = ln.Close() }()
+			return ln.Addr().String(), nil
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
+	return "", errNoPort
 }
 
 // newHost writes the settings of a host as deploy/settings.toml.tmpl has them.
--- a/review/11/standin/latewrite.go
+++ b/review/11/standin/latewrite.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -14,8 +15,11 @@
 	// settleTime lets the hosts assign the racks to their shards before work comes.
 	settleTime  = 5 * time.Second
 	fillerTasks = 40
-	waitingJobs = 24
-	jobTime     = 500 * time.Millisecond
+	// The jobs come from leadTime before the disturbance on. A waiting task is offered to other shards after 1.5 s or more.
+	waitingJobs = 60
+	jobInterval = 90 * time.Millisecond
+	leadTime    = 2500 * time.Millisecond
+	jobTime     = 300 * time.Millisecond
 )
 
 // lateWrite plays lost answers of the store while waiting tasks move from a full shard to another one, and then planned restarts.
@@ -34,27 +38,19 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
-	var jobs []string
-	if s.trouble {
-		s.record.say("answers of the store are lost: %.2f of the writes, for %s", lostShare, lostTime)
-		s.store.loseAnswers(lostShare)
-	}
-	end := time.After(lostTime)
-	for i := range waitingJobs {
-		id := fmt.Sprintf("a%015x", i)
-		s.fleet.expect(id, jobTime)
-		body := `{"spec":"plan","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":500,"affinity":"r1-0"}]}`
-		for attempt := range 5 {
-			status, _ := consume(s.record, s.hosts[(i+attempt)%len(s.hosts)], "POST", id, body)
-			if status == 200 {
-				jobs = append(jobs, id)
-				break
-			}
+	isOver := make(chan struct{})
+	go func() {
+		defer close(isOver)
+		time.Sleep(leadTime)
+		if s.trouble {
+			s.record.say("answers of the store are lost: %.2f of the writes, for %s", lostShare, lostTime)
+			s.store.loseAnswers(lostShare)
 		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	<-end
-	s.store.loseAnswers(0)
+		time.Sleep(lostTime)
+		s.store.loseAnswers(0)
+	}()
+	jobs := s.submitWaiting()
+	<-isOver
 	s.record.say("the store answers again; %d jobs were accepted", len(jobs))
 	if err := s.awaitCompleted(jobs); err != nil {
 		return err
@@ -71,6 +67,31 @@
 	return nil
 }
 
+// submitWaiting submits the short jobs, each with the consumer's retries, and returns those that were accepted.
+func (s *site) submitWaiting() []string {
+	var jobs []string
+	var mu sync.Mutex
+	var consumers sync.WaitGroup
+	for i := range waitingJobs {
+		id := fmt.Sprintf("a%015x", i)
+		s.fleet.expect(id, jobTime)
+		body := `{"spec":"plan","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":300,"affinity":"r1-0"}]}`
+		consumers.Go(func() {
+			for attempt := range 5 {
+				if status, _ := consume(s.record, s.hosts[(i+attempt)%len(s.hosts)], "POST", id, body); status == 200 {
+					mu.Lock()
+					defer mu.Unlock()
+					jobs = append(jobs, id)
+					return
+				}
+			}
+		})
+		time.Sleep(jobInterval)
+	}
+	consumers.Wait()
+	return jobs
+}
+
 // awaitCompleted waits until consumers see jobs as completed.
 func (s *site) awaitCompleted(jobs []string) error {
 	deadline := time.Now().Add(30 * time.Second)
--- a/review/11/standin/worker.go
+++ b/review/11/standin/worker.go
@@ -18,7 +18,7 @@
 	maxHold = 10 * time.Second
 	// stopTime is how long a run takes to stop, at most stopTimeoutMs of the site.
 	stopTime = 100 * time.Millisecond
-	// startupTime is how long a task that lasts takes until it is at work.
+	// tick is how often a worker looks for runs whose time is over.
 	tick = 5 * time.Millisecond
 )
 
@@ -245,27 +245,34 @@
 	}
 }
 
+// doneEnd is an end as done.
+type doneEnd struct {
+	at time.Time
+	// isNoted is set once the end was taken note of.
+	isNoted bool
+	number  int64
+	// starts describes the later starts of the task.
+	starts []string
+	worker *worker
+}
+
 // fleet records what the workers see, and checks rule TWICE.
 type fleet struct {
 	// durations is how long the tasks of a job run; 0 for tasks that last.
 	durations map[string]time.Duration
 	mu        sync.Mutex
-	// noticed holds the tasks of which an end as done was taken note of, doneAt when each task ended as done first.
-	noticed map[string]bool
-	doneAt  map[string]time.Time
-	record  *record
+	// done holds, by task, its first end as done.
+	done   map[string]*doneEnd
+	record *record
 	// running is the number of runs of each task.
-	running map[string]int
-	// lateStarts holds the starts after an end as done, by task, until that end is taken note of.
-	lateStarts map[string]string
+	running    map[string]int
 	starts     int
 	violations []string
 }
 
 func newFleet(r *record) *fleet {
 	return &fleet{
-		doneAt: map[string]time.Time{}, durations: map[string]time.Duration{}, lateStarts: map[string]string{}, noticed: map[string]bool{},
-		record: r, running: map[string]int{},
+		done: map[string]*doneEnd{}, durations: map[string]time.Duration{}, record: r, running: map[string]int{},
 	}
 }
 
@@ -285,13 +292,13 @@
 	if f.running[c.Task] > 1 {
 		f.violate("TWICE: " + strconv.Itoa(f.running[c.Task]) + " runs of " + c.Task + " at the same time")
 	}
-	if at, ok := f.doneAt[c.Task]; ok {
+	if d := f.done[c.Task]; d != nil {
 		text := fmt.Sprintf("TWICE: run %d of %s starts on worker %s %s after a run of it has ended done, an end that was taken note of",
-			c.Run, c.Task, w.id, time.Since(at).Round(time.Millisecond))
-		if f.noticed[c.Task] {
+			c.Run, c.Task, w.id, time.Since(d.at).Round(time.Millisecond))
+		if d.isNoted {
 			f.violate(text)
 		} else {
-			f.lateStarts[c.Task] = text
+			d.starts = append(d.starts, text)
 		}
 	}
 }
@@ -301,8 +308,8 @@
 	defer f.mu.Unlock()
 	f.running[e.task]--
 	f.record.add("worker %s: end %d of %s, run %d: %s", w.id, e.n, e.task, e.run, e.cause)
-	if e.cause == "done" && f.doneAt[e.task].IsZero() {
-		f.doneAt[e.task] = time.Now()
+	if e.cause == "done" && f.done[e.task] == nil {
+		f.done[e.task] = &doneEnd{at: time.Now(), number: e.n, worker: w}
 	}
 }
 
@@ -310,14 +317,14 @@
 func (f *fleet) noted(w *worker, e end) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e.cause != "done" || e.hasLapse {
+	d := f.done[e.task]
+	if e.cause != "done" || e.hasLapse || d == nil || d.worker != w || d.number != e.n {
 		return
 	}
 	f.record.add("worker %s: end %d of %s was taken note of", w.id, e.n, e.task)
-	f.noticed[e.task] = true
-	if text := f.lateStarts[e.task]; text != "" {
+	d.isNoted = true
+	for _, text := range d.starts {
 		f.violate(text)
-		delete(f.lateStarts, e.task)
 	}
 }
 
@@ -326,13 +333,6 @@
 	f.record.add("%s", text)
 }
 
-// hasNoticed reports whether the end of a task was taken note of.
-func (f *fleet) hasNoticed(task string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.noticed[task]
-}
-
 func (f *fleet) broken() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
