Start a case on panics in the forecasts of racks

Seen: an owner panics with an index out of range when a worker on probation gets a run between two decisions on a rack in one round; delays between owners then grow to 16 s.

--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -101,12 +101,14 @@
 	switch name {
 	case "11":
 		return s.lateWrite()
+	case "12":
+		return s.hotRack()
 	}
 	return errUnknownCase
 }
 
 // open starts the store, workers in racks and hosts, and waits until jobs are accepted.
-func (s *site) open(hosts, racks, workersPerRack int, strength float64) error {
+func (s *site) open(hosts, racks, workersPerRack int, strength float64, largeWorkers bool) error {
 	var err error
 	if s.store, err = newStore(s.record); err != nil {
 		return err
@@ -123,7 +125,11 @@
 		},
 	})
 	for i := range racks * workersPerRack {
-		w, err := newWorker(s.fleet, fmt.Sprintf("i-%03d", i), fmt.Sprintf("r1-%d", i/workersPerRack))
+		cpu := workerCPU
+		if i%3 == 2 && largeWorkers {
+			cpu = largeCPU
+		}
+		w, err := newWorker(s.fleet, fmt.Sprintf("i-%03d", i), fmt.Sprintf("r1-%d", i/workersPerRack), cpu)
 		if err != nil {
 			return err
 		}
--- a/review/11/standin/worker.go
+++ b/review/11/standin/worker.go
@@ -12,12 +12,18 @@
 )
 
 const (
+	// Of three workers, the last one has half as much more than the others: sizes of the site.
 	workerCPU   = 8000
+	largeCPU    = 12000
 	workerMemMB = 16000
+	// remoteFactor is that of the site.
+	remoteFactor = 2
 	// maxHold is the longest lease that a worker grants: maxHoldMs of the site.
 	maxHold = 10 * time.Second
 	// stopTime is how long a run takes to stop, at most stopTimeoutMs of the site.
 	stopTime = 100 * time.Millisecond
+	// failTime is how long a run takes on a worker that fails all that it starts.
+	failTime = 50 * time.Millisecond
 	// tick is how often a worker looks for runs whose time is over.
 	tick = 5 * time.Millisecond
 )
@@ -45,12 +51,15 @@
 type worker struct {
 	address string
 	changed chan struct{}
+	cpu     int
 	ends    []end
 	fleet   *fleet
 	// highest is, by task, the highest number of a run that was stopped or has ended.
 	highest  map[string]int
 	id, rack string
-	lastEnd  int64
+	// isFailing is set while the worker fails all that it starts.
+	isFailing bool
+	lastEnd   int64
 	// leaseEnd is on the worker's clock.
 	leaseEnd time.Duration
 	mu       sync.Mutex
@@ -71,13 +80,13 @@
 	WaitMs       int64
 }
 
-func newWorker(f *fleet, id, rack string) (*worker, error) {
+func newWorker(f *fleet, id, rack string, cpu int) (*worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		address: ln.Addr().String(), changed: make(chan struct{}), fleet: f, highest: map[string]int{}, id: id, rack: rack,
+		address: ln.Addr().String(), changed: make(chan struct{}), cpu: cpu, fleet: f, highest: map[string]int{}, id: id, rack: rack,
 		started: time.Now(),
 	}
 	mux := http.NewServeMux()
@@ -101,7 +110,7 @@
 func (w *worker) entry() map[string]any {
 	return map[string]any{
 		"service": "ripenctl", "address": w.address, "zone": "kelaniya", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-		"machine": "m-" + w.id, "capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemMB, "gpu": 0},
+		"machine": "m-" + w.id, "capacity": map[string]int{"cpu": w.cpu, "memMb": workerMemMB, "gpu": 0},
 		"labels": []string{"a", w.rack}, "seq": 1, "born": w.started.UnixMilli(), "clockMs": w.clock().Milliseconds(),
 	}
 }
@@ -138,6 +147,13 @@
 	}
 }
 
+// setFailing makes the worker fail all that it starts from now on, or no longer.
+func (w *worker) setFailing(isFailing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isFailing = isFailing
+}
+
 func (w *worker) refuse(rw http.ResponseWriter, reason string) {
 	respond(rw, http.StatusConflict, w.answer(map[string]any{"reason": reason}))
 }
@@ -158,9 +174,12 @@
 		return
 	}
 	r := &run{number: c.Run, percent: 100, task: c.Task}
-	if d := w.fleet.duration(c.Task); d > 0 {
+	if d := w.fleet.duration(c.Task, w.rack); d > 0 {
 		r.cause, r.endsAt = "done", time.Now().Add(d)
 	}
+	if w.isFailing {
+		r.cause, r.endsAt = "failed", time.Now().Add(failTime)
+	}
 	w.runs = append(w.runs, r)
 	w.fleet.started(w, c)
 	respond(rw, http.StatusOK, w.answer(map[string]any{}))
@@ -258,6 +277,10 @@
 
 // fleet records what the workers see, and checks rule TWICE.
 type fleet struct {
+	// remote holds the rack of the data of jobs, away from which their tasks take longer.
+	remote map[string]string
+	// stepDurations replaces durations for steps of jobs.
+	stepDurations map[string]time.Duration
 	// durations is how long the tasks of a job run; 0 for tasks that last.
 	durations map[string]time.Duration
 	mu        sync.Mutex
@@ -272,15 +295,23 @@
 
 func newFleet(r *record) *fleet {
 	return &fleet{
-		done: map[string]*doneEnd{}, durations: map[string]time.Duration{}, record: r, running: map[string]int{},
+		remote: map[string]string{}, stepDurations: map[string]time.Duration{}, done: map[string]*doneEnd{}, durations: map[string]time.Duration{}, record: r, running: map[string]int{},
 	}
 }
 
-func (f *fleet) duration(task string) time.Duration {
-	job, _, _ := strings.Cut(task, ".")
+// duration returns how long a task takes in a rack; 0 if it lasts.
+func (f *fleet) duration(task, rack string) time.Duration {
+	job, rest, _ := strings.Cut(task, ".")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.durations[job]
+	d := f.durations[job]
+	if step, ok := f.stepDurations[job+"."+strings.Split(rest, ".")[1]]; ok {
+		d = step
+	}
+	if f.remote[job] != "" && f.remote[job] != rack {
+		d *= remoteFactor
+	}
+	return d
 }
 
 func (f *fleet) started(w *worker, c call) {
