--- a/review/11/standin/latewrite.go
+++ b/review/11/standin/latewrite.go
@@ -16,8 +16,8 @@
 	settleTime  = 5 * time.Second
 	fillerTasks = 40
 	// The jobs come from leadTime before the disturbance on. A waiting task is offered to other shards after 1.5 s or more.
-	waitingJobs = 60
-	jobInterval = 90 * time.Millisecond
+	waitingJobs = 120
+	jobInterval = 45 * time.Millisecond
 	leadTime    = 2500 * time.Millisecond
 	jobTime     = 300 * time.Millisecond
 )
