Show that a submission that lasts never begins beside short tasks which come again and again

A rack of large workers is lost; the room that is kept for short tasks is a quarter of the whole service, but only workers that could take a short task count towards it.

--- a/review/11/standin/hotrack.go
+++ b/review/11/standin/hotrack.go
@@ -20,7 +20,7 @@
 
 // hotRack plays jobs that want the same rack while workers fail all that they start.
 func (s *site) hotRack() error {
-	if err := s.open(3, 8, 6, 0.16, true); err != nil {
+	if err := s.open(3, 8, 6, 0.16, siteSizes); err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/11/standin/latewrite.go
+++ b/review/11/standin/latewrite.go
@@ -24,7 +24,7 @@
 
 // lateWrite plays lost answers of the store while waiting tasks move from a full shard to another one, and then planned restarts.
 func (s *site) lateWrite() error {
-	if err := s.open(4, 10, 8, hostStrength, false); err != nil {
+	if err := s.open(4, 10, 8, hostStrength, equalSizes); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -103,12 +103,27 @@
 		return s.lateWrite()
 	case "12":
 		return s.hotRack()
+	case "13":
+		return s.keptRoom()
 	}
 	return errUnknownCase
 }
 
+// sizeOf returns the CPU of a worker by its number.
+type sizeOf func(worker int) int
+
+func equalSizes(int) int { return workerCPU }
+
+// siteSizes are those of the site: of three workers, the last one has half as much more than the others.
+func siteSizes(worker int) int {
+	if worker%3 == 2 {
+		return largeCPU
+	}
+	return workerCPU
+}
+
 // open starts the store, workers in racks and hosts, and waits until jobs are accepted.
-func (s *site) open(hosts, racks, workersPerRack int, strength float64, largeWorkers bool) error {
+func (s *site) open(hosts, racks, workersPerRack int, strength float64, size sizeOf) error {
 	var err error
 	if s.store, err = newStore(s.record); err != nil {
 		return err
@@ -125,11 +140,7 @@
 		},
 	})
 	for i := range racks * workersPerRack {
-		cpu := workerCPU
-		if i%3 == 2 && largeWorkers {
-			cpu = largeCPU
-		}
-		w, err := newWorker(s.fleet, fmt.Sprintf("i-%03d", i), fmt.Sprintf("r1-%d", i/workersPerRack), cpu)
+		w, err := newWorker(s.fleet, fmt.Sprintf("i-%03d", i), fmt.Sprintf("r1-%d", i/workersPerRack), size(i))
 		if err != nil {
 			return err
 		}
--- a/review/11/standin/store.go
+++ b/review/11/standin/store.go
@@ -109,6 +109,15 @@
 	s.notify()
 }
 
+// remove removes a key without a condition.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.write(item{Deleted: true, Key: key})
+	s.notify()
+}
+
 func (s *store) write(i item) {
 	i.Revision = s.rev
 	if i.Deleted {
--- a/review/11/standin/worker.go
+++ b/review/11/standin/worker.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// Of three workers, the last one has half as much more than the others: sizes of the site.
+	// The sizes of workers, as far as a case has no others.
 	workerCPU   = 8000
 	largeCPU    = 12000
 	workerMemMB = 16000
@@ -57,6 +57,8 @@
 	// highest is, by task, the highest number of a run that was stopped or has ended.
 	highest  map[string]int
 	id, rack string
+	// isDark is set once the worker is lost: it runs nothing any more and is silent.
+	isDark bool
 	// isFailing is set while the worker fails all that it starts.
 	isFailing bool
 	lastEnd   int64
@@ -132,6 +134,9 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if w.staysSilent(r) {
+			return
+		}
 		w.endDueRuns()
 		switch id := r.Header.Get("Expect-Instance"); {
 		case id != "" && id != w.id:
@@ -147,6 +152,28 @@
 	}
 }
 
+// staysSilent reports whether the worker is lost, after its caller has given up.
+func (w *worker) staysSilent(r *http.Request) bool {
+	if !w.isDark {
+		return false
+	}
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+	return true
+}
+
+// lose ends the worker for good. It says nothing.
+func (w *worker) lose() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isDark = true
+	for _, r := range w.runs {
+		w.fleet.lost(w, r)
+	}
+	w.runs = nil
+}
+
 // setFailing makes the worker fail all that it starts from now on, or no longer.
 func (w *worker) setFailing(isFailing bool) {
 	w.mu.Lock()
@@ -222,6 +249,9 @@
 		}
 		w.mu.Lock()
 	}
+	if w.staysSilent(r) {
+		return
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
 		running = append(running, []any{r.task, r.number, "", r.percent, 0})
@@ -344,6 +374,14 @@
 	}
 }
 
+// lost notes that a run has ended with its worker, which can't say so.
+func (f *fleet) lost(w *worker, r *run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[r.task]--
+	f.record.add("worker %s: lost with run %d of %s", w.id, r.number, r.task)
+}
+
 // noted notes that an end was taken note of. It does not count if the lease ended meanwhile.
 func (f *fleet) noted(w *worker, e end) {
 	f.mu.Lock()
