--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -26,14 +26,20 @@
 
 // site holds the stand-ins of a case and the hosts.
 type site struct {
-	dir     string
-	fleet   *fleet
+	dir   string
+	fleet *fleet
+	// fullRack is a rack of the common kind in the shard of the rare one.
+	fullRack string
+	// kindOf returns the kind of a rack's workers, unless it is nil.
+	kindOf  func(rack string) string
 	hosts   []*host
 	program string
-	record  *record
-	store   *store
-	trouble bool
-	workers []*worker
+	// rareJobs is the number of submissions that need the rare kind.
+	rareJobs int
+	record   *record
+	store    *store
+	trouble  bool
+	workers  []*worker
 }
 
 func main() { os.Exit(play()) }
@@ -42,6 +48,7 @@
 	name := flag.String("case", "", "the case to play")
 	out := flag.String("record", "record.txt", "the file for the record")
 	program := flag.String("program", "", "the program under test")
+	rare := flag.Int("rare-jobs", rareJobs, "the submissions of case 14 that need the rare kind")
 	trouble := flag.Bool("trouble", true, "whether the disruption comes")
 	flag.Parse()
 	r, err := newRecord(*out)
@@ -55,7 +62,7 @@
 		return exitNotRun
 	}
 	keep := os.Getenv("KEEP_LOGS") != ""
-	s := &site{dir: dir, fleet: newFleet(r), program: *program, record: r, trouble: *trouble}
+	s := &site{dir: dir, fleet: newFleet(r), program: *program, rareJobs: *rare, record: r, trouble: *trouble}
 	defer func() {
 		for _, h := range s.hosts {
 			h.kill()
@@ -105,6 +112,8 @@
 		return s.hotRack()
 	case "13":
 		return s.keptRoom()
+	case "14":
+		return s.lostKind()
 	}
 	return errUnknownCase
 }
@@ -144,6 +153,9 @@
 		if err != nil {
 			return err
 		}
+		if s.kindOf != nil {
+			w.kind = s.kindOf(w.rack)
+		}
 		s.workers = append(s.workers, w)
 		s.store.put("servers/"+w.id, w.entry())
 	}
--- a/review/11/standin/worker.go
+++ b/review/11/standin/worker.go
@@ -16,6 +16,8 @@
 	workerCPU   = 8000
 	largeCPU    = 12000
 	workerMemMB = 16000
+	// commonKind is the kind of the workers, as far as a case has no others.
+	commonKind = "a"
 	// remoteFactor is that of the site.
 	remoteFactor = 2
 	// maxHold is the longest lease that a worker grants: maxHoldMs of the site.
@@ -57,6 +59,8 @@
 	// highest is, by task, the highest number of a run that was stopped or has ended.
 	highest  map[string]int
 	id, rack string
+	// kind is the worker's first label.
+	kind string
 	// isDark is set once the worker is lost: it runs nothing any more and is silent.
 	isDark bool
 	// isFailing is set while the worker fails all that it starts.
@@ -89,7 +93,7 @@
 	}
 	w := &worker{
 		address: ln.Addr().String(), changed: make(chan struct{}), cpu: cpu, fleet: f, highest: map[string]int{}, id: id, rack: rack,
-		started: time.Now(),
+		kind: commonKind, started: time.Now(),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.serve(w.start))
@@ -113,7 +117,7 @@
 	return map[string]any{
 		"service": "ripenctl", "address": w.address, "zone": "kelaniya", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"machine": "m-" + w.id, "capacity": map[string]int{"cpu": w.cpu, "memMb": workerMemMB, "gpu": 0},
-		"labels": []string{"a", w.rack}, "seq": 1, "born": w.started.UnixMilli(), "clockMs": w.clock().Milliseconds(),
+		"labels": []string{w.kind, w.rack}, "seq": 1, "born": w.started.UnixMilli(), "clockMs": w.clock().Milliseconds(),
 	}
 }
 
