Show that a few gangs that can't be done delay all other work, and order the cases by gravity

A gang that does not fit is tried with all its members in each round of placement, and the pause between rounds grows with the pairs looked at, without a limit. The numbers change: 14 is now 12 (waiting tasks of a lost kind), 12 is 13 (panics), 13 is 14 (room kept for short tasks).

--- a/review/11/standin/hopeless.go
+++ b/review/11/standin/hopeless.go
@@ -11,11 +11,11 @@
 	trafficTime     = 52 * time.Second
 	trafficInterval = 250 * time.Millisecond
 	hopelessEvery   = 33
-	// A submission that can never be done is a gang of more tasks than the workers have room for: 1,856.
-	hopelessTasks = 2000
-	hopelessCPU   = 240
+	// A submission that can never be done is a gang of more tasks than the workers have room for: 2,800.
+	hopelessTasks = 3000
+	hopelessCPU   = 160
 	// The others have steps of two tasks, one after the other.
-	plainSteps = 3
+	plainSteps = 4
 	plainTasks = 2
 	plainCPU   = 1000
 	plainTime  = 300 * time.Millisecond
--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -48,7 +48,7 @@
 	name := flag.String("case", "", "the case to play")
 	out := flag.String("record", "record.txt", "the file for the record")
 	program := flag.String("program", "", "the program under test")
-	rare := flag.Int("rare-jobs", rareJobs, "the submissions of case 14 that need the rare kind")
+	rare := flag.Int("rare-jobs", rareJobs, "the submissions of case 12 that need the rare kind")
 	trouble := flag.Bool("trouble", true, "whether the disruption comes")
 	flag.Parse()
 	r, err := newRecord(*out)
@@ -109,11 +109,11 @@
 	case "11":
 		return s.lateWrite()
 	case "12":
-		return s.hotRack()
+		return s.lostKind()
 	case "13":
-		return s.keptRoom()
+		return s.hotRack()
 	case "14":
-		return s.lostKind()
+		return s.keptRoom()
 	case "15":
 		return s.hopeless()
 	}
