--- a/review/11/standin/host.go
+++ b/review/11/standin/host.go
@@ -50,7 +50,7 @@
 }
 
 // newHost writes the settings of a host as deploy/settings.toml.tmpl has them.
-func newHost(dir, program, name, store string, strength float64) (*host, error) {
+func newHost(dir, program, name, store string, strength float64, maxLease time.Duration) (*host, error) {
 	var addresses [4]string
 	for i := range addresses {
 		var err error
@@ -80,12 +80,12 @@
 strength = %g
 
 [worker]
-max_lease = "10000ms"
+max_lease = "%dms"
 
 [log]
 format = "json"
 level = "info"
-`, name, addresses[0], addresses[1], addresses[2], addresses[3], store, strength)
+`, name, addresses[0], addresses[1], addresses[2], addresses[3], store, strength, maxLease.Milliseconds())
 	return h, os.WriteFile(h.config, []byte(text), 0o600)
 }
 
--- a/review/11/standin/lostkind.go
+++ b/review/11/standin/lostkind.go
@@ -15,7 +15,9 @@
 	// fillTasks is the number of tasks of a submission that lasts and fills workers of the common kind.
 	fillTasks   = 3
 	maxFillJobs = 26
-	// leaseTime is how long the system is given after a loss: a lease lasts for maxHold at most.
+	// kindMaxHold is maxHoldMs of the site.
+	kindMaxHold = 6 * time.Second
+	// leaseTime is how long the system is given after a loss, which is longer than any lease: finish_s of the site.
 	leaseTime = 14 * time.Second
 	// moveTime is how long the case goes on after the second loss.
 	moveTime = 45 * time.Second
@@ -29,6 +31,7 @@
 		}
 		return commonKind
 	}
+	s.fleet.maxHold = kindMaxHold
 	if err := s.open(4, kindRacks, rackWorkers, hostStrength, equalSizes); err != nil {
 		return err
 	}
--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -162,7 +162,7 @@
 		s.store.put("servers/"+w.id, w.entry())
 	}
 	for i := range hosts {
-		h, err := newHost(s.dir, s.program, fmt.Sprintf("front-%d", i), s.store.address, strength)
+		h, err := newHost(s.dir, s.program, fmt.Sprintf("front-%d", i), s.store.address, strength, s.fleet.maxHold)
 		if err != nil {
 			return err
 		}
--- a/review/11/standin/worker.go
+++ b/review/11/standin/worker.go
@@ -20,7 +20,7 @@
 	commonKind = "a"
 	// remoteFactor is that of the site.
 	remoteFactor = 2
-	// maxHold is the longest lease that a worker grants: maxHoldMs of the site.
+	// maxHold is the longest lease that a worker grants, as far as a case has no other: maxHoldMs of the site.
 	maxHold = 10 * time.Second
 	// stopTime is how long a run takes to stop, at most stopTimeoutMs of the site.
 	stopTime = 100 * time.Millisecond
@@ -149,7 +149,7 @@
 			w.refuse(rw, "fence")
 		default:
 			w.token = c.FencingToken
-			until := min(time.Duration(c.UntilMs)*time.Millisecond, w.clock()+maxHold)
+			until := min(time.Duration(c.UntilMs)*time.Millisecond, w.clock()+w.fleet.maxHold)
 			w.leaseEnd = max(w.leaseEnd, until)
 			execute(rw, r, c)
 		}
@@ -317,7 +317,9 @@
 	stepDurations map[string]time.Duration
 	// durations is how long the tasks of a job run; 0 for tasks that last.
 	durations map[string]time.Duration
-	mu        sync.Mutex
+	// maxHold is the longest lease that a worker grants.
+	maxHold time.Duration
+	mu      sync.Mutex
 	// done holds, by task, its first end as done.
 	done   map[string]*doneEnd
 	record *record
@@ -329,7 +331,7 @@
 
 func newFleet(r *record) *fleet {
 	return &fleet{
-		remote: map[string]string{}, stepDurations: map[string]time.Duration{}, done: map[string]*doneEnd{}, durations: map[string]time.Duration{}, record: r, running: map[string]int{},
+		remote: map[string]string{}, stepDurations: map[string]time.Duration{}, done: map[string]*doneEnd{}, durations: map[string]time.Duration{}, maxHold: maxHold, record: r, running: map[string]int{},
 	}
 }
 
