Guard the first progress record of a job by the job's own record

Cause: the first progress record was guarded by the owner key and by the absence of progress. The end of the job deletes the progress, so both guards held again. An attempt whose response was lost, and which the store executed after the end, brought back the progress and the records of a shared job in the home and in the guest. The next owners loaded them.

Change: internal/jobrecord decides the guards. The first progress record is guarded by the revision of the job's own record too, which is deleted with the end and never has that revision again. A write without a job's record makes the owner forget the job. An owner that loads a shard ends jobs whose records an earlier build brought back.

TestPeerWritesRecordsOverConnection expects the additional guard.

--- a/internal/entry/commitrelay_test.go
+++ b/internal/entry/commitrelay_test.go
@@ -182,7 +182,7 @@
 
 // Guards against records that a peer can't write because the request or its reply does not pass the connection between hosts.
 func TestPeerWritesRecordsOverConnection(t *testing.T) {
-	const revision = 99
+	const revision, jobRevision = 99, 8
 	received := make(chan peer.RecordsWrite, 1)
 	address := startPeer(t, func(m peer.Message) peer.Message {
 		received <- *m.RecordsWrite
@@ -193,12 +193,15 @@
 	}})
 	owner.SeeHost(address)
 	writer := entry.NewCommitWriter(owner, 7, nil)
+	writer.NoteJob(conflictJobA, jobRevision)
 	defer writer.Close()
 	timer := time.AfterFunc(contactTime, writer.Close)
 	defer timer.Stop()
 	assert.Assert(t, writer.Write([]shard.JobWrite{{Job: conflictJobA, Progress: []byte("new a")}}))
 	assert.DeepEqual(t, <-received, peer.RecordsWrite{
-		Guards: []peer.Record{{Key: entry.OwnerKey(), Revision: 7}, {Key: entry.ProgressKey(conflictJobA)}},
-		Puts:   []peer.Record{{Key: entry.ProgressKey(conflictJobA), Value: []byte("new a")}},
+		Guards: []peer.Record{
+			{Key: entry.OwnerKey(), Revision: 7}, {Key: entry.ProgressKey(conflictJobA)}, {Key: entry.JobKey(conflictJobA), Revision: jobRevision},
+		},
+		Puts: []peer.Record{{Key: entry.ProgressKey(conflictJobA), Value: []byte("new a")}},
 	})
 }
--- a/internal/entry/exportcommit_test.go
+++ b/internal/entry/exportcommit_test.go
@@ -13,7 +13,7 @@
 func NewCommitWriter(h *Host, ownerRevision int64, progress map[string]int64) CommitWriter {
 	r := newRunner(h, 0, ownerRevision, 1)
 	for job, revision := range progress {
-		r.progressRevisions[job] = revision
+		r.revisions.NoteProgress(job, revision)
 	}
 	return CommitWriter{r}
 }
@@ -33,6 +33,9 @@
 	return failed.list, ok
 }
 
+// NoteJob notes the revision of a job's own record.
+func (c CommitWriter) NoteJob(job string, revision int64) { c.r.revisions.NoteJob(job, revision) }
+
 // Close stops the writer.
 func (c CommitWriter) Close() { c.r.close() }
 
--- a/internal/entry/failedwrite.go
+++ b/internal/entry/failedwrite.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 
+	"github.com/laburnumridge/laburnumridge/internal/jobrecord"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 )
@@ -17,7 +18,9 @@
 func (f *failedWrites) add(job string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = append(f.list, shard.FailedWrite{Error: err, IsTooLarge: errors.Is(err, kvstore.ErrTooLarge), Job: job})
+	f.list = append(f.list, shard.FailedWrite{
+		Error: err, IsGone: errors.Is(err, jobrecord.ErrJobGone), IsTooLarge: errors.Is(err, kvstore.ErrTooLarge), Job: job,
+	})
 }
 
 // writeOrSplit writes a transaction of records. If the store refuses it for good, each job's records are written by themselves, so that one
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -3,15 +3,20 @@
 import (
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
+// maxLocationReads is the number of locations that an owner reads at the same time while it loads its shard.
+const maxLocationReads = 16
+
 // readProgress reads the shard's progress records. It retries until it succeeds or the runner stops. The store bounds the read of
 // each page; a bound for all would keep a shard with many records from being loaded while the store is slow.
 func (r *runner) readProgress(s kvstore.Store) map[string]workflow.Progress {
@@ -26,7 +31,7 @@
 		r.locked(func() {
 			for _, kv := range kvs {
 				id := strings.TrimPrefix(kv.Key, shardProgressPrefix(r.shard))
-				r.progressRevisions[id] = kv.ModRevision
+				r.revisions.NoteProgress(id, kv.ModRevision)
 				p, err := workflow.Decode[workflow.Progress](kv.Value)
 				if err != nil {
 					r.log.WithError(err).WithField("job", id).Error("ignoring malformed progress record")
@@ -43,6 +48,10 @@
 // loadJobs restores the shard's jobs, which were read at a store revision or later, with their recorded progress. Called again
 // after a gap in the watch history, it adds the jobs that were missed.
 func (r *runner) loadJobs(kvs []kvstore.KV, revision int64, recorded map[string]workflow.Progress) {
+	var ended map[string]workflow.State
+	if recorded != nil {
+		ended = r.readEnded(kvs)
+	}
 	r.updateOwner(func(now time.Time) {
 		for _, kv := range kvs {
 			if id, cancelled := parseJobKey(kv.Key, r.shard); cancelled {
@@ -63,6 +72,7 @@
 				continue
 			}
 			jobs, open[j.ID] = jobs+1, true
+			r.revisions.NoteJob(j.ID, kv.ModRevision)
 			switch {
 			case r.loaded:
 				r.addOrApply(now, j, shared)
@@ -71,6 +81,9 @@
 			default:
 				r.owner.Restore(now, j, recorded[j.ID], r.cancellations[j.ID])
 			}
+			if state, ok := ended[j.ID]; ok {
+				r.owner.End(now, j.ID, state)
+			}
 		}
 		r.restoreEnded(now, recorded, open)
 		for _, kv := range kvs {
@@ -105,6 +118,7 @@
 				continue
 			}
 			if j, shared, ok := r.decodeJob(ev.KV); ok {
+				r.revisions.NoteJob(j.ID, ev.KV.ModRevision)
 				r.addOrApply(now, j, shared)
 				if r.cancellations[j.ID] {
 					r.owner.Cancel(now, j.ID) // one transaction may write both, and its events come in any order
@@ -114,6 +128,56 @@
 	})
 }
 
+// readEnded returns the final states of jobs that have ended although they have a record. Owners of earlier builds could write the record of a
+// job once more after its end, but only a record other than that of the submission.
+func (r *runner) readEnded(kvs []kvstore.KV) map[string]workflow.State {
+	out := map[string]workflow.State{}
+	var mu sync.Mutex
+	var reads errgroup.Group
+	reads.SetLimit(maxLocationReads)
+	for _, kv := range kvs {
+		id, isCancellation := parseJobKey(kv.Key, r.shard)
+		if _, _, isReturned := parseReturnedKey(id); isCancellation || isReturned {
+			continue
+		}
+		_, isCompact := workflow.DecodeCompactJob(kv.Value)
+		if _, isShared := workflow.DecodeSharedJob(kv.Value); !isCompact && !isShared {
+			continue
+		}
+		reads.Go(func() error {
+			if state, isEnded := r.readFinalState(id); isEnded {
+				mu.Lock()
+				defer mu.Unlock()
+				out[id] = state
+			}
+			return nil
+		})
+	}
+	_ = reads.Wait() // no read returns an error
+	return out
+}
+
+// readFinalState returns the final state of a job. A job without a location has ended, and its state has expired. It retries until it succeeds or
+// the runner stops.
+func (r *runner) readFinalState(id string) (workflow.State, bool) {
+	for r.ctx.Err() == nil {
+		ctx, cancel := withTimeout(r.ctx, storeCallTimeout)
+		kv, err := r.host.platform.Store.Get(ctx, locationKey(id))
+		cancel()
+		if err != nil {
+			r.noteFailedRead()
+			retry.Sleep(r.ctx, watchRetryDelay)
+			continue
+		}
+		if kv.ModRevision == 0 {
+			return workflow.StateCancelled, true
+		}
+		location, err := workflow.Decode[workflow.JobLocation](kv.Value)
+		return location.State, err == nil && location.State.IsFinal()
+	}
+	return "", false
+}
+
 // addOrApply passes a job to the owner, or the present record of a shared one.
 func (r *runner) addOrApply(now time.Time, j workflow.Job, shared *workflow.SharedJob) {
 	if shared != nil {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/jobrecord"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
 	"github.com/laburnumridge/laburnumridge/internal/shard"
@@ -63,8 +64,8 @@
 	log    *logrus.Entry
 	mu     sync.Mutex
 	owner  *shard.Owner
-	// progressRevisions maps job ids to the revisions of their progress records.
-	progressRevisions map[string]int64
+	// revisions guard the writes of job records.
+	revisions *jobrecord.Revisions
 	// cancellations is the set of jobs with a recorded cancellation.
 	cancellations map[string]bool
 	// registry holds the workers of all shards, by the store key of their registry entry.
@@ -103,7 +104,8 @@
 			shard.WithInterferenceObserver(func(s interference.State, d time.Duration) {
 				overTargetSeconds.AddFloat(string(s), d.Seconds())
 			})),
-		progressRevisions: map[string]int64{}, registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n,
+		registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n, revisions: jobrecord.New(jobrecord.WithKeys(
+			func(id string) string { return jobKey(n, id) }, func(id string) string { return progressKey(n, id) })),
 		callSemaphores: map[string]chan struct{}{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -292,6 +294,7 @@
 	if revision <= r.appliedJobs {
 		return true
 	}
+	r.revisions.NoteJob(j.ID, revision)
 	r.owner.Add(r.host.now(), j)
 	r.wakeLoop()
 	return true
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
@@ -240,9 +241,8 @@
 				next.Deletes = append(next.Deletes, cancelKey(r.shard, w.Job))
 			}
 		} else {
-			key := progressKey(r.shard, w.Job)
-			next.Guards = append(next.Guards, kvstore.Guard{Key: key, Revision: r.progressRevisions[w.Job]})
-			next.Puts = append(next.Puts, kvstore.Put{Key: key, Value: w.Progress})
+			next.Guards = append(next.Guards, r.revisions.Guards(w.Job)...)
+			next.Puts = append(next.Puts, kvstore.Put{Key: progressKey(r.shard, w.Job), Value: w.Progress})
 			if w.Record != nil {
 				next.Puts = append(next.Puts, kvstore.Put{Key: jobKey(r.shard, w.Job), Value: w.Record})
 			}
@@ -259,7 +259,7 @@
 }
 
 // writeRecords retries a transaction of records until it is known to have taken effect, which it returns as true, until the store refuses
-// it for good, or until the runner stops. Errors match kvstore.ErrTooLarge or kvstore.ErrRejected.
+// it for good, or until the runner stops. Errors match kvstore.ErrTooLarge, kvstore.ErrRejected or jobrecord.ErrJobGone.
 func (r *runner) writeRecords(t kvstore.Txn, writes []shard.JobWrite) (bool, error) {
 	pause, failures := minWriteBackoff, 0
 	for r.ctx.Err() == nil {
@@ -274,8 +274,8 @@
 			r.applyWritten(writes, res.Revision)
 			return true, nil
 		case errors.Is(err, kvstore.ErrConflict):
-			if r.resolveConflict(&t, writes, res.Current) {
-				return true, nil
+			if written, err := r.resolveConflict(&t, writes, res.Current); written || err != nil {
+				return written, err
 			}
 		case errors.Is(err, kvstore.ErrTooLarge), errors.Is(err, kvstore.ErrRejected) && failures >= rejectedAttempts:
 			return false, err
@@ -292,8 +292,9 @@
 
 // resolveConflict handles a transaction whose guards did not hold. It wakes the election if this host has lost the shard; its
 // successor may have changed the records since, so nothing is concluded from them. Otherwise it returns true if an earlier attempt,
-// whose response was lost, has written the records, or else adopts the present revisions of the records for the next attempt.
-func (r *runner) resolveConflict(t *kvstore.Txn, writes []shard.JobWrite, current []kvstore.KV) bool {
+// whose response was lost, has written the records, or else adopts the present revisions of the records for the next attempt. Errors match
+// jobrecord.ErrJobGone.
+func (r *runner) resolveConflict(t *kvstore.Txn, writes []shard.JobWrite, current []kvstore.KV) (bool, error) {
 	currentByKey := map[string]kvstore.KV{}
 	for _, kv := range current {
 		currentByKey[kv.Key] = kv
@@ -302,20 +303,37 @@
 		r.log.WithFields(logrus.Fields{"decision": "not_owner", "revision": kv.ModRevision, "expected": t.Guards[0].Revision}).
 			Warn("job records not written: this host has lost ownership of the shard")
 		r.host.ownedShards.wakeElection()
-		return false
+		return false, nil
 	}
 	if revision, ok := writtenRevision(*t, currentByKey); ok {
 		r.applyWritten(writes, revision)
-		return true
+		return true, nil
 	}
-	for i, g := range t.Guards[1:] {
-		if kv, ok := currentByKey[g.Key]; ok {
-			r.log.WithFields(logrus.Fields{"key": g.Key, "revision": kv.ModRevision, "expected": g.Revision}).
-				Error("progress record is not at the revision that this owner wrote; retrying with the present one")
-			t.Guards[i+1].Revision = kv.ModRevision
+	return false, r.adoptRevisions(t, writes, currentByKey)
+}
+
+// adoptRevisions guards the next attempt of a transaction by the present revisions of the records.
+func (r *runner) adoptRevisions(t *kvstore.Txn, writes []shard.JobWrite, current map[string]kvstore.KV) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range t.Guards[1:] {
+		if kv, ok := current[g.Key]; ok && kv.ModRevision != g.Revision {
+			r.log.WithFields(logrus.Fields{
+				"decision": "adopt_revision", "key": g.Key, "revision": kv.ModRevision, "expected": g.Revision,
+			}).Warn("record is not at the expected revision; retrying with the present one")
+		}
+	}
+	t.Guards = t.Guards[:1:1]
+	for _, w := range writes {
+		if w.Final != "" {
+			continue
+		}
+		if err := r.revisions.Adopt(w.Job, current); err != nil {
+			return eris.Wrapf(err, "job %s", w.Job)
 		}
+		t.Guards = append(t.Guards, r.revisions.Guards(w.Job)...)
 	}
-	return false
+	return nil
 }
 
 // writtenRevision returns the revision at which a transaction has taken effect, and whether it has. All of its guarded puts must be
@@ -347,7 +365,7 @@
 	r.owner.AdvanceToken(revision)
 	for _, w := range writes {
 		if w.Final != "" {
-			delete(r.progressRevisions, w.Job)
+			r.revisions.Forget(w.Job)
 			delete(r.cancellations, w.Job)
 			if w.Progress != nil {
 				r.keptRecords = append(r.keptRecords, endedJob{endedAt: time.Now(), id: w.Job})
@@ -358,7 +376,7 @@
 			r.endedJobs = append(r.endedJobs, endedJob{endedAt: time.Now(), id: w.Job})
 			r.host.locations.put(w.Job, workflow.JobLocation{Shard: r.shard, State: w.Final})
 		} else {
-			r.progressRevisions[w.Job] = revision
+			r.revisions.NoteProgress(w.Job, revision)
 		}
 	}
 }
--- a/internal/shard/failedwrite.go
+++ b/internal/shard/failedwrite.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,8 @@
 // FailedWrite is a write of a commit that the store did not carry out and would not if it were repeated.
 type FailedWrite struct {
 	Error error
+	// IsGone is set if the job's own record has been deleted, as it is when the job ends.
+	IsGone bool
 	// IsTooLarge is set if the record is larger than a value of the store.
 	IsTooLarge bool
 	Job        string
@@ -28,6 +31,10 @@
 // no other job. While the store rejects all records of the shard, no job is ended for it.
 func (o *Owner) handleFailedWrite(now time.Time, j *job, c *Commit, f FailedWrite) {
 	o.now = now
+	if f.IsGone {
+		o.dropJob(j)
+		return
+	}
 	if j.rejectedWrites == 0 {
 		j.rejectedSince = now
 	}
@@ -55,6 +62,15 @@
 	o.markDirty(j)
 }
 
+// dropJob forgets a job without a record, since an earlier owner or its home has ended it. None of its planned starts is sent.
+func (o *Owner) dropJob(j *job) {
+	o.log.WithFields(logrus.Fields{"decision": "drop_job", "job": j.ID}).Warn("the record of a job has been deleted; forgetting the job")
+	j.finalRecorded, j.dirty = true, false
+	o.dirty = slices.DeleteFunc(o.dirty, func(d *job) bool { return d == j })
+	o.endJob(j, workflow.StateCancelled, "record of the job has been deleted")
+	o.forgetIfEnded(j)
+}
+
 // failedWriteOf returns the failure to write the record of a job, or nil.
 func failedWriteOf(failed []FailedWrite, job string) *FailedWrite {
 	for i := range failed {
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -173,6 +173,16 @@
 	o.endJob(j, workflow.StateCancelled, "job is cancelled")
 }
 
+// End ends a job whose final state was recorded before, so that its records are deleted.
+func (o *Owner) End(now time.Time, id string, state workflow.State) {
+	o.now = now
+	if j := o.jobs[id]; j != nil && j.final == "" {
+		o.log.WithFields(logrus.Fields{"decision": "end_again", "job": id, "state": string(state)}).
+			Warn("the job has ended, but has a record; deleting the record")
+		o.endJob(j, state, "job has ended")
+	}
+}
+
 // endJob sets the final state of a job and stops its runs.
 func (o *Owner) endJob(j *job, s workflow.State, reason string) {
 	j.final = s
