Keep late writes about an ended job from a later job with its id

Callers would see a submission cancelled that nobody cancelled, or get 410 for one that was accepted, if they used an id again after the status of the first submission had expired.

Cause: writes without a guard that the store executes late. A cancellation stayed under the key of the ended job; its notice was kept in memory; the deletion of an expired location could reach the location of the later job; and an owner ignored a later job as long as it remembered the first one, by count instead of time.

Change: a cancellation and the deletion of a location are guarded by the revision of the location. Cancellations that arrive with the end of their job are deleted. Owners remember ended jobs for a minute.

--- a/internal/entry/latewrite_test.go
+++ b/internal/entry/latewrite_test.go
@@ -105,3 +105,53 @@
 		f.end()
 	})
 }
+
+// Guards against a job that is cancelled by a cancellation of an earlier job with its id, which the store executed after that job had ended.
+func TestLateCancellationDoesNotReachLaterJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newExchangeFleet(t, 1, 1, 2)
+		id := f.addLasting(0, 1, 1, "")
+		time.Sleep(2 * time.Second)
+		isDelayed := f.delayFirst(func(p kvstore.Put) bool { return strings.HasSuffix(p.Key, "/cancel") })
+		assert.Equal(t, f.host("strong-0").daemon.Cancel(t.Context(), earlyQueue, id).Outcome, entry.OutcomeAccepted)
+		f.tasks.forget(id)
+		time.Sleep(2 * maxLateWrite)
+		assert.Assert(t, isDelayed.Load())
+		f.checkNoRecords(id)
+		f.end()
+	})
+}
+
+// Guards against a job without a location: its id was used before, and the deletion of the earlier location was executed late.
+func TestLateDeletionOfLocationDoesNotReachLaterJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newExchangeFleet(t, 1, 1, 2)
+		id := f.addLasting(0, 1, 1, "")
+		time.Sleep(2 * time.Second)
+		host := f.host("strong-0").daemon
+		assert.Equal(t, host.Cancel(t.Context(), earlyQueue, id).Outcome, entry.OutcomeAccepted)
+		f.tasks.forget(id)
+		var isDelayed atomic.Bool
+		f.store.setTxnFault(func(_ string, t kvstore.Txn) txnFault {
+			for _, key := range t.Deletes {
+				if key == entry.LocationKey(id) && isDelayed.CompareAndSwap(false, true) {
+					return txnFault{delay: maxLateWrite}
+				}
+			}
+			return txnFault{}
+		})
+		for range 300 {
+			time.Sleep(time.Second)
+			if f.store.get(entry.LocationKey(id)).ModRevision == 0 {
+				break
+			}
+		}
+		assert.Assert(t, isDelayed.Load())
+		f.addLasting(0, 1, 1, "")
+		time.Sleep(2 * maxLateWrite)
+		assert.Equal(t, f.runsOf(id), 1)
+		assert.Equal(t, host.State(t.Context(), earlyQueue, id).Outcome, entry.OutcomeAccepted)
+		assert.Assert(t, f.store.get(entry.LocationKey(id)).ModRevision != 0)
+		f.end()
+	})
+}
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -91,6 +91,7 @@
 		}
 		for id := range r.cancellations {
 			r.owner.Cancel(now, id)
+			r.noteLateCancellation(id)
 		}
 		if !r.loaded {
 			r.loaded, r.changedAt = true, now
@@ -112,6 +113,7 @@
 			if id, cancelled := parseJobKey(ev.KV.Key, r.shard); cancelled {
 				r.cancellations[id] = true
 				r.owner.Cancel(now, id)
+				r.noteLateCancellation(id)
 				continue
 			}
 			if r.takeBack(now, ev.KV) {
@@ -178,6 +180,14 @@
 	return "", false
 }
 
+// noteLateCancellation lists a cancellation for deletion if the owner does not have the job: it was recorded while the final state of the job was
+// on its way to the store. The job itself may follow, as one transaction may write both.
+func (r *runner) noteLateCancellation(id string) {
+	if !r.owner.IsOpen(id) {
+		r.lateCancellations = append(r.lateCancellations, endedJob{endedAt: time.Now(), id: id})
+	}
+}
+
 // addOrApply passes a job to the owner, or the present record of a shared one.
 func (r *runner) addOrApply(now time.Time, j workflow.Job, shared *workflow.SharedJob) {
 	if shared != nil {
--- a/internal/entry/locations.go
+++ b/internal/entry/locations.go
@@ -1,17 +1,13 @@
 package entry
 
-import (
-	"sync"
-
-	"github.com/laburnumridge/laburnumridge/internal/workflow"
-)
+import "sync"
 
 // maxLocations limits the location cache to about a megabyte; locations that are not cached are read from the store.
 const maxLocations = 8192
 
 // locationCache caches the shards and final states of jobs. It evicts the oldest entry first.
 type locationCache struct {
-	byID map[string]workflow.JobLocation
+	byID map[string]jobRecord
 	mu   sync.Mutex
 	// next is the index in order of the entry that is evicted next.
 	next int
@@ -20,14 +16,14 @@
 }
 
 func newLocationCache() *locationCache {
-	return &locationCache{byID: map[string]workflow.JobLocation{}, order: make([]string, maxLocations)}
+	return &locationCache{byID: map[string]jobRecord{}, order: make([]string, maxLocations)}
 }
 
-func (c *locationCache) get(id string) (workflow.JobLocation, bool) {
+func (c *locationCache) get(id string) (jobRecord, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	location, ok := c.byID[id]
-	return location, ok
+	record, ok := c.byID[id]
+	return record, ok
 }
 
 // remove deletes the entry of a job. Its place in the eviction order is reused when its turn comes.
@@ -38,7 +34,7 @@
 }
 
 // put adds the location of a job, or updates one that is not final.
-func (c *locationCache) put(id string, location workflow.JobLocation) {
+func (c *locationCache) put(id string, location jobRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.byID[id]; ok {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -79,8 +79,8 @@
 		if !h.session.isHealthy() {
 			return jobReply(OutcomeRefused, c.Shard, "")
 		}
-		if a := h.recordCancel(ctx, c.Shard, c.ID); a.Outcome != OutcomeAccepted {
-			return jobReply(a.Outcome, c.Shard, "")
+		if a := h.recordCancel(ctx, c.Shard, c.ID); a.Outcome != OutcomeAccepted || a.State.IsFinal() {
+			return jobReply(a.Outcome, c.Shard, a.State)
 		}
 	}
 	h.ownedShards.cancelJob(c.Shard, c.ID)
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/laburnumridge/laburnumridge/internal/jobrecord"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
@@ -22,47 +23,47 @@
 // errJobNotFound means that the store has no record of a job with that id.
 var errJobNotFound = errors.New("no such job")
 
-// locate returns the shard and final state of a job from the cache, the store or a peer.
-func (h *Host) locate(ctx context.Context, id string) (workflow.JobLocation, error) {
-	if location, ok := h.locations.get(id); ok {
-		return location, nil
+// locate returns the location of a job from the cache, the store or a peer.
+func (h *Host) locate(ctx context.Context, id string) (jobRecord, error) {
+	if record, ok := h.locations.get(id); ok {
+		return record, nil
 	}
 	return h.readLocation(ctx, id, true)
 }
 
-// readLocation reads the shard and final state of a job from the store. If the store fails and askPeers is set, it asks a
-// peer.
-func (h *Host) readLocation(ctx context.Context, id string, askPeers bool) (workflow.JobLocation, error) {
+// readLocation reads the location of a job from the store. If the store fails and askPeers is set, it asks a peer.
+func (h *Host) readLocation(ctx context.Context, id string, askPeers bool) (jobRecord, error) {
 	callCtx, cancel := withTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	kv, err := h.platform.Store.Get(callCtx, locationKey(id))
 	if err != nil {
 		if !askPeers {
-			return workflow.JobLocation{}, err
+			return jobRecord{}, err
 		}
 		reply, relayErr := h.relay(ctx, 0, peer.Message{JobQuery: &peer.JobQuery{ID: id, Shard: -1}})
 		switch {
 		case relayErr != nil:
-			return workflow.JobLocation{}, err
+			return jobRecord{}, err
 		case Outcome(reply.Outcome) == OutcomeNoJob:
-			return workflow.JobLocation{}, errJobNotFound
+			return jobRecord{}, errJobNotFound
 		case Outcome(reply.Outcome) != OutcomeAccepted:
-			return workflow.JobLocation{}, err
+			return jobRecord{}, err
 		}
-		return workflow.JobLocation{Shard: reply.Shard, State: workflow.State(reply.State)}, nil
+		return jobRecord{JobLocation: workflow.JobLocation{Shard: reply.Shard, State: workflow.State(reply.State)}}, nil
 	}
 	if kv.ModRevision == 0 {
-		return workflow.JobLocation{}, errJobNotFound
+		return jobRecord{}, errJobNotFound
 	}
 	location, err := workflow.Decode[workflow.JobLocation](kv.Value)
 	switch {
 	case err != nil:
-		return location, err
+		return jobRecord{}, err
 	case location.IsTombstone():
-		return workflow.JobLocation{}, errJobPrevented
+		return jobRecord{}, errJobPrevented
 	}
-	h.locations.put(id, location)
-	return location, nil
+	record := jobRecord{location, kv.ModRevision}
+	h.locations.put(id, record)
+	return record, nil
 }
 
 // State returns the state of a job: the one that the owner of its shard reports, or the recorded final state if the owner does
@@ -79,7 +80,7 @@
 	}
 	if s, ok := h.askState(ctx, location.Shard, id); ok {
 		if s.IsFinal() {
-			h.locations.put(id, workflow.JobLocation{Shard: location.Shard, State: s})
+			h.locations.put(id, jobRecord{JobLocation: workflow.JobLocation{Shard: location.Shard, State: s}})
 		}
 		return Answer{Outcome: OutcomeAccepted, State: s}
 	}
@@ -116,7 +117,7 @@
 		return h.logAnswer("cancel", id, q.Name, Answer{Outcome: OutcomeNoJob, Reason: err.Error()})
 	case errors.Is(err, errJobNotFound):
 		var a Answer
-		if a, location = h.preventJob(ctx, id); a.Outcome != OutcomeAccepted {
+		if a, location.JobLocation = h.preventJob(ctx, id); a.Outcome != OutcomeAccepted {
 			return h.logAnswer("cancel", id, q.Name, a)
 		}
 	case err != nil:
@@ -129,6 +130,9 @@
 	if h.session.isHealthy() {
 		a = h.recordCancel(ctx, location.Shard, id)
 	}
+	if a.Outcome == OutcomeNoJob || a.State.IsFinal() {
+		return h.logAnswer("cancel", id, q.Name, a)
+	}
 	if a.Outcome != OutcomeAccepted {
 		reply, err := h.relay(ctx, location.Shard, peer.Message{JobCancel: &peer.JobCancel{ID: id, Shard: location.Shard}})
 		if err == nil && (a.Outcome == OutcomeRefused || Outcome(reply.Outcome) == OutcomeAccepted) {
@@ -145,15 +149,38 @@
 	return h.logAnswer("cancel", id, q.Name, a)
 }
 
+// recordCancel records the cancellation of a job that has not ended. The guard keeps a write without a response from being executed once the job
+// has ended: its key would stay, and cancel a job that is submitted under the id later.
 func (h *Host) recordCancel(ctx context.Context, shard int, id string) Answer {
-	_, err := h.writeWithRetry(ctx, kvstore.Txn{Puts: []kvstore.Put{{Key: cancelKey(shard, id), Value: []byte{1}}}}, acceptTimeout)
-	switch {
-	case err == nil:
-		return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}
-	case errors.Is(err, kvstore.ErrUnknownOutcome):
-		return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}
+	record, _ := h.locations.get(id)
+	t := kvstore.Txn{
+		Guards: []kvstore.Guard{{Key: locationKey(id), Revision: max(record.revision, jobrecord.UnknownRevision)}},
+		Puts:   []kvstore.Put{{Key: cancelKey(shard, id), Value: []byte{1}}},
+	}
+	for {
+		res, err := h.writeWithRetry(ctx, t, acceptTimeout)
+		switch {
+		case err == nil:
+			return Answer{Outcome: OutcomeAccepted, Reason: "recorded"}
+		case errors.Is(err, kvstore.ErrUnknownOutcome):
+			return Answer{Outcome: OutcomeUnknown, Reason: err.Error()}
+		case !errors.Is(err, kvstore.ErrConflict):
+			return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}
+		}
+		record, err = existingRecord(res.Current)
+		switch {
+		case err != nil, record.IsTombstone():
+			h.locations.remove(id)
+			return Answer{Outcome: OutcomeNoJob, Reason: "not on record any more"}
+		case record.State.IsFinal():
+			h.locations.put(id, record)
+			return Answer{Outcome: OutcomeAccepted, Reason: "has ended", State: record.State}
+		case record.revision == t.Guards[0].Revision:
+			return Answer{Outcome: OutcomeRefused, Reason: errRecordUnreadable.Error(), RetryAfter: retryAfter}
+		}
+		h.locations.put(id, record)
+		t.Guards = []kvstore.Guard{{Key: locationKey(id), Revision: record.revision}}
 	}
-	return Answer{Outcome: OutcomeRefused, Reason: err.Error(), RetryAfter: retryAfter}
 }
 
 // pendingCount is a cached number of a queue's pending jobs in a shard.
--- a/internal/entry/retention.go
+++ b/internal/entry/retention.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +26,8 @@
 type endedJob struct {
 	endedAt time.Time
 	id      string
+	// revision is that of the job's location with the final state; 0 for records without a guard.
+	revision int64
 }
 
 // deleteExpiredStates deletes the final states of jobs after their retention, and the late starts of ended jobs once these can't be carried
@@ -42,20 +46,37 @@
 			}
 			r.log.WithFields(logrus.Fields{"decision": "forget", "jobs": len(deleted)}).Info("deleted expired states of ended jobs")
 		}
+		r.dropOpen(&r.keptRecords)
 		r.deleteExpired(&r.keptRecords, keptRecordRetention, func(id string) string { return progressKey(r.shard, id) })
+		r.dropOpen(&r.lateCancellations)
+		for _, e := range r.deleteExpired(&r.lateCancellations, keptRecordRetention, func(id string) string { return cancelKey(r.shard, id) }) {
+			r.locked(func() { delete(r.cancellations, e.id) })
+		}
 	}
 }
 
+// dropOpen removes from a list the jobs that the owner has.
+func (r *runner) dropOpen(jobs *[]endedJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*jobs = slices.DeleteFunc(*jobs, func(e endedJob) bool { return r.owner.IsOpen(e.id) })
+}
+
 // deleteExpired deletes the records of the first jobs of a list after a retention, as many as fit in one transaction, and removes the jobs from
-// the list. It returns the jobs whose records are deleted; there may be more.
+// the list. It returns the jobs whose records are deleted; there may be more. Locations are guarded, as the job may be submitted again once its
+// location is deleted. Late starts and cancellations need no guard: their job can't be submitted again for as long as a deletion may be late.
 func (r *runner) deleteExpired(jobs *[]endedJob, retention time.Duration, key func(id string) string) []endedJob {
 	r.mu.Lock()
-	t := kvstore.Txn{Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: r.ownerKeyRevision}}}
+	t, n := kvstore.Txn{Guards: []kvstore.Guard{{Key: ownerKey(r.shard), Revision: r.ownerKeyRevision}}}, 0
 	for _, e := range *jobs {
-		if time.Since(e.endedAt) < retention || t.Size() == maxTxnEntries {
+		if time.Since(e.endedAt) < retention || t.Size() >= maxTxnEntries-1 {
 			break
 		}
+		n++
 		t.Deletes = append(t.Deletes, key(e.id))
+		if e.revision != 0 {
+			t.Guards = append(t.Guards, kvstore.Guard{Key: key(e.id), Revision: e.revision})
+		}
 	}
 	allowed := r.mayAct(r.host.now())
 	r.mu.Unlock()
@@ -64,20 +85,46 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, storeCallTimeout)
 	defer cancel()
-	_, err := r.host.platform.Store.Txn(ctx, t)
+	res, err := r.host.platform.Store.Txn(ctx, t)
 	countWrite(err)
 	if err != nil {
 		r.log.WithError(err).WithFields(logrus.Fields{"decision": "forget_retry", "jobs": len(t.Deletes)}).
 			Warn("failed to delete expired records of ended jobs; retrying in the next round")
+		if errors.Is(err, kvstore.ErrConflict) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			*jobs = append(stillEnded((*jobs)[:n], res.Current, key), (*jobs)[n:]...)
+		}
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	deleted := (*jobs)[:len(t.Deletes)]
-	*jobs = (*jobs)[len(t.Deletes):]
+	deleted := (*jobs)[:n]
+	*jobs = (*jobs)[n:]
 	return deleted
 }
 
+// stillEnded returns the ended jobs whose locations are still there, with the present revisions: an earlier attempt without a response may have
+// deleted them, and the final commit may have been executed once more.
+func stillEnded(jobs []endedJob, current []kvstore.KV, key func(id string) string) []endedJob {
+	present := map[string]kvstore.KV{}
+	for _, kv := range current {
+		present[kv.Key] = kv
+	}
+	var out []endedJob
+	for _, e := range jobs {
+		kv, ok := present[key(e.id)]
+		if location, err := workflow.Decode[workflow.JobLocation](kv.Value); ok && (err != nil || !location.State.IsFinal()) {
+			continue
+		}
+		if ok {
+			e.revision = kv.ModRevision
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 // restoreEnded passes the records of ended jobs to the owner. The caller holds r.mu.
 func (r *runner) restoreEnded(now time.Time, recorded map[string]workflow.Progress, open map[string]bool) {
 	for id, p := range recorded {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -39,6 +39,8 @@
 	earlierEnd time.Time
 	// endedJobs lists the jobs whose final state this owner has recorded and not yet deleted, the oldest first.
 	endedJobs []endedJob
+	// lateCancellations lists the jobs whose cancellation was seen while the owner did not have them, the oldest first.
+	lateCancellations []endedJob
 	// keptRecords lists the ended jobs of which the progress records keep late starts, the oldest first.
 	keptRecords []endedJob
 	// expected holds the jobs for which hosts have chosen this shard.
@@ -300,16 +302,20 @@
 	return true
 }
 
-// cancelJob passes a recorded cancellation to the owner. It returns false if the shard's jobs are not loaded yet.
+// cancelJob passes a recorded cancellation to the owner. It returns false if the shard's jobs are not loaded yet. The watch shows the
+// cancellation of a job that the owner does not know yet, together with the job. One of a job that has ended must not reach a later job with its
+// id.
 func (r *runner) cancelJob(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded {
 		return false
 	}
-	r.cancellations[id] = true
-	r.owner.Cancel(r.host.now(), id)
-	r.wakeLoop()
+	if r.owner.IsOpen(id) {
+		r.cancellations[id] = true
+		r.owner.Cancel(r.host.now(), id)
+		r.wakeLoop()
+	}
 	return true
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -373,8 +373,8 @@
 			if w.Shared != nil && w.Shared.IsGuest {
 				continue // the home records the state of the job
 			}
-			r.endedJobs = append(r.endedJobs, endedJob{endedAt: time.Now(), id: w.Job})
-			r.host.locations.put(w.Job, workflow.JobLocation{Shard: r.shard, State: w.Final})
+			r.endedJobs = append(r.endedJobs, endedJob{endedAt: time.Now(), id: w.Job, revision: revision})
+			r.host.locations.put(w.Job, jobRecord{workflow.JobLocation{Shard: r.shard, State: w.Final}, revision})
 		} else {
 			r.revisions.NoteProgress(w.Job, revision)
 		}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -62,7 +62,7 @@
 	a, record := h.recordOrRelay(ctx, j, shard)
 	submitRecordTime.Observe(time.Since(started))
 	if a.Outcome == OutcomeAccepted {
-		h.locations.put(j.ID, record.JobLocation)
+		h.locations.put(j.ID, record)
 		if record.State == "" {
 			go h.notifyOwner(record.Shard, peer.Message{
 				JobSubmit: &peer.JobSubmit{Accepted: true, Job: workflow.Encode(j), Revision: record.revision, Shard: record.Shard},
--- a/internal/entry/tombstone.go
+++ b/internal/entry/tombstone.go
@@ -144,7 +144,7 @@
 	case err == nil && existing.IsTombstone():
 		return Answer{Outcome: OutcomeNoJob, Reason: errJobPrevented.Error()}, tombstone
 	case err == nil:
-		h.locations.put(id, existing.JobLocation)
+		h.locations.put(id, existing)
 		return Answer{Outcome: OutcomeAccepted}, existing.JobLocation
 	}
 	h.tombstones.dropLease(lease)
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -143,7 +143,7 @@
 			j.finalRecorded = true
 			o.log.WithFields(logrus.Fields{"decision": "final", "job": j.ID, "state": string(w.Final)}).
 				Info("final state of the job was recorded")
-			o.ended.put(j.ID, w.Final)
+			o.ended.put(now, j.ID, w.Final)
 			o.forgetIfEnded(j)
 		}
 	}
--- a/internal/shard/endedjobs.go
+++ b/internal/shard/endedjobs.go
@@ -1,28 +1,47 @@
 package shard
 
-import "github.com/laburnumridge/laburnumridge/internal/workflow"
+import (
+	"time"
 
-// maxEnded is the number of recorded final states that are remembered. Messages about a job may arrive late and must
-// not start it again.
-const maxEnded = 4096
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
+)
 
-// endedJobs is a ring buffer of the final states of the jobs that ended last.
+// endedMemory is how long the final state of a job is remembered. Messages about a job and writes of its records may arrive late and must not
+// start it again, but a job may be submitted under the same id once its final state has expired.
+const endedMemory = time.Minute
+
+// endedJobs holds the final states of the jobs that ended within endedMemory.
 type endedJobs struct {
-	next   int
-	order  [maxEnded]string
+	// order holds the jobs in the order in which they ended.
+	order  []endedState
 	states map[string]workflow.State
 }
 
-func (e *endedJobs) put(id string, s workflow.State) {
+// endedState is a job that ended at a time.
+type endedState struct {
+	at time.Time
+	id string
+}
+
+func (e *endedJobs) put(now time.Time, id string, s workflow.State) {
 	if e.states == nil {
 		e.states = map[string]workflow.State{}
 	}
-	if e.states[id] != "" {
-		return
+	e.forget(now)
+	if e.states[id] == "" {
+		e.order, e.states[id] = append(e.order, endedState{now, id}), s
 	}
-	delete(e.states, e.order[e.next])
-	e.order[e.next], e.states[id] = id, s
-	e.next = (e.next + 1) % maxEnded
 }
 
-func (e *endedJobs) state(id string) workflow.State { return e.states[id] }
+// state returns the final state of a job, or none.
+func (e *endedJobs) state(now time.Time, id string) workflow.State {
+	e.forget(now)
+	return e.states[id]
+}
+
+func (e *endedJobs) forget(now time.Time) {
+	for len(e.order) > 0 && now.Sub(e.order[0].at) >= endedMemory {
+		delete(e.states, e.order[0].id)
+		e.order = e.order[1:]
+	}
+}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -121,7 +121,7 @@
 
 // Add adds a newly accepted job. Repeated calls for the same job have no effect.
 func (o *Owner) Add(now time.Time, j workflow.Job) {
-	if o.jobs[j.ID] != nil || o.ended.state(j.ID) != "" {
+	if o.jobs[j.ID] != nil || o.ended.state(now, j.ID) != "" {
 		return
 	}
 	n := o.newJob(now, j, nil)
@@ -201,12 +201,15 @@
 	}
 }
 
+// IsOpen reports whether the shard has a job whose final state is not on record.
+func (o *Owner) IsOpen(id string) bool { return o.jobs[id] != nil && !o.jobs[id].finalRecorded }
+
 // State returns the job state that is reported to callers; ok is false if the shard does not know the job.
 func (o *Owner) State(id string) (s workflow.State, ok bool) {
 	j := o.jobs[id]
 	switch {
 	case j == nil:
-		s = o.ended.state(id)
+		s = o.ended.state(o.now, id)
 		return s, s != ""
 	case j.cancelled:
 		return workflow.StateCancelled, true
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -165,7 +165,7 @@
 	j := o.jobs[s.Job.ID]
 	if j == nil {
 		// The record of a cancellation may be written once more after the guest has deleted it.
-		if s.Cancelled || o.ended.state(s.Job.ID) == "" {
+		if s.Cancelled || o.ended.state(now, s.Job.ID) == "" {
 			o.RestoreShared(now, s, workflow.Progress{}, false)
 		}
 		return
