Choose the classes of an offer for the shard that is asked, in turn

Cause: an owner offered the 16 most pressing classes of waiting tasks and left out those that no other shard could hold only afterwards. 18 sizes of a lost kind took all places in each round.

Change: internal/exchange chooses the classes of each question out of those that the asked shard could hold, so that each has its turn. An answer of zeros settles larger classes of the same kind. A shard keeps room only for waiting tasks that its workers could hold, and any task of a class may take the room.

TestTasksMoveBesideThoseThatNoShardCouldHold, TestTasksMoveBesideThoseThatFindNoRoom, TestRoomIsKeptBesideTasksThatNoWorkerCouldHold, TestTasksOfJobWithAllGuestsLeavePlacesToOthers and TestTasksLeaveFullShardOfLargeFleet failed on.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/exchange"
 	"github.com/laburnumridge/laburnumridge/internal/kvstore"
 	"github.com/laburnumridge/laburnumridge/internal/peer"
 	"github.com/laburnumridge/laburnumridge/internal/retry"
@@ -29,6 +30,8 @@
 
 // roomQueries are the questions for room that an owner asks other shards.
 type roomQueries struct {
+	// classes chooses the classes of tasks in a question.
+	classes *exchange.Questions
 	// turn holds the shards that are still to be asked, until each has been asked once. A shard with room is found among many in a bounded
 	// time so.
 	turn []int
@@ -59,7 +62,7 @@
 // exchangeTasks gives tasks that wait in the shard for too long to other shards that have room for them. Other hosts may have to act for
 // these tasks later, so all live ones must know shared jobs.
 func (r *runner) exchangeTasks() {
-	q := roomQueries{unanswered: map[int]int{}}
+	q := roomQueries{classes: exchange.NewQuestions(), unanswered: map[int]int{}}
 	for r.ctx.Err() == nil {
 		retry.Sleep(r.ctx, exchangeInterval)
 		if shards := r.host.directory.shardCount(); shards >= 2 && r.host.directory.allShareJobs() {
@@ -70,17 +73,17 @@
 
 // askForRoom asks the next shardsAsked shards for room whose workers could hold some of the offered tasks if they were empty.
 func (r *runner) askForRoom(q *roomQueries, shards int) {
+	capacities := r.capacities()
 	for left, asked := shards-1, 0; left > 0 && asked < shardsAsked; asked++ {
 		offers := r.offers()
 		if len(offers) == 0 {
 			return
 		}
-		could, _ := r.registryRoom(demandsOf(offers))
 		var held []shard.Offer
 		n := 0
 		for ; len(held) == 0 && left > 0; left-- {
 			n = q.next(shards, r.shard)
-			held = could.offersFor(n, offers)
+			held = slices.DeleteFunc(slices.Clone(offers), func(f shard.Offer) bool { return !capacities.Holds(n, f.Demand) })
 		}
 		if len(held) > 0 {
 			r.give(q, n, held)
@@ -88,15 +91,12 @@
 	}
 }
 
-// offersFor returns the offers of which a shard could hold some tasks if it were empty, with the number of these tasks.
-func (r registryRoom) offersFor(n int, offers []shard.Offer) []shard.Offer {
-	var out []shard.Offer
-	for i, f := range offers {
-		if f.Count = r.of(n, i); f.Count > 0 {
-			out = append(out, f)
-		}
+// limitCounts limits the numbers of tasks of some offers to those that a shard could hold if it were empty.
+func (r *runner) limitCounts(n int, offers []shard.Offer) {
+	could, _ := r.registryRoom(demandsOf(offers))
+	for i := range offers {
+		offers[i].Count = could.of(n, i)
 	}
-	return out
 }
 
 func demandsOf(offers []shard.Offer) []shard.Demand {
@@ -118,10 +118,18 @@
 	return r.owner.Offers(now)
 }
 
-// give gives as many of the offered tasks to another shard as it has room for. If the shard does not answer, it gets tasks that no worker
-// of this one could hold: they lose nothing, and are returned if they find no room there.
-func (r *runner) give(q *roomQueries, to int, offers []shard.Offer) {
+// give asks another shard for room for some of the offered tasks that it could hold, and gives it as many as it has room for. If the shard does not
+// answer, it gets tasks that no worker of this one could hold: they lose nothing, and are returned if they find no room there.
+func (r *runner) give(q *roomQueries, to int, held []shard.Offer) {
+	classes := demandsOf(held)
+	selected := q.classes.Select(to, classes)
+	offers := make([]shard.Offer, len(selected))
+	for i, k := range selected {
+		offers[i] = held[k]
+	}
+	r.limitCounts(to, offers)
 	room, isAnswered := r.host.shardRoom(r.ctx, to, demandsOf(offers))
+	q.classes.Note(to, classes, selected, room)
 	isSilent := q.note(to, isAnswered)
 	if isSilent {
 		room = make([]int, len(offers))
@@ -149,7 +157,7 @@
 	})
 }
 
-// shardRoom asks the owner of a shard how many tasks of each demand its workers could take at once. It returns nil if that is none, and
+// shardRoom asks the owner of a shard how many tasks of each demand its workers could take at once. It returns nil if the owner does not say, and
 // false if there is no answer in time.
 func (h *Host) shardRoom(ctx context.Context, n int, demands []shard.Demand) (room []int, isAnswered bool) {
 	if h.ownedShards.runner(n) != nil {
@@ -168,8 +176,8 @@
 	return m.RoomReply.Room, true
 }
 
-// promiseRoom returns how many tasks of each demand the workers of a shard could take at once. It returns nil if that is none, if this
-// host does not own the shard, or if the room has been promised to another owner a moment before.
+// promiseRoom returns how many tasks of each demand the workers of a shard could take at once. It returns nil if this host does not own the
+// shard, or if the room has been promised to another owner a moment before.
 func (o *ownedShards) promiseRoom(n int, demands []shard.Demand) []int {
 	r := o.runner(n)
 	if r == nil {
@@ -185,10 +193,9 @@
 	for _, n := range room {
 		sum += n
 	}
-	if sum == 0 {
-		return nil
+	if sum > 0 {
+		r.roomPromisedAt = now
 	}
-	r.roomPromisedAt = now
 	return room
 }
 
--- a/internal/entry/registryroom.go
+++ b/internal/entry/registryroom.go
@@ -1,6 +1,9 @@
 package entry
 
-import "github.com/laburnumridge/laburnumridge/internal/shard"
+import (
+	"github.com/laburnumridge/laburnumridge/internal/exchange"
+	"github.com/laburnumridge/laburnumridge/internal/shard"
+)
 
 // registryRoom is, by shard and demand, how many tasks the registered workers could hold if they were empty, at most as many as the demand
 // counts. Workers in evacuated zones and shards whose workers can hold none are left out.
@@ -51,3 +54,18 @@
 	}
 	return out, true
 }
+
+// capacities returns what the registered workers of each shard could hold if they were empty. It returns none while this host does not follow
+// the registry.
+func (r *runner) capacities() exchange.Capacities {
+	l, _, _ := r.host.directory.currentLayout()
+	out, evacuated := exchange.Capacities{}, r.host.config.evacuations.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.registry {
+		if n, ok := l.shardOf(w); ok && !evacuated.Contains(w.Zone) {
+			out.Add(n, w)
+		}
+	}
+	return out
+}
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -22,8 +22,7 @@
 	giveNewAfter = 2 * giveAfter
 	// returnAfter is how long a task waits in a guest shard until it is returned.
 	returnAfter = 3 * time.Second
-	// maxOffers limits the classes of tasks that are offered at once, and maxOffered the number of tasks in one.
-	maxOffers  = 16
+	// maxOffered limits the number of tasks of a class that are offered at once.
 	maxOffered = 16
 	// maxGuests limits the guests of a job, so that its records fit in a transaction.
 	maxGuests = 8
@@ -37,7 +36,7 @@
 	tasks      []*task
 }
 
-// Offers returns the tasks that wait in their home shard for too long.
+// Offers returns the tasks that wait in their home shard for too long, those that have waited the longest first.
 func (o *Owner) Offers(now time.Time) []Offer {
 	if o.isHandingOver {
 		return nil
@@ -62,26 +61,13 @@
 	slices.SortStableFunc(tasks, func(a, b *task) int {
 		return cmp.Or(compareNew(!a.isInterrupted(), !b.isInterrupted()), a.waitsSince(a.job.acceptedAt).Compare(b.waitsSince(b.job.acceptedAt)))
 	})
-	offers := mostPressing(classify(tasks))
+	offers := classify(tasks)
 	for i := range offers {
 		offers[i].IsUnsuited = !o.suitsStep(offers[i].tasks[0].step, offers[i].Service, suits)
 	}
 	return offers
 }
 
-// mostPressing returns at most maxOffers of some offers: half of them are those that have waited the longest, which come first, the others
-// those with the smallest tasks, since a shard that is full as well has room only for tasks that are smaller than its own.
-func mostPressing(offers []Offer) []Offer {
-	if len(offers) <= maxOffers {
-		return offers
-	}
-	oldest, rest := offers[:maxOffers/2], offers[maxOffers/2:]
-	slices.SortStableFunc(rest, func(a, b Offer) int {
-		return cmp.Or(compareNew(a.IsNew || a.IsShort, b.IsNew || b.IsShort), cmp.Compare(a.Resources.CPUMilli, b.Resources.CPUMilli))
-	})
-	return slices.Concat(oldest, rest[:maxOffers-len(oldest)])
-}
-
 // compareNew orders tasks that ran before those that never ran: their interruption lasts until they run again.
 func compareNew(isNew, isOtherNew bool) int {
 	switch {
@@ -108,10 +94,9 @@
 			i = len(out)
 			index[d], out = i, append(out, Offer{Demand: d})
 		}
-		if f := &out[i]; f.Count < maxOffered {
-			f.Count++
-			f.tasks = append(f.tasks, t)
-		}
+		f := &out[i]
+		f.Count = min(f.Count+1, maxOffered)
+		f.tasks = append(f.tasks, t) // some of the first ones may not go to a shard that has room
 	}
 	return out
 }
--- a/internal/shard/room.go
+++ b/internal/shard/room.go
@@ -10,15 +10,17 @@
 const maxOwnDemands = 16
 
 // ownWaiting returns the smallest tasks that wait in the shard for their next run, one of each class: long-running ones that ran before, or
-// short ones. Members of gangs that may wait for good are left out.
+// short ones. Members of gangs that may wait for good are left out, and tasks that no worker of the shard could hold.
 func (o *Owner) ownWaiting(gangs *gangRoom, short bool) []*task {
 	var waiting []*task
+	suits := map[Demand]bool{}
 	for _, j := range o.backlog {
 		if o.jobs[j.ID] != j || !short && !j.IsLongRunning() {
 			continue
 		}
 		for _, t := range j.readyTasks() {
-			if (t.isInterrupted() && !short || short && isShort(t.step) && t.isWaiting()) && gangs.mayRun(t) {
+			if (t.isInterrupted() && !short || short && isShort(t.step) && t.isWaiting()) && gangs.mayRun(t) &&
+				o.suitsStep(t.step, j.queue.Service, suits) {
 				waiting = append(waiting, t)
 			}
 		}
