Find the limits of a forecast by worker, not by position

Cause: a forecast of a rack is kept for a round, and the limits of a later step were paired with its workers by position. A worker on probation that was given a run in between was missing from the limits, so that the index was out of range. Had another worker come, the limits would have belonged to other workers.

Change: workers of forecasts carry their ids, and limits are found by them. A worker without a limit takes no task.

TestLimitsBelongToTheirWorkers covers workers that leave and come.

--- a/internal/locality/decision_test.go
+++ b/internal/locality/decision_test.go
@@ -13,18 +13,19 @@
 func cores(n int64) fleet.Resources { return fleet.Resources{CPUMilli: 1000 * n} }
 
 // fullWorker is a worker of 4 cores whose runs of 2 cores end after the given times.
-func fullWorker(remaining ...time.Duration) locality.Worker {
-	var w locality.Worker
+func fullWorker(id string, remaining ...time.Duration) locality.Worker {
+	w := locality.Worker{ID: id}
 	for _, r := range remaining {
 		w.Runs = append(w.Runs, locality.Run{Demand: cores(2), Remaining: r})
 	}
 	return w
 }
 
-func task(workers int, limit int) locality.Task {
-	t := locality.Task{Demand: cores(2), Duration: time.Second}
-	for range workers {
-		t.Limits = append(t.Limits, limit)
+// task returns a task of which each of some workers takes as many as the limit says.
+func task(limit int, workers ...string) locality.Task {
+	t := locality.Task{Demand: cores(2), Duration: time.Second, Limits: map[string]int{}}
+	for _, id := range workers {
+		t.Limits[id] = limit
 	}
 	return t
 }
@@ -32,26 +33,39 @@
 // Guards against a forecast that gives the same room to two tasks, that counts on room within the time of another task, or on more tasks on a
 // worker than it may hold.
 func TestForecastGivesRoomOnce(t *testing.T) {
-	f := locality.NewForecast([]locality.Worker{fullWorker(200*time.Millisecond, 700*time.Millisecond), fullWorker(locality.Never, 300*time.Millisecond)})
-	starts, rest := f.Place(task(2, 9), 5, 2*time.Second)
+	f := locality.NewForecast([]locality.Worker{fullWorker("a", 200*time.Millisecond, 700*time.Millisecond), fullWorker("b", locality.Never, 300*time.Millisecond)})
+	starts, rest := f.Place(task(9, "a", "b"), 5, 2*time.Second)
 	assert.DeepEqual(t, starts, []time.Duration{200e6, 300e6, 700e6, 1200e6, 1300e6})
-	starts, _ = rest.Place(task(2, 9), 1, 2*time.Second)
+	starts, _ = rest.Place(task(9, "a", "b"), 1, 2*time.Second)
 	assert.DeepEqual(t, starts, []time.Duration{1700e6})
-	starts, _ = f.Place(task(2, 9), 5, 400*time.Millisecond)
+	starts, _ = f.Place(task(9, "a", "b"), 5, 400*time.Millisecond)
 	assert.Equal(t, len(starts), 2, "the horizon holds")
-	starts, _ = f.Place(task(2, 1), 5, 2*time.Second)
+	starts, _ = f.Place(task(1, "a", "b"), 5, 2*time.Second)
 	assert.DeepEqual(t, starts, []time.Duration{200e6, 300e6})
 }
 
+// Guards against limits that count for other workers than those they were made for, and against a panic: workers leave, and others come, between
+// the forecast and a later step of the same round.
+func TestLimitsBelongToTheirWorkers(t *testing.T) {
+	f := locality.NewForecast([]locality.Worker{fullWorker("a", 200*time.Millisecond), fullWorker("b", 100*time.Millisecond)})
+	starts, _ := f.Place(task(9, "a"), 3, time.Second)
+	assert.DeepEqual(t, starts, []time.Duration{200e6})
+	starts, _ = f.Place(task(9, "c", "a"), 3, time.Second)
+	assert.DeepEqual(t, starts, []time.Duration{200e6})
+	at, _, ok := f.PlaceGroup(task(1, "c", "a"), 1, time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, at, 200*time.Millisecond)
+}
+
 // Guards against a group that is expected to start before all of it has room at the same time.
 func TestForecastPlacesGroupAtOnce(t *testing.T) {
-	f := locality.NewForecast([]locality.Worker{fullWorker(200*time.Millisecond, 700*time.Millisecond), fullWorker(locality.Never, 300*time.Millisecond)})
-	at, rest, ok := f.PlaceGroup(task(2, 9), 3, time.Second)
+	f := locality.NewForecast([]locality.Worker{fullWorker("a", 200*time.Millisecond, 700*time.Millisecond), fullWorker("b", locality.Never, 300*time.Millisecond)})
+	at, rest, ok := f.PlaceGroup(task(9, "a", "b"), 3, time.Second)
 	assert.Assert(t, ok)
 	assert.Equal(t, at, 700*time.Millisecond)
-	_, _, ok = rest.PlaceGroup(task(2, 9), 2, time.Second)
+	_, _, ok = rest.PlaceGroup(task(9, "a", "b"), 2, time.Second)
 	assert.Assert(t, !ok, "the room is taken")
-	_, _, ok = f.PlaceGroup(task(2, 9), 4, time.Hour)
+	_, _, ok = f.PlaceGroup(task(9, "a", "b"), 4, time.Hour)
 	assert.Assert(t, !ok, "a run never ends")
 }
 
--- a/internal/locality/forecast.go
+++ b/internal/locality/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -36,6 +37,7 @@
 // Worker is a worker of a rack.
 type Worker struct {
 	Free fleet.Resources
+	ID   string
 	Runs []Run
 }
 
@@ -46,7 +48,7 @@
 func NewForecast(workers []Worker) Forecast {
 	f := Forecast{workers: make([]timeline, len(workers))}
 	for i, w := range workers {
-		f.workers[i].free = w.Free
+		f.workers[i].id, f.workers[i].free = w.ID, w.Free
 		for _, r := range w.Runs {
 			if r.Remaining != Never {
 				f.workers[i].changes = append(f.workers[i].changes, change{at: r.Remaining, delta: r.Demand})
@@ -64,20 +66,20 @@
 type Task struct {
 	Demand   fleet.Resources
 	Duration time.Duration
-	// Limits holds the largest number of the tasks for each worker.
-	Limits []int
+	// Limits holds the largest number of the tasks by worker. A worker that it lacks takes none, as one that has left since the forecast.
+	Limits map[string]int
 }
 
 // Place returns when each of the tasks is expected to find room, one after the other, and the forecast that remains for those that come
 // after them. Tasks that find none within the horizon are left out of both.
 func (f Forecast) Place(t Task, count int, horizon time.Duration) ([]time.Duration, Forecast) {
 	next := Forecast{workers: slices.Clone(f.workers)}
-	limits := slices.Clone(t.Limits)
+	limits := maps.Clone(t.Limits)
 	var starts []time.Duration
 	for range count {
 		best, at := -1, Never
 		for i := range next.workers {
-			if limits[i] <= 0 {
+			if limits[next.workers[i].id] <= 0 {
 				continue
 			}
 			if start := next.workers[i].firstFit(t, min(horizon, at)); start < at {
@@ -87,7 +89,7 @@
 		if best < 0 || at > horizon {
 			break
 		}
-		limits[best]--
+		limits[next.workers[best].id]--
 		next.workers[best] = next.workers[best].with(t, at)
 		starts = append(starts, at)
 	}
@@ -109,7 +111,7 @@
 	for _, at := range slices.Compact(times) {
 		next, left := Forecast{workers: slices.Clone(f.workers)}, count
 		for i := range next.workers {
-			for n := 0; n < t.Limits[i] && left > 0 && next.workers[i].fits(t, at); n++ {
+			for n := 0; n < t.Limits[next.workers[i].id] && left > 0 && next.workers[i].fits(t, at); n++ {
 				next.workers[i] = next.workers[i].with(t, at)
 				left--
 			}
@@ -131,6 +133,7 @@
 
 // timeline is the expected free resources of a worker over time. Changes are in the order of their times.
 type timeline struct {
+	id      string
 	free    fleet.Resources
 	changes []change
 }
@@ -167,5 +170,5 @@
 func (l timeline) with(t Task, start time.Duration) timeline {
 	changes := append(slices.Clone(l.changes), change{at: start, delta: t.Demand.Times(-1)}, change{at: start + t.Duration, delta: t.Demand})
 	slices.SortStableFunc(changes, compareChanges)
-	return timeline{free: l.free, changes: changes}
+	return timeline{id: l.id, free: l.free, changes: changes}
 }
--- a/internal/shard/local.go
+++ b/internal/shard/local.go
@@ -168,12 +168,12 @@
 	for _, rack := range racks {
 		workers := o.forecastWorkers(now, rack, t.job.queue.Service)
 		f := o.local.round.Forecast(t.job.queue.Service+"/"+rack, func() []locality.Worker { return o.describeRuns(now, workers) })
-		task := locality.Task{Demand: t.step.Resources, Duration: q.Duration, Limits: make([]int, len(workers))}
-		for i, w := range workers {
+		task := locality.Task{Demand: t.step.Resources, Duration: q.Duration, Limits: make(map[string]int, len(workers))}
+		for _, w := range workers {
 			if !w.isHeldFrom(now, t) && w.suitsStep(now, t) && w.ID != t.avoidWorker {
-				task.Limits[i] = math.MaxInt
+				task.Limits[w.ID] = math.MaxInt
 				if t.step.PerWorker > 0 {
-					task.Limits[i] = t.step.PerWorker - w.countOf(t.job.ID, t.key)
+					task.Limits[w.ID] = t.step.PerWorker - w.countOf(t.job.ID, t.key)
 				}
 			}
 		}
@@ -206,7 +206,7 @@
 func (o *Owner) describeRuns(now time.Time, workers []*worker) []locality.Worker {
 	out := make([]locality.Worker, len(workers))
 	for i, w := range workers {
-		out[i].Free = w.Capacity.Sub(w.reserved)
+		out[i].Free, out[i].ID = w.Capacity.Sub(w.reserved), w.ID
 		for _, at := range w.attempts {
 			r, age := locality.Run{Demand: reservation(at.task.step), Remaining: locality.Never}, time.Duration(0)
 			if !at.confirmedAt.IsZero() {
