Tell the next owner of a shard which starts have responses

Cause: after a kill, each run on record of a task that ends counted as one whose start may still be carried out. The run ended with its worker's lease, but then its task waited for 12 s from the takeover and for the longest lease, as no listing of the lost worker could settle it.

Change: a mark of the shard says up to which revision all starts on record have responses, and for which jobs not. It goes along with commits. The random test of a shard writes marks, late or lost, and carries out commits whose owner is lost.

--- a/internal/entry/exportcommit_test.go
+++ b/internal/entry/exportcommit_test.go
@@ -48,6 +48,9 @@
 // ProgressKey returns the key of the progress record of a job in shard 0.
 func ProgressKey(job string) string { return progressKey(0, job) }
 
+// AnsweredKey returns the key of the mark of shard 0 that says which starts have responses.
+func AnsweredKey() string { return answeredKey(0) }
+
 // JobKey returns the key of a job's own record in shard 0.
 func JobKey(job string) string { return jobKey(0, job) }
 
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -25,6 +25,8 @@
 	progressPrefix = root + "progress/"
 	weightsPrefix  = root + "weights/"
 	handoverPrefix = root + "handover/"
+	// answeredPrefix is the prefix of the marks that say which starts on record have responses.
+	answeredPrefix = root + "answered/"
 	// cancelSuffix follows the key of a job in the key that records its cancellation.
 	cancelSuffix = "/cancel"
 	// returnedInfix follows the key of a shared job in the keys that hold what its guests returned; the shard of the guest comes last.
@@ -35,6 +37,8 @@
 
 func handoverKey(shard int) string { return handoverPrefix + strconv.Itoa(shard) }
 
+func answeredKey(shard int) string { return answeredPrefix + strconv.Itoa(shard) }
+
 func weightsKey(shard int) string { return weightsPrefix + strconv.Itoa(shard) }
 
 func epochKey(shard int) string { return epochPrefix + strconv.Itoa(shard) }
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -34,6 +34,7 @@
 				r.revisions.NoteProgress(id, kv.ModRevision)
 				p, err := workflow.Decode[workflow.Progress](kv.Value)
 				if err != nil {
+					r.hasSkippedRecord = true
 					r.log.WithError(err).WithField("job", id).Error("ignoring malformed progress record")
 					continue
 				}
@@ -95,6 +96,7 @@
 		}
 		if !r.loaded {
 			r.loaded, r.changedAt = true, now
+			r.owner.RepeatAnswers(now.Add(-answeredInterval)) // at once: the next owner does not use the mark of the last one
 		}
 		r.appliedJobs = max(r.appliedJobs, revision)
 		r.log.WithFields(logrus.Fields{
@@ -197,7 +199,7 @@
 	}
 }
 
-// decodeJob returns the job of a record, and the record itself if the job is shared.
+// decodeJob returns the job of a record, and the record itself if the job is shared. The caller holds r.mu.
 func (r *runner) decodeJob(kv kvstore.KV) (workflow.Job, *workflow.SharedJob, bool) {
 	j, err := workflow.Decode[workflow.Job](kv.Value)
 	if err == nil && j.Check() == nil {
@@ -209,6 +211,7 @@
 	if shared, ok := workflow.DecodeSharedJob(kv.Value); ok && shared.Job.Check() == nil {
 		return shared.Job, &shared, true
 	}
+	r.hasSkippedRecord = true
 	r.log.WithField("key", kv.Key).Error("ignoring job record that can't be decoded or has invalid values")
 	return j, nil, false
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -66,6 +66,8 @@
 	log    *logrus.Entry
 	mu     sync.Mutex
 	owner  *shard.Owner
+	// writtenThrough is the revision of the last transaction of records that this owner knows to be written, or of its claim.
+	writtenThrough int64
 	// revisions guard the writes of job records.
 	revisions *jobrecord.Revisions
 	// cancellations is the set of jobs with a recorded cancellation.
@@ -76,6 +78,8 @@
 	previousEpoch int64
 	// takenAt is when this runner was created, after the claim of the shard.
 	takenAt time.Time
+	// hasSkippedRecord is set if this owner could not read one of the shard's records.
+	hasSkippedRecord bool
 	// ownerKeyRevision is the revision of the shard's owner key. All writes of the owner are guarded by it.
 	ownerKeyRevision int64
 	shard            int
@@ -107,7 +111,7 @@
 			shard.WithInterferenceObserver(func(s interference.State, d time.Duration) {
 				overTargetSeconds.AddFloat(string(s), d.Seconds())
 			})),
-		registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n, revisions: jobrecord.New(jobrecord.WithKeys(
+		registry: map[string]shard.Worker{}, ownerKeyRevision: revision, shard: n, writtenThrough: revision, revisions: jobrecord.New(jobrecord.WithKeys(
 			func(id string) string { return jobKey(n, id) }, func(id string) string { return progressKey(n, id) })),
 		callSemaphores: map[string]chan struct{}{}, wake: make(chan struct{}, 1),
 	}
@@ -118,7 +122,7 @@
 	r.applyEvacuations()
 	for _, task := range []func(){
 		r.loop, r.deleteExpiredStates, r.followWeights, r.recordWeights, r.followLayout, r.lendHeadroom, r.exchangeTasks, r.settle, r.followBuilds,
-		r.followLateHandover,
+		r.followLateHandover, r.recordAnswers,
 	} {
 		r.run(task)
 	}
@@ -127,13 +131,19 @@
 	})
 	r.run(func() {
 		store := r.loadStore()
-		var handover sync.WaitGroup
-		handover.Go(r.loadHandover)
+		var others sync.WaitGroup
+		var mark workflow.AnsweredMark
+		others.Go(func() {
+			if r.loadHandover(); !r.isHandedOver() {
+				mark = r.readAnsweredMark() // a handover names the starts without responses
+			}
+		})
 		recorded := r.readProgress(store)
-		handover.Wait()
+		others.Wait()
 		if r.ctx.Err() != nil {
 			return
 		}
+		r.applyAnsweredMark(mark, recorded)
 		watchPrefix(r.ctx, store, r.log, shardJobsPrefix(r.shard), func(kvs []kvstore.KV, revision int64) {
 			r.loadJobs(kvs, revision, recorded)
 			recorded = nil
@@ -141,6 +151,13 @@
 	})
 }
 
+// isHandedOver reports whether the last owner handed the shard over.
+func (r *runner) isHandedOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inherited != nil
+}
+
 func (r *runner) close() { r.cancel() }
 
 // mayAct reports whether this host may act as the owner of the shard: the jobs are loaded, no worker has fenced this host,
@@ -191,7 +208,8 @@
 	r.earlierEnd = r.host.now().Add(earlier)
 	r.ownerKeyRevision, r.epochKeyRevision, r.lease = revision, revision, lease
 	r.owner.SetToken(r.host.now(), revision)
-	r.changedAt, r.deposed = r.host.now(), false
+	r.changedAt, r.deposed, r.writtenThrough = r.host.now(), false, max(r.writtenThrough, revision)
+	r.owner.RepeatAnswers(r.host.now())
 	r.mu.Unlock()
 	r.wakeLoop()
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -203,9 +203,13 @@
 	var transactions sync.WaitGroup
 	var stopped atomic.Bool
 	var failed failedWrites
+	mark := r.dueAnsweredMark()
 	for rest := c.Writes; len(rest) > 0; {
 		n, t := r.buildTxn(rest)
 		writes := rest[:n]
+		if t.Size()+len(mark) <= maxTxnEntries {
+			t.Puts, mark = append(t.Puts, mark...), nil
+		}
 		transactions.Go(func() {
 			if !r.writeOrSplit(t, writes, &failed) {
 				stopped.Store(true)
@@ -363,6 +367,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.owner.AdvanceToken(revision)
+	r.writtenThrough = max(r.writtenThrough, revision)
 	for _, w := range writes {
 		if w.Final != "" {
 			r.revisions.Forget(w.Job)
--- a/internal/jobrecord/revisions.go
+++ b/internal/jobrecord/revisions.go
@@ -55,6 +55,12 @@
 	delete(r.jobs, id)
 }
 
+// Progress returns the revision of the progress record of a job; ok is false if it has none.
+func (r *Revisions) Progress(id string) (revision int64, ok bool) {
+	revision, ok = r.progress[id]
+	return revision, ok
+}
+
 // Forget notes that the records of a job are deleted.
 func (r *Revisions) Forget(id string) {
 	delete(r.progress, id)
--- a/internal/shard/answeredstart.go
+++ b/internal/shard/answeredstart.go
@@ -24,8 +24,10 @@
 }
 
 // noteAnswered makes the record of a long-running task's job say that each start of a confirmed run has a response: the next owner, after a
-// crash, waits until starts that may have none can't be carried out any more. Other tasks end too soon for that.
+// crash, waits until starts that may have none can't be carried out any more. Other tasks end too soon for that, and the mark of the shard says it of
+// them.
 func (o *Owner) noteAnswered(at *attempt) {
+	o.noteAnswerNews(o.now)
 	if at.task.step.LongRunning {
 		due := maxTime(o.now.Add(answerRecordDelay), at.starts.LostUntil(o.timing.CallDelay))
 		o.answers = append(o.answers, unrecordedAnswer{attempt: at, due: due})
@@ -54,16 +56,21 @@
 	o.answers = waiting
 }
 
-// recordAnswered returns the runs of an occurrence's long-running tasks whose starts all have responses.
+// mayRecordAnswer reports whether the records may say that each start of the attempt has a response. An earlier owner has said so of an inherited
+// attempt, or it has been confirmed since. How a stray run was started is not known.
+func (a *attempt) mayRecordAnswer() bool {
+	isKnown := a.phase == phaseInherited && a.isAnswerRecorded && !a.isStartUnknown && a.starts.Count() == 0
+	return isKnown || a.isStartAnswered() && a.stopCause != strayCause
+}
+
+// recordAnswered returns the runs of an occurrence whose starts all have responses. From then on, the record says of each further start before
+// it is sent.
 func recordAnswered(occ *occurrence) []workflow.AnsweredStart {
 	var out []workflow.AnsweredStart
 	for _, tasks := range occ.tasks {
 		for _, t := range tasks {
-			if !t.step.LongRunning {
-				break
-			}
 			for _, at := range t.attempts {
-				if at.isStartAnswered() {
+				if at.mayRecordAnswer() {
 					at.isAnswerRecorded = true
 					out = append(out, workflow.AnsweredStart{Key: t.key, Run: at.run, Worker: at.worker.ID})
 				}
@@ -72,3 +79,62 @@
 	}
 	return out
 }
+
+// noteAnswerNews notes that the mark of the shard has something to say from a time on.
+func (o *Owner) noteAnswerNews(now time.Time) {
+	if o.answerNewsAt.IsZero() {
+		o.answerNewsAt = now
+	}
+}
+
+// AnswerNewsAge returns for how long the mark of the shard has something to say that is not on record; ok is false if it has not.
+func (o *Owner) AnswerNewsAge(now time.Time) (age time.Duration, ok bool) {
+	return now.Sub(o.answerNewsAt), !o.answerNewsAt.IsZero()
+}
+
+// RepeatAnswers makes the mark of the shard be written again: the last one is of another epoch, or was not written.
+func (o *Owner) RepeatAnswers(now time.Time) { o.noteAnswerNews(now) }
+
+// AnsweredExcept returns the jobs that have starts on record without a response, or changes that are not on record, in order. All other starts on
+// record have responses, and the records say of each further one before it is sent.
+func (o *Owner) AnsweredExcept() []string {
+	o.answerNewsAt = time.Time{}
+	out := make([]string, 0, len(o.dirty))
+	if o.committing != nil {
+		for _, w := range o.committing.Writes {
+			out = append(out, w.Job)
+		}
+	}
+	for _, j := range o.jobs {
+		if j.dirty || j.hasOpenStart() {
+			out = append(out, j.ID)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// hasOpenStart reports whether an attempt of the job may not be recorded as answered. If none is, the answers of all count as recorded.
+func (j *job) hasOpenStart() bool {
+	attempts := j.attempts()
+	if slices.ContainsFunc(attempts, func(at *attempt) bool { return !at.mayRecordAnswer() }) {
+		return true
+	}
+	for _, at := range attempts {
+		at.isAnswerRecorded = true
+	}
+	return false
+}
+
+// attempts returns the attempts of all tasks of the job.
+func (j *job) attempts() []*attempt {
+	var out []*attempt
+	for _, occ := range j.occurrences {
+		for _, tasks := range occ.tasks {
+			for _, t := range tasks {
+				out = append(out, t.attempts...)
+			}
+		}
+	}
+	return out
+}
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -43,11 +43,15 @@
 	if a.Commit != nil {
 		sim.commit(sim.owner, a.Commit)
 	}
+	if sim.faultsEnabled && sim.writesMarks && sim.storeRandom.IntN(50) == 0 {
+		sim.storeMark()
+	}
 }
 
 // commit writes the records after a delay, unless another owner has taken over by then. While the store is down, it is
 // tried again.
 func (sim *simulation) commit(owner *shard.Owner, c *shard.Commit) {
+	sim.pendingCommit = c
 	sim.calls = append(sim.calls, &call{deliverAt: sim.now.Add(time.Duration(4+sim.random.IntN(20)) * time.Millisecond), onTimer: func(bool) {
 		switch {
 		case owner != sim.owner:
@@ -56,11 +60,31 @@
 			sim.commit(owner, c)
 			return
 		}
+		sim.pendingCommit = nil
 		sim.storeWrites(c)
 		owner.Committed(sim.now, c)
 	}})
 }
 
+// storeMark writes the mark of the shard after a delay, unless the owner changes before.
+func (sim *simulation) storeMark() {
+	epoch, mark := sim.epoch, workflow.AnsweredMark{Epoch: sim.epoch, Except: sim.owner.AnsweredExcept(), Through: sim.writes}
+	sim.calls = append(sim.calls, &call{deliverAt: sim.now.Add(time.Duration(4+sim.storeRandom.IntN(1000)) * time.Millisecond), onTimer: func(bool) {
+		if sim.epoch == epoch && sim.storeUp {
+			sim.mark = mark
+		}
+	}})
+}
+
+// recorded returns the progress of a job as an owner reads it: with the answers that the mark of the owner before it adds.
+func (sim *simulation) recorded(job string) workflow.Progress {
+	p := sim.storedProgress[job]
+	if sim.mark.Epoch == sim.epoch-1 && sim.mark.Covers(job, sim.storedAt[job]) {
+		return p.WithAnswered()
+	}
+	return p
+}
+
 // storeWrites puts the records of a commit into the store.
 func (sim *simulation) storeWrites(c *shard.Commit) {
 	for _, write := range c.Writes {
@@ -72,7 +96,8 @@
 		if err != nil {
 			sim.t.Fatal(err)
 		}
-		sim.storedProgress[write.Job] = p
+		sim.writes++
+		sim.storedProgress[write.Job], sim.storedAt[write.Job] = p, sim.writes
 	}
 }
 
@@ -148,6 +173,7 @@
 			t.Parallel()
 			knownred.Skip(t)
 			sim := newSimulation(t, seed, 6)
+			sim.writesMarks = true
 			for range 6000 {
 				if sim.random.IntN(60) == 0 {
 					sim.submit()
--- a/internal/shard/reconcile.go
+++ b/internal/shard/reconcile.go
@@ -78,7 +78,7 @@
 // stopOrphan stops a run that is not on record, or that already counts as ended.
 func (o *Owner) stopOrphan(w *worker, r RunningRow) {
 	o.logStray(w, r, o.task(r.Job, r.Key))
-	o.orphanStops = append(o.orphanStops, Stop{Order: o.newOrder(w), Job: r.Job, Key: r.Key, Run: r.Run, Reason: "stray"})
+	o.orphanStops = append(o.orphanStops, Stop{Order: o.newOrder(w), Job: r.Job, Key: r.Key, Run: r.Run, Reason: strayCause})
 }
 
 func (w *worker) attemptOf(t *task, run int) *attempt {
--- a/internal/shard/shrunkfleet_test.go
+++ b/internal/shard/shrunkfleet_test.go
@@ -217,7 +217,7 @@
 func TestGuaranteesHoldWhileRunsAreEvicted(t *testing.T) {
 	var evictions atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
-		for i := range 30 {
+		for i := range 40 {
 			t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
 				t.Parallel()
 				evictions.Add(int64(runWithEvictions(t, *firstSeed+uint64(i))))
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -118,8 +118,19 @@
 	ids []string
 	// storedProgress and final are the simulated contents of the store: the progress records and final states of jobs.
 	storedProgress map[string]workflow.Progress
-	final          map[string]workflow.State
-	cancelled      map[string]bool
+	// storedAt holds the numbers of the writes of the progress records, and writes that of the last one.
+	storedAt map[string]int64
+	writes   int64
+	// storeRandom draws what the store does beyond the faults.
+	storeRandom *rand.Rand
+	// writesMarks is set if owners write marks, and if the store may carry out a commit whose owner is lost.
+	writesMarks bool
+	// mark is the mark of the shard in the store.
+	mark workflow.AnsweredMark
+	// pendingCommit is the commit under way, which the store may carry out although its owner is lost before it learns of it.
+	pendingCommit *shard.Commit
+	final         map[string]workflow.State
+	cancelled     map[string]bool
 	// completed holds the tasks whose completion the owner has acknowledged to the worker.
 	completed map[string]bool
 	// failures counts the acknowledged failed runs of each task.
@@ -184,7 +195,7 @@
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), epoch: 1, storeUp: true, faultsEnabled: true,
-		jobs: map[string]workflow.Job{}, storedProgress: map[string]workflow.Progress{}, final: map[string]workflow.State{},
+		jobs: map[string]workflow.Job{}, storedProgress: map[string]workflow.Progress{}, storedAt: map[string]int64{}, storeRandom: rand.New(rand.NewPCG(seed, 11)), final: map[string]workflow.State{},
 		cancelled: map[string]bool{}, completed: map[string]bool{}, failures: map[string]int{},
 		highestStarted: map[string]startedRun{}, startsOf: map[string]int{}, history: map[string][]string{}, workerHistory: map[string][]string{}, localWaits: map[string]int{},
 	}
@@ -215,6 +226,10 @@
 // replaceOwner lets another owner take over. If one is given, it is what the last owner handed over.
 func (sim *simulation) replaceOwner(handedOver ...shard.Handover) {
 	sim.epoch++
+	if sim.faultsEnabled && sim.writesMarks && sim.pendingCommit != nil && sim.storeUp && len(handedOver) == 0 && sim.storeRandom.IntN(2) == 0 {
+		sim.storeWrites(sim.pendingCommit)
+	}
+	sim.pendingCommit = nil
 	for task := range sim.history {
 		sim.record(task, "another owner took over")
 	}
@@ -239,7 +254,7 @@
 	}
 	for _, id := range sim.ids {
 		if sim.final[id] == "" {
-			sim.owner.Restore(sim.now, sim.jobs[id], sim.storedProgress[id], sim.cancelled[id])
+			sim.owner.Restore(sim.now, sim.jobs[id], sim.recorded(id), sim.cancelled[id])
 		}
 	}
 	sim.register()
--- a/internal/shard/stray.go
+++ b/internal/shard/stray.go
@@ -6,6 +6,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// strayCause is why a run without a recorded attempt is stopped.
+const strayCause = "stray"
+
 // adoptStray returns an attempt that is being stopped for a run of a task that goes on and has no such attempt, or nil if there is no such
 // task: the task must not run elsewhere before the run has ended.
 func (o *Owner) adoptStray(now time.Time, w *worker, t *task, r RunningRow) *attempt {
@@ -14,7 +17,7 @@
 	}
 	o.logStray(w, r, t)
 	at := &attempt{
-		born: w.life.Born(), confirmedAt: now, pace: -1, phase: phaseStopping, run: r.Run, sentAt: now, stopCause: "stray", task: t, worker: w,
+		born: w.life.Born(), confirmedAt: now, pace: -1, phase: phaseStopping, run: r.Run, sentAt: now, stopCause: strayCause, task: t, worker: w,
 	}
 	t.run = max(t.run, r.Run)
 	t.attempts = append(t.attempts, at)
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -78,7 +78,7 @@
 	Done []DoneTasks `cbor:"6,keyasint,omitempty"`
 	// LateStarts holds the starts without a response that may still be carried out.
 	LateStarts []LateStart `cbor:"7,keyasint,omitempty"`
-	// Answered holds the runs of long-running tasks whose starts all have responses.
+	// Answered holds the runs whose starts all have responses.
 	Answered []AnsweredStart `cbor:"8,keyasint,omitempty"`
 	// Settings holds the last settings of the job's queue if they are not those of the job's record.
 	Settings *QueueSettings `cbor:"5,keyasint,omitempty"`
