Name open runs in the mark of a shard, and write it with more commits

Cause: the mark covered jobs as a whole, and went along with a commit once in half a second.

Change: it names the open runs of jobs without unrecorded changes, and goes along with a commit each tenth of a second. By itself it is written twice a second at most, as before.

--- a/internal/entry/answeredmark.go
+++ b/internal/entry/answeredmark.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// answeredInterval is how often the mark of a shard is written while there is something new to say. What is younger counts as unknown if
-	// the owner is killed.
-	answeredInterval = 500 * time.Millisecond
-	// maxAnsweredExcept limits the jobs that a mark names. An owner that has taken a large shard writes none until it has heard of most runs.
-	maxAnsweredExcept = 4096
+	// answeredInterval is how often the mark of a shard is written by itself while there is something new to say, and answeredCommitInterval how
+	// often it goes along with commits. What is younger counts as unknown if the owner is killed.
+	answeredInterval       = 500 * time.Millisecond
+	answeredCommitInterval = 100 * time.Millisecond
+	// maxAnsweredMark limits the jobs and runs that a mark names. An owner that has taken a large shard writes none until it has heard of most
+	// runs.
+	maxAnsweredMark = 4096
 )
 
 // recordAnswers writes the mark of the shard while no commit takes it along. It makes one attempt each time: the mark is worth no retries while the
@@ -24,7 +26,7 @@
 func (r *runner) recordAnswers() {
 	for r.ctx.Err() == nil {
 		retry.Sleep(r.ctx, answeredInterval/5)
-		mark := r.dueAnsweredMark()
+		mark := r.dueAnsweredMark(answeredInterval)
 		if len(mark) == 0 {
 			continue
 		}
@@ -42,19 +44,19 @@
 	}
 }
 
-// dueAnsweredMark returns the write of the shard's mark if it has had something to say for answeredInterval.
-func (r *runner) dueAnsweredMark() []kvstore.Put {
+// dueAnsweredMark returns the write of the shard's mark if it has had something to say for a time.
+func (r *runner) dueAnsweredMark(since time.Duration) []kvstore.Put {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.host.now()
-	if age, ok := r.owner.AnswerNewsAge(now); !ok || age < answeredInterval || !r.mayAct(now) || r.hasSkippedRecord {
+	if age, ok := r.owner.AnswerNewsAge(now); !ok || age < since || !r.mayAct(now) || r.hasSkippedRecord {
 		return nil
 	}
-	except := r.owner.AnsweredExcept()
-	if len(except) > maxAnsweredExcept {
+	mark := r.owner.AnsweredMark()
+	if mark.Size() > maxAnsweredMark {
 		return nil
 	}
-	mark := workflow.AnsweredMark{Epoch: r.epochKeyRevision, Except: except, Through: r.writtenThrough}
+	mark.Epoch, mark.Through = r.epochKeyRevision, r.writtenThrough
 	return []kvstore.Put{{Key: answeredKey(r.shard), Value: workflow.Encode(mark)}}
 }
 
@@ -68,13 +70,13 @@
 	r.locked(func() {
 		for id, p := range recorded {
 			if revision, ok := r.revisions.Progress(id); ok && mark.Covers(id, revision) {
-				recorded[id] = p.WithAnswered()
+				recorded[id] = p.WithAnswers(id, mark)
 				covered++
 			}
 		}
 	})
 	r.log.WithFields(logrus.Fields{
-		"covered": covered, "decision": "answered_mark", "except": len(mark.Except), "records": len(recorded), "through": mark.Through,
+		"covered": covered, "decision": "answered_mark", "except": len(mark.Except), "open": len(mark.Open), "records": len(recorded), "through": mark.Through,
 	}).Info("the starts of covered records have responses")
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -203,7 +203,7 @@
 	var transactions sync.WaitGroup
 	var stopped atomic.Bool
 	var failed failedWrites
-	mark := r.dueAnsweredMark()
+	mark := r.dueAnsweredMark(answeredCommitInterval)
 	for rest := c.Writes; len(rest) > 0; {
 		n, t := r.buildTxn(rest)
 		writes := rest[:n]
--- a/internal/shard/answeredstart.go
+++ b/internal/shard/answeredstart.go
@@ -95,35 +95,31 @@
 // RepeatAnswers makes the mark of the shard be written again: the last one is of another epoch, or was not written.
 func (o *Owner) RepeatAnswers(now time.Time) { o.noteAnswerNews(now) }
 
-// AnsweredExcept returns the jobs that have starts on record without a response, or changes that are not on record, in order. All other starts on
-// record have responses, and the records say of each further one before it is sent.
-func (o *Owner) AnsweredExcept() []string {
+// AnsweredMark returns a mark of this moment without its epoch and its revision: it names the jobs with changes that are not on record, and the runs on
+// record with a start that has no response. All other starts on record have responses, and the records say of each further one before it is sent.
+func (o *Owner) AnsweredMark() workflow.AnsweredMark {
 	o.answerNewsAt = time.Time{}
-	out := make([]string, 0, len(o.dirty))
+	var mark workflow.AnsweredMark
 	if o.committing != nil {
 		for _, w := range o.committing.Writes {
-			out = append(out, w.Job)
+			mark.Except = append(mark.Except, w.Job)
 		}
 	}
 	for _, j := range o.jobs {
-		if j.dirty || j.hasOpenStart() {
-			out = append(out, j.ID)
+		if j.dirty {
+			mark.Except = append(mark.Except, j.ID)
+			continue
+		}
+		for _, at := range j.attempts() {
+			if at.mayRecordAnswer() {
+				at.isAnswerRecorded = true
+			} else {
+				mark.Open = append(mark.Open, workflow.OpenStart{Job: j.ID, Key: at.task.key, Run: at.run, Worker: at.worker.ID})
+			}
 		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// hasOpenStart reports whether an attempt of the job may not be recorded as answered. If none is, the answers of all count as recorded.
-func (j *job) hasOpenStart() bool {
-	attempts := j.attempts()
-	if slices.ContainsFunc(attempts, func(at *attempt) bool { return !at.mayRecordAnswer() }) {
-		return true
-	}
-	for _, at := range attempts {
-		at.isAnswerRecorded = true
-	}
-	return false
+	slices.Sort(mark.Except)
+	return mark
 }
 
 // attempts returns the attempts of all tasks of the job.
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -68,7 +68,8 @@
 
 // storeMark writes the mark of the shard after a delay, unless the owner changes before.
 func (sim *simulation) storeMark() {
-	epoch, mark := sim.epoch, workflow.AnsweredMark{Epoch: sim.epoch, Except: sim.owner.AnsweredExcept(), Through: sim.writes}
+	epoch, mark := sim.epoch, sim.owner.AnsweredMark()
+	mark.Epoch, mark.Through = sim.epoch, sim.writes
 	sim.calls = append(sim.calls, &call{deliverAt: sim.now.Add(time.Duration(4+sim.storeRandom.IntN(1000)) * time.Millisecond), onTimer: func(bool) {
 		if sim.epoch == epoch && sim.storeUp {
 			sim.mark = mark
@@ -80,7 +81,7 @@
 func (sim *simulation) recorded(job string) workflow.Progress {
 	p := sim.storedProgress[job]
 	if sim.mark.Epoch == sim.epoch-1 && sim.mark.Covers(job, sim.storedAt[job]) {
-		return p.WithAnswered()
+		return p.WithAnswers(job, sim.mark)
 	}
 	return p
 }
