--- a/internal/entry/answeredmark.go
+++ b/internal/entry/answeredmark.go
@@ -39,17 +39,17 @@
 		countWrite(err)
 		if err != nil {
 			r.log.WithError(err).WithField("decision", "answered_mark_unwritten").Warn("failed to record which starts have responses; it is repeated")
-			r.updateOwner(func(now time.Time) { r.owner.RepeatAnswers(now) })
+			r.updateOwner(func(now time.Time) { r.owner.MarkAnew(now) })
 		}
 	}
 }
 
-// dueAnsweredMark returns the write of the shard's mark if it has had something to say for a time.
-func (r *runner) dueAnsweredMark(since time.Duration) []kvstore.Put {
+// dueAnsweredMark returns the write of the shard's mark if there have been answers for a time that the last one does not tell of.
+func (r *runner) dueAnsweredMark(interval time.Duration) []kvstore.Put {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.host.now()
-	if age, ok := r.owner.AnswerNewsAge(now); !ok || age < since || !r.mayAct(now) || r.hasSkippedRecord {
+	if age, ok := r.owner.UnmarkedFor(now); !ok || age < interval || !r.mayAct(now) || r.hasSkippedRecord {
 		return nil
 	}
 	mark := r.owner.AnsweredMark()
--- a/internal/entry/loadjobs.go
+++ b/internal/entry/loadjobs.go
@@ -96,7 +96,7 @@
 		}
 		if !r.loaded {
 			r.loaded, r.changedAt = true, now
-			r.owner.RepeatAnswers(now.Add(-answeredInterval)) // at once: the next owner does not use the mark of the last one
+			r.owner.MarkAnew(now.Add(-answeredInterval)) // at once: the next owner does not use the mark of the last one
 		}
 		r.appliedJobs = max(r.appliedJobs, revision)
 		r.log.WithFields(logrus.Fields{
--- a/internal/shard/answeredstart.go
+++ b/internal/shard/answeredstart.go
@@ -27,7 +27,7 @@
 // crash, waits until starts that may have none can't be carried out any more. Other tasks end too soon for that, and the mark of the shard says it of
 // them.
 func (o *Owner) noteAnswered(at *attempt) {
-	o.noteAnswerNews(o.now)
+	o.noteUnmarked(o.now)
 	if at.task.step.LongRunning {
 		due := maxTime(o.now.Add(answerRecordDelay), at.starts.LostUntil(o.timing.CallDelay))
 		o.answers = append(o.answers, unrecordedAnswer{attempt: at, due: due})
@@ -80,25 +80,25 @@
 	return out
 }
 
-// noteAnswerNews notes that the mark of the shard has something to say from a time on.
-func (o *Owner) noteAnswerNews(now time.Time) {
-	if o.answerNewsAt.IsZero() {
-		o.answerNewsAt = now
+// noteUnmarked notes that there are answers which the last mark of the shard does not tell of.
+func (o *Owner) noteUnmarked(now time.Time) {
+	if o.unmarkedSince.IsZero() {
+		o.unmarkedSince = now
 	}
 }
 
-// AnswerNewsAge returns for how long the mark of the shard has something to say that is not on record; ok is false if it has not.
-func (o *Owner) AnswerNewsAge(now time.Time) (age time.Duration, ok bool) {
-	return now.Sub(o.answerNewsAt), !o.answerNewsAt.IsZero()
+// UnmarkedFor returns for how long there have been answers that the last mark of the shard does not tell of; ok is false if there are none.
+func (o *Owner) UnmarkedFor(now time.Time) (age time.Duration, ok bool) {
+	return now.Sub(o.unmarkedSince), !o.unmarkedSince.IsZero()
 }
 
-// RepeatAnswers makes the mark of the shard be written again: the last one is of another epoch, or was not written.
-func (o *Owner) RepeatAnswers(now time.Time) { o.noteAnswerNews(now) }
+// MarkAnew makes the mark of the shard be written again, as the last one is of another epoch or was not written.
+func (o *Owner) MarkAnew(now time.Time) { o.noteUnmarked(now) }
 
 // AnsweredMark returns a mark of this moment without its epoch and its revision: it names the jobs with changes that are not on record, and the runs on
 // record with a start that has no response. All other starts on record have responses, and the records say of each further one before it is sent.
 func (o *Owner) AnsweredMark() workflow.AnsweredMark {
-	o.answerNewsAt = time.Time{}
+	o.unmarkedSince = time.Time{}
 	var mark workflow.AnsweredMark
 	if o.committing != nil {
 		for _, w := range o.committing.Writes {
--- a/internal/shard/localworkers_test.go
+++ b/internal/shard/localworkers_test.go
@@ -60,3 +60,42 @@
 	assert.Equal(t, all, 2)
 	assert.Equal(t, remote, 1, "the worker on probation takes one of the tasks")
 }
+
+// Guards against owners that panic, and against the faults of TestGuaranteesHoldWhileTasksWaitForRacks, while workers fail all that they start and jobs have several steps whose
+// tasks of different sizes wait for the same rack: workers on probation come and go within a round.
+func TestGuaranteesHoldWhileWorkersOfRacksFail(t *testing.T) {
+	for i := range 10 {
+		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, *firstSeed+uint64(i), 8)
+			for i, f := range sim.workers {
+				f.Rack = fmt.Sprint("r", i%2)
+				f.Capacity.CPUMilli = int64(4000 + 2000*(i%3))
+			}
+			sim.remoteFactor = 2
+			sim.replaceOwner()
+			for k := range 4000 {
+				if k%120 == 0 {
+					var steps []workflow.Step
+					for n := range 3 {
+						steps = append(steps, workflow.Step{
+							Count: 1 + sim.random.IntN(3), Estimate: 1500 * time.Millisecond, Rack: "r0",
+							Resources: fleet.Resources{CPUMilli: []int64{5000, 2000, 1000}[n], MemoryMiB: 10},
+						})
+					}
+					sim.submitTo("q", steps...)
+				}
+				if k%500 == 0 {
+					for n := range 2 {
+						sim.workers[2*n].failsUntil = sim.now.Add(6500 * time.Millisecond)
+					}
+				}
+				sim.step()
+			}
+			sim.drainWithoutFaults()
+			for _, id := range sim.ids {
+				assert.Check(t, sim.final[id] != "", "job %s has no final state", id)
+			}
+		})
+	}
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -22,8 +22,8 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 	adviceRequests []AdviceRequest
-	// answerNewsAt is since when the mark of the shard has something to say; zero if it has not.
-	answerNewsAt time.Time
+	// unmarkedSince is since when there are answers that the last mark of the shard does not tell of; zero if there are none.
+	unmarkedSince time.Time
 	// answers holds the confirmed runs whose responses are to be put on record.
 	answers []unrecordedAnswer
 	// committing is the unanswered commit, or nil.
