--- a/internal/entry/offeredclasses_test.go
+++ b/internal/entry/offeredclasses_test.go
@@ -97,6 +97,7 @@
 		// maxQuestions is what the design page allows an owner with waiting tasks, each second.
 		maxQuestions = 4
 	)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, 1, shards, exchangeWorkers)
 		f.callCost /= 10
