Tell starts after failed runs, ends that are not counted and returned tasks apart

Cause: a failed end without an open run left no line, nor did a returned task that its home did not take back, and a start did not say how many runs had failed before. Change: the lines start_again, ignore_end and ignore_return with the number of failed runs, the limit, the role of the shard and the hop; entry_task_retries counts them. No decision changes.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/metrics"
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 )
 
 // Metrics of an entry host, served at the debug address. Histogram values are in milliseconds.
@@ -32,6 +33,7 @@
 	storeConflicts     = expvar.NewInt("entry_store_conflicts")
 	storeFailures      = expvar.NewInt("entry_store_failures")
 	storeWrites        = expvar.NewInt("entry_store_writes")
+	taskRetries        = expvar.NewMap("entry_task_retries")
 	workerLifetimes    = expvar.NewMap("entry_worker_lifetimes")
 	timerLag           = metrics.NewHistogram("entry_timer_lag_ms")
 )
@@ -45,6 +47,9 @@
 // countLifetimeEvent counts what owners learn of the lifetimes of workers.
 func countLifetimeEvent(event string, n int) { workerLifetimes.Add(event, int64(n)) }
 
+// countRetry counts failed runs and what follows them.
+func countRetry(e retrylimit.Event) { taskRetries.Add(string(e), 1) }
+
 // setGauges publishes the state of the shard, by name, and withdraws the gauges that it no longer has.
 func (r *runner) setGauges(values map[string]int) {
 	for name := range r.gauges {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -106,7 +106,7 @@
 		expected: expectedJobs{}, gauges: map[string]bool{}, host: h, lease: lease, log: log, takenAt: now,
 		owner: shard.NewOwner(revision, now, shard.WithLog(log), shard.WithShard(n), shard.WithTiming(h.timing()),
 			shard.WithRemoteFactor(h.settings.Worker.RemoteFactor, countLocalWait), shard.WithStartObserver(startWait.Observe),
-			shard.WithLifetimeObserver(countLifetimeEvent),
+			shard.WithLifetimeObserver(countLifetimeEvent), shard.WithRetryObserver(countRetry),
 			shard.WithPanicObserver(func(decision string, v any) { logPanic(log, decision, v) }),
 			shard.WithInterferenceObserver(func(s interference.State, d time.Duration) {
 				overTargetSeconds.AddFloat(string(s), d.Seconds())
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -88,6 +88,7 @@
 	at.sentAt, at.phase, at.born, at.starts = now, phaseSent, at.lifetime(), at.starts.WithSent()
 	t := at.task
 	t.started, t.job.started, t.lateStarts = true, true, t.lateStarts.WithBegun()
+	o.reportStart(at)
 	s := Start{
 		Order: o.newOrder(at.worker), Checkpoint: t.checkpoint, Job: t.job.ID, Key: t.key, Run: at.run,
 		Spec: t.job.Spec, Ticket: at.ticket, Until: at.worker.renewLease(now, o.renewedAt, o.timing),
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -230,14 +231,19 @@
 func (o *Owner) TakeBack(now time.Time, id string, guest int, tasks []workflow.HeldTask) {
 	j := o.jobs[id]
 	if j == nil || j.shared == nil || j.shared.isGuest || j.final != "" {
+		for _, h := range tasks {
+			o.reportReturnIgnored(id, guest, h, "the job has ended or is not shared")
+		}
 		return
 	}
 	o.now = now
 	for _, h := range tasks {
 		t, tr := o.task(id, h.Record.Key), j.shared.transfers[h.Record.Key]
 		if t == nil || tr == nil || tr.shard != guest || tr.hop != h.Hop {
+			o.reportReturnIgnored(id, guest, h, "the task is not at the guest at this hop")
 			continue
 		}
+		o.observeRetry(retrylimit.ReturnTaken)
 		o.holdAt(now, t, h)
 		j.shared.guests[guest], j.started = true, j.started || t.run > 0
 		o.markDirty(j)
@@ -287,8 +293,9 @@
 			}
 			j.shared.giveBack(t)
 			t.releaseHold(now)
-			o.log.WithFields(logrus.Fields{
-				"decision": "return_task", "job": j.ID, "task": t.key.String(), "run": t.run, "hop": tr.hop, "home": j.shared.home,
+			o.observeRetry(retrylimit.ReturnSent)
+			o.log.WithFields(t.failureFields()).WithFields(logrus.Fields{
+				"decision": "return_task", "run": t.run, "home": j.shared.home,
 			}).Info("returning a task that finds no worker here to its home shard")
 			o.markDirty(j)
 		}
--- a/internal/shard/failure.go
+++ b/internal/shard/failure.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -12,6 +13,7 @@
 func (o *Owner) handleFailure(now time.Time, at *attempt) {
 	w, t := at.worker, at.task
 	t.failures++
+	o.observeRetry(retrylimit.EndCounted)
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(restartDelay)
 	w.holdForRestart(now, t)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -11,6 +11,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
@@ -80,6 +81,8 @@
 	log       *logrus.Entry
 	// observeLifetime is called with the events of workers' lifetimes.
 	observeLifetime func(event string, n int)
+	// observeRetry is called with the events of failed runs.
+	observeRetry func(retrylimit.Event)
 	// observeStart is called with the time from the plan of an attempt to its confirmed start.
 	observeStart func(time.Duration)
 	// backlog holds the jobs that may have tasks to place, most urgent first.
@@ -148,6 +151,7 @@
 		lentUntil:       map[string]time.Time{},
 		log:             logrus.NewEntry(logrus.StandardLogger()),
 		observeLifetime: func(string, int) {},
+		observeRetry:    func(retrylimit.Event) {},
 		observeStart:    func(time.Duration) {},
 		shortDemand:     map[shortTasks]shortDemand{},
 		// Jobs that are restored count as arrivals before the first placement round.
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -250,6 +250,9 @@
 		}
 	}
 	if at == nil && (e.Cause != EndDone || t.done || t.isAway || len(t.attempts) > 0) {
+		if e.Cause == EndFailed {
+			o.reportEndNotCounted(w, t, e, "the run already counts as ended")
+		}
 		return // the run already counts as ended
 	}
 	if e.Checkpoint != "" {
