--- a/internal/entry/earlierleases_test.go
+++ b/internal/entry/earlierleases_test.go
@@ -46,7 +46,7 @@
 					assert.Check(t, took <= lostTasksRestart, "seed %d: tasks run again after %s; owners: %s", seed, took, f.ownerHistory(lostAt))
 					f.kill(f.names()...)
 					time.Sleep(contactTime)
-					assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+					assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 				}
 			})
 		})
@@ -87,7 +87,7 @@
 			}
 			f.kill(f.names()...)
 			time.Sleep(contactTime)
-			assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "", "seed %d", seed)
+			assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "", "seed %d", seed)
 		})
 	}
 }
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -85,7 +85,7 @@
 		stopLoad()
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 		assert.Equal(t, strings.Join(f.tasks.over, "\n"), "")
 	})
 }
--- a/internal/entry/exchange_test.go
+++ b/internal/entry/exchange_test.go
@@ -85,7 +85,7 @@
 func (f *simulatedFleet) end() {
 	f.kill(f.names()...)
 	time.Sleep(contactTime) // background calls of the hosts end
-	assert.Check(f.t, strings.Join(f.tasks.twice, "\n") == "", f.tasks.twice)
+	assert.Check(f.t, strings.Join(f.tasks.violations, "\n") == "", f.tasks.violations)
 	assert.Check(f.t, strings.Join(f.tasks.over, "\n") == "", f.tasks.over)
 }
 
--- a/internal/entry/failedhandover_test.go
+++ b/internal/entry/failedhandover_test.go
@@ -61,7 +61,7 @@
 		scenario(f, isFaulty.Store)
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/handoverseries_test.go
+++ b/internal/entry/handoverseries_test.go
@@ -95,7 +95,7 @@
 	time.Sleep(contactTime + restartGrace + restartWindow)
 	t.Logf("%d changes of owners, %d late calls, %d of them carried out", strings.Count(f.ownerHistory(began), ":none"),
 		s.lateCalls.Load(), s.lateExecuted.Load())
-	assert.Check(t, strings.Join(f.tasks.twice, "\n") == "", "%s; owners: %s", strings.Join(f.tasks.twice, "\n"), f.ownerHistory(began))
+	assert.Check(t, strings.Join(f.tasks.violations, "\n") == "", "%s; owners: %s", strings.Join(f.tasks.violations, "\n"), f.ownerHistory(began))
 	longest, task := f.tasks.longestCounted()
 	assert.Check(t, longest <= restartWindow, "%s had nothing running for %s; owners: %s", task, longest, f.ownerHistory(began))
 	stopLoad()
--- a/internal/entry/latehandover_test.go
+++ b/internal/entry/latehandover_test.go
@@ -33,7 +33,7 @@
 		time.Sleep(15*time.Second - time.Since(began))
 		longest, task := f.tasks.longestCounted()
 		assert.Check(t, longest <= restartWindow, "%s had nothing running for %s; owners: %s", task, longest, f.ownerHistory(began))
-		assert.Equal(t, len(f.tasks.twice), 0)
+		assert.Equal(t, len(f.tasks.violations), 0)
 	})
 }
 
@@ -65,7 +65,7 @@
 			time.Sleep(time.Duration(1800+f.int(2500)) * time.Millisecond)
 			first.isCut.Store(false)
 			time.Sleep(20*time.Second - time.Since(began))
-			assert.Check(t, len(f.tasks.twice) == 0, "seed %d: %s", seed, f.tasks.twice)
+			assert.Check(t, len(f.tasks.violations) == 0, "seed %d: %s", seed, f.tasks.violations)
 			assert.Equal(t, len(f.tasks.idle()), 0, "tasks with nothing running; owners: %s", f.ownerHistory(began))
 		})
 	}
--- a/internal/entry/latenotification_test.go
+++ b/internal/entry/latenotification_test.go
@@ -26,7 +26,7 @@
 		scenario(t, f)
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/panicdeletion_test.go
+++ b/internal/entry/panicdeletion_test.go
@@ -50,7 +50,7 @@
 				f.checkTasksRun(30 * time.Second)
 				f.kill(f.names()...)
 				time.Sleep(contactTime) // background calls of the hosts end
-				assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+				assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 			})
 		})
 	}
--- a/internal/entry/pausedorder_test.go
+++ b/internal/entry/pausedorder_test.go
@@ -57,7 +57,7 @@
 					assert.Check(t, f.owners()["two"] == 1, "owners: %v", f.owners())
 					assert.Check(t, refused.Load()+executed.Load() > 0, "no order was paused")
 					t.Logf("of the paused orders %d were refused and %d executed", refused.Load(), executed.Load())
-					assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+					assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 				})
 			})
 		}
--- a/internal/entry/refusedowner_test.go
+++ b/internal/entry/refusedowner_test.go
@@ -70,7 +70,7 @@
 		stopLoad()
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/refusedrandom_test.go
+++ b/internal/entry/refusedrandom_test.go
@@ -40,7 +40,7 @@
 				f.checkTasksRun(contactTime + 2*restartGrace)
 				f.kill(f.names()...)
 				time.Sleep(contactTime) // background calls of the hosts end
-				assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+				assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 			})
 		})
 	}
--- a/internal/entry/refusedtoken_test.go
+++ b/internal/entry/refusedtoken_test.go
@@ -95,7 +95,7 @@
 		scenario(f)
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/simulatedfleet_test.go
+++ b/internal/entry/simulatedfleet_test.go
@@ -179,7 +179,7 @@
 	return entry.Platform{
 		ConfigKey: "op/config",
 		DecodeConfig: func(data []byte) (workflow.Config, error) {
-			return workflow.NewConfig(1+int64(len(data)), []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
+			return workflow.NewConfig(1+int64(len(data)), []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: simulatedMaxAttempts, Stretch: 2, TargetLatency: time.Second}},
 				[]workflow.Service{{Name: "s"}}, workflow.Limits{}), nil
 		},
 		DecodeEvacuation: func(key string) (string, error) {
--- a/internal/entry/simulatedworker_test.go
+++ b/internal/entry/simulatedworker_test.go
@@ -204,7 +204,7 @@
 	delete(w.runs, name)
 	w.endCount++
 	w.highestEnded[name] = s.Run
-	starts := w.tasks.ended(name, "run %d ends as number %d on %s, lifetime %d: %s", s.Run, w.endCount, w.ID, w.restarts+1, cause)
+	starts := w.tasks.ended(name, cause, "run %d ends as number %d on %s, lifetime %d: %s", s.Run, w.endCount, w.ID, w.restarts+1, cause)
 	row := shard.EndRow{Cause: cause, Job: s.Job, Key: s.Key, Number: w.endCount, Run: s.Run}
 	w.ended = append(w.ended, listedEnd{EndRow: row, at: time.Now(), starts: starts})
 	close(w.changed)
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -46,7 +46,7 @@
 		stopLoad()
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/takeoverseries_test.go
+++ b/internal/entry/takeoverseries_test.go
@@ -133,7 +133,7 @@
 		third := f.owner()
 		assert.Assert(t, third != nil && third != second, "owners: %s", f.ownerHistory(began))
 		assert.Equal(t, len(f.tasks.idle()), 0, "tasks with nothing running; owners: %s", f.ownerHistory(began))
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
 
--- a/internal/entry/tasklog_test.go
+++ b/internal/entry/tasklog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,12 +12,15 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// maxReportedEvents is the number of events of a task that are printed if it ran twice.
+// maxReportedEvents is the number of events of a task that are printed if it broke a guarantee.
 const maxReportedEvents = 20
 
 // speculativeGrace is how long after an acknowledged end a task of a speculative step may start. A late call may start it at any time.
 const speculativeGrace = time.Second
 
+// simulatedMaxAttempts is the number of failed runs of a task after which it must not start again, as the simulated config says.
+const simulatedMaxAttempts = 3
+
 // taskLog records the starts and ends of tasks on all workers.
 type taskLog struct {
 	// failAfter returns how long a run of a long-running task lasts until it fails; 0 means that it does not fail.
@@ -34,7 +38,7 @@
 	forgotten map[string]bool
 	// jobs holds the jobs that were handed in.
 	jobs map[string]workflow.Job
-	// history holds the events of each task, which are added to the description of a task that ran twice.
+	// history holds the events of each task, which are added to the description of a violation.
 	history map[string][]string
 	// longest is the longest time that longestOf, an expected task, had nothing running, as the rule counts it.
 	longest   time.Duration
@@ -45,15 +49,24 @@
 	running map[string]string
 	// starts counts the starts of each task.
 	starts map[string]int
-	// twice describes the tasks that ran on two workers at the same time, or again after an end as done that was acknowledged then or later.
-	twice []string
+	// failures holds, for each acknowledged failed end of a task, how often the task had started before it, in ascending order.
+	failures map[string][]int
+	// failedAt is when the last failed run of each task ended.
+	failedAt map[string]time.Time
+	// isBeyondLimit is set for tasks that are reported because of their failed ends.
+	isBeyondLimit map[string]bool
+	// limitAt is when the last failed end was acknowledged that a task of a speculative step may have.
+	limitAt map[string]time.Time
+	// violations describes the tasks that ran on two workers at the same time, again after an end as done, or again after
+	// simulatedMaxAttempts failed ends. The ends count that were acknowledged then or later.
+	violations []string
 }
 
 func newTaskLog() *taskLog {
 	return &taskLog{
 		expected: map[string]bool{}, forgotten: map[string]bool{}, failAfter: func() time.Duration { return 0 },
 		done: map[string]time.Time{}, history: map[string][]string{}, idleSince: map[string]time.Time{}, jobs: map[string]workflow.Job{},
-		running: map[string]string{}, starts: map[string]int{},
+		running: map[string]string{}, starts: map[string]int{}, failures: map[string][]int{}, failedAt: map[string]time.Time{}, isBeyondLimit: map[string]bool{}, limitAt: map[string]time.Time{},
 	}
 }
 
@@ -69,11 +82,19 @@
 	l.history[name] = append(l.history[name], time.Now().Format("04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// report adds a task to those that ran twice. The caller holds l.mu.
+// report adds a task to those that broke a guarantee. The caller holds l.mu.
 func (l *taskLog) report(name, format string, args ...any) {
 	events := l.history[name]
 	events = events[max(len(events)-maxReportedEvents, 0):]
-	l.twice = append(l.twice, name+" "+fmt.Sprintf(format, args...)+"\n    "+strings.Join(events, "\n    "))
+	l.violations = append(l.violations, name+" "+fmt.Sprintf(format, args...)+"\n    "+strings.Join(events, "\n    "))
+}
+
+// reportBeyondLimit reports the first start of a task beyond its limit. The caller holds l.mu.
+func (l *taskLog) reportBeyondLimit(name, format string, args ...any) {
+	if !l.isBeyondLimit[name] {
+		l.isBeyondLimit[name] = true
+		l.report(name, format, args...)
+	}
 }
 
 // acknowledged notes that a poll acknowledged the end of a run while it counted.
@@ -82,6 +103,9 @@
 	defer l.mu.Unlock()
 	name := e.Key.Name(e.Job)
 	l.add(name, "end number %d of %s, lifetime %d, is acknowledged by a poll up to %d, token %d", e.Number, worker, lifetime, p.LastSeen, p.Token)
+	if e.Cause == shard.EndFailed {
+		l.countFailure(name, e)
+	}
 	if e.Cause != shard.EndDone {
 		return
 	}
@@ -93,6 +117,26 @@
 	}
 }
 
+// countFailure counts an acknowledged failed end and checks that the task has not started after the last one that it may have. The caller
+// holds l.mu.
+func (l *taskLog) countFailure(name string, e listedEnd) {
+	if j, isKnown := l.jobs[e.Job]; !isKnown || j.Steps[e.Key.Step].LongRunning {
+		return
+	}
+	failures := append(l.failures[name], e.starts)
+	slices.Sort(failures)
+	l.failures[name] = failures
+	if len(failures) < simulatedMaxAttempts {
+		return
+	}
+	if l.limitAt[name].IsZero() {
+		l.limitAt[name] = time.Now()
+	}
+	if l.starts[name] > failures[simulatedMaxAttempts-1] && !l.isSpeculative(e.Job, e.Key.Step) {
+		l.reportBeyondLimit(name, "has started after %d failed ends, the last of which is acknowledged now", simulatedMaxAttempts)
+	}
+}
+
 // isSpeculative reports whether tasks of a step may run more than once at a time. The caller holds l.mu.
 func (l *taskLog) isSpeculative(job string, step int) bool {
 	j, isKnown := l.jobs[job]
@@ -135,6 +179,10 @@
 	if since := l.done[name]; !since.IsZero() && !(l.isSpeculative(s.Job, s.Key.Step) && (isLate || time.Since(since) <= speculativeGrace)) {
 		l.report(name, "starts on %s after it was done", worker)
 	}
+	mayStart := l.isSpeculative(s.Job, s.Key.Step) && (isLate || time.Since(l.limitAt[name]) <= speculativeGrace)
+	if len(l.failures[name]) >= simulatedMaxAttempts && !mayStart {
+		l.reportBeyondLimit(name, "starts on %s after %d acknowledged failed ends", worker, simulatedMaxAttempts)
+	}
 	l.running[name] = worker
 	if since, ok := l.idleSince[name]; ok {
 		l.noteIdle(name, since)
@@ -173,9 +221,12 @@
 }
 
 // ended notes the end of a task's run, which the arguments describe, and returns how often the task has started.
-func (l *taskLog) ended(name, format string, args ...any) int {
+func (l *taskLog) ended(name string, cause shard.EndCause, format string, args ...any) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if cause == shard.EndFailed {
+		l.failedAt[name] = time.Now()
+	}
 	l.add(name, format, args...)
 	delete(l.running, name)
 	if job, _, _ := strings.Cut(name, "."); l.expected[job] && !l.forgotten[job] {
--- a/internal/entry/tasklogcheck_test.go
+++ b/internal/entry/tasklogcheck_test.go
@@ -12,9 +12,10 @@
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
-// Guards against simulations that miss a task that runs twice at once, or again after an end that is acknowledged before or after that,
-// and against those that report a run that is repeated by a later lifetime, or after an end that need not count.
-func TestTaskLogReportsTasksThatRunTwice(t *testing.T) {
+// Guards against simulations that miss a task that runs twice at once, again after an end that is acknowledged before or after that, or after
+// as many failed ends as it may have, and against those that report a run that is repeated by a later lifetime, or after an end that need not
+// count.
+func TestTaskLogReportsRunsThatMustNotBe(t *testing.T) {
 	lease := maxWorkerLease.Milliseconds()
 	start := func(w *simulatedWorker, run int) {
 		w.start(context.Background(), shard.Start{Order: shard.Order{Token: 1}, Job: "j", Run: run, Until: w.clock() + lease})
@@ -29,6 +30,15 @@
 	speculate := func(w *simulatedWorker) {
 		w.tasks.addJob(workflow.Job{ID: "j", Steps: []workflow.Step{{Speculative: true}}})
 	}
+	limit := func(w *simulatedWorker, s workflow.Step) {
+		w.tasks.addJob(workflow.Job{ID: "j", Steps: []workflow.Step{s}})
+	}
+	fails := func(w *simulatedWorker, runs ...int) {
+		for _, run := range runs {
+			start(w, run)
+			w.failAll()
+		}
+	}
 	runs := func(w *simulatedWorker, run int) {
 		start(w, run)
 		time.Sleep(2 * shortTaskDuration)
@@ -103,6 +113,58 @@
 			time.Sleep(speculativeGrace + time.Millisecond)
 			start(b, 2)
 		}, 1},
+		"after three failed ends": {func(a, b *simulatedWorker) {
+			limit(a, workflow.Step{})
+			fails(a, 1, 2)
+			fails(b, 3)
+			poll(a, 2)
+			poll(b, 1)
+			start(a, 4)
+		}, 1},
+		"after three failed ends that are acknowledged later": {func(a, b *simulatedWorker) {
+			limit(a, workflow.Step{})
+			fails(a, 1, 2)
+			fails(b, 3)
+			start(b, 4)
+			poll(b, 1)
+			poll(a, 2)
+		}, 1},
+		"after three failed ends, one of which is lost with its lifetime": {func(a, b *simulatedWorker) {
+			limit(a, workflow.Step{})
+			fails(a, 1, 2)
+			fails(b, 3)
+			poll(a, 2)
+			restart(b)
+			start(a, 4)
+		}, 0},
+		"before the third of four failed ends": {func(a, b *simulatedWorker) {
+			limit(a, workflow.Step{})
+			fails(a, 1, 2)
+			start(a, 3)
+			fails(b, 4)
+			a.failAll()
+			poll(a, 3)
+			poll(b, 1)
+		}, 1}, // the runs 3 and 4 are there at the same time
+		"of a task that lasts after three failed ends": {func(a, _ *simulatedWorker) {
+			limit(a, workflow.Step{LongRunning: true})
+			fails(a, 1, 2, 3)
+			poll(a, 3)
+			start(a, 4)
+		}, 0},
+		"of a speculative task within a second after three failed ends": {func(a, _ *simulatedWorker) {
+			limit(a, workflow.Step{Speculative: true})
+			fails(a, 1, 2, 3)
+			poll(a, 3)
+			start(a, 4)
+		}, 0},
+		"of a speculative task over a second after three failed ends": {func(a, _ *simulatedWorker) {
+			limit(a, workflow.Step{Speculative: true})
+			fails(a, 1, 2, 3)
+			poll(a, 3)
+			time.Sleep(speculativeGrace + time.Millisecond)
+			start(a, 4)
+		}, 1},
 		"again after end in a lease that has lapsed": {func(a, b *simulatedWorker) {
 			start(a, 1)
 			time.Sleep(2 * maxWorkerLease)
@@ -120,7 +182,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				log := newTaskLog()
 				c.act(newSimulatedWorker("a", "rack-0", log), newSimulatedWorker("b", "rack-0", log))
-				assert.Equal(t, len(log.twice), c.reports, log.twice)
+				assert.Equal(t, len(log.violations), c.reports, log.violations)
 			})
 		})
 	}
--- a/internal/entry/unansweredrenewal_test.go
+++ b/internal/entry/unansweredrenewal_test.go
@@ -99,7 +99,7 @@
 				t.Logf("the shard was taken after %s", taken[0].Sub(began))
 				f.kill(f.names()...)
 				time.Sleep(contactTime) // background calls of the hosts end
-				assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+				assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 			})
 		})
 	}
--- a/internal/entry/unreadhandover_test.go
+++ b/internal/entry/unreadhandover_test.go
@@ -40,6 +40,6 @@
 		f.checkTasksRun(time.Minute)
 		f.kill(f.names()...)
 		time.Sleep(contactTime) // background calls of the hosts end
-		assert.Equal(t, strings.Join(f.tasks.twice, "\n"), "")
+		assert.Equal(t, strings.Join(f.tasks.violations, "\n"), "")
 	})
 }
