Keep tasks at their limit of failed runs from starting again, in any shard

Callers saw: a job with a task that can't be done stayed running for up to 18 s after the task had failed as often as its queue allows, and the task was started again and again meanwhile. Cause: nothing in a placement round looked at the number of failed runs. At the home the job fails within the call that counts the last one, so no round sees such a task. A guest left it to returnTasks, which passes over a task until ReportWaits, once a second, has noted since when it waits; mostly the next placement came first. Change: an exhausted task does not wait, so that it is not placed, offered, held for or counted as demand; assign and the sending of starts ask again. A guest says so in its next commit, also while it may not return the task yet, and the home fails the job on that. Owners look at all tasks after they have loaded their jobs and after each config. A run that is under way may still complete its task.

--- a/internal/retrylimit/event.go
+++ b/internal/retrylimit/event.go
@@ -17,6 +17,8 @@
 	ReturnSent Event = "return_sent"
 	// ReturnTaken is a returned task that its home took back.
 	ReturnTaken Event = "return_taken"
+	// RunRefused is a run that is not planned because its task has reached the limit.
+	RunRefused Event = "run_refused"
 	// StartBeyondLimit is a start of a task whose failed runs have reached the limit.
 	StartBeyondLimit Event = "start_beyond_limit"
 )
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -32,9 +32,9 @@
 			}
 			switch at.phase {
 			case phaseReady:
-				if !w.registered && o.isRegistryRead || w.Draining || !w.fenced && w.pollFailures > 0 || at.task.job.final != "" {
-					o.removeAttempt(at, "worker can no longer take it")
-					o.markDirty(at.task.job)
+				if !w.registered && o.isRegistryRead || w.Draining || !w.fenced && w.pollFailures > 0 || at.task.job.final != "" ||
+					at.task.isExhausted() {
+					o.dropAttempt(at, "it can no longer be started")
 					continue
 				}
 				if !w.fenced || w.pollFailures > 0 || !at.isLossRecorded() || w.isAckOverdue(now) {
@@ -53,6 +53,11 @@
 				}
 				a.Starts = append(a.Starts, o.startOrder(now, at))
 			case phaseSent:
+				if at.task.isExhausted() {
+					o.stopRun(at, "task may not run again")
+					a.wakeAt(now)
+					continue
+				}
 				if !w.fenced || w.pollFailures > 0 || !at.isLossRecorded() || w.isAckOverdue(now) {
 					continue // the next listing will show whether the run exists, or the record is due
 				}
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -239,6 +239,13 @@
 	o.now = now
 	for _, h := range tasks {
 		t, tr := o.task(id, h.Record.Key), j.shared.transfers[h.Record.Key]
+		if t != nil && h.Record.Failures > t.failures {
+			t.failures = h.Record.Failures
+			o.checkLimit(t)
+		}
+		if h.Hop == workflow.NoHop {
+			continue
+		}
 		if t == nil || tr == nil || tr.shard != guest || tr.hop != h.Hop {
 			o.reportReturnIgnored(id, guest, h, "the task is not at the guest at this hop")
 			continue
@@ -249,8 +256,6 @@
 		o.markDirty(j)
 		if h.Record.Done {
 			o.recordTaskDone(t)
-		} else {
-			o.failIfExhausted(t)
 		}
 	}
 }
@@ -274,7 +279,7 @@
 		}
 		for k, tr := range j.shared.transfers {
 			t := o.task(j.ID, k)
-			if t == nil || tr.shard != workflow.NoShard || !t.isWaiting() {
+			if t == nil || tr.shard != workflow.NoShard || !t.isIdle() {
 				continue
 			}
 			if tr.arrivedAt.IsZero() {
@@ -283,20 +288,21 @@
 			if o.hasLateStart(now, t) {
 				continue
 			}
-			since := t.waitsSince(tr.arrivedAt)
-			if since.IsZero() {
-				continue // the next placement round or report notes since when it waits
-			}
-			if due := maxTime(since, tr.arrivedAt).Add(returnAfter); now.Before(due) && !t.isExhausted() {
-				a.wakeAt(due)
-				continue
+			if since := t.waitsSince(tr.arrivedAt); !t.isExhausted() {
+				if since.IsZero() {
+					continue // the next placement round or report notes since when it waits
+				}
+				if due := maxTime(since, tr.arrivedAt).Add(returnAfter); now.Before(due) {
+					a.wakeAt(due)
+					continue
+				}
 			}
 			j.shared.giveBack(t)
 			t.releaseHold(now)
 			o.observeRetry(retrylimit.ReturnSent)
 			o.log.WithFields(t.failureFields()).WithFields(logrus.Fields{
 				"decision": "return_task", "run": t.run, "home": j.shared.home,
-			}).Info("returning a task that finds no worker here to its home shard")
+			}).Info("returning a task that finds no worker here, or may not run again, to its home shard")
 			o.markDirty(j)
 		}
 	}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -49,6 +49,7 @@
 	for _, occ := range n.occurrences {
 		o.updateReadySteps(n, occ)
 	}
+	o.areLimitsUnchecked = true
 	if handedOver {
 		if n.shared != nil {
 			n.shared.markAllChanged() // the last owner may not have recorded what it gave or returned
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -43,6 +43,10 @@
 	// evaluatedPairs is the number of (task, worker) pairs that the last placement round evaluated, and evaluatedRestartPairs the
 	// number of those that placeRestarts evaluated last.
 	evaluatedPairs, evaluatedRestartPairs int
+	// exhausted holds tasks that have reached the limit of failed runs and are to be ended.
+	exhausted []*task
+	// areLimitsUnchecked is set while there may be further ones.
+	areLimitsUnchecked bool
 	// mayHaveLateStarts is false only if no task has a late start.
 	mayHaveLateStarts bool
 	// hasInterrupted is false only if no task waits that placeRestarts would place.
@@ -249,6 +253,7 @@
 	o.stopOnDrainingWorkers(now, &a)
 	o.withdrawEvacuated()
 	if !o.isHandingOver {
+		o.endExhausted()
 		o.replaceOverdue(now)
 		o.renewTickets(now, &a)
 		o.returnTasks(now, &a)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -252,6 +252,10 @@
 // assign plans an attempt of a task on a worker. The start is sent once the attempt is recorded. run is the attempt's
 // number.
 func (o *Owner) assign(t *task, w *worker, run int) {
+	if t.isExhausted() {
+		o.refuseRun(t, w, run)
+		return
+	}
 	at := &attempt{phase: phasePlanned, plannedAt: o.now, run: run, task: t, worker: w, pace: fullPace}
 	o.refreshTicket(o.now, at)
 	if t.isInterrupted() {
--- a/internal/shard/queuesettings.go
+++ b/internal/shard/queuesettings.go
@@ -9,7 +9,7 @@
 // SetConfig applies a newer config. It affects tasks that have not been started yet. The last settings of a removed queue are recorded
 // with its jobs, unless they are on record: the config does not tell them to the next owner.
 func (o *Owner) SetConfig(c workflow.Config) {
-	o.config = c
+	o.config, o.areLimitsUnchecked = c, true
 	for _, j := range o.backlog {
 		if o.jobs[j.ID] == j && !o.applyQueue(j) && j.final == "" && j.unrecordedQueue() != nil {
 			o.markDirty(j)
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -93,11 +93,20 @@
 	return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
-// heldBy returns the tasks that a shard holds, as they moved there, or those that a guest returned if the shard is the home.
+// heldBy returns the tasks that a shard holds, as they moved there, or those that a guest returned if the shard is the home. A guest adds
+// those that it holds and that must not run again.
 func (o *Owner) heldBy(j *job, shard int) []workflow.HeldTask {
 	var out []workflow.HeldTask
 	for _, r := range j.shared.record() {
-		if t := o.task(j.ID, r.Key); t != nil && r.Shard == shard {
+		t := o.task(j.ID, r.Key)
+		if t == nil {
+			continue
+		}
+		isKept := j.shared.isGuest && r.Shard == workflow.NoShard && t.isExhausted()
+		if isKept {
+			r.Hop = workflow.NoHop
+		}
+		if isKept || r.Shard == shard {
 			out = append(out, workflow.HeldTask{Hop: r.Hop, Record: workflow.TaskRecord{
 				Key: r.Key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run,
 			}})
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -129,8 +129,11 @@
 	wait taskWait
 }
 
-// isWaiting reports whether this shard holds the task, which is not done, and no worker has it.
-func (t *task) isWaiting() bool { return !t.done && !t.isAway && len(t.attempts) == 0 }
+// isIdle reports whether this shard holds the task, which is not done, and no worker has it.
+func (t *task) isIdle() bool { return !t.done && !t.isAway && len(t.attempts) == 0 }
+
+// isWaiting reports whether the task is idle and may run again.
+func (t *task) isWaiting() bool { return t.isIdle() && !t.isExhausted() }
 
 // isInterrupted reports whether the task is a long-running one that ran before and waits for its next run.
 func (t *task) isInterrupted() bool { return t.step.LongRunning && t.run > 0 && t.isWaiting() }
--- a/internal/workflow/sharedjob.go
+++ b/internal/workflow/sharedjob.go
@@ -16,10 +16,13 @@
 	Tasks []HeldTask `cbor:"24,keyasint,omitempty"`
 }
 
+// NoHop is the hop of a task in the list of a guest that still holds it and says that it must not run again.
+const NoHop = 0
+
 // HeldTask is a task at one of its hops, with the state in which it moved.
 type HeldTask struct {
 	_ struct{} `cbor:",toarray"`
-	// Hop counts the transfers of the task away from the home.
+	// Hop counts the transfers of the task away from the home; it may be NoHop.
 	Hop int
 	// Record has no attempts. It is done in the list of a guest that has completed the task.
 	Record TaskRecord
