Count each failed run of a task once, whichever owner learns of it

Cause: the number of failed runs was kept by each owner for itself. A failed end of a run without an open attempt was acknowledged and not counted, as it can't be told from one that a lost owner had counted before. A handover set the number instead of raising it, and failures of which home and guest learn at the same time would have become one. Change: the failed runs are a set by worker, lifetime and run, with their number for those that earlier builds recorded (retrylimit.Failures). It is on record with the progress (key 9) and goes along with tasks that move; whoever reads it takes the union. A failed end without an open run counts unless it is in the set. A home tells the guest that holds the task, a guest that has returned it its home.

--- a/internal/retrylimit/doc.go
+++ b/internal/retrylimit/doc.go
@@ -1,2 +1,2 @@
-// Package retrylimit counts the failed runs of tasks and what becomes of tasks that may not run again. It does no I/O.
+// Package retrylimit counts the failed runs of tasks over all owners that learn of them, and names what follows them. It does no I/O.
 package retrylimit
--- a/internal/retrylimit/event.go
+++ b/internal/retrylimit/event.go
@@ -9,6 +9,8 @@
 const (
 	// EndCounted is a failed end of a run that was open.
 	EndCounted Event = "end_counted"
+	// EndCountedLate is a failed end of a run that counted as ended before, but not as failed.
+	EndCountedLate Event = "end_counted_late"
 	// EndNotCounted is a failed end of a run that counted as ended before.
 	EndNotCounted Event = "end_not_counted"
 	// ReturnIgnored is a returned task that its home did not take back.
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -100,12 +100,13 @@
 		}
 		p.LateStarts = append(p.LateStarts, o.recordLateStarts(occ)...)
 		p.Answered = append(p.Answered, recordAnswered(occ)...)
+		p.Failed = appendFailed(p.Failed, occ)
 	}
 	return p
 }
 
 func (t *task) record(c *Commit) workflow.TaskRecord {
-	rec := workflow.TaskRecord{Key: t.key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run}
+	rec := workflow.TaskRecord{Key: t.key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures.Count(), Run: t.run}
 	for _, at := range t.attempts {
 		rec.Attempts = append(rec.Attempts, workflow.Attempt{Worker: at.worker.ID, Born: at.lifetime(), Run: at.run})
 		if at.phase == phasePlanned {
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -198,6 +198,7 @@
 			continue
 		}
 		listed[k] = true
+		o.mergeFailures(t, h.Record)
 		if tr := s.transfers[k]; tr != nil && tr.hop >= h.Hop {
 			continue
 		}
@@ -217,7 +218,7 @@
 	if t.run == 0 && h.Record.Run > 0 {
 		t.job.begunTasks++
 	}
-	t.run, t.failures, t.checkpoint = max(t.run, h.Record.Run), h.Record.Failures, h.Record.Checkpoint
+	t.run, t.checkpoint = max(t.run, h.Record.Run), h.Record.Checkpoint
 	o.hasInterrupted = o.hasInterrupted || t.isInterrupted()
 	if h.Record.Done {
 		return // step_done is logged once all tasks of the step are done
@@ -239,9 +240,8 @@
 	o.now = now
 	for _, h := range tasks {
 		t, tr := o.task(id, h.Record.Key), j.shared.transfers[h.Record.Key]
-		if t != nil && h.Record.Failures > t.failures {
-			t.failures = h.Record.Failures
-			o.checkLimit(t)
+		if t != nil && o.mergeFailures(t, h.Record) {
+			o.tellOfFailures(t)
 		}
 		if h.Hop == workflow.NoHop {
 			continue
--- a/internal/shard/failure.go
+++ b/internal/shard/failure.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
+	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
 
 // handleFailure processes the end of a run that failed.
-func (o *Owner) handleFailure(now time.Time, at *attempt) {
+func (o *Owner) handleFailure(now time.Time, at *attempt, failed workflow.Attempt) {
 	w, t := at.worker, at.task
-	t.failures++
+	t.failures = t.failures.WithRun(failed)
 	o.observeRetry(retrylimit.EndCounted)
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(restartDelay)
--- a/internal/shard/failurereport.go
+++ b/internal/shard/failurereport.go
@@ -15,7 +15,7 @@
 // failureFields describes the failed runs of a task as this shard knows them.
 func (t *task) failureFields() logrus.Fields {
 	fields := logrus.Fields{
-		"job": t.job.ID, "task": t.key.String(), "failures": t.failures, "limit": t.job.queue.MaxAttempts, "role": "home",
+		"job": t.job.ID, "task": t.key.String(), "failures": t.failures.Count(), "limit": t.job.queue.MaxAttempts, "role": "home",
 	}
 	if s := t.job.shared; s != nil {
 		if s.isGuest {
@@ -34,8 +34,8 @@
 	if t.step.LongRunning {
 		return
 	}
-	o.observeRetry(retrylimit.StartEvent(t.failures))
-	if t.failures == 0 {
+	o.observeRetry(retrylimit.StartEvent(t.failures.Count()))
+	if t.failures.Count() == 0 {
 		return
 	}
 	entry := o.log.WithFields(t.failureFields()).WithFields(logrus.Fields{"decision": "start_again", "run": at.run, "worker": at.worker.ID})
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 	"github.com/laburnumridge/laburnumridge/internal/workercall"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -42,6 +43,7 @@
 	for _, rec := range p.Tasks {
 		o.restoreTask(now, n, rec, answered)
 	}
+	o.restoreFailed(n, p.Failed)
 	o.restoreLateStarts(n, p.LateStarts)
 	if shared != nil || len(p.Guests) > 0 {
 		o.restoreSharing(now, n, p, shared)
@@ -85,7 +87,7 @@
 	}
 	occ := o.occurrence(n, k.Occurrence)
 	t := occ.tasks[k.Step][k.Index]
-	t.checkpoint, t.failures, t.run = rec.Checkpoint, rec.Failures, rec.Run
+	t.checkpoint, t.failures, t.run = rec.Checkpoint, retrylimit.NewFailures(rec.Failures), rec.Run
 	if rec.Run > 0 && !rec.Done {
 		n.begunTasks++
 	}
--- a/internal/shard/poll.go
+++ b/internal/shard/poll.go
@@ -231,18 +231,19 @@
 			continue
 		}
 		t := o.task(e.Job, e.Key)
-		o.handleEnd(now, w, e)
+		o.handleEnd(now, w, e, list.Born)
 		o.trackEnd(now, w, e, t)
 	}
 	o.advanceRecordedEnd(now, w)
 }
 
-// handleEnd processes the end of a run.
-func (o *Owner) handleEnd(now time.Time, w *worker, e EndRow) {
+// handleEnd processes the end of a run that a lifetime of a worker lists.
+func (o *Owner) handleEnd(now time.Time, w *worker, e EndRow, born int64) {
 	t := o.task(e.Job, e.Key)
 	if t == nil {
 		return // the job has ended
 	}
+	failed := workflow.Attempt{Born: born, Run: e.Run, Worker: w.ID}
 	var at *attempt
 	for _, other := range t.attempts {
 		if other.worker == w && other.run == e.Run {
@@ -251,7 +252,7 @@
 	}
 	if at == nil && (e.Cause != EndDone || t.done || t.isAway || len(t.attempts) > 0) {
 		if e.Cause == EndFailed {
-			o.reportEndNotCounted(w, t, e, "the run already counts as ended")
+			o.handleLateFailure(w, t, e, failed)
 		}
 		return // the run already counts as ended
 	}
@@ -274,7 +275,7 @@
 		w.health.succeeded()
 		o.completeTask(t)
 	case EndFailed:
-		o.handleFailure(now, at)
+		o.handleFailure(now, at, failed)
 	case EndGangTimeout, EndGangBroken, EndLeaseExpired, EndStopped:
 	default:
 		o.log.WithFields(logrus.Fields{"job": e.Job, "task": e.Key.String(), "cause": string(e.Cause)}).
--- a/internal/shard/retrylimit.go
+++ b/internal/shard/retrylimit.go
@@ -13,7 +13,7 @@
 // isExhausted reports whether the task is not done and has had as many failed runs as its queue allows. It must not start again.
 func (t *task) isExhausted() bool {
 	limit := t.job.queue.MaxAttempts
-	return !t.done && !t.step.LongRunning && limit > 0 && t.failures >= limit
+	return !t.done && !t.step.LongRunning && limit > 0 && t.failures.Count() >= limit
 }
 
 // checkLimit makes the next step end the task if it is exhausted.
--- a/internal/shard/sharing.go
+++ b/internal/shard/sharing.go
@@ -108,7 +108,7 @@
 		}
 		if isKept || r.Shard == shard {
 			out = append(out, workflow.HeldTask{Hop: r.Hop, Record: workflow.TaskRecord{
-				Key: r.Key, Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures, Run: t.run,
+				Key: r.Key, Attempts: t.knownFailedRuns(), Checkpoint: t.checkpoint, Done: t.done, Failures: t.failures.Count(), Run: t.run,
 			}})
 		}
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -7,6 +7,7 @@
 	"github.com/laburnumridge/laburnumridge/internal/fleet"
 	"github.com/laburnumridge/laburnumridge/internal/forecast"
 	"github.com/laburnumridge/laburnumridge/internal/interference"
+	"github.com/laburnumridge/laburnumridge/internal/retrylimit"
 	"github.com/laburnumridge/laburnumridge/internal/workercall"
 	"github.com/laburnumridge/laburnumridge/internal/workflow"
 )
@@ -107,7 +108,7 @@
 	// copies is the number of runs that were given up as overdue.
 	copies   int
 	done     bool
-	failures int
+	failures retrylimit.Failures
 	// heldWorker is the worker that was last held for the task.
 	heldWorker *worker
 	// isAway is set while another shard holds the task.
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -65,6 +65,13 @@
 	Worker string
 }
 
+// FailedRun is a run of a task that ended with a fault.
+type FailedRun struct {
+	_   struct{} `cbor:",toarray"`
+	Key TaskKey
+	Run Attempt
+}
+
 // Progress is the recorded progress of a job, written by the owner of its shard.
 type Progress struct {
 	// DoneThrough is the number of leading occurrences whose tasks are all done; their tasks have no records.
@@ -80,6 +87,8 @@
 	LateStarts []LateStart `cbor:"7,keyasint,omitempty"`
 	// Answered holds the runs whose starts all have responses.
 	Answered []AnsweredStart `cbor:"8,keyasint,omitempty"`
+	// Failed holds the failed runs that are known by worker and lifetime. TaskRecord.Failures may be higher.
+	Failed []FailedRun `cbor:"9,keyasint,omitempty"`
 	// Settings holds the last settings of the job's queue if they are not those of the job's record.
 	Settings *QueueSettings `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/workflow/sharedjob.go
+++ b/internal/workflow/sharedjob.go
@@ -24,7 +24,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Hop counts the transfers of the task away from the home; it may be NoHop.
 	Hop int
-	// Record has no attempts. It is done in the list of a guest that has completed the task.
+	// Record has the failed runs that are known as its attempts, since a task that moves has no open ones. It is done in the list of a guest
+	// that has completed the task.
 	Record TaskRecord
 }
 
