--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -243,8 +243,8 @@
 		if t != nil && o.mergeFailures(t, h.Record) {
 			o.tellOfFailures(t)
 		}
-		if h.Hop == workflow.NoHop {
-			continue
+		if h.Hop == workflow.NoHop || tr != nil && tr.hop >= h.Hop && tr.shard != guest {
+			continue // the guest still holds the task, or it was taken back before
 		}
 		if t == nil || tr == nil || tr.shard != guest || tr.hop != h.Hop {
 			o.reportReturnIgnored(id, guest, h, "the task is not at the guest at this hop")
