--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -288,7 +288,8 @@
 			if o.hasLateStart(now, t) {
 				continue
 			}
-			if since := t.waitsSince(tr.arrivedAt); !t.isExhausted() {
+			if !t.isExhausted() {
+				since := t.waitsSince(tr.arrivedAt)
 				if since.IsZero() {
 					continue // the next placement round or report notes since when it waits
 				}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -249,8 +249,8 @@
 	return used / max(capacity, 1)
 }
 
-// assign plans an attempt of a task on a worker. The start is sent once the attempt is recorded. run is the attempt's
-// number.
+// assign plans an attempt of a task on a worker, unless the task may not run again. The start is sent once the attempt is recorded. run is
+// the attempt's number.
 func (o *Owner) assign(t *task, w *worker, run int) {
 	if t.isExhausted() {
 		o.refuseRun(t, w, run)
