--- a/internal/entry/earlierleases_test.go
+++ b/internal/entry/earlierleases_test.go
@@ -56,6 +56,7 @@
 // Guards against tasks that run twice because their worker, which is cut off, has a lease of an owner that was killed, or of one before
 // that, when owners are killed in series.
 func TestLeasesOfKilledOwnersAreWaitedFor(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newSimulatedFleet(t, seed, 1, simulatedWorkers)
--- a/internal/entry/failedhandover_test.go
+++ b/internal/entry/failedhandover_test.go
@@ -78,6 +78,7 @@
 // Guards also against a handover that is tried again at once, and against a deletion that is carried out after the owner has
 // taken the shard back.
 func TestShardIsServedWhileTheStoreDoesNotHandItOver(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		fault     txnFault
 		takeBacks int
--- a/internal/entry/pausedorder_test.go
+++ b/internal/entry/pausedorder_test.go
@@ -17,6 +17,7 @@
 // Guards against an owner that is paused between the check of its lease and an order, whose lease runs out meanwhile, and whose order
 // then starts a task a second time or stops the run of the next owner.
 func TestOrderPausedAfterItsPermissionDoesNoHarm(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"start", "stop", "poll"} {
 		for _, pause := range []time.Duration{2500 * time.Millisecond, 5 * time.Second, 9 * time.Second} {
 			t.Run(fmt.Sprintf("%s paused for %s", kind, pause), func(t *testing.T) {
--- a/internal/entry/refusedowner_test.go
+++ b/internal/entry/refusedowner_test.go
@@ -97,6 +97,7 @@
 // Guards against an owner that keeps its shard while the store renews its lease and refuses its transactions: long-running tasks
 // that fail are not started again, and no job is started or completed, for as long as that lasts.
 func TestShardIsServedWhileTransactionsOfItsOwnerAreRefused(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		hosts, percent int
 		refused        func(owners []string) []string
--- a/internal/entry/refusedrandom_test.go
+++ b/internal/entry/refusedrandom_test.go
@@ -19,6 +19,7 @@
 // Guards against a task that runs twice, and against a shard that stands still, after owners were refused by workers, beside losses of
 // owners and workers that are cut off: an owner that goes on after a refusal has to know when its earlier leases end.
 func TestRefusedOwnersUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for i := range uint64(*refusalSeeds) {
 		seed := *refusalFirst + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/entry/restartgap_test.go
+++ b/internal/entry/restartgap_test.go
@@ -50,6 +50,7 @@
 // Guards against long-running tasks that wait for too long, run twice or not at all after their worker has restarted under its id: with all
 // calls answered, after a start without a response, before a cut, and with the loss of the owner besides. Logs the times.
 func TestTasksOfRestartedWorkerRunAgain(t *testing.T) {
+	t.Parallel()
 	for _, c := range []restartCase{
 		{name: "answered"},
 		{name: "lost start", isStartLost: true},
--- a/internal/entry/slowclaim_test.go
+++ b/internal/entry/slowclaim_test.go
@@ -23,6 +23,7 @@
 // Guards against shards of a lost host that stay without an owner, since the host that is left gives up each claim just before the
 // claim gets processor time beside the calls for the shards that it has.
 func TestHostClaimsShardsOfLostHostInTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		runFleet(t, seed, 5, func(f *simulatedFleet) {
 			f.startMixed(2, 0)
--- a/internal/entry/slowhandover_test.go
+++ b/internal/entry/slowhandover_test.go
@@ -61,6 +61,7 @@
 // Guards against an owner that waits in vain for the end of its changes before each handover, since it always has changes to
 // record, and against jobs that are lost because their changes were not recorded.
 func TestOwnerWithBacklogHandsShardsOverInTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		decisions := &handoverLog{decidedAt: map[string]time.Time{}}
 		runFleet(t, seed, 3, func(f *simulatedFleet) {
@@ -91,6 +92,7 @@
 // Guards against an owner that gives up each attempt to delete its key just before the attempt gets processor time, so that the
 // shard stays without work until the queue of the owner's calls happens to be short.
 func TestOverloadedOwnerDeletesItsKeyInTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		decisions := &handoverLog{decidedAt: map[string]time.Time{}}
 		runFleet(t, seed, 5, func(f *simulatedFleet) {
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -87,6 +87,7 @@
 // Guards against an owner without the processor time for its shard that keeps it because of that: the deletion of its key got
 // no answer in time beside its other calls, and each attempt to hand the shard over ended that way.
 func TestOverloadedOwnerHandsItsShardOver(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		runFleet(t, seed, 1, func(f *simulatedFleet) {
 			f.start("weak", weakHost)
@@ -100,6 +101,7 @@
 // Guards against weak hosts that take shards because they get a lease a moment before strong ones when all hosts come back: after
 // an outage of the store, and after a loss of power.
 func TestWeakHostsLeaveShardsToStrongHostsThatReturn(t *testing.T) {
+	t.Parallel()
 	runFleet(t, 1, 3, func(f *simulatedFleet) {
 		f.startMixed(4, 8)
 		time.Sleep(5 * time.Second)
@@ -152,6 +154,7 @@
 // Guards against a host that keeps several shards since the others registered after it had taken all of them: claims are paced
 // for 0.45 s only, so handovers alone share the shards. Handovers at the same time are not a stable time apart.
 func TestHostsThatRegisterLateReceiveShards(t *testing.T) {
+	t.Parallel()
 	for seed, delay := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond} {
 		runFleet(t, uint64(seed), 3, func(f *simulatedFleet) {
 			f.startMixed(3, 3)
--- a/internal/entry/takeoverseries_test.go
+++ b/internal/entry/takeoverseries_test.go
@@ -77,6 +77,7 @@
 // Guards against a wait for the lease of a worker that starts anew with each owner of its shard: the tasks of a worker that left had
 // nothing running while owners changed more often than a lease lasts, and for a whole lease more.
 func TestTakeoversInSeriesDoNotProlongWaitForLease(t *testing.T) {
+	t.Parallel()
 	t.Run("owners with time to spare", func(t *testing.T) { checkSeries(t, jobsAtLimit/2, (*simulatedFleet).leaveSoon) })
 	t.Run("owners at their limit", func(t *testing.T) {
 		knownred.Skip(t)
@@ -86,6 +87,7 @@
 
 // Guards against long-running tasks that fail and are not started again while owners of their shard change each second.
 func TestFailedTasksRestartDuringTakeoversInSeries(t *testing.T) {
+	t.Parallel()
 	checkSeries(t, jobsAtLimit, func(*simulatedFleet) {})
 }
 
@@ -140,6 +142,7 @@
 // Guards against an owner that does without what the last one handed over because one read of it got no answer: it took the leases of
 // workers to begin with its takeover, and handed that on.
 func TestHandoverIsReadAgainAfterLostResponse(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		runFleetWith(t, seed, 1, jobsAtLimit/2, seriesMaxLease, func(f *simulatedFleet) {
 			f.changePlatform = func(p *entry.Platform) {
