--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -20,9 +20,6 @@
 // maxLease is the longest lease that the simulated workers grant.
 const maxLease = 10 * time.Second
 
-// failedRunLimit is the number of failed runs of a task that the simulated config allows.
-const failedRunLimit = 3
-
 // ticketValid is the validity period of a placement advice ticket.
 const ticketValid = 2 * time.Second
 
--- a/internal/shard/simulationworker_test.go
+++ b/internal/shard/simulationworker_test.go
@@ -11,6 +11,9 @@
 	"github.com/laburnumridge/laburnumridge/internal/shard"
 )
 
+// failedRunLimit is the number of failed runs of a task that the simulated config allows.
+const failedRunLimit = 3
+
 func (f *fakeWorker) reserved() fleet.Resources {
 	var sum fleet.Resources
 	for _, r := range f.runs {
